--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,3 @@
+//! State that lives as long as a connection: leases, clients, peers and wire types.
+
+pub mod wire;
--- /dev/null
+++ b/src/connection/wire/peer.rs
@@ -0,0 +1,117 @@
+//! Messages between entry hosts, encoded with `bincode`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::base::{Name, Offset, Ran, Token};
+
+use super::request::JobState;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerRequest {
+    Hello(Hello),
+    Contracts(ContractsRequest),
+    Forward(Forward),
+    Job(JobRequest),
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerReply {
+    Hello(Hello),
+    Contracts(ContractsReply),
+    Answer(Answer),
+    Job(JobReply),
+    /// The peer is starting or draining and took no action.
+    Unavailable,
+}
+
+/// Heartbeat between entry hosts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Hello {
+    pub host: Name,
+    pub data_centre: Name,
+    /// Changes whenever the process restarts.
+    pub incarnation: u64,
+    /// Leases that the sender holds.
+    pub held: Vec<Held>,
+    /// Next offset of the data centre's task stream that the sender will read.
+    pub log_offset: Offset,
+    /// Time since the sender last read the log, in ms.
+    pub log_age: u64,
+    /// Offset of the newest contract record that the sender applied, plus one.
+    pub contracts_offset: Offset,
+    pub draining: bool,
+    /// Backends that the sender knows to be leaving.
+    pub leaving: Vec<Name>,
+    pub loads: Vec<ServiceLoad>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    pub resource: Name,
+    pub token: Token,
+}
+
+/// Free slots that the sender owns for a service, and how fast they turn over.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServiceLoad {
+    pub service: Name,
+    pub slots: u32,
+    pub free: u32,
+    pub queued: u32,
+    /// Mean service time, in ms.
+    pub mean: f64,
+}
+
+/// Asks for contracts whose record has an offset of at least `since`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContractsRequest {
+    pub since: Offset,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ContractsReply {
+    /// The sender's `contracts_offset` when it answered.
+    pub offset: Offset,
+    pub contracts: Vec<RelayedContract>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedContract {
+    pub offset: Offset,
+    pub version: u64,
+    /// The contract as JSON, as on the log.
+    pub contract: String,
+}
+
+/// An urgent request passed to the entry host that is its home or owns a free slot.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Forward {
+    pub request: Name,
+    pub customer: Name,
+    pub class: Name,
+    /// Time left until the caller's deadline, in ms.
+    pub deadline: u64,
+    /// Number of times that the request was forwarded.
+    pub hops: u8,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    pub ran: Option<Ran>,
+    pub body: Vec<u8>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobRequest {
+    pub customer: Name,
+    pub job: Name,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobReply {
+    /// `None` if the sender does not know the job.
+    pub job: Option<JobState>,
+}
--- /dev/null
+++ b/src/connection/wire/request.rs
@@ -0,0 +1,58 @@
+//! Messages between callers or operators and `jayforkd`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::base::{Attempt, Name, Ran, Size};
+
+/// Body of every error answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ErrorBody {
+    /// Stable machine-readable kind, for example `unknown_customer`.
+    pub error: Name,
+    /// The field at fault, if the input was.
+    pub field: Option<String>,
+    pub reason: String,
+    /// Whether the work may have run; `None` where the request asks for no work.
+    pub ran: Option<Ran>,
+}
+
+/// `POST /v1/jobs`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSubmission {
+    pub customer: Name,
+    pub class: Name,
+    /// Chosen by the caller; the same id submitted again names the same job.
+    pub job: Name,
+    #[serde(default = "one")]
+    pub tasks: u32,
+    /// Declared size of each task.
+    pub size: Size,
+    /// Declared run time of each task, in ms; 0 for a watcher.
+    #[serde(default)]
+    pub run: u64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// `GET /v1/jobs/{customer}/{job}`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobState {
+    pub customer: Name,
+    pub job: Name,
+    pub class: Name,
+    pub tasks: Vec<TaskSummary>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskSummary {
+    pub index: u32,
+    pub attempt: Attempt,
+    /// `pending`, `claimed`, `succeeded`, `failed`, `cancelled` or `unknown`.
+    pub state: Name,
+    pub worker: Option<Name>,
+    /// Why the task waits or ended, if that needs telling.
+    pub reason: Option<Name>,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! jayfork schedules latency-critical requests and batch tasks that share hosts.
+//!
+//! The public items are what the two programs, the tests and the benchmarks use.
+
+pub mod base;
+pub mod connection;
+pub mod process;
+pub mod request;
+pub mod version;
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,1 @@
+//! State that lives as long as the process.
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! State that lives as long as one request or task.
--- /dev/null
+++ b/src/version/record.rs
@@ -0,0 +1,125 @@
+//! Records of a data centre's task stream.
+
+use serde::{Deserialize, Serialize};
+
+use crate::base::{Attempt, Name, Offset, Size, TaskId};
+
+/// One append: the records that a host collected since its last one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Batch {
+    pub host: Name,
+    /// Incarnation of the process that wrote the batch.
+    pub incarnation: u64,
+    /// Counts the batches of that process, so that it recognises its own after a lost answer.
+    pub sequence: u64,
+    pub records: Vec<Record>,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    Accepted(Box<TaskSpec>),
+    /// Binds `attempt` to `worker`; whoever holds the worker's lease executes it.
+    Claimed {
+        task: TaskId,
+        attempt: Attempt,
+        worker: Name,
+    },
+    /// The attempt is known not to have run.
+    Released {
+        task: TaskId,
+        attempt: Attempt,
+    },
+    Checkpointed {
+        task: TaskId,
+        attempt: Attempt,
+        checkpoint: Name,
+    },
+    Ended {
+        task: TaskId,
+        attempt: Attempt,
+        outcome: Outcome,
+    },
+    CancelRequested {
+        task: TaskId,
+    },
+    /// The writer cannot reach the worker and will declare it lost.
+    Suspected {
+        worker: Name,
+        host: Name,
+    },
+    /// Answers `Suspected`: the writer holds the worker's lease.
+    Held {
+        worker: Name,
+        host: Name,
+    },
+    /// Every run lease on the worker has lapsed.
+    WorkerLost {
+        worker: Name,
+    },
+    /// State of a task whose earlier records are about to expire.
+    Restated(Box<Restated>),
+}
+
+/// What a caller asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskSpec {
+    pub task: TaskId,
+    pub class: Name,
+    /// Declared size.
+    pub size: Size,
+    /// Declared run time in ms; 0 for a task without an end.
+    pub run: u64,
+    /// Attempts that a restartable task gets.
+    pub max_attempts: u32,
+    pub at_most_once: bool,
+    /// Runs without an end.
+    pub watcher: bool,
+    /// Wall-clock time of acceptance, in ms since the Unix epoch.
+    pub accepted: u64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Outcome {
+    Succeeded,
+    Failed,
+    Cancelled,
+    /// The attempt ended without a result: its worker restarted or its run lease lapsed.
+    Lost,
+}
+
+/// A task's state as of the records below `as_of`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Restated {
+    pub spec: TaskSpec,
+    pub phase: Phase,
+    /// Failed attempts so far.
+    pub failures: u32,
+    pub checkpoint: Option<Name>,
+    pub cancelled: bool,
+    pub as_of: Offset,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Phase {
+    /// Waits for a claim of attempt `next`.
+    Pending {
+        next: Attempt,
+    },
+    Claimed {
+        attempt: Attempt,
+        worker: Name,
+    },
+    Done {
+        attempt: Attempt,
+        result: TaskResult,
+    },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum TaskResult {
+    Succeeded,
+    Failed,
+    Cancelled,
+    /// An at-most-once task may or may not have run to its end.
+    Unknown,
+}
