Bind a claim to the incarnation of its worker

Cause: a worker that restarted has forgotten its attempts, so a claim that is not in its report may or may not have run. Change: the claim names the incarnation in which it may start. Result: formatter and linter pass; no behaviour yet.

--- a/src/version/record.rs
+++ b/src/version/record.rs
@@ -19,10 +19,13 @@
 pub enum Record {
     Accepted(Box<TaskSpec>),
     /// Binds `attempt` to `worker`; whoever holds the worker's lease executes it.
+    ///
+    /// The attempt may start only in the named incarnation of the worker.
     Claimed {
         task: TaskId,
         attempt: Attempt,
         worker: Name,
+        incarnation: u64,
     },
     /// The attempt is known not to have run.
     Released {
@@ -102,12 +105,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// Waits for a claim of attempt `next`.
-    Pending {
-        next: Attempt,
-    },
+    Pending { next: Attempt },
     Claimed {
         attempt: Attempt,
         worker: Name,
+        incarnation: u64,
     },
     Done {
         attempt: Attempt,
