--- /dev/null
+++ b/src/connection/http.rs
@@ -0,0 +1,165 @@
+//! HTTP calls to the platform, to workers and to service instances.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use ureq::http::Response;
+use ureq::{Agent, Body, SendBody};
+
+use super::error::{Error, Result};
+use super::wire::LeaseRefusal;
+use crate::version::MAX_BODY;
+
+/// Idle connections are dropped before a server is likely to close them, since a call on a
+/// connection that the server has closed fails with an unknown outcome.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+
+/// Longest answer of the platform or a worker in bytes.
+const MAX_ANSWER: u64 = MAX_BODY + 64 * 1024;
+
+/// Blocking HTTP client with keep-alive; clones share the connections.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    agent: Agent,
+    /// Name of this host, sent with every call.
+    client: String,
+}
+
+impl HttpClient {
+    /// A client whose calls take at most `timeout` each; `client` names this host to the server.
+    pub fn new(client: &str, timeout: Duration, connections: usize) -> Self {
+        let agent = Agent::config_builder()
+            .http_status_as_error(false)
+            .proxy(None)
+            .max_redirects(0)
+            .no_delay(true)
+            .timeout_global(Some(timeout))
+            .timeout_connect(Some(timeout.min(Duration::from_secs(1))))
+            .max_idle_connections(connections)
+            .max_idle_connections_per_host(connections)
+            .max_idle_age(MAX_IDLE)
+            .build()
+            .new_agent();
+        HttpClient {
+            agent,
+            client: client.to_owned(),
+        }
+    }
+
+    /// `GET url`, answered with JSON; `timeout` replaces the client's own.
+    pub fn get<R: DeserializeOwned>(&self, url: &str, timeout: Option<Duration>) -> Result<R> {
+        let mut request = self.agent.get(url).header("client", &self.client);
+        if let Some(timeout) = timeout {
+            request = request.config().timeout_global(Some(timeout)).build();
+        }
+        decode(url, read(url, request.call())?)
+    }
+
+    /// `POST url` with a JSON body, answered with JSON.
+    pub fn post<T: Serialize, R: DeserializeOwned>(&self, url: &str, body: &T) -> Result<R> {
+        let encoded = serde_json::to_vec(body).map_err(|error| Error::Decode {
+            address: url.to_owned(),
+            reason: error.to_string(),
+        })?;
+        self.post_bytes(url, &encoded)
+    }
+
+    /// `POST url` with a raw body, answered with JSON.
+    pub fn post_bytes<R: DeserializeOwned>(&self, url: &str, body: &[u8]) -> Result<R> {
+        let request = self.agent.post(url).header("client", &self.client);
+        decode(url, read(url, request.send(body))?)
+    }
+
+    /// `POST url` with headers and a raw body; returns the whole answer, whatever its status.
+    pub fn exchange(
+        &self,
+        url: &str,
+        headers: &[(&str, &str)],
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(u16, Bytes)> {
+        let mut request = self.agent.post(url).header("client", &self.client);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request.config().timeout_global(Some(timeout)).build();
+        let mut body = body.as_ref();
+        let length = body.len().to_string();
+        let request = request.header("content-length", length);
+        read(url, request.send(SendBody::from_reader(&mut body)))
+    }
+}
+
+fn read(
+    url: &str,
+    answer: std::result::Result<Response<Body>, ureq::Error>,
+) -> Result<(u16, Bytes)> {
+    let mut answer = answer.map_err(|error| classify(url, &error))?;
+    let status = answer.status().as_u16();
+    let declared = answer
+        .headers()
+        .get("content-length")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse::<u64>().ok());
+    let body = answer
+        .body_mut()
+        .with_config()
+        .limit(MAX_ANSWER)
+        .read_to_vec()
+        .map_err(|error| broken(url, &error))?;
+    let length = body.len() as u64;
+    if declared.is_some_and(|declared| declared != length) {
+        let reason = format!("answer ended after {length} of {declared:?} bytes");
+        return Err(Error::Broken {
+            address: url.to_owned(),
+            reason,
+        });
+    }
+    Ok((status, Bytes::from(body)))
+}
+
+fn decode<R: DeserializeOwned>(url: &str, (status, body): (u16, Bytes)) -> Result<R> {
+    if status == 409 {
+        if let Ok(refusal) = serde_json::from_slice::<LeaseRefusal>(&body) {
+            return Err(Error::Refused(refusal));
+        }
+    }
+    if !(200..300).contains(&status) {
+        return Err(Error::Status {
+            address: url.to_owned(),
+            status,
+            body: body.to_vec(),
+        });
+    }
+    serde_json::from_slice(&body).map_err(|error| Error::Decode {
+        address: url.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
+fn classify(url: &str, error: &ureq::Error) -> Error {
+    let is_unsent = match error {
+        ureq::Error::HostNotFound | ureq::Error::ConnectionFailed => true,
+        ureq::Error::Timeout(timeout) => {
+            matches!(timeout, ureq::Timeout::Connect | ureq::Timeout::Resolve)
+        }
+        ureq::Error::Io(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    };
+    if is_unsent {
+        return Error::NotSent {
+            address: url.to_owned(),
+            reason: error.to_string(),
+        };
+    }
+    broken(url, error)
+}
+
+fn broken(url: &str, error: &ureq::Error) -> Error {
+    Error::Broken {
+        address: url.to_owned(),
+        reason: error.to_string(),
+    }
+}
--- /dev/null
+++ b/src/connection/log.rs
@@ -0,0 +1,120 @@
+//! Client of the platform's append-only log, and the reader that follows a stream.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use super::error::{Error, Result};
+use super::http::HttpClient;
+use super::wire::{AppendReply, ReadReply};
+use crate::base::{Name, Offset};
+
+/// Records per read.
+const MAX_RECORDS: u32 = 512;
+/// Time that a read waits for new records.
+const POLL: Duration = Duration::from_millis(400);
+/// Longest pause after a failed read.
+const MAX_PAUSE: Duration = Duration::from_secs(2);
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// The log protocol.
+pub trait LogClient: Send + Sync + 'static {
+    /// Appends one record. A failure after sending leaves the outcome unknown.
+    fn append(&self, stream: &str, data: &[u8]) -> Result<Offset>;
+    /// Reads records from `from` on; waits up to `wait` for the first.
+    fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<ReadReply>;
+}
+
+/// The log over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpLog {
+    http: HttpClient,
+    /// Base URL without a trailing slash.
+    url: String,
+}
+
+impl HttpLog {
+    pub fn new(http: HttpClient, url: &str) -> Self {
+        HttpLog {
+            http,
+            url: url.trim_end_matches('/').to_owned(),
+        }
+    }
+}
+
+impl LogClient for HttpLog {
+    fn append(&self, stream: &str, data: &[u8]) -> Result<Offset> {
+        let url = format!("{}/streams/{stream}/records", self.url);
+        let reply: AppendReply = self.http.post_bytes(&url, data)?;
+        Ok(reply.offset)
+    }
+
+    fn read(&self, stream: &str, from: Offset, wait: Duration) -> Result<ReadReply> {
+        let url = format!(
+            "{}/streams/{stream}/records?from={}&max={MAX_RECORDS}&wait={}",
+            self.url,
+            from.0,
+            wait.as_millis()
+        );
+        self.http.get(&url, Some(wait + Duration::from_secs(2)))
+    }
+}
+
+/// Follows a stream on its own thread until dropped.
+#[derive(Debug)]
+pub struct StreamReader {
+    stop: Arc<AtomicBool>,
+}
+
+impl StreamReader {
+    /// Reads `stream` from the first retained record on and passes each answer to `deliver`,
+    /// which returns false to end the reader.
+    pub fn spawn<L, F>(log: L, stream: Name, mut deliver: F) -> Result<Self>
+    where
+        L: LogClient,
+        F: FnMut(Result<ReadReply>) -> bool + Send + 'static,
+    {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = stop.clone();
+        thread::Builder::new()
+            .name(format!("read-{stream}"))
+            .spawn(move || {
+                let mut next = Offset(0);
+                let mut pause = MIN_PAUSE;
+                while !stopped.load(Ordering::Relaxed) {
+                    let reply = log.read(&stream, next, POLL);
+                    match &reply {
+                        Ok(read) => {
+                            next = position(next, read);
+                            pause = MIN_PAUSE;
+                        }
+                        Err(_) => {
+                            thread::sleep(pause);
+                            pause = (pause * 2).min(MAX_PAUSE);
+                        }
+                    }
+                    if !deliver(reply) {
+                        return;
+                    }
+                }
+            })
+            .map_err(|error| Error::Thread(error.to_string()))?;
+        Ok(StreamReader { stop })
+    }
+}
+
+impl Drop for StreamReader {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Where to read on; skips records that the log no longer retains.
+fn position(next: Offset, read: &ReadReply) -> Offset {
+    let after = read
+        .records
+        .last()
+        .map_or(next, |record| record.offset.next());
+    after.max(read.first)
+}
--- /dev/null
+++ b/src/connection/peer.rs
@@ -0,0 +1,328 @@
+//! Links between entry hosts: h2 streams that carry one bincode message each way.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use h2::{RecvStream, SendStream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
+
+use super::error::{Error, Result};
+use super::wire::{PeerReply, PeerRequest};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Flow-control window of a stream; a 16 MiB body needs 16 round trips at most.
+const STREAM_WINDOW: u32 = 1 << 20;
+const CONNECTION_WINDOW: u32 = 8 << 20;
+/// Largest message in bytes: a request body and its envelope.
+const MAX_MESSAGE: usize = (16 << 20) + 4096;
+
+/// Receives what arrives on the links; called on the links' thread.
+pub trait PeerHandler: Clone + Send + 'static {
+    /// A peer sent `request`; answer it with `PeerLinks::reply` and the same ticket.
+    fn called(&self, ticket: u64, request: PeerRequest);
+    /// A call of this process has ended; `bytes` counts both messages.
+    fn answered(&self, call: u64, reply: Result<PeerReply>, bytes: usize);
+}
+
+/// A call to a peer.
+#[derive(Debug)]
+pub struct PeerCall {
+    /// Chosen by the caller; names the call in `PeerHandler::answered`.
+    pub call: u64,
+    pub address: SocketAddr,
+    pub request: PeerRequest,
+    pub timeout: Duration,
+}
+
+enum Input {
+    Call(PeerCall),
+    Reply(u64, PeerReply),
+}
+
+/// Running links; they end when this handle is dropped.
+#[derive(Debug)]
+pub struct PeerLinks {
+    sender: mpsc::UnboundedSender<Input>,
+    address: SocketAddr,
+}
+
+impl PeerLinks {
+    /// Listens on `address` and serves on a thread of its own.
+    pub fn bind<H: PeerHandler>(address: SocketAddr, handler: H) -> Result<Self> {
+        let bind_error = |error: std::io::Error| Error::Bind {
+            address: address.to_string(),
+            reason: error.to_string(),
+        };
+        let listener = std::net::TcpListener::bind(address).map_err(bind_error)?;
+        listener.set_nonblocking(true).map_err(bind_error)?;
+        let local = listener.local_addr().map_err(bind_error)?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|error| Error::Thread(error.to_string()))?;
+        let (sender, receiver) = mpsc::unbounded_channel();
+        thread::Builder::new()
+            .name("peers".to_owned())
+            .spawn(move || {
+                let local = LocalSet::new();
+                let links = Rc::new(Links::new(handler));
+                runtime.block_on(local.run_until(serve(links, listener, receiver)));
+            })
+            .map_err(|error| Error::Thread(error.to_string()))?;
+        Ok(PeerLinks {
+            sender,
+            address: local,
+        })
+    }
+
+    /// Address that the links listen on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub fn call(&self, call: PeerCall) {
+        self.input(Input::Call(call));
+    }
+
+    /// Answers a request of a peer; ignored if the peer is gone.
+    pub fn reply(&self, ticket: u64, reply: PeerReply) {
+        self.input(Input::Reply(ticket, reply));
+    }
+
+    fn input(&self, input: Input) {
+        if self.sender.send(input).is_err() {
+            tracing::error!("the thread of the peer links has ended");
+        }
+    }
+}
+
+/// State of the links' thread.
+struct Links<H> {
+    handler: H,
+    connections: RefCell<HashMap<SocketAddr, SendRequest<Bytes>>>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<PeerReply>>>,
+    tickets: RefCell<u64>,
+}
+
+impl<H: PeerHandler> Links<H> {
+    fn new(handler: H) -> Self {
+        Links {
+            handler,
+            connections: RefCell::default(),
+            waiting: RefCell::default(),
+            tickets: RefCell::default(),
+        }
+    }
+
+    fn register(&self) -> (u64, oneshot::Receiver<PeerReply>) {
+        let (sender, receiver) = oneshot::channel();
+        let ticket = {
+            let mut tickets = self.tickets.borrow_mut();
+            *tickets += 1;
+            *tickets
+        };
+        self.waiting.borrow_mut().insert(ticket, sender);
+        (ticket, receiver)
+    }
+}
+
+async fn serve<H: PeerHandler>(
+    links: Rc<Links<H>>,
+    listener: std::net::TcpListener,
+    mut receiver: mpsc::UnboundedReceiver<Input>,
+) {
+    match TcpListener::from_std(listener) {
+        Ok(listener) => {
+            spawn_local(accept(links.clone(), listener));
+        }
+        Err(error) => tracing::error!(%error, "cannot listen for peers"),
+    }
+    while let Some(input) = receiver.recv().await {
+        match input {
+            Input::Call(call) => {
+                spawn_local(run_call(links.clone(), call));
+            }
+            Input::Reply(ticket, reply) => {
+                if let Some(waiting) = links.waiting.borrow_mut().remove(&ticket) {
+                    // The receiver is gone if the peer has closed its stream.
+                    let _ = waiting.send(reply);
+                }
+            }
+        }
+    }
+}
+
+async fn accept<H: PeerHandler>(links: Rc<Links<H>>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(links.clone(), stream));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a connection of a peer");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H: PeerHandler>(links: Rc<Links<H>>, stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let handshake = h2::server::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake::<_, Bytes>(stream)
+        .await;
+    let mut connection = match handshake {
+        Ok(connection) => connection,
+        Err(error) => {
+            tracing::debug!(%error, "a peer's connection failed its handshake");
+            return;
+        }
+    };
+    while let Some(Ok((request, respond))) = connection.accept().await {
+        let links = links.clone();
+        spawn_local(async move {
+            if let Err(error) = answer(links, request.into_body(), respond).await {
+                tracing::debug!(%error, "a peer's request was not answered");
+            }
+        });
+    }
+}
+
+async fn answer<H: PeerHandler>(
+    links: Rc<Links<H>>,
+    body: RecvStream,
+    mut respond: h2::server::SendResponse<Bytes>,
+) -> Result<()> {
+    let request: PeerRequest = decode(&receive(body).await?)?;
+    let (ticket, receiver) = links.register();
+    links.handler.called(ticket, request);
+    let reply = receiver.await.unwrap_or(PeerReply::Unavailable);
+    let response = http::Response::new(());
+    let mut stream = respond.send_response(response, false).map_err(broken)?;
+    send(&mut stream, encode(&reply)?)
+}
+
+async fn run_call<H: PeerHandler>(links: Rc<Links<H>>, call: PeerCall) {
+    let address = call.address;
+    let exchanged = timeout(call.timeout, exchange(&links, address, &call.request)).await;
+    let (reply, bytes) = match exchanged {
+        Ok(Ok((reply, bytes))) => (Ok(reply), bytes),
+        Ok(Err(error)) => (Err(error), 0),
+        Err(_) => (Err(broken("timed out")), 0),
+    };
+    if reply.is_err() {
+        links.connections.borrow_mut().remove(&address);
+    }
+    links.handler.answered(call.call, reply, bytes);
+}
+
+async fn exchange<H: PeerHandler>(
+    links: &Links<H>,
+    address: SocketAddr,
+    request: &PeerRequest,
+) -> Result<(PeerReply, usize)> {
+    let message = encode(request)?;
+    let sent = message.len();
+    let sender = connect(links, address).await?;
+    let mut sender = sender.ready().await.map_err(|error| Error::NotSent {
+        address: address.to_string(),
+        reason: error.to_string(),
+    })?;
+    let head = http::Request::post("http://peer/")
+        .body(())
+        .map_err(broken)?;
+    let (response, mut stream) = sender.send_request(head, false).map_err(broken)?;
+    send(&mut stream, message)?;
+    let body = receive(response.await.map_err(broken)?.into_body()).await?;
+    Ok((decode(&body)?, sent + body.len()))
+}
+
+async fn connect<H>(links: &Links<H>, address: SocketAddr) -> Result<SendRequest<Bytes>> {
+    if let Some(sender) = links.connections.borrow().get(&address) {
+        return Ok(sender.clone());
+    }
+    let not_sent = |reason: String| Error::NotSent {
+        address: address.to_string(),
+        reason,
+    };
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+        .await
+        .map_err(|_| not_sent("timed out".to_owned()))?
+        .map_err(|error| not_sent(error.to_string()))?;
+    let _ = stream.set_nodelay(true);
+    let (sender, connection) = h2::client::Builder::new()
+        .initial_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .handshake::<_, Bytes>(stream)
+        .await
+        .map_err(|error| not_sent(error.to_string()))?;
+    spawn_local(async move {
+        if let Err(error) = connection.await {
+            tracing::debug!(%error, "a connection to a peer ended");
+        }
+    });
+    links
+        .connections
+        .borrow_mut()
+        .insert(address, sender.clone());
+    Ok(sender)
+}
+
+fn send(stream: &mut SendStream<Bytes>, message: Bytes) -> Result<()> {
+    stream.send_data(message, true).map_err(broken)
+}
+
+async fn receive(mut body: RecvStream) -> Result<Vec<u8>> {
+    let mut message = Vec::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(broken)?;
+        if message.len() + chunk.len() > MAX_MESSAGE {
+            return Err(broken("message is too large"));
+        }
+        message.extend_from_slice(&chunk);
+        body.flow_control()
+            .release_capacity(chunk.len())
+            .map_err(broken)?;
+    }
+    Ok(message)
+}
+
+fn encode<T: Serialize>(message: &T) -> Result<Bytes> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map(Bytes::from)
+        .map_err(decode_error)
+}
+
+fn decode<T: DeserializeOwned>(message: &[u8]) -> Result<T> {
+    let config = bincode::config::standard().with_limit::<MAX_MESSAGE>();
+    bincode::serde::decode_from_slice(message, config)
+        .map(|(decoded, _)| decoded)
+        .map_err(decode_error)
+}
+
+fn broken(reason: impl ToString) -> Error {
+    Error::Broken {
+        address: "peer".to_owned(),
+        reason: reason.to_string(),
+    }
+}
+
+fn decode_error(error: impl ToString) -> Error {
+    Error::Decode {
+        address: "peer".to_owned(),
+        reason: error.to_string(),
+    }
+}
--- a/src/connection/wire/mod.rs
+++ b/src/connection/wire/mod.rs
@@ -11,8 +11,8 @@
 pub use lease::{Ack, LeaseRefusal, LeaseReply, LeaseRequest, ReleaseRequest};
 pub use log::{AppendReply, LogRecord, ReadReply};
 pub use peer::{
-    Answer, ContractsReply, ContractsRequest, Forward, Held, Hello, JobReply, JobRequest,
-    PeerReply, PeerRequest, RelayedContract, ServiceLoad,
+    Answer, ContractsReply, ContractsRequest, Forward, Held, Hello, JobCall, PeerReply,
+    PeerRequest, RelayedContract, RelayedRecord, ServiceLoad, TailReply, TailRequest,
 };
 pub use request::{ErrorBody, JobState, JobSubmission, TaskSummary};
 pub use worker::{
--- a/src/connection/wire/peer.rs
+++ b/src/connection/wire/peer.rs
@@ -1,25 +1,28 @@
 //! Messages between entry hosts, encoded with `bincode`.
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::base::{Name, Offset, Ran, Token};
 
-use super::request::JobState;
+use super::request::JobSubmission;
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
     Hello(Hello),
     Contracts(ContractsRequest),
     Forward(Forward),
-    Job(JobRequest),
+    Job(JobCall),
+    Tail(TailRequest),
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerReply {
     Hello(Hello),
     Contracts(ContractsReply),
+    /// Answers `Forward` and `Job`.
     Answer(Answer),
-    Job(JobReply),
+    Tail(TailReply),
     /// The peer is starting or draining and took no action.
     Unavailable,
 }
@@ -93,7 +96,7 @@
     pub deadline: u64,
     /// Number of times that the request was forwarded.
     pub hops: u8,
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -101,17 +104,35 @@
     /// HTTP status.
     pub status: u16,
     pub ran: Option<Ran>,
-    pub body: Vec<u8>,
+    pub body: Bytes,
 }
 
+/// A call about a job, passed to an entry host of the job's home data centre.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct JobRequest {
-    pub customer: Name,
-    pub job: Name,
+pub enum JobCall {
+    Submit(JobSubmission),
+    State { customer: Name, job: Name },
+    Cancel { customer: Name, job: Name },
+    List { customer: Name },
+}
+
+/// Asks for the raw records of the data centre's task stream from `from` on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TailRequest {
+    pub from: Offset,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct JobReply {
-    /// `None` if the sender does not know the job.
-    pub job: Option<JobState>,
+pub struct TailReply {
+    /// The first offset that the sender can relay.
+    pub first: Offset,
+    pub records: Vec<RelayedRecord>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedRecord {
+    pub offset: Offset,
+    /// Time of the append by the log's clock, in ms since the Unix epoch.
+    pub time: u64,
+    pub data: Bytes,
 }
--- /dev/null
+++ b/src/version/journal.rs
@@ -0,0 +1,151 @@
+//! Group commit of a host's records to its data centre's task stream.
+
+use std::collections::VecDeque;
+
+use super::record::{Batch, Record};
+use crate::base::{Millis, Name};
+
+/// Most records in one append; 400 records of about 100 bytes stay well below 64 KiB.
+const MAX_BATCH: usize = 400;
+/// Pause after a failed append; doubles up to `MAX_PAUSE`.
+const MIN_PAUSE: Millis = Millis(200);
+const MAX_PAUSE: Millis = Millis(5_000);
+
+/// Result of an append as far as the writer can tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Append {
+    Done,
+    /// Known to have had no effect.
+    Refused,
+    /// It may have taken effect.
+    Unknown,
+}
+
+/// Collects records and appends them in batches, one at a time.
+///
+/// All records are idempotent in the ledger's fold, so a batch with an unknown outcome is repeated
+/// until an append succeeds or the batch is read back from the stream. Claims are not repeated:
+/// a claim that took effect is read back, and one that did not is better proposed anew.
+#[derive(Debug)]
+pub struct Journal {
+    host: Name,
+    incarnation: u64,
+    /// Shortest time between two appends.
+    interval: Millis,
+    sequence: u64,
+    queue: VecDeque<Record>,
+    /// Records of the last append until its outcome is known, and whether it is under way.
+    sent: Option<Sent>,
+    /// Time before which nothing is appended.
+    resume: Millis,
+    pause: Millis,
+    failures: u32,
+}
+
+#[derive(Debug)]
+struct Sent {
+    sequence: u64,
+    records: Vec<Record>,
+    /// The adapter has not answered yet.
+    is_open: bool,
+    /// The batch was read back from the stream.
+    is_read: bool,
+}
+
+impl Journal {
+    pub fn new(host: Name, incarnation: u64, interval: Millis) -> Self {
+        Journal {
+            host,
+            incarnation,
+            interval,
+            sequence: 0,
+            queue: VecDeque::new(),
+            sent: None,
+            resume: Millis(0),
+            pause: MIN_PAUSE,
+            failures: 0,
+        }
+    }
+
+    pub fn push(&mut self, record: Record) {
+        self.queue.push_back(record);
+    }
+
+    /// Removes queued records that were never part of an append; returns how many.
+    pub fn withdraw(&mut self, matches: impl Fn(&Record) -> bool) -> usize {
+        let before = self.queue.len();
+        self.queue.retain(|record| !matches(record));
+        before - self.queue.len()
+    }
+
+    /// Whether any record of a matching kind may have reached the log without being confirmed.
+    pub fn is_sent(&self, matches: impl Fn(&Record) -> bool) -> bool {
+        self.sent
+            .as_ref()
+            .is_some_and(|sent| sent.records.iter().any(matches))
+    }
+
+    /// The next batch to append, if one is due.
+    pub fn poll(&mut self, now: Millis) -> Option<Batch> {
+        if self.sent.is_some() || self.queue.is_empty() || now < self.resume {
+            return None;
+        }
+        let count = self.queue.len().min(MAX_BATCH);
+        let records: Vec<Record> = self.queue.drain(..count).collect();
+        self.sequence += 1;
+        self.resume = now + self.interval;
+        self.sent = Some(Sent {
+            sequence: self.sequence,
+            records: records.clone(),
+            is_open: true,
+            is_read: false,
+        });
+        Some(Batch {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            records,
+        })
+    }
+
+    /// Takes the outcome of the append of batch `sequence`.
+    pub fn appended(&mut self, now: Millis, sequence: u64, outcome: Append) {
+        let Some(mut sent) = self.sent.take_if(|sent| sent.sequence == sequence) else {
+            return;
+        };
+        sent.is_open = false;
+        if outcome == Append::Done || sent.is_read {
+            self.failures = 0;
+            self.pause = MIN_PAUSE;
+            return;
+        }
+        self.failures += 1;
+        self.resume = now + self.pause;
+        self.pause = Millis((self.pause.0 * 2).min(MAX_PAUSE.0));
+        for record in sent.records.into_iter().rev() {
+            if !matches!(record, Record::Claimed { .. }) {
+                self.queue.push_front(record);
+            }
+        }
+    }
+
+    /// Takes a batch that was read from the stream.
+    pub fn read(&mut self, batch: &Batch) {
+        if batch.host != self.host || batch.incarnation != self.incarnation {
+            return;
+        }
+        if let Some(sent) = &mut self.sent {
+            sent.is_read |= sent.sequence == batch.sequence;
+        }
+    }
+
+    /// Whether the last append succeeded.
+    pub fn is_healthy(&self) -> bool {
+        self.failures == 0
+    }
+
+    /// Records that are not known to be on the log.
+    pub fn backlog(&self) -> usize {
+        self.queue.len() + self.sent.as_ref().map_or(0, |sent| sent.records.len())
+    }
+}
--- a/src/version/record.rs
+++ b/src/version/record.rs
@@ -55,9 +55,10 @@
         worker: Name,
         host: Name,
     },
-    /// Every run lease on the worker has lapsed.
+    /// Every run lease on the worker has lapsed; names the offset of the suspicion that proved it.
     WorkerLost {
         worker: Name,
+        suspected: Offset,
     },
     /// State of a task whose earlier records are about to expire.
     Restated(Box<Restated>),
@@ -72,6 +73,8 @@
     pub size: Size,
     /// Declared run time in ms; 0 for a task without an end.
     pub run: u64,
+    /// Lower runs first.
+    pub priority: u8,
     /// Attempts that a restartable task gets.
     pub max_attempts: u32,
     pub at_most_once: bool,
@@ -100,6 +103,8 @@
     pub checkpoint: Option<Name>,
     pub cancelled: bool,
     pub as_of: Offset,
+    /// The log's time of the last record below `as_of`, in ms since the Unix epoch.
+    pub as_of_time: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
