Add settings, logging, telemetry and operator wire types

An entry host needs checked settings before it starts, and its operators need log lines, metrics and answers to read.

- Settings are read from an INI file.
All faults of a file are reported at once, with section, key, value and allowed range; unknown names get the nearest known one; relations between keys are checked.
- Log lines go to stderr, human or JSON; spans carry request, task and contract ids.
- Metrics are rendered in the Prometheus format without a listener.
- The answers of /v1/status, /v1/contracts and /v1/burn have wire types.
- jayforkd reads and checks its settings; process::run is a stub.

--- a/src/bin/jayforkd.rs
+++ b/src/bin/jayforkd.rs
@@ -1,1 +1,57 @@
-fn main() {}
+//! Entry host daemon.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use jayfork::process::{self, Settings};
+
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = command().get_matches();
+    let path: &PathBuf = arguments
+        .get_one("settings")
+        .expect("clap requires --settings");
+    let settings = match Settings::open(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("jayforkd: {error}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    if arguments.get_flag("check") {
+        return ExitCode::SUCCESS;
+    }
+    match process::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jayforkd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn command() -> Command {
+    Command::new("jayforkd")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Runs one entry host")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .required(true)
+                .help("Settings file of this entry host"),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .action(ArgAction::SetTrue)
+                .help("Check the settings file and exit"),
+        )
+        .after_help(
+            "Exit codes: 0 stopped as told or settings valid, 1 failed while running, 2 usage or \
+             invalid settings.\n\nExample:\n  jayforkd --settings /etc/jayfork/k1.ini --check",
+        )
+}
--- a/src/connection/wire/mod.rs
+++ b/src/connection/wire/mod.rs
@@ -1,12 +1,19 @@
 //! Wire types of every protocol that jayfork speaks, apart from the types of the core.
 
+mod burn;
+mod contract;
 mod hosts;
 mod lease;
 mod log;
 mod peer;
 mod request;
+mod status;
 mod worker;
 
+pub use burn::{BurnReport, BurnWindow, ClassBurn, Outcomes};
+pub use contract::{
+    ContractAnswer, ContractHistory, ContractList, ContractSummary, PublishRefusal, Published,
+};
 pub use hosts::{HostEntry, HostKind, HostList, HostState};
 pub use lease::{Ack, LeaseRefusal, LeaseReply, LeaseRequest, ReleaseRequest};
 pub use log::{AppendReply, LogRecord, ReadReply};
@@ -15,6 +22,9 @@
     PeerReply, PeerRequest, RelayedContract, ServiceLoad,
 };
 pub use request::{ErrorBody, JobState, JobSubmission, TaskSummary};
+pub use status::{
+    ContractsStatus, EntryState, EntryStatus, InstanceStatus, Status, TaskCounts, WorkerStatus,
+};
 pub use worker::{
     InstanceReport, StartReply, StartRequest, StartState, TaskCommand, TaskEntry, TaskReply,
     TaskState, WorkerReport,
--- /dev/null
+++ b/src/process/settings/mod.rs
@@ -0,0 +1,18 @@
+//! Settings of `jayforkd`, read from an INI file at start.
+
+mod address;
+mod error;
+mod limits;
+mod numbers;
+mod peers;
+mod reader;
+#[allow(clippy::module_inception)]
+mod settings;
+mod timing;
+mod value;
+
+pub use error::{Error, Fault, Result};
+pub use limits::Limits;
+pub use peers::Peer;
+pub use settings::{Host, Listen, Log, LogFormat, Platform, Settings};
+pub use timing::Timing;
--- /dev/null
+++ b/src/process/telemetry.rs
@@ -0,0 +1,182 @@
+//! Metrics of the process in the Prometheus text format.
+
+use std::fs;
+
+use metrics::{
+    SharedString, Unit, counter, describe_counter, describe_gauge, describe_histogram, gauge,
+    histogram,
+};
+use metrics_exporter_prometheus::{
+    BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
+};
+
+use crate::base::Millis;
+
+pub const ANSWERS: &str = "jayfork_answers_total";
+pub const QUEUE_TIME: &str = "jayfork_queue_seconds";
+pub const REFUSALS: &str = "jayfork_refusals_total";
+pub const EVICTIONS: &str = "jayfork_evictions_total";
+pub const LEASE_LAPSES: &str = "jayfork_lease_lapses_total";
+pub const LOG_LAG: &str = "jayfork_log_lag_seconds";
+pub const APPEND_TIME: &str = "jayfork_append_seconds";
+pub const CONTRACT_AGE: &str = "jayfork_contract_age_seconds";
+pub const REGION_BYTES: &str = "jayfork_region_bytes_total";
+pub const RESIDENT_MEMORY: &str = "jayfork_resident_bytes";
+
+/// Upper bounds in seconds; the urgent classes of today's contracts wait up to a few seconds.
+const QUEUE_BUCKETS: [f64; 11] = [
+    0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 7.3,
+];
+const APPEND_BUCKETS: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("metrics recorder: {0}")]
+    Build(#[from] BuildError),
+    #[error("a metrics recorder is already installed")]
+    Installed,
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Reads the metrics of a recorder.
+#[derive(Clone)]
+pub struct Telemetry {
+    handle: PrometheusHandle,
+}
+
+impl Telemetry {
+    /// Installs the recorder of the process.
+    ///
+    /// # Errors
+    ///
+    /// `Installed` on a second call.
+    pub fn install() -> Result<Telemetry> {
+        let (recorder, telemetry) = Telemetry::build()?;
+        metrics::set_global_recorder(recorder).map_err(|_| Error::Installed)?;
+        describe();
+        Ok(telemetry)
+    }
+
+    /// Builds a recorder without installing it.
+    pub fn build() -> Result<(PrometheusRecorder, Telemetry)> {
+        let buckets = |name: &str| Matcher::Full(name.to_owned());
+        let recorder = PrometheusBuilder::new()
+            .set_buckets_for_metric(buckets(QUEUE_TIME), &QUEUE_BUCKETS)?
+            .set_buckets_for_metric(buckets(APPEND_TIME), &APPEND_BUCKETS)?
+            .build_recorder();
+        let handle = recorder.handle();
+        Ok((recorder, Telemetry { handle }))
+    }
+
+    /// All metrics in the Prometheus text format.
+    pub fn render(&self) -> String {
+        if let Some(bytes) = resident_memory() {
+            gauge!(RESIDENT_MEMORY).set(bytes as f64);
+        }
+        self.handle.render()
+    }
+
+    /// Folds samples into the histogram buckets.
+    ///
+    /// Call it every few seconds: samples pile up in memory until this or `render` runs.
+    pub fn upkeep(&self) {
+        self.handle.run_upkeep();
+    }
+}
+
+/// Sets the help texts of all metrics on the current recorder.
+pub fn describe() {
+    describe_counter!(ANSWERS, "Answers to callers by class and result");
+    describe_histogram!(
+        QUEUE_TIME,
+        Unit::Seconds,
+        "Wait of urgent requests for a slot, by class"
+    );
+    describe_counter!(REFUSALS, "Refused requests and jobs by reason");
+    describe_counter!(EVICTIONS, "Evicted tasks by cause");
+    describe_counter!(
+        LEASE_LAPSES,
+        "Control leases that lapsed while this host held them"
+    );
+    describe_gauge!(
+        LOG_LAG,
+        Unit::Seconds,
+        "Time since this host last read the stream to its end"
+    );
+    describe_histogram!(
+        APPEND_TIME,
+        Unit::Seconds,
+        "Time from an append to its answer, by result"
+    );
+    describe_gauge!(
+        CONTRACT_AGE,
+        Unit::Seconds,
+        "Time since the contracts were last confirmed"
+    );
+    describe_counter!(
+        REGION_BYTES,
+        Unit::Bytes,
+        "Bytes to other regions by message kind"
+    );
+    describe_gauge!(
+        RESIDENT_MEMORY,
+        Unit::Bytes,
+        "Resident memory of the process"
+    );
+}
+
+/// Counts an answer; `result` is a fixed kind such as `ok`, `refused` or `unknown`.
+pub fn answered(class: impl Into<SharedString>, result: &'static str) {
+    counter!(ANSWERS, "class" => class.into(), "result" => result).increment(1);
+}
+
+pub fn queued(class: impl Into<SharedString>, wait: Millis) {
+    histogram!(QUEUE_TIME, "class" => class.into()).record(seconds(wait));
+}
+
+/// Counts an admission refusal.
+pub fn refused(reason: &'static str) {
+    counter!(REFUSALS, "reason" => reason).increment(1);
+}
+
+pub fn evicted(cause: &'static str) {
+    counter!(EVICTIONS, "cause" => cause).increment(1);
+}
+
+pub fn lease_lapsed() {
+    counter!(LEASE_LAPSES).increment(1);
+}
+
+/// Sets the time since `stream` was last read to its end.
+pub fn log_lag(stream: impl Into<SharedString>, lag: Millis) {
+    gauge!(LOG_LAG, "stream" => stream.into()).set(seconds(lag));
+}
+
+/// Records how long an append took; `result` is `ok`, `refused` or `unknown`.
+pub fn appended(result: &'static str, taken: Millis) {
+    histogram!(APPEND_TIME, "result" => result).record(seconds(taken));
+}
+
+pub fn contract_age(age: Millis) {
+    gauge!(CONTRACT_AGE).set(seconds(age));
+}
+
+/// Counts bytes that cross regions; `message` is a kind such as `hello` or `forward`.
+pub fn region_bytes(message: &'static str, bytes: u64) {
+    counter!(REGION_BYTES, "message" => message).increment(bytes);
+}
+
+/// Resident memory of this process in bytes, from `/proc/self/status`.
+pub fn resident_memory() -> Option<u64> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kibibytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    Some(kibibytes * 1_024)
+}
+
+fn seconds(span: Millis) -> f64 {
+    span.0 as f64 / 1_000.0
+}
