Add the dispatcher and quota-checked claims (not yet wired)

Cause: two hosts that claim at the same time could exceed a customer's quota. Change: a claim carries the quota that its writer knew; the ledger's fold voids a claim above it, so the log's order decides. The dispatcher is not yet compiled in; it needs the placement modules.

--- /dev/null
+++ b/src/request/book.rs
@@ -0,0 +1,241 @@
+//! Accounting of one held worker.
+
+use std::collections::BTreeMap;
+
+use super::dispatch::{DispatchAction, HeldWorker, unknown_demand};
+use super::placement::{Demand, WorkerView};
+use crate::base::{Attempt, Millis, Name, Size, TaskId};
+use crate::connection::wire::{Ack, TaskCommand, TaskEntry};
+use crate::connection::{Command, Lease};
+use crate::version::{Phase, Task};
+
+/// Pause before a start that the worker refused for lack of room is tried again.
+const ROOM_RETRY: Millis = Millis(1_000);
+
+/// State of an attempt on the worker, as far as this host knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SlotState {
+    /// Its claim is not read back yet; its size is reserved.
+    Proposed,
+    /// Claimed, or about to be, without room; nothing is reserved.
+    Waiting { since: Millis },
+    /// A start is under way.
+    Starting,
+    /// A start has an unknown outcome and is repeated at `retry`.
+    Unsure { retry: Millis },
+    Running,
+}
+
+/// An attempt that this host accounts for.
+#[derive(Debug, Clone)]
+pub struct Slot {
+    pub attempt: Attempt,
+    pub demand: Demand,
+    pub state: SlotState,
+    /// Last command and its time.
+    command: Option<(Command, Millis)>,
+    /// Time before which a start is not tried again.
+    not_before: Millis,
+    /// A start had an unknown outcome and may still arrive, so the attempt can't be released
+    /// under the same token.
+    pub(super) is_unsure: bool,
+}
+
+impl Slot {
+    pub(super) fn proposed(attempt: Attempt, demand: Demand) -> Self {
+        Slot::new(attempt, demand, SlotState::Proposed)
+    }
+
+    pub(super) fn waiting(attempt: Attempt, demand: Demand, since: Millis) -> Self {
+        Slot::new(attempt, demand, SlotState::Waiting { since })
+    }
+
+    fn new(attempt: Attempt, demand: Demand, state: SlotState) -> Self {
+        Slot { attempt, demand, state, command: None, not_before: Millis(0), is_unsure: false }
+    }
+
+    fn is_reserved(&self) -> bool {
+        !matches!(self.state, SlotState::Waiting { .. })
+    }
+}
+
+/// A held worker: its lease, what is reserved on it, and its attempts.
+#[derive(Debug)]
+pub struct Book {
+    pub view: WorkerView,
+    pub address: Name,
+    pub lease: Lease,
+    pub slots: BTreeMap<TaskId, Slot>,
+    pub(super) acks: Vec<Ack>,
+}
+
+impl Book {
+    pub(super) fn new(held: &HeldWorker<'_>) -> Self {
+        Book {
+            view: WorkerView::new(held.name.clone(), held.rack.clone(), held.report.capacity),
+            address: held.address.clone(),
+            lease: held.lease,
+            slots: BTreeMap::new(),
+            acks: Vec::new(),
+        }
+    }
+
+    /// State of this attempt; `None` if another or no attempt of the task is known.
+    pub(super) fn state(&self, id: &TaskId, attempt: Attempt) -> Option<SlotState> {
+        self.slots.get(id).filter(|slot| slot.attempt == attempt).map(|slot| slot.state)
+    }
+
+    /// Whether the attempt may be released: no start of it can still arrive.
+    pub(super) fn may_release(&self, id: &TaskId) -> bool {
+        self.slots.get(id).is_none_or(|slot| !slot.is_unsure)
+    }
+
+    pub(super) fn set_unsure(&mut self, id: &TaskId, retry: Millis) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.state = SlotState::Unsure { retry };
+            slot.is_unsure = true;
+        }
+    }
+
+    pub(super) fn set_state(&mut self, id: &TaskId, state: SlotState) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.state = state;
+        }
+    }
+
+    /// Reserves room for a claimed attempt; returns false if it has to wait.
+    pub(super) fn reserve(
+        &mut self,
+        now: Millis,
+        id: &TaskId,
+        attempt: Attempt,
+        demand: Demand,
+    ) -> bool {
+        match self.slots.get(id) {
+            Some(slot) if slot.attempt != attempt && slot.state == SlotState::Running => return false,
+            Some(slot) if slot.attempt == attempt && slot.not_before > now => return false,
+            Some(slot) if slot.attempt == attempt && slot.is_reserved() => return true,
+            Some(slot) if slot.attempt == attempt => {
+                let demand = slot.demand.clone();
+                if !self.view.commit(&demand) {
+                    return false;
+                }
+                self.view.queued = self.view.queued.saturating_sub(1);
+                self.set_state(id, SlotState::Proposed);
+                return true;
+            }
+            _ => self.remove(id),
+        }
+        if self.view.commit(&demand) {
+            self.slots.insert(id.clone(), Slot::proposed(attempt, demand));
+            return true;
+        }
+        self.view.queued += 1;
+        self.slots.insert(id.clone(), Slot::waiting(attempt, demand, now));
+        false
+    }
+
+    /// Gives the room of an attempt back and lets it wait.
+    pub(super) fn withdraw(&mut self, id: &TaskId, now: Millis) {
+        let Some(slot) = self.slots.get_mut(id) else { return };
+        slot.state = SlotState::Waiting { since: now };
+        slot.not_before = now + ROOM_RETRY;
+        let demand = slot.demand.clone();
+        self.view.release(&demand);
+        self.view.queued += 1;
+    }
+
+    pub(super) fn remove(&mut self, id: &TaskId) {
+        let Some(slot) = self.slots.remove(id) else { return };
+        if slot.is_reserved() {
+            self.view.release(&slot.demand);
+        } else {
+            self.view.queued = self.view.queued.saturating_sub(1);
+        }
+    }
+
+    pub(super) fn remove_attempt(&mut self, id: &TaskId, attempt: Attempt) {
+        if self.state(id, attempt).is_some() {
+            self.remove(id);
+        }
+    }
+
+    /// Drops a proposed claim that did not take effect on this worker.
+    pub(super) fn forget_proposal(&mut self, id: &TaskId, task: Option<&Task>) {
+        let is_claimed = task.is_some_and(|task| {
+            matches!(&task.phase, Phase::Claimed { worker, .. } if *worker == self.view.name)
+        });
+        let is_proposal = self.slots.get(id).is_some_and(|slot| {
+            matches!(slot.state, SlotState::Proposed | SlotState::Waiting { .. })
+        });
+        if is_proposal && !is_claimed {
+            self.remove(id);
+        }
+    }
+
+    /// Accounts for an attempt that the worker reports as running.
+    pub(super) fn hold(&mut self, id: &TaskId, entry: &TaskEntry, task: Option<&Task>) {
+        if entry.state.has_ended() {
+            return;
+        }
+        match self.slots.get_mut(id) {
+            Some(slot) if slot.attempt == entry.attempt && slot.is_reserved() => {
+                slot.state = SlotState::Running;
+            }
+            _ => {
+                self.remove(id);
+                let demand = match task {
+                    Some(task) => Demand::new(
+                        id.customer.clone(),
+                        task.spec.class.clone(),
+                        entry.size,
+                        task.spec.priority == 0,
+                    ),
+                    None => unknown_demand(id, entry.size),
+                };
+                self.view.adopt(&demand);
+                self.slots
+                    .insert(id.clone(), Slot::new(entry.attempt, demand, SlotState::Running));
+            }
+        }
+    }
+
+    /// Sends a command for a running attempt unless the same was sent within `pause`.
+    pub(super) fn command(
+        &mut self,
+        now: Millis,
+        id: &TaskId,
+        command: Command,
+        pause: Millis,
+        out: &mut Vec<DispatchAction>,
+    ) {
+        let Some(slot) = self.slots.get_mut(id) else { return };
+        let is_recent =
+            slot.command.is_some_and(|(sent, at)| sent == command && now.since(at) < pause);
+        if is_recent {
+            return;
+        }
+        slot.command = Some((command, now));
+        out.push(DispatchAction::Command {
+            worker: self.view.name.clone(),
+            address: self.address.clone(),
+            command,
+            request: TaskCommand {
+                token: self.lease.token,
+                task: id.to_string(),
+                attempt: slot.attempt,
+            },
+        });
+    }
+
+    /// Sets the reported use above the reserved sizes.
+    pub(super) fn excess(&mut self, entries: &[TaskEntry]) {
+        let above = |entry: &TaskEntry| {
+            entry.usage.filter(|_| !entry.state.has_ended()).map_or(Size::ZERO, |usage| {
+                usage.saturating_sub(&entry.size)
+            })
+        };
+        self.view.excess =
+            entries.iter().map(above).fold(Size::ZERO, |sum, size| sum.saturating_add(&size));
+    }
+}
--- a/src/version/ledger.rs
+++ b/src/version/ledger.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
-use crate::base::{Attempt, Millis, Name, Offset, TaskId};
+use crate::base::{Attempt, Millis, Name, Offset, Size, TaskId};
 
 /// Times that the fold compares with the log's own clock.
 #[derive(Debug, Clone, Copy)]
@@ -111,6 +111,8 @@
     /// Pending tasks in the order in which they should start.
     queue: BTreeSet<(u8, u64, TaskId)>,
     claims: HashMap<Name, BTreeSet<TaskId>>,
+    /// Sum of the declared sizes of claimed tasks by customer.
+    claimed: HashMap<Name, Size>,
     /// Finished tasks by the log time at which they are forgotten.
     expiry: BTreeSet<(u64, TaskId)>,
     /// Records of tasks whose acceptance has expired, kept until a restatement arrives.
@@ -204,6 +206,11 @@
             .filter_map(|id| self.tasks.get_key_value(id))
     }
 
+    /// Sum of the declared sizes of a customer's claimed tasks.
+    pub fn claimed_size(&self, customer: &str) -> Size {
+        self.claimed.get(customer).copied().unwrap_or(Size::ZERO)
+    }
+
     /// Workers with claimed attempts.
     pub fn claimed_workers(&self) -> impl Iterator<Item = &Name> {
         self.claims.keys()
@@ -407,7 +414,23 @@
             .is_some_and(|open| open.offset == suspected)
     }
 
+    /// Whether a claim keeps its customer within the quota that the record names.
+    fn is_within_quota(&self, id: &TaskId, record: &Record) -> bool {
+        let Record::Claimed { quota, .. } = record else {
+            return true;
+        };
+        let Some(task) = self.tasks.get(id) else {
+            return false;
+        };
+        self.claimed_size(&id.customer)
+            .saturating_add(&task.spec.size)
+            .fits(quota)
+    }
+
     fn transition(&mut self, id: &TaskId, record: &Record, changes: &mut Vec<Change>) {
+        if !self.is_within_quota(id, record) {
+            return;
+        }
         let Some(mut task) = self.tasks.remove(id) else {
             return;
         };
@@ -430,7 +453,12 @@
                 self.queue.insert(queue_key(task));
             }
             Phase::Claimed { worker, .. } => {
-                self.claims.entry(worker.clone()).or_default().insert(id);
+                self.claims
+                    .entry(worker.clone())
+                    .or_default()
+                    .insert(id.clone());
+                let claimed = self.claimed.entry(id.customer).or_default();
+                *claimed = claimed.saturating_add(&task.spec.size);
             }
             Phase::Done { .. } => {
                 self.expiry
@@ -452,6 +480,9 @@
                         self.claims.remove(worker);
                     }
                 }
+                if let Some(claimed) = self.claimed.get_mut(&id.customer) {
+                    *claimed = claimed.saturating_sub(&task.spec.size);
+                }
             }
             Phase::Done { .. } => {
                 self.expiry
--- a/src/version/record.rs
+++ b/src/version/record.rs
@@ -26,6 +26,9 @@
         attempt: Attempt,
         worker: Name,
         incarnation: u64,
+        /// The customer's quota in this data centre as the writer knew it; the claim is void if
+        /// it would exceed that.
+        quota: Size,
     },
     /// The attempt is known not to have run.
     Released {
