Add service-level burn and its reports

Operators need to see how fast each contract's classes spend their error budget, and the contract's objective alone does not tell it.

Burn counts outcomes per contract and class in rings of one slot per minute, for windows of 5 min, 1 h and 6 h. The number of classes is bounded. A report is serialisable, can be summed over entry hosts, and is rendered as a table or as one HTML page with an inline SVG plot.

--- a/src/connection/wire/mod.rs
+++ b/src/connection/wire/mod.rs
@@ -3,6 +3,7 @@
 mod burn;
 mod contract;
 mod hosts;
+mod job;
 mod lease;
 mod log;
 mod peer;
@@ -15,6 +16,7 @@
     ContractAnswer, ContractHistory, ContractList, ContractSummary, PublishRefusal, Published,
 };
 pub use hosts::{HostEntry, HostKind, HostList, HostState};
+pub use job::{JobList, JobSummary};
 pub use lease::{Ack, LeaseRefusal, LeaseReply, LeaseRequest, ReleaseRequest};
 pub use log::{AppendReply, LogRecord, ReadReply};
 pub use peer::{
--- /dev/null
+++ b/src/process/burn/mod.rs
@@ -0,0 +1,13 @@
+//! Service-level burn per contract and class, and its reports.
+
+#[allow(clippy::module_inception)]
+mod burn;
+mod html;
+mod merge;
+mod ring;
+mod table;
+
+pub use burn::{Burn, MAX_CLASSES};
+pub use html::html;
+pub use merge::merge;
+pub use table::table;
