--- a/src/connection/wire/peer.rs
+++ b/src/connection/wire/peer.rs
@@ -46,6 +46,19 @@
     /// Backends that the sender knows to be leaving.
     pub leaving: Vec<Name>,
     pub loads: Vec<ServiceLoad>,
+    /// Instances whose reports the sender needs.
+    pub awaited: Vec<Name>,
+    /// Reports of instances that the receiver awaits and the sender holds.
+    pub reports: Vec<RunningReport>,
+}
+
+/// Requests that were running on an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningReport {
+    pub instance: Name,
+    /// Time since the report was asked for, in ms.
+    pub age: u64,
+    pub running: Vec<Name>,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -96,6 +109,10 @@
     pub deadline: u64,
     /// Number of times that the request was forwarded.
     pub hops: u8,
+    /// Sender of the message.
+    pub host: Name,
+    /// Asks only for a running attempt to wait for; starts nothing and carries no body.
+    pub attach: bool,
     pub body: Bytes,
 }
 
--- /dev/null
+++ b/src/process/node/api.rs
@@ -0,0 +1,129 @@
+//! Routes of the callers' and operators' API.
+
+use super::action::Action;
+use super::node::Node;
+use crate::base::{Millis, Ran};
+use crate::connection::wire::{ContractAnswer, ContractHistory, ContractList, ContractSummary, JobCall};
+use crate::connection::{ApiCall, ApiMethod, ApiResponse, ContentKind};
+use crate::version::Versioned;
+
+impl Node {
+    pub(super) fn api_called(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        call: ApiCall,
+        out: &mut Vec<Action>,
+    ) {
+        let path = call.path.clone();
+        let parts: Vec<&str> = path.split('/').filter(|part| !part.is_empty()).collect();
+        match (call.method, parts.as_slice()) {
+            (ApiMethod::Post, ["v1", "requests", customer, class]) => {
+                self.request(now, ticket, customer, class, call, out);
+            }
+            (ApiMethod::Post, ["v1", "jobs"]) => self.submit_job(now, ticket, &call.body, out),
+            (ApiMethod::Get, ["v1", "jobs"]) => match query(&call, "customer") {
+                Some(customer) => {
+                    let job = JobCall::List { customer: customer.into() };
+                    self.route_job(now, ticket, job, out);
+                }
+                None => {
+                    let reason = "name the customer: /v1/jobs?customer=NAME";
+                    let response =
+                        ApiResponse::error(400, "missing_field", Some("customer"), reason, None);
+                    out.push(Action::Respond { ticket, response });
+                }
+            },
+            (ApiMethod::Get, ["v1", "jobs", customer, job]) => {
+                let job = JobCall::State { customer: (*customer).into(), job: (*job).into() };
+                self.route_job(now, ticket, job, out);
+            }
+            (ApiMethod::Delete, ["v1", "jobs", customer, job]) => {
+                let job = JobCall::Cancel { customer: (*customer).into(), job: (*job).into() };
+                self.route_job(now, ticket, job, out);
+            }
+            (ApiMethod::Put, ["v1", "contracts", customer]) => {
+                let base = query(&call, "base");
+                self.publish(now, ticket, customer, base, &call.body, out);
+            }
+            (ApiMethod::Get, ["metrics"]) => out.push(Action::RespondMetrics { ticket }),
+            (ApiMethod::Get, parts) => {
+                let response = self.read(now, parts);
+                out.push(Action::Respond { ticket, response });
+            }
+            _ => {
+                let response = no_route(&call);
+                out.push(Action::Respond { ticket, response });
+            }
+        }
+    }
+
+    /// Answers that only read this host's state.
+    fn read(&self, now: Millis, parts: &[&str]) -> ApiResponse {
+        match parts {
+            ["health"] => text(200, "ok\n"),
+            ["ready"] => self.ready(now),
+            ["v1", "status"] => ApiResponse::json(200, &self.status(now)),
+            ["v1", "burn"] => ApiResponse::json(200, &self.burn.report(now)),
+            ["v1", "contracts"] => ApiResponse::json(200, &self.contract_list()),
+            ["v1", "contracts", customer] => match self.contracts.get(customer) {
+                Some(current) => ApiResponse::json(200, &answer(current)),
+                None => unknown_customer(customer),
+            },
+            ["v1", "contracts", customer, "history"] => {
+                let versions: Vec<ContractAnswer> =
+                    self.contracts.history(customer).iter().map(answer).collect();
+                if versions.is_empty() {
+                    return unknown_customer(customer);
+                }
+                let customer = (*customer).into();
+                ApiResponse::json(200, &ContractHistory { customer, versions })
+            }
+            _ => {
+                let reason = format!("no such path: /{}", parts.join("/"));
+                ApiResponse::error(404, "unknown_path", Some("path"), reason, Some(Ran::NotRun))
+            }
+        }
+    }
+
+    fn contract_list(&self) -> ContractList {
+        let summary = |current: &Versioned| ContractSummary {
+            customer: current.contract.customer.clone(),
+            version: current.version,
+            offset: current.offset,
+            data_centres: current.contract.data_centres.clone(),
+            classes: current.contract.classes.iter().map(|class| class.name.clone()).collect(),
+        };
+        ContractList { contracts: self.contracts.iter().map(summary).collect() }
+    }
+}
+
+fn answer(current: &Versioned) -> ContractAnswer {
+    ContractAnswer {
+        customer: current.contract.customer.clone(),
+        version: current.version,
+        offset: current.offset,
+        contract: current.contract.clone(),
+    }
+}
+
+pub(super) fn text(status: u16, body: &str) -> ApiResponse {
+    let body = body.as_bytes().to_vec().into();
+    ApiResponse { status, kind: ContentKind::Text, body }
+}
+
+fn unknown_customer(customer: &str) -> ApiResponse {
+    let reason = format!("customer {customer:?} has no contract in force");
+    ApiResponse::error(404, "unknown_customer", Some("customer"), reason, None)
+}
+
+fn no_route(call: &ApiCall) -> ApiResponse {
+    let reason = format!("{:?} {} is not served", call.method, call.path);
+    ApiResponse::error(404, "unknown_path", Some("path"), reason, Some(Ran::NotRun))
+}
+
+/// Value of a query parameter. Names and versions need no percent-encoding.
+fn query<'a>(call: &'a ApiCall, key: &str) -> Option<&'a str> {
+    let pairs = call.query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.into_iter().find(|(name, _)| *name == key).map(|(_, value)| value)
+}
--- /dev/null
+++ b/src/process/node/backends.rs
@@ -0,0 +1,273 @@
+//! Host list, leases and reports of workers and instances.
+
+use super::action::{Action, LeaseCall};
+use super::node::Node;
+use super::urgent::InstanceView;
+use crate::base::{Attempt, Millis, Name, TaskId};
+use crate::connection::wire::{
+    HostKind, HostList, HostState, InstanceReport, LeaseReply, LeaseRequest, ReleaseRequest,
+    StartState, WorkerReport,
+};
+use crate::connection::{Error, Grant, LeaseAction, Resource, StartError};
+use crate::process::telemetry;
+use crate::request::{DispatchAction, HeldWorker, WorkerView};
+
+type Result<T> = std::result::Result<T, Error>;
+
+impl Node {
+    pub(super) fn hosts_read(
+        &mut self,
+        now: Millis,
+        list: Result<HostList>,
+        out: &mut Vec<Action>,
+    ) {
+        let list = match list {
+            Ok(list) => list,
+            Err(error) => {
+                tracing::debug!(%error, "cannot read the host list; keeping the last one");
+                return;
+            }
+        };
+        let data_centre = &self.identity.data_centre;
+        self.backends = list
+            .hosts
+            .into_iter()
+            .filter(|entry| entry.data_centre == *data_centre && entry.kind != HostKind::Entry)
+            .map(|entry| (entry.name.clone(), entry))
+            .collect();
+        let resources = self.backends.values().map(|entry| Resource {
+            name: entry.name.clone(),
+            address: entry.address.clone(),
+            kind: entry.kind,
+        });
+        self.leases.set_resources(now, resources.collect());
+        for entry in self.backends.values().filter(|entry| entry.state == HostState::Leaving) {
+            self.leases.mark_leaving(now, &entry.name);
+        }
+        self.refresh_instances(now, out);
+    }
+
+    /// Collects the lease calls that are due.
+    pub(super) fn poll_leases(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let mut calls = Vec::new();
+        let (membership, ledger) = (&self.membership, &self.ledger);
+        self.leases.poll(
+            now,
+            |worker| membership.may_renew(now, ledger.suspicions().contains_key(worker)),
+            |resource| membership.holder(now, resource),
+            &mut calls,
+        );
+        for call in calls {
+            out.extend(self.lease_call(now, call));
+        }
+        self.drop_unusable(now);
+    }
+
+    fn lease_call(&mut self, now: Millis, action: LeaseAction) -> Option<Action> {
+        let (resource, token, renew_tasks) = match action {
+            LeaseAction::Acquire { resource } => (resource, None, false),
+            LeaseAction::Renew { resource, token, renew_tasks } => {
+                (resource, Some(token), renew_tasks)
+            }
+            LeaseAction::Release { resource, token } => {
+                let call = LeaseCall::Release(ReleaseRequest { token });
+                return Some(backend_call(now, resource, call));
+            }
+        };
+        let request = LeaseRequest {
+            holder: self.identity.host.clone(),
+            ttl: self.timing.lease_ttl.0,
+            run_ttl: self.timing.run_ttl.0,
+            token,
+            ack: token.map(|_| self.dispatcher.take_acks(&resource.name)).unwrap_or_default(),
+            renew_tasks,
+        };
+        Some(backend_call(now, resource, LeaseCall::Grant(request)))
+    }
+
+    /// Keeps claims away from workers whose lease may not be used at present.
+    fn drop_unusable(&mut self, now: Millis) {
+        let held: Vec<Name> = self.dispatcher.books().map(|book| book.view.name.clone()).collect();
+        for worker in held {
+            let usable = self.leases.usable(now, &worker).is_some();
+            self.dispatcher.set_usable(&worker, usable);
+        }
+    }
+
+    pub(super) fn worker_answered(
+        &mut self,
+        now: Millis,
+        worker: &Name,
+        sent: Millis,
+        result: Result<LeaseReply<WorkerReport>>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some((grant, reply)) = self.lease_answered(now, worker, sent, result) else { return };
+        let Some(lease) = self.leases.usable(now, worker) else { return };
+        let Some(entry) = self.backends.get(worker).cloned() else { return };
+        let rack = entry.rack.unwrap_or_else(|| worker.clone());
+        let mut actions = Vec::new();
+        let view = super::tasks::view(
+            &self.ledger,
+            &self.live,
+            &self.quotas,
+            super::tasks::can_claim(now, &self.tail, &self.journal, self.draining),
+        );
+        self.dispatcher.report(
+            now,
+            &view,
+            HeldWorker {
+                name: worker,
+                address: &entry.address,
+                rack: &rack,
+                lease,
+                grant,
+                allowed: self.quarantine.allows(now, worker),
+                report: &reply.report,
+            },
+            &mut actions,
+        );
+        self.dispatch(now, actions, out);
+    }
+
+    pub(super) fn instance_leased(
+        &mut self,
+        now: Millis,
+        instance: &Name,
+        sent: Millis,
+        result: Result<LeaseReply<InstanceReport>>,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some((grant, reply)) = self.lease_answered(now, instance, sent, result) {
+            if grant != Grant::Ignored {
+                let view = InstanceView { sent, report: reply.report };
+                self.settle_instance(now, instance, &view, out);
+                self.instances.insert(instance.clone(), view);
+            }
+        }
+        self.refresh_instances(now, out);
+    }
+
+    fn lease_answered<R>(
+        &mut self,
+        now: Millis,
+        resource: &Name,
+        sent: Millis,
+        result: Result<LeaseReply<R>>,
+    ) -> Option<(Grant, LeaseReply<R>)> {
+        match result {
+            Ok(reply) => {
+                let (token, incarnation) = (reply.token, reply.incarnation);
+                let leaving = reply.leaving;
+                let grant = self.leases.granted(now, sent, resource, token, incarnation, leaving);
+                Some((grant, reply))
+            }
+            Err(Error::Refused(refusal)) => {
+                tracing::debug!(%resource, ?refusal, "lease refused");
+                if self.leases.refused(now, resource, refusal) {
+                    telemetry::lease_lapsed();
+                    self.dispatcher.lose(resource);
+                }
+                None
+            }
+            Err(error) => {
+                tracing::debug!(%resource, %error, "lease call without an answer");
+                self.leases.failed(now, resource);
+                None
+            }
+        }
+    }
+
+    pub(super) fn released(&mut self, now: Millis, resource: &Name, result: Result<()>) {
+        match result {
+            Ok(()) => {
+                self.leases.released(now, resource);
+                self.dispatcher.lose(resource);
+                self.instances.remove(resource);
+            }
+            Err(Error::Refused(refusal)) => {
+                self.leases.refused(now, resource, refusal);
+                self.dispatcher.lose(resource);
+            }
+            Err(_) => self.leases.failed(now, resource),
+        }
+    }
+
+    pub(super) fn started(
+        &mut self,
+        now: Millis,
+        worker: &Name,
+        task: &TaskId,
+        attempt: Attempt,
+        result: std::result::Result<StartState, StartError>,
+        out: &mut Vec<Action>,
+    ) {
+        match &result {
+            Ok(_) => self.quarantine.succeeded(worker),
+            Err(StartError::StartFailed) => {
+                tracing::warn!(%worker, %task, "the worker failed to start the task");
+                self.quarantine.failed(now, worker, task);
+            }
+            Err(error) => tracing::debug!(%worker, %task, %error, "start without effect"),
+        }
+        let mut actions = Vec::new();
+        self.dispatcher.started(now, worker, task, attempt, result, &mut actions);
+        self.dispatch(now, actions, out);
+    }
+
+    /// Carries out what the dispatcher decided.
+    pub(super) fn dispatch(
+        &mut self,
+        now: Millis,
+        actions: Vec<DispatchAction>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut unsent = Vec::new();
+        for action in actions {
+            match action {
+                DispatchAction::Append(record) => self.journal.push(record),
+                DispatchAction::Start { worker, address, task, request } => {
+                    let usable = self.leases.usable(now, &worker);
+                    if usable.is_some_and(|lease| lease.token == request.token) {
+                        out.push(Action::Start { worker, address, task, request });
+                    } else {
+                        unsent.push((worker, task, request.attempt));
+                    }
+                }
+                DispatchAction::Command { worker, address, command, request } => {
+                    out.push(Action::Command { worker, address, command, request });
+                }
+            }
+        }
+        for (worker, task, attempt) in unsent {
+            let error = Error::NotSent {
+                address: worker.to_string(),
+                reason: "the lease may not be used at present".to_owned(),
+            };
+            let result = Err(StartError::NotSent(error));
+            let mut more = Vec::new();
+            self.dispatcher.started(now, &worker, &task, attempt, result, &mut more);
+        }
+    }
+
+    /// Tells the dispatcher which workers exist beside those that it holds.
+    pub(super) fn refresh_workers(&mut self) {
+        let others = self.backends_of(HostKind::Worker).map(|entry| {
+            let rack = entry.rack.clone().unwrap_or_else(|| entry.name.clone());
+            let mut view =
+                WorkerView::new(entry.name.clone(), rack, crate::base::Size::ZERO);
+            view.open = false;
+            view
+        });
+        let others = others.collect();
+        self.dispatcher.set_others(others);
+    }
+}
+
+fn backend_call(asked: Millis, resource: Resource, call: LeaseCall) -> Action {
+    let Resource { name, address, kind } = resource;
+    match kind {
+        HostKind::Worker => Action::WorkerLease { worker: name, address, call, asked },
+        _ => Action::InstanceLease { instance: name, address, call, asked },
+    }
+}
--- /dev/null
+++ b/src/process/node/contracts.rs
@@ -0,0 +1,247 @@
+//! The contract stream: reading, publishing and restating.
+
+use super::action::{Action, Stream};
+use super::node::Node;
+use crate::base::{Millis, Name, Ran, Size};
+use crate::connection::ApiResponse;
+use crate::connection::wire::{ContractsReply, Published, PublishRefusal, ReadReply};
+use crate::process::telemetry;
+use crate::version::{Append, Applied, Contract, Proposed};
+
+/// A published contract that is not read back yet.
+#[derive(Debug)]
+pub(super) struct Proposal {
+    pub ticket: u64,
+    pub customer: Name,
+    pub base: u64,
+    pub data: Vec<u8>,
+    /// Time by which the operator is told that the outcome is unknown.
+    pub until: Millis,
+    /// Whether an append may have taken effect.
+    pub is_sent: bool,
+}
+
+impl Node {
+    pub(super) fn contracts_read(&mut self, now: Millis, reply: &ReadReply, out: &mut Vec<Action>) {
+        for record in &reply.records {
+            let applied = self.contracts.apply(record.offset, &record.data);
+            self.contract_applied(now, applied, out);
+        }
+        self.contracts_read = Some(now);
+        telemetry::contract_age(Millis(0));
+    }
+
+    fn contract_applied(&mut self, now: Millis, applied: Applied, out: &mut Vec<Action>) {
+        match applied {
+            Applied::Accepted { proposal, customer, version } => {
+                tracing::info!(contract = %customer, version, "contract in force");
+                self.contract_changed(now, &customer);
+                if let Some(open) = self.proposals.remove(&proposal) {
+                    let body = Published { customer, version };
+                    out.push(respond(open.ticket, ApiResponse::json(200, &body)));
+                }
+            }
+            Applied::Lost { proposal, winner } => {
+                if let Some(open) = self.proposals.remove(&proposal) {
+                    let Proposal { ticket, customer, base, .. } = open;
+                    let body = PublishRefusal::LostRace { customer, base, version: winner };
+                    out.push(respond(ticket, ApiResponse::json(409, &body)));
+                }
+            }
+            Applied::Malformed(error) => {
+                tracing::warn!(%error, "skipping a malformed contract record");
+            }
+            Applied::Known => {}
+        }
+    }
+
+    /// Derives the limits of a customer from its contract in force.
+    pub(super) fn contract_changed(&mut self, _now: Millis, customer: &Name) {
+        let Some(current) = self.contracts.get(customer) else { return };
+        let contract = &current.contract;
+        self.burn.set_contract(contract);
+        let quota = quota_here(contract, &self.identity.data_centre);
+        match quota {
+            Some(quota) => self.quotas.insert(customer.clone(), quota),
+            None => self.quotas.remove(customer),
+        };
+    }
+
+    /// `PUT /v1/contracts/{customer}?base=n`.
+    pub(super) fn publish(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        customer: &str,
+        base: Option<&str>,
+        body: &[u8],
+        out: &mut Vec<Action>,
+    ) {
+        let parsed = base.unwrap_or("0").parse::<u64>();
+        let Ok(base) = parsed else {
+            let reason = "base must be a version number";
+            let response = ApiResponse::error(400, "bad_base", Some("base"), reason, None);
+            return out.push(respond(ticket, response));
+        };
+        let contract = match Contract::parse(body) {
+            Ok(contract) => contract,
+            Err(error) => {
+                let field = error.field().map(str::to_owned);
+                let response =
+                    ApiResponse::error(400, "bad_contract", field.as_deref(), error, None);
+                return out.push(respond(ticket, response));
+            }
+        };
+        if *contract.customer != *customer {
+            let reason =
+                format!("the contract names {:?}, the path {customer:?}", contract.customer);
+            let response =
+                ApiResponse::error(400, "bad_contract", Some("customer"), reason, None);
+            return out.push(respond(ticket, response));
+        }
+        let current = self.contracts.get(customer).map_or(0, |current| current.version);
+        if current > base {
+            let customer = contract.customer;
+            let body = PublishRefusal::LostRace { customer, base, version: current };
+            return out.push(respond(ticket, ApiResponse::json(409, &body)));
+        }
+        self.sequence += 1;
+        let Identity { host, incarnation } = self.identity_pair();
+        let proposal = format!("{host}/{incarnation}/{}", self.sequence);
+        let customer = contract.customer.clone();
+        let data = Proposed::encode(&proposal, base, contract);
+        let until = now + self.timing.append_timeout;
+        let open = Proposal { ticket, customer, base, data, until, is_sent: false };
+        self.proposals.insert(proposal.clone(), open);
+        self.publishing.push_back(proposal);
+    }
+
+    fn identity_pair(&self) -> Identity<'_> {
+        Identity { host: &self.identity.host, incarnation: self.identity.incarnation }
+    }
+
+    /// Appends the next proposal or restatement and ends proposals that wait for too long.
+    pub(super) fn poll_contracts(&mut self, now: Millis, out: &mut Vec<Action>) {
+        if let Some(read) = self.contracts_read {
+            telemetry::contract_age(now.since(read));
+        }
+        self.expire_proposals(now, out);
+        if self.contract_append.is_some() {
+            return;
+        }
+        while let Some(name) = self.publishing.pop_front() {
+            let Some(proposal) = self.proposals.get_mut(&name) else { continue };
+            proposal.is_sent = true;
+            let data = proposal.data.clone();
+            return self.append_contract(data, out);
+        }
+        if let Some(data) = self.contract_to_restate(now) {
+            self.append_contract(data, out);
+        }
+    }
+
+    fn append_contract(&mut self, data: Vec<u8>, out: &mut Vec<Action>) {
+        self.sequence += 1;
+        self.contract_append = Some(self.sequence);
+        let sequence = self.sequence;
+        out.push(Action::Append { stream: Stream::Contracts, sequence, data });
+    }
+
+    pub(super) fn contract_appended(
+        &mut self,
+        _now: Millis,
+        sequence: u64,
+        outcome: Append,
+        out: &mut Vec<Action>,
+    ) {
+        if self.contract_append != Some(sequence) {
+            return;
+        }
+        self.contract_append = None;
+        if outcome != Append::Refused {
+            // Reading the record back tells whether it took effect and won.
+            return;
+        }
+        let refused: Vec<String> = self
+            .proposals
+            .iter()
+            .filter(|(name, open)| open.is_sent && !self.publishing.contains(name))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in refused {
+            if let Some(open) = self.proposals.remove(&name) {
+                out.push(respond(open.ticket, unavailable()));
+            }
+        }
+    }
+
+    fn expire_proposals(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let late: Vec<String> = self
+            .proposals
+            .iter()
+            .filter(|(_, open)| open.until <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in late {
+            let Some(open) = self.proposals.remove(&name) else { continue };
+            let response = match open.is_sent {
+                false => unavailable(),
+                true => ApiResponse::error(
+                    504,
+                    "unknown_outcome",
+                    None,
+                    "the log did not confirm the contract in time; show it to see whether it won",
+                    Some(Ran::Unknown),
+                ),
+            };
+            out.push(respond(open.ticket, response));
+        }
+    }
+
+    /// Answers a peer that asks for newer contracts.
+    pub(super) fn relay_contracts(&self, since: crate::base::Offset) -> ContractsReply {
+        ContractsReply {
+            offset: self.contracts.offset(),
+            contracts: self.contracts.since(since),
+        }
+    }
+
+    /// Takes contracts that a peer relayed.
+    pub(super) fn contracts_relayed(&mut self, now: Millis, reply: ContractsReply) {
+        for relayed in reply.contracts {
+            let parsed = Contract::parse(relayed.contract.as_bytes());
+            let Ok(contract) = parsed else { continue };
+            if self.contracts.relay(relayed) {
+                tracing::info!(contract = %contract.customer, "contract in force through a peer");
+                self.contract_changed(now, &contract.customer);
+            }
+        }
+        self.contracts_read = Some(now);
+    }
+}
+
+struct Identity<'a> {
+    host: &'a Name,
+    incarnation: u64,
+}
+
+fn respond(ticket: u64, response: ApiResponse) -> Action {
+    Action::Respond { ticket, response }
+}
+
+fn unavailable() -> ApiResponse {
+    let reason = "the log does not accept records; the contract was not published";
+    ApiResponse::error(503, "log_unavailable", None, reason, Some(Ran::NotRun))
+}
+
+/// Share of a contract's quota in one data centre; `None` if the contract excludes it.
+fn quota_here(contract: &Contract, data_centre: &Name) -> Option<Size> {
+    let position = contract.data_centres.iter().position(|name| name == data_centre)?;
+    let count = contract.data_centres.len() as u32;
+    let share = |total: u32| total / count + u32::from((position as u32) < total % count);
+    Some(Size {
+        processors: share(contract.quota.processors),
+        memory: share(contract.quota.memory),
+        accelerators: share(contract.quota.accelerators),
+    })
+}
--- /dev/null
+++ b/src/process/node/event.rs
@@ -0,0 +1,43 @@
+//! What reaches the core.
+
+use crate::base::{Attempt, Millis, Name, Offset, TaskId};
+use crate::connection::wire::{
+    HostList, InstanceReport, LeaseReply, PeerReply, PeerRequest, ReadReply, StartState,
+    WorkerReport,
+};
+use crate::connection::{ApiCall, Error, InstanceOutcome, StartError};
+use crate::request::Dispatch;
+
+use super::action::Stream;
+
+type Result<T> = std::result::Result<T, Error>;
+
+/// An input of the core; each answers an action, or arrives on its own.
+#[derive(Debug)]
+pub enum Event {
+    /// The platform's host list.
+    Hosts(Result<HostList>),
+    /// A read of a stream; a failure tells that the log is out of reach.
+    Read { stream: Stream, reply: Result<ReadReply> },
+    Appended { stream: Stream, sequence: u64, sent: Millis, result: Result<Offset> },
+    WorkerLease { worker: Name, sent: Millis, result: Result<LeaseReply<WorkerReport>> },
+    InstanceLease { instance: Name, sent: Millis, result: Result<LeaseReply<InstanceReport>> },
+    Released { resource: Name, result: Result<()> },
+    Started {
+        worker: Name,
+        task: TaskId,
+        attempt: Attempt,
+        result: std::result::Result<StartState, StartError>,
+    },
+    /// A command had no effect; a successful one shows in the next report.
+    CommandFailed { worker: Name, error: Error },
+    InstanceAnswered { dispatch: Dispatch, outcome: InstanceOutcome },
+    /// A call of this host to a peer has ended.
+    PeerAnswered { call: u64, result: Result<PeerReply>, bytes: usize },
+    /// A peer calls this host.
+    PeerCalled { ticket: u64, request: PeerRequest },
+    /// A caller or an operator calls this host.
+    Api { ticket: u64, call: ApiCall },
+    /// The process was asked to stop.
+    Drain,
+}
--- /dev/null
+++ b/src/process/node/peers.rs
@@ -0,0 +1,289 @@
+//! Heartbeats, relays and forwarded calls between entry hosts.
+
+use std::net::SocketAddr;
+
+use super::action::Action;
+use super::node::Node;
+use crate::base::{Millis, Name, Offset};
+use crate::connection::Error;
+use crate::connection::wire::{
+    Answer, ContractsRequest, Hello, PeerReply, PeerRequest, RunningReport, TailReply, TailRequest,
+};
+use crate::process::telemetry;
+use crate::request::{Dispatch, UrgentAnswer};
+
+/// Time limit of heartbeats and relays.
+const CONTROL_TIMEOUT: Millis = Millis(1_000);
+/// A host that has not read the log for this long asks a peer for records.
+const TAIL_AGE: Millis = Millis(1_500);
+
+/// Why this host called a peer.
+#[derive(Debug)]
+pub(super) enum PeerPurpose {
+    Hello(Name),
+    Contracts(Name),
+    Tail(Name),
+    /// An urgent request of the router.
+    Forward(Dispatch),
+    /// A job call of the API caller with this ticket.
+    Job { ticket: u64, host: Name },
+}
+
+impl Node {
+    /// Follows who is live in this data centre.
+    pub(super) fn poll_members(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let live = self.membership.live(now);
+        let informed = self.membership.informed(now);
+        self.leases.set_hosts(now, &live, &informed);
+        if live != self.live {
+            let gone = self.live.iter().filter(|host| !live.contains(host)).cloned().collect();
+            self.live = live;
+            self.hosts_changed(now, gone, out);
+        }
+    }
+
+    /// Greets the peers that are due.
+    pub(super) fn poll_hellos(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let due = self.membership.due(now);
+        if due.is_empty() {
+            return;
+        }
+        let hello = self.hello(now);
+        for host in due {
+            let purpose = PeerPurpose::Hello(host.clone());
+            let message = PeerRequest::Hello(hello.clone());
+            self.call_peer(host, message, CONTROL_TIMEOUT, purpose, out);
+        }
+        self.ask_for_tail(now, out);
+    }
+
+    fn hello(&self, now: Millis) -> Hello {
+        let age = self.tail.read.map_or(u64::MAX, |read| now.since(read).0);
+        Hello {
+            host: self.identity.host.clone(),
+            data_centre: self.identity.data_centre.clone(),
+            incarnation: self.identity.incarnation,
+            held: self.leases.held(now),
+            log_offset: self.log_offset(),
+            log_age: age,
+            contracts_offset: self.contracts.offset(),
+            draining: self.draining,
+            leaving: self.leases.leaving(),
+            loads: self.urgent.loads(),
+            awaited: self.urgent.awaited_instances(),
+            reports: Vec::new(),
+        }
+    }
+
+    /// Reports of the awaited instances that this host holds.
+    fn reports(&self, now: Millis, awaited: &[Name]) -> Vec<RunningReport> {
+        let report = |instance: &Name| {
+            self.leases.usable(now, instance)?;
+            let view = self.instances.get(instance)?;
+            Some(RunningReport {
+                instance: instance.clone(),
+                age: now.since(view.sent).0,
+                running: view.report.running.clone(),
+            })
+        };
+        awaited.iter().filter_map(report).collect()
+    }
+
+    fn heard(&mut self, now: Millis, hello: Hello, out: &mut Vec<Action>) {
+        let is_local = hello.data_centre == self.identity.data_centre;
+        if is_local {
+            for name in &hello.leaving {
+                self.leases.mark_leaving(now, name);
+            }
+            let held = hello.held.iter().map(|held| held.resource.clone()).collect();
+            self.held.insert(hello.host.clone(), held);
+        }
+        self.membership.heard(now, &hello);
+        if is_local {
+            self.set_loads(now);
+            self.settle_held(now, &hello, out);
+        }
+        if hello.contracts_offset > self.contracts.offset() {
+            let request = ContractsRequest { since: self.contracts.offset() };
+            let is_open = self.is_open(
+                |purpose| matches!(purpose, PeerPurpose::Contracts(host) if *host == hello.host),
+            );
+            if !is_open {
+                let purpose = PeerPurpose::Contracts(hello.host.clone());
+                let message = PeerRequest::Contracts(request);
+                self.call_peer(hello.host, message, CONTROL_TIMEOUT, purpose, out);
+            }
+        }
+    }
+
+    /// Asks an informed peer for records of the task stream if this host cannot read the log.
+    fn ask_for_tail(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let is_open = self.is_open(|purpose| matches!(purpose, PeerPurpose::Tail(_)));
+        if self.reads_log(now, TAIL_AGE) || is_open {
+            return;
+        }
+        let informed = self.membership.informed(now);
+        let Some(host) = informed.into_iter().find(|host| *host != self.identity.host) else {
+            return;
+        };
+        let message = PeerRequest::Tail(TailRequest { from: self.log_offset() });
+        let purpose = PeerPurpose::Tail(host.clone());
+        self.call_peer(host, message, CONTROL_TIMEOUT, purpose, out);
+    }
+
+    fn tail(&self, now: Millis, from: Offset) -> PeerReply {
+        if !self.reads_log(now, TAIL_AGE) {
+            return PeerReply::Unavailable;
+        }
+        let first = self.relayed.front().map_or(self.log_offset(), |record| record.offset);
+        let records = self.relayed.iter().filter(|record| record.offset >= from).cloned();
+        PeerReply::Tail(TailReply { first, records: records.collect() })
+    }
+
+    fn tail_answered(&mut self, now: Millis, reply: TailReply, out: &mut Vec<Action>) {
+        // Records that the peer no longer keeps would leave a gap.
+        if reply.first > self.ledger.next() {
+            return;
+        }
+        for record in reply.records {
+            self.apply(now, record, out);
+        }
+        let age = Millis(now.0.saturating_sub(TAIL_AGE.0));
+        if self.tail.read.is_none_or(|read| read < age) {
+            self.tail.read = Some(age);
+        }
+        self.membership.log_read(age);
+    }
+
+    pub(super) fn call_peer(
+        &mut self,
+        host: Name,
+        request: PeerRequest,
+        timeout: Millis,
+        purpose: PeerPurpose,
+        out: &mut Vec<Action>,
+    ) {
+        self.next_call += 1;
+        let call = self.next_call;
+        self.calls.insert(call, purpose);
+        let address: Option<SocketAddr> = self.peer_address(&host);
+        let Some(address) = address else {
+            tracing::error!(%host, "no address is known for the peer");
+            let error = Error::NotSent {
+                address: host.to_string(),
+                reason: "not in the settings".to_owned(),
+            };
+            return self.peer_answered(Millis(0), call, Err(error), 0, out);
+        };
+        let timeout = std::time::Duration::from_millis(timeout.0);
+        out.push(Action::CallPeer { call, address, request, timeout });
+    }
+
+    pub(super) fn peer_answered(
+        &mut self,
+        now: Millis,
+        call: u64,
+        result: Result<PeerReply, Error>,
+        bytes: usize,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(purpose) = self.calls.remove(&call) else { return };
+        self.count_bytes(&purpose, bytes);
+        match (purpose, result) {
+            (PeerPurpose::Hello(_), Ok(PeerReply::Hello(hello))) => self.heard(now, hello, out),
+            (PeerPurpose::Contracts(_), Ok(PeerReply::Contracts(reply))) => {
+                self.contracts_relayed(now, reply);
+            }
+            (PeerPurpose::Tail(_), Ok(PeerReply::Tail(reply))) => {
+                self.tail_answered(now, reply, out);
+            }
+            (PeerPurpose::Forward(dispatch), Ok(PeerReply::Answer(answer))) => {
+                let Answer { status, ran, body } = answer;
+                let answer = Some(UrgentAnswer { status, ran, body });
+                self.forward_answered(now, dispatch, answer, out);
+            }
+            (PeerPurpose::Forward(dispatch), Ok(PeerReply::Unavailable)) => {
+                let answer = Some(UrgentAnswer::unavailable());
+                self.forward_answered(now, dispatch, answer, out);
+            }
+            (PeerPurpose::Forward(dispatch), Err(error)) if error.is_without_effect() => {
+                let answer = Some(UrgentAnswer::unavailable());
+                self.forward_answered(now, dispatch, answer, out);
+            }
+            (PeerPurpose::Forward(dispatch), _) => {
+                self.forward_answered(now, dispatch, None, out);
+            }
+            (PeerPurpose::Job { ticket, .. }, result) => self.job_answered(ticket, result, out),
+            (purpose, result) => {
+                tracing::debug!(?purpose, ?result, "a peer did not answer as expected");
+            }
+        }
+    }
+
+    fn forward_answered(
+        &mut self,
+        now: Millis,
+        dispatch: Dispatch,
+        answer: Option<UrgentAnswer>,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.urgent.peer_answered(now, dispatch, answer, &mut actions);
+        self.route(now, actions, out);
+    }
+
+    pub(super) fn peer_called(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        request: PeerRequest,
+        out: &mut Vec<Action>,
+    ) {
+        let reply = match request {
+            PeerRequest::Hello(hello) => {
+                let awaited = hello.awaited.clone();
+                self.heard(now, hello, out);
+                let mut reply = self.hello(now);
+                reply.reports = self.reports(now, &awaited);
+                PeerReply::Hello(reply)
+            }
+            PeerRequest::Contracts(request) => {
+                PeerReply::Contracts(self.relay_contracts(request.since))
+            }
+            PeerRequest::Tail(request) => self.tail(now, request.from),
+            PeerRequest::Forward(forward) => return self.forwarded(now, ticket, forward, out),
+            PeerRequest::Job(call) => return self.job_called(now, ticket, call, out),
+        };
+        out.push(Action::ReplyPeer { ticket, reply });
+    }
+
+    /// Settles instances of lost hosts that the sender of a heartbeat now holds.
+    fn settle_held(&mut self, now: Millis, hello: &Hello, out: &mut Vec<Action>) {
+        for report in &hello.reports {
+            let sent = Millis(now.0.saturating_sub(report.age));
+            let mut actions = Vec::new();
+            self.urgent.settle(now, &report.instance, sent, &report.running, &mut actions);
+            self.route(now, actions, out);
+        }
+    }
+
+    fn is_open(&self, matches: impl Fn(&PeerPurpose) -> bool) -> bool {
+        self.calls.values().any(matches)
+    }
+
+    fn count_bytes(&self, purpose: &PeerPurpose, bytes: usize) {
+        let (label, host) = match purpose {
+            PeerPurpose::Hello(host) => ("hello", host),
+            PeerPurpose::Contracts(host) => ("contracts", host),
+            PeerPurpose::Tail(host) => ("tail", host),
+            PeerPurpose::Job { host, .. } => ("job", host),
+            // Urgent requests stay within the data centre.
+            PeerPurpose::Forward(_) => return,
+        };
+        let is_remote =
+            self.peers.get(host).is_some_and(|peer| peer.region != self.identity.region);
+        if is_remote {
+            telemetry::region_bytes(label, bytes as u64);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/node/tasks.rs
@@ -0,0 +1,218 @@
+//! The task stream: reading, appending, claiming and restating.
+
+use std::collections::HashMap;
+
+use super::action::{Action, Stream};
+use super::node::Node;
+use crate::base::{Millis, Name, Offset, Size};
+use crate::connection::Error;
+use crate::connection::wire::{LogRecord, ReadReply, RelayedRecord};
+use crate::process::telemetry;
+use crate::request::DispatchView;
+use crate::version::{Append, Batch, Change, Journal, Ledger, Record, Requeue, TaskResult};
+
+type Result<T> = std::result::Result<T, Error>;
+
+/// Claims are proposed only if the stream was read this recently.
+const FRESH: Millis = Millis(2_000);
+/// Raw records kept for peers that cannot read the log.
+const MAX_RELAYED: usize = 512;
+
+/// Progress of reading the task stream.
+#[derive(Debug, Default)]
+pub(super) struct Tail {
+    /// Time of the last successful read, direct or through a peer.
+    pub read: Option<Millis>,
+    /// End of the stream when this process first read it.
+    pub target: Option<Offset>,
+    /// Whether everything below `target` was read.
+    pub caught_up: bool,
+    /// Offsets that expired before this process read them.
+    pub skipped: u64,
+    /// Batches that could not be decoded.
+    pub malformed: u64,
+    /// When the process was asked to stop.
+    pub drained: Option<Millis>,
+}
+
+/// Whether new claims may be proposed.
+pub(super) fn can_claim(now: Millis, tail: &Tail, journal: &Journal, draining: bool) -> bool {
+    let is_fresh = tail.read.is_some_and(|read| now.since(read) <= FRESH);
+    is_fresh && tail.caught_up && journal.is_healthy() && !draining
+}
+
+pub(super) fn view<'a>(
+    ledger: &'a Ledger,
+    hosts: &'a [Name],
+    quotas: &'a HashMap<Name, Size>,
+    can_claim: bool,
+) -> DispatchView<'a> {
+    DispatchView { ledger, hosts, quotas, can_claim }
+}
+
+impl Node {
+    pub(super) fn stream_read(
+        &mut self,
+        now: Millis,
+        stream: Stream,
+        reply: Result<ReadReply>,
+        out: &mut Vec<Action>,
+    ) {
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) => {
+                tracing::debug!(?stream, %error, "cannot read the log");
+                return;
+            }
+        };
+        match stream {
+            Stream::Contracts => self.contracts_read(now, &reply, out),
+            Stream::Tasks => self.tasks_read(now, reply, out),
+        }
+    }
+
+    fn tasks_read(&mut self, now: Millis, reply: ReadReply, out: &mut Vec<Action>) {
+        let target = *self.tail.target.get_or_insert(reply.next);
+        if reply.first > self.ledger.next() {
+            self.tail.skipped += reply.first.0 - self.ledger.next().0;
+            self.ledger.skip_to(reply.first);
+        }
+        for record in reply.records {
+            let LogRecord { offset, time, data } = record;
+            self.apply(now, RelayedRecord { offset, time, data: data.into() }, out);
+        }
+        self.tail.read = Some(now);
+        self.membership.log_read(now);
+        if !self.tail.caught_up && self.ledger.next() >= target {
+            tracing::info!(tasks = self.ledger.len(), "read the task stream to its end");
+            self.tail.caught_up = true;
+        }
+    }
+
+    /// Applies a batch of the task stream, read directly or through a peer.
+    pub(super) fn apply(&mut self, now: Millis, record: RelayedRecord, out: &mut Vec<Action>) {
+        if record.offset < self.ledger.next() {
+            return;
+        }
+        match bincode::serde::decode_from_slice::<Batch, _>(
+            &record.data,
+            bincode::config::standard(),
+        ) {
+            Ok((batch, _)) => {
+                self.journal.read(&batch);
+                let changes = self.ledger.apply(record.offset, record.time, now, &batch);
+                for change in changes {
+                    self.changed(now, &change, out);
+                }
+            }
+            Err(error) => {
+                tracing::warn!(offset = record.offset.0, %error, "skipping a malformed batch");
+                self.tail.malformed += 1;
+                self.ledger.skip_to(record.offset.next());
+            }
+        }
+        self.relayed.push_back(record);
+        if self.relayed.len() > MAX_RELAYED {
+            self.relayed.pop_front();
+        }
+    }
+
+    fn changed(&mut self, now: Millis, change: &Change, out: &mut Vec<Action>) {
+        match change {
+            Change::Accepted { task } => self.task_accepted(now, task, out),
+            Change::Pending { task, reason } => {
+                tracing::info!(%task, ?reason, "attempt ended, the task waits again");
+                if matches!(reason, Requeue::Checkpointed) {
+                    telemetry::evicted("checkpoint");
+                }
+                if matches!(reason, Requeue::WatcherEnded) {
+                    tracing::warn!(%task, "a watcher stopped and is started again");
+                }
+            }
+            Change::Done { task, result } => {
+                tracing::info!(%task, ?result, "task ended");
+                self.task_done(now, task, *result);
+            }
+            Change::Claimed { .. } | Change::CancelRequested { .. } => {}
+        }
+    }
+
+    fn task_done(&mut self, now: Millis, task: &crate::base::TaskId, result: TaskResult) {
+        let Some(class) = self.ledger.task(task).map(|task| task.spec.class.clone()) else {
+            return;
+        };
+        if result != TaskResult::Cancelled {
+            let good = result == TaskResult::Succeeded;
+            self.burn.observe(now, &task.customer, &class, good);
+        }
+    }
+
+    pub(super) fn appended(
+        &mut self,
+        now: Millis,
+        stream: Stream,
+        sequence: u64,
+        sent: Millis,
+        result: Result<Offset>,
+        out: &mut Vec<Action>,
+    ) {
+        let outcome = match &result {
+            Ok(_) => Append::Done,
+            Err(error) if error.is_without_effect() => Append::Refused,
+            Err(_) => Append::Unknown,
+        };
+        let label = match outcome {
+            Append::Done => "done",
+            Append::Refused => "refused",
+            Append::Unknown => "unknown",
+        };
+        telemetry::appended(label, now.since(sent));
+        if let Err(error) = &result {
+            tracing::warn!(?stream, %error, label, "append failed");
+        }
+        match stream {
+            Stream::Tasks => self.journal.appended(now, sequence, outcome),
+            Stream::Contracts => self.contract_appended(now, sequence, outcome, out),
+        }
+    }
+
+    /// Starts, claims, suspicions and restatements that are due, then the next append.
+    pub(super) fn poll_tasks(&mut self, now: Millis, out: &mut Vec<Action>) {
+        self.refresh_workers();
+        let can_claim = can_claim(now, &self.tail, &self.journal, self.draining);
+        let view = view(&self.ledger, &self.live, &self.quotas, can_claim);
+        let mut actions = Vec::new();
+        self.dispatcher.poll(now, &view, &mut actions);
+        self.dispatch(now, actions, out);
+        self.poll_suspicions(now);
+        if let Some(batch) = self.journal.poll(now) {
+            match bincode::serde::encode_to_vec(&batch, bincode::config::standard()) {
+                Ok(data) => out.push(Action::Append {
+                    stream: Stream::Tasks,
+                    sequence: batch.sequence,
+                    data,
+                }),
+                Err(error) => tracing::error!(%error, "cannot encode a batch"),
+            }
+        }
+    }
+
+    fn poll_suspicions(&mut self, now: Millis) {
+        if !can_claim(now, &self.tail, &self.journal, self.draining) {
+            return;
+        }
+        let mut records: Vec<Record> = Vec::new();
+        let claimed: Vec<Name> = self.ledger.claimed_workers().cloned().collect();
+        self.suspicions.poll(
+            now,
+            &self.membership,
+            &self.leases,
+            self.ledger.suspicions(),
+            &claimed,
+            &mut records,
+        );
+        for record in records {
+            self.journal.push(record);
+        }
+    }
+}
--- /dev/null
+++ b/src/process/node/urgent.rs
@@ -0,0 +1,357 @@
+//! Urgent requests: callers, instances and forwarding.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::action::Action;
+use super::node::Node;
+use super::peers::PeerPurpose;
+use crate::base::{Millis, Name, Ran};
+use crate::connection::wire::{
+    Answer, Forward, HostKind, InstanceReport, PeerReply, PeerRequest, ServiceLoad,
+};
+use crate::connection::{ApiCall, ApiResponse, InstanceCall, InstanceOutcome};
+use crate::process::telemetry;
+use crate::request::{
+    Dispatch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer, UrgentRequest,
+};
+
+/// Time after the deadline for which an attempt is still waited for: a late answer is whole and
+/// reaches its caller, and the slot stays taken while the instance works.
+const LATE: Millis = Millis(30_000);
+/// Longest request id in bytes.
+const MAX_ID: usize = 128;
+
+/// The latest report of an instance.
+#[derive(Debug, Clone)]
+pub(super) struct InstanceView {
+    /// Time before the lease call was sent.
+    pub sent: Millis,
+    pub report: InstanceReport,
+}
+
+/// Who waits for an urgent request.
+#[derive(Debug)]
+pub(super) struct Caller {
+    pub origin: Origin,
+    pub customer: Name,
+    pub class: Name,
+    pub received: Millis,
+    pub deadline: Millis,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// A caller on the API, by its ticket.
+    Api(u64),
+    /// A peer, by its ticket.
+    Peer(u64),
+}
+
+impl Node {
+    /// `POST /v1/requests/{customer}/{class}`.
+    pub(super) fn request(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        customer: &str,
+        class: &str,
+        call: ApiCall,
+        out: &mut Vec<Action>,
+    ) {
+        let request = match call.request {
+            Some(id) => id,
+            None => self.make_request_id(ticket),
+        };
+        let forward = Forward {
+            request,
+            customer: customer.into(),
+            class: class.into(),
+            deadline: 0,
+            hops: 0,
+            host: self.identity.host.clone(),
+            attach: false,
+            body: call.body,
+        };
+        if let Err(response) = self.submit(now, Origin::Api(ticket), forward, out) {
+            telemetry::refused("bad_request");
+            out.push(Action::Respond { ticket, response });
+        }
+    }
+
+    /// A request that a peer forwarded.
+    pub(super) fn forwarded(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        forward: Forward,
+        out: &mut Vec<Action>,
+    ) {
+        if let Err(response) = self.submit(now, Origin::Peer(ticket), forward, out) {
+            let ran = Some(Ran::NotRun);
+            let answer = Answer { status: response.status, ran, body: response.body };
+            out.push(Action::ReplyPeer { ticket, reply: PeerReply::Answer(answer) });
+        }
+    }
+
+    fn submit(
+        &mut self,
+        now: Millis,
+        origin: Origin,
+        forward: Forward,
+        out: &mut Vec<Action>,
+    ) -> std::result::Result<(), ApiResponse> {
+        if !is_request_id(&forward.request) {
+            let reason = format!(
+                "a request id has 1 to {MAX_ID} letters, digits, dots, dashes or underscores"
+            );
+            return Err(refuse(400, "bad_request_id", "request-id", reason));
+        }
+        let class = self.class_terms(&forward.customer, &forward.class)?;
+        if forward.body.len() as u64 > class.max_body {
+            let reason = format!("the contract allows {} bytes", class.max_body);
+            return Err(refuse(413, "too_large", "body", reason));
+        }
+        let left = if forward.hops == 0 { class.deadline } else { Millis(forward.deadline) };
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        let caller = Caller {
+            origin,
+            customer: forward.customer.clone(),
+            class: forward.class.clone(),
+            received: now,
+            deadline: now + left,
+        };
+        self.callers.insert(ticket.0, caller);
+        let request = UrgentRequest {
+            ticket,
+            request: forward.request,
+            customer: forward.customer,
+            class: forward.class,
+            service: class.service,
+            idempotent: class.is_idempotent,
+            deadline: now + left,
+            class_deadline: class.deadline,
+            hops: forward.hops,
+            from: (forward.hops > 0).then_some(forward.host),
+            attach: forward.attach,
+            body: forward.body,
+        };
+        let mut actions = Vec::new();
+        self.urgent.submit(now, request, &mut actions);
+        self.route(now, actions, out);
+        Ok(())
+    }
+
+    fn class_terms(
+        &self,
+        customer: &Name,
+        class: &Name,
+    ) -> std::result::Result<ClassTerms, ApiResponse> {
+        let Some(current) = self.contracts.get(customer) else {
+            let reason = format!("customer {customer:?} has no contract in force");
+            return Err(refuse(404, "unknown_customer", "customer", reason));
+        };
+        let contract = &current.contract;
+        let Some(found) = contract.classes.iter().find(|known| known.name == *class) else {
+            let reason = format!("the contract of {customer:?} has no class {class:?}");
+            return Err(refuse(404, "unknown_class", "class", reason));
+        };
+        let (Some(service), Some(deadline)) = (&found.service, found.deadline) else {
+            let reason = format!("class {class:?} is batch work; submit it as a job");
+            return Err(refuse(400, "not_urgent", "class", reason));
+        };
+        Ok(ClassTerms {
+            service: service.clone(),
+            deadline,
+            is_idempotent: !found.at_most_once,
+            max_body: found.max_body,
+        })
+    }
+
+    fn make_request_id(&self, ticket: u64) -> Name {
+        let identity = &self.identity;
+        format!("{}-{}-{ticket}", identity.host, identity.incarnation).into()
+    }
+
+    /// Carries out what the router decided.
+    pub(super) fn route(
+        &mut self,
+        now: Millis,
+        actions: Vec<UrgentAction>,
+        out: &mut Vec<Action>,
+    ) {
+        for action in actions {
+            match action {
+                UrgentAction::Send { dispatch, address, token, request, deadline, body, .. } => {
+                    let timeout = Duration::from_millis((deadline + LATE).0);
+                    let call = InstanceCall { request, token, deadline, body };
+                    out.push(Action::Send { dispatch, address, call, timeout });
+                }
+                UrgentAction::Forward { dispatch, host, forward } => {
+                    let timeout = forward.deadline + LATE;
+                    let message = PeerRequest::Forward(Forward {
+                        request: forward.request,
+                        customer: forward.customer,
+                        class: forward.class,
+                        deadline: forward.deadline.0,
+                        hops: forward.hops,
+                        host: self.identity.host.clone(),
+                        attach: forward.attach,
+                        body: forward.body,
+                    });
+                    let purpose = PeerPurpose::Forward(dispatch);
+                    self.call_peer(host, message, timeout, purpose, out);
+                }
+                UrgentAction::Answer { ticket, answer } => self.answer(now, ticket, answer, out),
+            }
+        }
+    }
+
+    fn answer(&mut self, now: Millis, ticket: Ticket, answer: UrgentAnswer, out: &mut Vec<Action>) {
+        let Some(caller) = self.callers.remove(&ticket.0) else { return };
+        match caller.origin {
+            Origin::Api(ticket) => {
+                self.count_answer(now, &caller, &answer);
+                let raw = Action::raw(ticket, answer.status, answer.body.clone());
+                let action = match answer.ran {
+                    None => raw,
+                    Some(_) => Action::Respond {
+                        ticket,
+                        response: ApiResponse {
+                            status: answer.status,
+                            kind: crate::connection::ContentKind::Json,
+                            body: answer.body,
+                        },
+                    },
+                };
+                out.push(action);
+            }
+            Origin::Peer(ticket) => {
+                let UrgentAnswer { status, ran, body } = answer;
+                let reply = PeerReply::Answer(Answer { status, ran, body });
+                out.push(Action::ReplyPeer { ticket, reply });
+            }
+        }
+    }
+
+    fn count_answer(&mut self, now: Millis, caller: &Caller, answer: &UrgentAnswer) {
+        let is_late = now > caller.deadline;
+        let result = match (answer.ran, answer.status, is_late) {
+            (Some(Ran::NotRun), _, _) => "not_run",
+            (Some(Ran::Unknown), _, _) => "unknown",
+            (None, 500.., _) => "failed",
+            (None, _, true) => "late",
+            (None, _, false) => "in_time",
+        };
+        telemetry::answered(caller.class.to_string(), result);
+        telemetry::queued(caller.class.to_string(), now.since(caller.received));
+        if answer.ran == Some(Ran::NotRun) {
+            telemetry::refused("admission");
+        }
+        let good = result == "in_time";
+        self.burn.observe(now, &caller.customer, &caller.class, good);
+    }
+
+    pub(super) fn instance_answered(
+        &mut self,
+        now: Millis,
+        dispatch: Dispatch,
+        outcome: InstanceOutcome,
+        out: &mut Vec<Action>,
+    ) {
+        let result = match outcome {
+            InstanceOutcome::Answer { status, body } => InstanceResult::Answer { status, body },
+            InstanceOutcome::Refused => InstanceResult::Refused,
+            InstanceOutcome::Broken => InstanceResult::Broken,
+        };
+        let mut actions = Vec::new();
+        self.urgent.instance_answered(now, dispatch, result, &mut actions);
+        self.route(now, actions, out);
+    }
+
+    /// Tells the router that this host read the report of an instance.
+    pub(super) fn settle_instance(
+        &mut self,
+        now: Millis,
+        instance: &Name,
+        view: &InstanceView,
+        out: &mut Vec<Action>,
+    ) {
+        let mut actions = Vec::new();
+        self.urgent.settle(now, instance, view.sent, &view.report.running, &mut actions);
+        self.route(now, actions, out);
+    }
+
+    /// Tells the router which instances this host may use now.
+    pub(super) fn refresh_instances(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let leases = &self.leases;
+        let views = &self.instances;
+        let owned = self
+            .backends_of(HostKind::Instance)
+            .filter_map(|entry| {
+                let lease = leases.usable(now, &entry.name)?;
+                let view = views.get(&entry.name)?;
+                Some(OwnedInstance {
+                    name: entry.name.clone(),
+                    service: entry.service.clone()?,
+                    address: entry.address.clone(),
+                    token: lease.token,
+                    slots: view.report.slots,
+                    connections: view.report.connections,
+                    running: view.report.running.clone(),
+                    reported: view.sent,
+                    leaving: lease.leaving || leases.is_leaving(&entry.name),
+                })
+            })
+            .collect();
+        let mut actions = Vec::new();
+        self.urgent.set_instances(now, owned, &mut actions);
+        self.route(now, actions, out);
+    }
+
+    pub(super) fn poll_urgent(&mut self, now: Millis, out: &mut Vec<Action>) {
+        let mut actions = Vec::new();
+        self.urgent.poll(now, &mut actions);
+        self.route(now, actions, out);
+    }
+
+    /// Loads that the peers of this data centre told in their heartbeats.
+    pub(super) fn set_loads(&mut self, now: Millis) {
+        let loads: Vec<(Name, ServiceLoad)> = self.membership.loads(now);
+        self.urgent.set_peers(now, loads);
+    }
+
+    /// Follows changes of the live hosts: the ids of a dead host wait for its instances.
+    pub(super) fn hosts_changed(&mut self, now: Millis, gone: Vec<Name>, out: &mut Vec<Action>) {
+        for host in gone {
+            let held: HashSet<Name> = self.held.remove(&host).unwrap_or_default();
+            let instances = held.into_iter().filter(|name| {
+                self.backends.get(name).is_some_and(|entry| entry.kind == HostKind::Instance)
+            });
+            let instances = instances.collect();
+            tracing::info!(%host, "entry host is no longer live");
+            self.urgent.unsettle(now, &host, instances);
+        }
+        let mut actions = Vec::new();
+        self.urgent.set_hosts(now, &self.live, &mut actions);
+        self.route(now, actions, out);
+    }
+}
+
+/// What an urgent request needs of its class.
+struct ClassTerms {
+    service: Name,
+    deadline: Millis,
+    is_idempotent: bool,
+    max_body: u64,
+}
+
+fn is_request_id(id: &str) -> bool {
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | '_');
+    !id.is_empty() && id.len() <= MAX_ID && id.chars().all(is_allowed)
+}
+
+fn refuse(status: u16, error: &str, field: &str, reason: impl ToString) -> ApiResponse {
+    ApiResponse::error(status, error, Some(field), reason, Some(Ran::NotRun))
+}
