Add stand-ins for the platform

Checked by hand with curl: append, lost append answer, lease, start, refused overcommit, run lease lapse, request, truncated answer and records.

--- /dev/null
+++ b/examples/standin/instances/instance.rs
@@ -0,0 +1,216 @@
+//! One service instance.
+
+use std::time::Duration;
+
+use jayfork::base::{Millis, Name, Token};
+use jayfork::connection::wire::{InstanceReport, LeaseRefusal, LeaseReply, LeaseRequest};
+
+use crate::lease::ControlLease;
+use crate::recorder::{EventKind, Record, Recorder};
+use crate::switches::Faults;
+
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    pub slots: u32,
+    pub connections: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    StaleToken,
+    Busy,
+    Leaving,
+    /// The host crashed while the request was under way.
+    Crashed,
+}
+
+/// What happens to the answer of a request that ran.
+#[derive(Debug, Clone, Copy)]
+pub struct Delivery {
+    pub truncated: bool,
+    pub delay: Duration,
+    /// Answers to collect and send in reverse order.
+    pub reorder: usize,
+}
+
+/// Switches of one instance.
+#[derive(Debug, Default)]
+pub struct Switches {
+    pub busy: bool,
+    pub service_ms: Option<u64>,
+    pub truncate: Faults,
+    pub delay_answers: Duration,
+    pub reorder: usize,
+}
+
+#[derive(Debug)]
+pub struct Instance {
+    pub name: Name,
+    pub switches: Switches,
+    limits: Limits,
+    incarnation: u64,
+    lease: ControlLease,
+    running: Vec<Name>,
+    leaving: bool,
+    crashed: bool,
+}
+
+impl Instance {
+    pub fn new(now: Millis, name: Name, limits: Limits) -> Self {
+        Instance {
+            name,
+            switches: Switches::default(),
+            limits,
+            incarnation: now.0,
+            lease: ControlLease::new(now.0),
+            running: Vec::new(),
+            leaving: false,
+            crashed: false,
+        }
+    }
+
+    pub fn lease(
+        &mut self,
+        now: Millis,
+        request: &LeaseRequest,
+        recorder: &mut Recorder,
+    ) -> Result<LeaseReply<InstanceReport>, LeaseRefusal> {
+        let token = self.lease.take(now, request)?;
+        if request.token.is_none() {
+            let granted = Record::new(now, &self.name, EventKind::Granted, &request.holder);
+            recorder.push(granted.with_token(token));
+        }
+        Ok(LeaseReply {
+            token,
+            incarnation: self.incarnation,
+            leaving: self.leaving,
+            report: InstanceReport {
+                slots: self.limits.slots,
+                connections: self.limits.connections,
+                running: self.running.clone(),
+            },
+        })
+    }
+
+    pub fn release(&mut self, now: Millis, token: Token, recorder: &mut Recorder) -> bool {
+        let released = self.lease.release(token);
+        if released {
+            let record = Record::new(now, &self.name, EventKind::Released, "");
+            recorder.push(record.with_token(token));
+        }
+        released
+    }
+
+    /// Takes a slot; returns the incarnation in which the request runs.
+    pub fn start(
+        &mut self,
+        now: Millis,
+        id: &str,
+        token: Token,
+        recorder: &mut Recorder,
+    ) -> Result<u64, Refusal> {
+        if let Err(refusal) = self.check_start(token) {
+            let full = refusal == Refusal::Busy && !self.switches.busy;
+            let record = Record::new(now, &self.name, EventKind::Refused, id);
+            recorder.refuse(
+                record.with_token(token).with_state(refusal.kind()),
+                full.then_some("over_slots"),
+            );
+            return Err(refusal);
+        }
+        self.running.push(id.into());
+        let record = Record::new(now, &self.name, EventKind::Started, id);
+        recorder.start(record.with_token(token).with_state("running"));
+        Ok(self.incarnation)
+    }
+
+    /// Frees the slot; `None` if the host crashed since the start.
+    pub fn finish(
+        &mut self,
+        now: Millis,
+        id: &str,
+        incarnation: u64,
+        recorder: &mut Recorder,
+    ) -> Option<Delivery> {
+        if self.crashed || self.incarnation != incarnation {
+            return None;
+        }
+        let slot = self.running.iter().position(|running| **running == *id)?;
+        self.running.swap_remove(slot);
+        let record = Record::new(now, &self.name, EventKind::Ended, id);
+        recorder.end(record.with_state("answered"));
+        Some(Delivery {
+            truncated: self.switches.truncate.hits(),
+            delay: self.switches.delay_answers,
+            reorder: self.switches.reorder,
+        })
+    }
+
+    /// Whether `open` connections are within the limit.
+    pub fn connect(&self, now: Millis, open: usize, recorder: &mut Recorder) -> bool {
+        let admitted = open <= self.limits.connections as usize;
+        if !admitted {
+            let record = Record::new(now, &self.name, EventKind::Refused, "");
+            recorder.refuse(record.with_state("connection"), Some("over_connections"));
+        }
+        admitted
+    }
+
+    pub fn set_leaving(&mut self, now: Millis, leaving: bool, recorder: &mut Recorder) {
+        if leaving && !self.leaving {
+            recorder.push(Record::new(now, &self.name, EventKind::Leaving, ""));
+        }
+        self.leaving = leaving;
+    }
+
+    /// Ends all requests; the host is unreachable until `restart`.
+    pub fn crash(&mut self, now: Millis, recorder: &mut Recorder) {
+        if self.crashed {
+            return;
+        }
+        self.crashed = true;
+        recorder.push(Record::new(now, &self.name, EventKind::Crashed, ""));
+        for id in std::mem::take(&mut self.running) {
+            let record = Record::new(now, &self.name, EventKind::Ended, &id);
+            recorder.end(record.with_state("crashed"));
+        }
+        self.lease.reset();
+    }
+
+    /// Starts a new incarnation with empty memory.
+    pub fn restart(&mut self, now: Millis, recorder: &mut Recorder) {
+        self.crash(now, recorder);
+        self.crashed = false;
+        self.leaving = false;
+        self.incarnation += 1;
+        recorder.push(Record::new(now, &self.name, EventKind::Restarted, ""));
+    }
+
+    fn check_start(&self, token: Token) -> Result<(), Refusal> {
+        if self.crashed {
+            return Err(Refusal::Crashed);
+        }
+        if !self.lease.is_newest(token) {
+            return Err(Refusal::StaleToken);
+        }
+        if self.leaving {
+            return Err(Refusal::Leaving);
+        }
+        if self.switches.busy || self.running.len() >= self.limits.slots as usize {
+            return Err(Refusal::Busy);
+        }
+        Ok(())
+    }
+}
+
+impl Refusal {
+    /// `error` of the answer and `state` of the record.
+    pub fn kind(self) -> &'static str {
+        match self {
+            Refusal::StaleToken => "stale_token",
+            Refusal::Busy => "busy",
+            Refusal::Leaving => "leaving",
+            Refusal::Crashed => "crashed",
+        }
+    }
+}
--- a/examples/standin/main.rs
+++ b/examples/standin/main.rs
@@ -1,3 +1,50 @@
 //! Stand-ins for the platform: log, host list, workers and service instances.
+//!
+//! Each subcommand serves on 127.0.0.1, prints one JSON line with its addresses, logs to stderr
+//! and exits on SIGTERM.
 
-fn main() {}
+mod clock;
+mod error;
+mod fleet;
+mod hosts;
+mod instances;
+mod lease;
+mod log;
+mod net;
+mod process;
+mod recorder;
+mod switches;
+mod workers;
+
+use clap::Command;
+
+use crate::error::Result;
+
+fn main() -> std::process::ExitCode {
+    process::init_logging();
+    match run() {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(%error, "stand-in failed");
+            std::process::ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<()> {
+    let matches = Command::new("standin")
+        .about("Stand-ins for the platform's log, host list, workers and service instances")
+        .subcommand_required(true)
+        .subcommand(process::with_common_args(log::command()))
+        .subcommand(process::with_common_args(hosts::command()))
+        .subcommand(process::with_common_args(workers::command()))
+        .subcommand(process::with_common_args(instances::command()))
+        .get_matches();
+    match matches.subcommand() {
+        Some(("log", matches)) => log::run(matches),
+        Some(("hosts", matches)) => hosts::run(matches),
+        Some(("workers", matches)) => workers::run(matches),
+        Some(("instances", matches)) => instances::run(matches),
+        _ => unreachable!("clap requires one of the subcommands"),
+    }
+}
--- /dev/null
+++ b/examples/standin/net/gate.rs
@@ -0,0 +1,125 @@
+//! Network faults of one listener.
+
+use std::collections::HashSet;
+use std::sync::{Condvar, Mutex, MutexGuard};
+use std::time::Duration;
+
+use jayfork::base::Name;
+use serde_json::Value;
+
+use super::{Connections, Reply, Request};
+use crate::error::Result;
+use crate::switches::{Faults, parse};
+
+/// Header by which a client names itself, so that it can be cut off.
+const CLIENT: &str = "client";
+
+/// Cuts clients off, delays requests, loses answers, freezes or closes all connections.
+///
+/// Switches: `cuts` (client names, `"*"` for all), `delay_ms`, `freeze`, `crash`, `lose_answers`
+/// (see `Faults`) and `lose_path` (prefix of the paths whose answers are lost).
+#[derive(Debug)]
+pub struct Gate {
+    pub connections: Connections,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Debug)]
+struct State {
+    cuts: HashSet<Name>,
+    delay: Duration,
+    frozen: bool,
+    crashed: bool,
+    lost: Faults,
+    lose_path: String,
+}
+
+impl Gate {
+    /// `lose_path` is the prefix of the paths whose answers `lose_answers` loses at first.
+    pub fn new(lose_path: &str) -> Self {
+        let state = State {
+            cuts: HashSet::new(),
+            delay: Duration::ZERO,
+            frozen: false,
+            crashed: false,
+            lost: Faults::default(),
+            lose_path: lose_path.to_owned(),
+        };
+        Gate {
+            connections: Connections::default(),
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Sets a switch; returns `false` if it is none of this type.
+    pub fn set(&self, name: &str, value: &Value) -> Result<bool> {
+        let mut state = self.lock();
+        match name {
+            "cuts" => state.cuts = parse(name, value)?,
+            "delay_ms" => state.delay = Duration::from_millis(parse(name, value)?),
+            "freeze" => state.frozen = parse(name, value)?,
+            "crash" => state.crashed = parse(name, value)?,
+            "lose_answers" => state.lost.set(name, value)?,
+            "lose_path" => state.lose_path = parse(name, value)?,
+            _ => return Ok(false),
+        }
+        if state.crashed {
+            self.connections.close_all();
+        }
+        drop(state);
+        self.changed.notify_all();
+        Ok(true)
+    }
+
+    pub fn is_crashed(&self) -> bool {
+        self.lock().crashed
+    }
+
+    /// Waits out a freeze and a delay; returns whether the request may take effect.
+    pub fn admits(&self, request: &Request) -> bool {
+        if request.is_control() {
+            return true;
+        }
+        let state = self.lock();
+        if state.is_cut(request) {
+            return false;
+        }
+        let delay = state.delay;
+        drop(state);
+        if !delay.is_zero() {
+            std::thread::sleep(delay);
+        }
+        let state = self
+            .changed
+            .wait_while(self.lock(), |state| state.frozen && !state.crashed)
+            .expect("no thread panics with the lock");
+        !state.crashed && !state.is_cut(request)
+    }
+
+    /// Whether the answer to a request that took effect is lost.
+    pub fn loses(&self, request: &Request, reply: &Reply) -> bool {
+        let Reply::Answer(response) = reply else {
+            return false;
+        };
+        if request.method != http::Method::POST || request.is_control() {
+            return false;
+        }
+        let mut state = self.lock();
+        response.status.is_success()
+            && request.uri.path().starts_with(&state.lose_path)
+            && state.lost.hits()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with the lock")
+    }
+}
+
+impl State {
+    fn is_cut(&self, request: &Request) -> bool {
+        let client = request.header(CLIENT).unwrap_or_default();
+        self.cuts.contains("*") || self.cuts.contains(client)
+    }
+}
--- /dev/null
+++ b/examples/standin/workers/worker_fleet.rs
@@ -0,0 +1,124 @@
+//! All workers of the process.
+
+use jayfork::base::{Millis, Name, Size, Token};
+use jayfork::connection::wire::{
+    LeaseRefusal, LeaseReply, LeaseRequest, StartRequest, StartState, TaskCommand, TaskReply,
+    WorkerReport,
+};
+use serde_json::Value;
+
+use super::model::Model;
+use super::worker::{Command, Refusal, Reporting, Worker};
+use crate::clock;
+use crate::error::Result;
+use crate::fleet::Backend;
+use crate::recorder::Recorder;
+use crate::switches::parse;
+
+#[derive(Debug)]
+pub struct WorkerFleet {
+    workers: Vec<Worker>,
+    reporting: Reporting,
+    model: Model,
+    recorder: Recorder,
+}
+
+impl WorkerFleet {
+    pub fn new(names: &[Name], capacity: Size, reporting: Reporting, model: Model) -> Self {
+        let now = clock::now();
+        let workers = names
+            .iter()
+            .map(|name| Worker::new(now, name.clone(), capacity, reporting.run_ttl))
+            .collect();
+        WorkerFleet {
+            workers,
+            reporting,
+            model,
+            recorder: Recorder::default(),
+        }
+    }
+
+    /// Ends the tasks that are due on any worker; returns when the next one is.
+    ///
+    /// Every call does this first, so that an end is recorded before a start that follows it.
+    pub fn advance(&mut self, now: Millis) -> Option<Millis> {
+        self.workers
+            .iter_mut()
+            .filter_map(|worker| worker.advance(now, &mut self.recorder))
+            .min()
+    }
+
+    pub fn lease(
+        &mut self,
+        now: Millis,
+        worker: usize,
+        request: &LeaseRequest,
+    ) -> std::result::Result<LeaseReply<WorkerReport>, LeaseRefusal> {
+        self.advance(now);
+        self.workers[worker].lease(now, request, &self.reporting, &mut self.recorder)
+    }
+
+    pub fn release(&mut self, now: Millis, worker: usize, token: Token) -> bool {
+        self.workers[worker].release(now, token, &mut self.recorder)
+    }
+
+    pub fn start(
+        &mut self,
+        now: Millis,
+        worker: usize,
+        request: &StartRequest,
+    ) -> std::result::Result<StartState, Refusal> {
+        self.advance(now);
+        self.workers[worker].start(now, request, &self.model, &mut self.recorder)
+    }
+
+    pub fn command(
+        &mut self,
+        now: Millis,
+        worker: usize,
+        command: Command,
+        request: &TaskCommand,
+    ) -> std::result::Result<TaskReply, Refusal> {
+        self.advance(now);
+        self.workers[worker].command(now, command, request, &mut self.recorder)
+    }
+}
+
+impl Backend for WorkerFleet {
+    fn recorder(&self) -> &Recorder {
+        &self.recorder
+    }
+
+    fn set_host(&mut self, now: Millis, host: usize, name: &str, value: &Value) -> Result<bool> {
+        self.advance(now);
+        let worker = &mut self.workers[host];
+        match name {
+            "leaving" => worker.set_leaving(now, parse(name, value)?, &mut self.recorder),
+            "fail_starts" => worker.set_fail_starts(parse(name, value)?),
+            "noisy" => worker.set_noise(now, parse(name, value)?),
+            "restart" => {
+                if parse(name, value)? {
+                    worker.restart(now, &mut self.recorder);
+                }
+            }
+            "crash" => {
+                if parse(name, value)? {
+                    worker.crash(now, &mut self.recorder);
+                } else {
+                    worker.restart(now, &mut self.recorder);
+                }
+            }
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    fn set(&mut self, _now: Millis, name: &str, value: &Value) -> Result<bool> {
+        match name {
+            "report_lag_ms" => self.reporting.lag = parse(name, value)?,
+            "remember_ms" => self.reporting.remember = parse(name, value)?,
+            _ => return self.model.set(name, value),
+        }
+        Ok(true)
+    }
+}
