Add UrgentRouter, the deadline queue and the retry budget

Cause: urgent requests need one owner per id and per slot, early refusal, and retries that cannot multiply an overload.

Change: UrgentRouter keeps requests in flight without I/O or clock. Each id has a home (rendezvous over the live entry hosts); other hosts relay to it. The home runs the id on an own instance, forwards it to the peer with the shorter wait, or queues it by deadline. A broken attempt is repeated only for idempotent classes, after a report asked for later no longer lists it. A new home holds the ids of a lost host until its instances are settled, and asks peers with `attach` whether they are running an id.

Interleavings are not tested yet.

--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,1 +1,12 @@
 //! State that lives as long as one request or task.
+
+pub mod admission;
+pub mod budget;
+pub mod urgent;
+
+pub use admission::{Admission, Place};
+pub use budget::RetryBudget;
+pub use urgent::{
+    Dispatch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer, UrgentForward,
+    UrgentLimits, UrgentRequest, UrgentRouter,
+};
--- /dev/null
+++ b/src/request/urgent/handover.rs
@@ -0,0 +1,221 @@
+//! Which host is the home of an id, and what must be known before a new home runs it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use crate::base::{Millis, Name, prefer, rank};
+
+/// A host that was lost, with what is still unknown about its requests.
+#[derive(Debug)]
+struct Lost {
+    since: Millis,
+    /// Instances whose running ids have not been read; `None` until `unsettle` names them.
+    unsettled: Option<HashSet<Name>>,
+}
+
+impl Lost {
+    fn is_settled(&self) -> bool {
+        self.unsettled.as_ref().is_some_and(HashSet::is_empty)
+    }
+}
+
+/// What a lost host means for an id whose home it was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Hold {
+    None,
+    /// Settled, but the host's memory of recent ids is gone.
+    Forgotten,
+    /// The lost host's instances may be running the id.
+    Unsettled,
+}
+
+#[derive(Debug)]
+pub(super) struct Handover {
+    host: Name,
+    /// Live hosts and the time since when they have been continuously live; ordered by name.
+    live: BTreeMap<Name, Millis>,
+    lost: BTreeMap<Name, Lost>,
+    /// Instances that may be running an id, with the time after which a report must be asked for
+    /// to show that it has ended.
+    blocked: HashMap<Name, Vec<(Name, Millis)>>,
+    /// Ids that a peer may run because this host told it that it does not.
+    ceded: HashMap<Name, (Name, Millis)>,
+    ceded_until: BTreeSet<(Millis, Name)>,
+}
+
+impl Handover {
+    pub fn new(host: Name) -> Self {
+        Handover {
+            live: BTreeMap::from([(host.clone(), Millis(0))]),
+            host,
+            lost: BTreeMap::new(),
+            blocked: HashMap::new(),
+            ceded: HashMap::new(),
+            ceded_until: BTreeSet::new(),
+        }
+    }
+
+    /// Replaces the live hosts; returns those that were lost, or `None` if nothing changed.
+    pub fn set_hosts(&mut self, now: Millis, hosts: &[Name]) -> Option<Vec<Name>> {
+        let gone = |name: &&Name| !hosts.contains(name) && **name != self.host;
+        let gone: Vec<Name> = self.live.keys().filter(gone).cloned().collect();
+        for name in &gone {
+            self.live.remove(name);
+            let lost = Lost {
+                since: now,
+                unsettled: None,
+            };
+            self.lost.entry(name.clone()).or_insert(lost);
+        }
+        let mut changed = !gone.is_empty();
+        for name in hosts.iter().filter(|name| **name != self.host) {
+            changed |= !self.live.contains_key(name);
+            self.live.entry(name.clone()).or_insert(now);
+            self.lost.remove(name);
+        }
+        changed.then_some(gone)
+    }
+
+    /// Treats every peer as newly met, since this process was stopped.
+    pub fn forget_contact(&mut self, now: Millis) {
+        for (name, since) in &mut self.live {
+            if *name != self.host {
+                *since = now;
+            }
+        }
+    }
+
+    pub fn is_live(&self, host: &Name) -> bool {
+        self.live.contains_key(host)
+    }
+
+    /// The live host that runs `key` or has it run.
+    pub fn home(&self, now: Millis, key: &str) -> &Name {
+        if let Some((host, until)) = self.ceded.get(key)
+            && *until > now
+        {
+            return host;
+        }
+        prefer(key, self.live.keys()).unwrap_or(&self.host)
+    }
+
+    /// Whether `host` comes before this host in the order of `key`.
+    pub fn outranks(&self, key: &str, host: &Name) -> bool {
+        prefer(key, [host, &self.host]) == Some(host)
+    }
+
+    pub fn unsettle(&mut self, now: Millis, host: &Name, instances: Vec<Name>) {
+        let lost = self.lost.entry(host.clone()).or_insert(Lost {
+            since: now,
+            unsettled: None,
+        });
+        lost.unsettled = Some(instances.into_iter().collect());
+    }
+
+    /// Returns whether the instance was unsettled.
+    pub fn settle(&mut self, instance: &Name) -> bool {
+        let lists = self.lost.values_mut().filter_map(|l| l.unsettled.as_mut());
+        let removed = lists.filter_map(|list| list.take(instance));
+        removed.count() > 0
+    }
+
+    /// Unsettled instances and those that may be running an id.
+    pub fn awaited_instances(&self) -> Vec<Name> {
+        let unsettled = self.lost.values().filter_map(|l| l.unsettled.as_ref());
+        let blocking = self.blocked.values().flatten().map(|(name, _)| name);
+        let names: BTreeSet<&Name> = unsettled.flatten().chain(blocking).collect();
+        names.into_iter().cloned().collect()
+    }
+
+    /// Whether the running ids of a lost host are not known yet.
+    pub fn is_unsettled(&self, host: &Name) -> bool {
+        self.lost.get(host).is_some_and(|lost| !lost.is_settled())
+    }
+
+    /// What lost hosts that came before this one mean for `key`, if lost less than `window` ago.
+    pub fn hold(&self, now: Millis, key: &str, window: Millis) -> Hold {
+        let mut hold = Hold::None;
+        for (host, lost) in &self.lost {
+            if !self.outranks(key, host) {
+                continue;
+            }
+            if !lost.is_settled() {
+                return Hold::Unsettled;
+            }
+            if now.since(lost.since) < window {
+                hold = Hold::Forgotten;
+            }
+        }
+        hold
+    }
+
+    /// Live peers that may be running `key` without this host's knowledge, in rank order.
+    ///
+    /// These are peers with which contact is younger than `window`, since ids may have been
+    /// theirs before, and all peers if the former home was lost, since they may be running ids
+    /// for it.
+    pub fn peers_to_ask(&self, now: Millis, key: &str, window: Millis) -> Vec<Name> {
+        let all = self.hold(now, key, window) != Hold::None;
+        let peers = self.live.iter().filter(|(name, _)| **name != self.host);
+        let peers = peers.filter(|(_, since)| all || now.since(**since) < window);
+        rank(key, peers.map(|(name, _)| name))
+            .into_iter()
+            .cloned()
+            .collect()
+    }
+
+    pub fn block(&mut self, key: &Name, instance: &Name, since: Millis) {
+        let instances = self.blocked.entry(key.clone()).or_default();
+        match instances.iter_mut().find(|(name, _)| name == instance) {
+            Some((_, at)) => *at = since.max(*at),
+            None => instances.push((instance.clone(), since)),
+        }
+    }
+
+    pub fn is_blocked(&self, key: &Name) -> bool {
+        self.blocked.contains_key(key)
+    }
+
+    /// Returns ids whose attempt on `instance` is shown to have ended by a report that was asked
+    /// for at `reported`.
+    pub fn ended(&mut self, instance: &Name, reported: Millis, running: &[Name]) -> Vec<Name> {
+        if self.blocked.is_empty() {
+            return Vec::new();
+        }
+        let running: HashSet<&Name> = running.iter().collect();
+        let mut ended = Vec::new();
+        self.blocked.retain(|key, instances| {
+            let before = instances.len();
+            instances.retain(|(name, since)| {
+                name != instance || reported <= *since || running.contains(key)
+            });
+            if instances.len() < before {
+                ended.push(key.clone());
+            }
+            !instances.is_empty()
+        });
+        ended
+    }
+
+    pub fn cede(&mut self, key: &Name, host: &Name, until: Millis) {
+        self.ceded.insert(key.clone(), (host.clone(), until));
+        self.ceded_until.insert((until, key.clone()));
+    }
+
+    pub fn is_ceded(&self, now: Millis, key: &str) -> bool {
+        self.ceded.get(key).is_some_and(|(_, until)| *until > now)
+    }
+
+    pub fn poll(&mut self, now: Millis) {
+        while let Some((until, _)) = self.ceded_until.first() {
+            if *until > now {
+                return;
+            }
+            let Some((until, key)) = self.ceded_until.pop_first() else {
+                return;
+            };
+            if self.ceded.get(&key).is_some_and(|(_, at)| *at <= until) {
+                self.ceded.remove(&key);
+            }
+        }
+    }
+}
