Add the operators' command-line client

Operators and scripts need to publish contracts, submit jobs, send requests and read status and burn without writing HTTP by hand, and a script must be able to tell "not done" from "unknown".

It tries the next server after a failed connection, after a 503 that says that nothing was done, and, for reads, job submissions and cancellations, after a lost answer. A refusal that follows a lost answer of a changing call is reported as unknown. An answer of a request is written only when it arrived in full. The base of an amendment is mandatory, so that nobody overwrites a version they have not read.

--- a/src/bin/jayfork.rs
+++ b/src/bin/jayfork.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! Operators' command-line client.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jayfork::process::cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/src/process/cli/contract.rs
@@ -0,0 +1,179 @@
+//! `jayfork contract`.
+
+use std::path::{Path, PathBuf};
+
+use clap::ArgMatches;
+use http::Method;
+use serde_json::json;
+
+use crate::base::Name;
+use crate::connection::wire::{ContractAnswer, ContractHistory, ContractList, Published};
+use crate::process::settings::parse_name;
+use crate::process::table::{Cell, Table};
+use crate::version::Contract;
+
+use super::client::{Call, Effect};
+use super::error::{Error, Result};
+use super::output::Output;
+use super::run::{client, path, read};
+
+pub(super) fn check(arguments: &ArgMatches, output: Output) -> Result<()> {
+    let paths: Vec<&PathBuf> = arguments
+        .get_many("file")
+        .expect("clap requires a file")
+        .collect();
+    let total = paths.len();
+    let mut valid = Vec::new();
+    let mut faults = Vec::new();
+    for path in paths {
+        match open(path) {
+            Ok((_, contract)) => valid.push((path, contract)),
+            Err(error) => faults.push(error),
+        }
+    }
+    let answer: Vec<_> = valid
+        .iter()
+        .map(|(path, contract)| json!({ "file": path, "customer": contract.customer, "valid": true }))
+        .collect();
+    output.show(&answer, |_| {
+        valid
+            .iter()
+            .map(|(path, contract)| {
+                format!(
+                    "{}: valid contract of {}\n",
+                    path.display(),
+                    contract.customer
+                )
+            })
+            .collect()
+    });
+    match faults.len() {
+        0 => Ok(()),
+        1 if total == 1 => Err(faults.remove(0)),
+        _ => Err(Error::Contracts { faults, total }),
+    }
+}
+
+pub(super) fn publish(arguments: &ArgMatches, output: Output) -> Result<()> {
+    put(arguments, 0, output)
+}
+
+pub(super) fn amend(arguments: &ArgMatches, output: Output) -> Result<()> {
+    let base: &u64 = arguments.get_one("base").expect("clap requires a base");
+    put(arguments, *base, output)
+}
+
+pub(super) fn list(arguments: &ArgMatches, output: Output) -> Result<()> {
+    let list: ContractList = client(arguments)?
+        .call(&Call::get("/v1/contracts"))?
+        .json()?;
+    output.show(&list, |colour| {
+        let mut table = Table::new(&["CUSTOMER", "VERSION", "OFFSET", "DATA CENTRES", "CLASSES"]);
+        for contract in &list.contracts {
+            table.push(vec![
+                Cell::text(&contract.customer),
+                Cell::text(contract.version.to_string()),
+                Cell::text(contract.offset.0.to_string()),
+                Cell::text(contract.data_centres.join(" ")),
+                Cell::text(contract.classes.join(" ")),
+            ]);
+        }
+        table.render(colour)
+    });
+    Ok(())
+}
+
+/// Without `--json`, standard output is the contract alone, ready to be edited and amended.
+pub(super) fn show(arguments: &ArgMatches, output: Output) -> Result<()> {
+    let customer = customer(arguments);
+    let answer: ContractAnswer = client(arguments)?
+        .call(&Call::get(format!("/v1/contracts/{customer}")))?
+        .json()?;
+    output.show(&answer, |_| {
+        output.note(&format!(
+            "{customer} has version {0}; amend it with --base {0}",
+            answer.version
+        ));
+        serde_json::to_string_pretty(&answer.contract).expect("a contract has string keys") + "\n"
+    });
+    Ok(())
+}
+
+pub(super) fn history(arguments: &ArgMatches, output: Output) -> Result<()> {
+    let customer = customer(arguments);
+    let history: ContractHistory = client(arguments)?
+        .call(&Call::get(format!("/v1/contracts/{customer}/history")))?
+        .json()?;
+    output.show(&history, |colour| {
+        let mut table = Table::new(&["VERSION", "OFFSET", "QUOTA", "CLASSES"]);
+        for answer in &history.versions {
+            let quota = answer.contract.quota;
+            let classes: Vec<&str> = answer.contract.classes.iter().map(|c| &*c.name).collect();
+            table.push(vec![
+                Cell::text(answer.version.to_string()),
+                Cell::text(answer.offset.0.to_string()),
+                Cell::text(format!(
+                    "{} mcores {} MiB {} acc",
+                    quota.processors, quota.memory, quota.accelerators
+                )),
+                Cell::text(classes.join(" ")),
+            ]);
+        }
+        table.render(colour)
+    });
+    Ok(())
+}
+
+fn put(arguments: &ArgMatches, base: u64, output: Output) -> Result<()> {
+    let (bytes, contract) = open(path(arguments, "file"))?;
+    let customer = contract.customer;
+    let call = Call {
+        method: Method::PUT,
+        path: format!("/v1/contracts/{customer}?base={base}"),
+        request_id: None,
+        body: Some(bytes),
+        // A second proposal with the same base loses against the first one, which hides that the
+        // first one was accepted.
+        effect: Effect::Once,
+        work: false,
+    };
+    let published: Published = client(arguments)?
+        .call(&call)
+        .and_then(|reply| reply.json())
+        .map_err(|error| {
+            error.with_hint(|| {
+                format!("jayfork contract history {customer} shows whether it was accepted")
+            })
+        })?;
+    output.show(&published, |_| {
+        format!(
+            "{} version {} is in force\n",
+            published.customer, published.version
+        )
+    });
+    Ok(())
+}
+
+/// Reads and checks a contract file.
+fn open(path: &Path) -> Result<(Vec<u8>, Contract)> {
+    let bytes = read(path)?;
+    let fault = |reason: String| Error::Contract {
+        path: path.to_owned(),
+        reason,
+    };
+    let contract: Contract =
+        serde_json::from_slice(&bytes).map_err(|error| fault(error.to_string()))?;
+    if parse_name(&contract.customer).is_none() {
+        return Err(fault(format!(
+            "customer: {:?} is not a name of 1 to 63 letters, digits, '.', '_' or '-'",
+            contract.customer
+        )));
+    }
+    Ok((bytes, contract))
+}
+
+fn customer(arguments: &ArgMatches) -> &Name {
+    arguments
+        .get_one("customer")
+        .expect("clap requires a customer")
+}
--- /dev/null
+++ b/src/process/cli/mod.rs
@@ -0,0 +1,15 @@
+//! The operators' command-line client.
+
+mod client;
+mod command;
+mod contract;
+mod error;
+mod job;
+mod output;
+mod report;
+mod request;
+mod run;
+mod status;
+
+pub use command::command;
+pub use run::run;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! State that lives as long as the process.
 
 pub mod burn;
+pub mod cli;
 pub mod logging;
 mod run;
 pub mod settings;
--- a/src/process/settings/mod.rs
+++ b/src/process/settings/mod.rs
@@ -14,5 +14,6 @@
 pub use error::{Error, Fault, Result};
 pub use limits::Limits;
 pub use peers::Peer;
+pub(crate) use reader::name as parse_name;
 pub use settings::{Host, Listen, Log, LogFormat, Platform, Settings};
 pub use timing::Timing;
--- a/src/process/settings/reader.rs
+++ b/src/process/settings/reader.rs
@@ -205,7 +205,7 @@
         .map(|(_, candidate)| (*candidate).to_owned())
 }
 
-pub(super) fn name(text: &str) -> Option<Name> {
+pub(crate) fn name(text: &str) -> Option<Name> {
     let legal = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
     let valid = (1..=63).contains(&text.len()) && text.chars().all(legal);
     valid.then(|| text.into())
