--- a/src/process/cli/output.rs
+++ b/src/process/cli/output.rs
@@ -41,7 +41,10 @@
     }
 
     /// Writes a line for people to standard error.
+    ///
+    /// Control characters are replaced, because a reason may come from elsewhere.
     pub(super) fn note(&self, text: &str) {
+        let text = text.replace(|c: char| c.is_control() && c != '\n', "?");
         let _ = writeln!(io::stderr(), "jayfork: {text}");
     }
 
--- a/src/process/settings/settings.rs
+++ b/src/process/settings/settings.rs
@@ -20,6 +20,20 @@
 /// Shortest and longest retention of the log that the settings accept, in ms.
 const RETENTION: (Millis, Millis) = (Millis(10_000), Millis(30 * 86_400_000));
 
+/// Sections and their keys; `[peers]` takes any host name as key.
+const KNOWN: &[(&str, Option<&[&str]>)] = &[
+    (
+        "host",
+        Some(&["name", "data_centre", "region", "incarnation"]),
+    ),
+    ("listen", Some(&["api", "peer"])),
+    ("platform", Some(&["log", "hosts", "retention"])),
+    (peers::SECTION, None),
+    (Limits::SECTION, Some(Limits::KEYS)),
+    (Timing::SECTION, Some(Timing::KEYS)),
+    ("log", Some(&["level", "format"])),
+];
+
 /// Settings of one entry host.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -106,7 +120,16 @@
         })
     }
 
-    /// The entry of `[peers]` for this host's data centre, itself included.
+    /// Every section and key that a settings file may have; `[peers]` has no fixed keys.
+    pub fn keys() -> impl Iterator<Item = (&'static str, &'static str)> {
+        KNOWN.iter().flat_map(|(section, keys)| {
+            keys.unwrap_or_default()
+                .iter()
+                .map(move |key| (*section, *key))
+        })
+    }
+
+    /// The entries of `[peers]` in this host's data centre, itself included.
     pub fn neighbours(&self) -> impl Iterator<Item = &Peer> {
         self.peers
             .iter()
@@ -115,21 +138,7 @@
 }
 
 fn read(ini: Ini) -> std::result::Result<Settings, Vec<Fault>> {
-    let mut reader = Reader::new(
-        ini,
-        &[
-            (
-                "host",
-                Some(&["name", "data_centre", "region", "incarnation"]),
-            ),
-            ("listen", Some(&["api", "peer"])),
-            ("platform", Some(&["log", "hosts", "retention"])),
-            (peers::SECTION, None),
-            (Limits::SECTION, Some(Limits::KEYS)),
-            (Timing::SECTION, Some(Timing::KEYS)),
-            ("log", Some(&["level", "format"])),
-        ],
-    );
+    let mut reader = Reader::new(ini, KNOWN);
     let host = read_host(&mut reader);
     let listen = read_listen(&mut reader);
     let platform = read_platform(&mut reader);
--- a/tests/cli_output.rs
+++ b/tests/cli_output.rs
@@ -225,6 +225,10 @@
     let (output, _) = run(&[Answer(200, body)], "contract list", "");
     assert!(!stdout(&output).contains('\x1b'));
     assert!(stdout(&output).contains("?[2Jc"));
+    let body = r#"{"error":"quota","field":null,"reason":"\u001b[2Jc","ran":"not_run"}"#;
+    let (output, _) = run(&[Answer(429, body)], "contract list", "");
+    expect(&output, 3, "?[2Jc");
+    assert!(output.stderr.iter().all(|byte| *byte != 0x1b));
 }
 
 /// Guards against help that lacks the exit codes or examples.
