--- a/src/connection/api.rs
+++ b/src/connection/api.rs
@@ -3,9 +3,10 @@
 use std::collections::HashMap;
 use std::io::Read;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use tiny_http::{Header, Method, Request, Response, Server};
@@ -138,11 +139,16 @@
 struct WriteJob {
     request: Request,
     response: ApiResponse,
+    open: Arc<AtomicUsize>,
 }
 
 impl Job for WriteJob {
     fn run(self) {
-        let WriteJob { request, response } = self;
+        let WriteJob {
+            request,
+            response,
+            open,
+        } = self;
         let mut answer = Response::from_data(response.body.to_vec())
             .with_status_code(response.status)
             .with_chunked_threshold(usize::MAX);
@@ -152,6 +158,7 @@
         if let Err(error) = request.respond(answer) {
             tracing::debug!(%error, "a caller closed its connection before the answer");
         }
+        open.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -161,6 +168,10 @@
     waiting: Waiting,
     writers: Pool<WriteJob>,
     address: SocketAddr,
+    /// Requests that are read and not yet answered in full.
+    open: Arc<AtomicUsize>,
+    /// Whether requests are refused because the process is about to end.
+    closing: Arc<AtomicBool>,
 }
 
 impl ApiServer {
@@ -176,6 +187,8 @@
             waiting: Waiting::default(),
             writers: Pool::spawn("api-write", limits.writers)?,
             address: local,
+            open: Arc::default(),
+            closing: Arc::default(),
         };
         let tickets = Arc::new(AtomicU64::new(1));
         for index in 0..limits.readers {
@@ -184,6 +197,8 @@
                 waiting: api.waiting.clone(),
                 tickets: tickets.clone(),
                 limit: limits.body,
+                open: api.open.clone(),
+                closing: api.closing.clone(),
                 handler: handler.clone(),
             };
             thread::Builder::new()
@@ -204,13 +219,21 @@
     pub fn respond(&self, ticket: u64, response: ApiResponse) {
         let request = lock(&self.waiting).remove(&ticket);
         if let Some(request) = request {
-            self.writers.submit(WriteJob { request, response });
+            self.writers.submit(WriteJob {
+                request,
+                response,
+                open: self.open.clone(),
+            });
         }
     }
 
-    /// Requests that wait for an answer.
-    pub fn waiting(&self) -> usize {
-        lock(&self.waiting).len()
+    /// Refuses new requests and waits until every answer is written, for at most `timeout`.
+    pub fn close(&self, timeout: Duration) {
+        self.closing.store(true, Ordering::Release);
+        let until = Instant::now() + timeout;
+        while self.open.load(Ordering::Acquire) > 0 && Instant::now() < until {
+            thread::sleep(Duration::from_millis(5));
+        }
     }
 }
 
@@ -225,24 +248,46 @@
     waiting: Waiting,
     tickets: Arc<AtomicU64>,
     limit: u64,
+    open: Arc<AtomicUsize>,
+    closing: Arc<AtomicBool>,
     handler: H,
 }
 
 impl<H: ApiHandler> Reader<H> {
     fn run(&self) {
         while let Ok(mut request) = self.server.recv() {
-            match read_call(&mut request, self.limit) {
+            self.open.fetch_add(1, Ordering::AcqRel);
+            match self.read(&mut request) {
                 Ok(call) => {
                     let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
                     lock(&self.waiting).insert(ticket, request);
                     self.handler.called(ticket, call);
                 }
-                Err(response) => WriteJob { request, response }.run(),
+                Err(response) => WriteJob {
+                    request,
+                    response,
+                    open: self.open.clone(),
+                }
+                .run(),
             }
         }
         // Passes the wake-up on to the next reader.
         self.server.unblock();
     }
+
+    fn read(&self, request: &mut Request) -> std::result::Result<ApiCall, ApiResponse> {
+        if self.closing.load(Ordering::Acquire) {
+            let reason = "this host is stopping";
+            return Err(ApiResponse::error(
+                503,
+                "draining",
+                None,
+                reason,
+                Some(Ran::NotRun),
+            ));
+        }
+        read_call(request, self.limit)
+    }
 }
 
 fn read_call(request: &mut Request, limit: u64) -> std::result::Result<ApiCall, ApiResponse> {
--- a/src/connection/wire/mod.rs
+++ b/src/connection/wire/mod.rs
@@ -21,7 +21,8 @@
 pub use log::{AppendReply, LogRecord, ReadReply};
 pub use peer::{
     Answer, ContractsReply, ContractsRequest, Forward, Held, Hello, JobCall, PeerReply,
-    PeerRequest, RelayedContract, RelayedRecord, RunningReport, ServiceLoad, TailReply, TailRequest,
+    PeerRequest, RelayedContract, RelayedRecord, RunningReport, ServiceLoad, TailReply,
+    TailRequest,
 };
 pub use request::{ErrorBody, JobState, JobSubmission, TaskSummary};
 pub use status::{
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,11 +3,14 @@
 pub mod burn;
 pub mod cli;
 pub mod logging;
-mod run;
+mod membership;
+pub mod node;
+mod runtime;
 pub mod settings;
 mod table;
 pub mod telemetry;
 
 pub use burn::Burn;
-pub use run::{Error, Result, run};
+pub use membership::{EntryHost, Membership, Suspicions};
+pub use runtime::{Error, Result, run};
 pub use settings::Settings;
--- a/src/process/node/action.rs
+++ b/src/process/node/action.rs
@@ -32,18 +32,60 @@
 /// An output of the core, carried out by an adapter.
 #[derive(Debug)]
 pub enum Action {
-    Append { stream: Stream, sequence: u64, data: Vec<u8> },
-    WorkerLease { worker: Name, address: Name, call: LeaseCall, asked: Millis },
-    InstanceLease { instance: Name, address: Name, call: LeaseCall, asked: Millis },
-    Start { worker: Name, address: Name, task: TaskId, request: StartRequest },
-    Command { worker: Name, address: Name, command: Command, request: TaskCommand },
+    Append {
+        stream: Stream,
+        sequence: u64,
+        data: Vec<u8>,
+    },
+    WorkerLease {
+        worker: Name,
+        address: Name,
+        call: LeaseCall,
+        asked: Millis,
+    },
+    InstanceLease {
+        instance: Name,
+        address: Name,
+        call: LeaseCall,
+        asked: Millis,
+    },
+    Start {
+        worker: Name,
+        address: Name,
+        task: TaskId,
+        request: StartRequest,
+    },
+    Command {
+        worker: Name,
+        address: Name,
+        command: Command,
+        request: TaskCommand,
+    },
     /// Passes an urgent request to an instance.
-    Send { dispatch: Dispatch, address: Name, call: InstanceCall, timeout: Duration },
-    CallPeer { call: u64, address: SocketAddr, request: PeerRequest, timeout: Duration },
-    ReplyPeer { ticket: u64, reply: PeerReply },
-    Respond { ticket: u64, response: ApiResponse },
+    Send {
+        dispatch: Dispatch,
+        address: Name,
+        call: InstanceCall,
+        timeout: Duration,
+    },
+    CallPeer {
+        call: u64,
+        address: SocketAddr,
+        request: PeerRequest,
+        timeout: Duration,
+    },
+    ReplyPeer {
+        ticket: u64,
+        reply: PeerReply,
+    },
+    Respond {
+        ticket: u64,
+        response: ApiResponse,
+    },
     /// Renders the metrics and answers with them.
-    RespondMetrics { ticket: u64 },
+    RespondMetrics {
+        ticket: u64,
+    },
     /// Everything in progress has ended; the process may exit.
     Exit,
 }
@@ -52,6 +94,9 @@
     /// An answer whose body passes through unchanged.
     pub(super) fn raw(ticket: u64, status: u16, body: Bytes) -> Self {
         let kind = crate::connection::ContentKind::Raw;
-        Action::Respond { ticket, response: ApiResponse { status, kind, body } }
+        Action::Respond {
+            ticket,
+            response: ApiResponse { status, kind, body },
+        }
     }
 }
--- a/src/process/node/api.rs
+++ b/src/process/node/api.rs
@@ -3,7 +3,9 @@
 use super::action::Action;
 use super::node::Node;
 use crate::base::{Millis, Ran};
-use crate::connection::wire::{ContractAnswer, ContractHistory, ContractList, ContractSummary, JobCall};
+use crate::connection::wire::{
+    ContractAnswer, ContractHistory, ContractList, ContractSummary, JobCall,
+};
 use crate::connection::{ApiCall, ApiMethod, ApiResponse, ContentKind};
 use crate::version::Versioned;
 
@@ -24,7 +26,9 @@
             (ApiMethod::Post, ["v1", "jobs"]) => self.submit_job(now, ticket, &call.body, out),
             (ApiMethod::Get, ["v1", "jobs"]) => match query(&call, "customer") {
                 Some(customer) => {
-                    let job = JobCall::List { customer: customer.into() };
+                    let job = JobCall::List {
+                        customer: customer.into(),
+                    };
                     self.route_job(now, ticket, job, out);
                 }
                 None => {
@@ -35,11 +39,17 @@
                 }
             },
             (ApiMethod::Get, ["v1", "jobs", customer, job]) => {
-                let job = JobCall::State { customer: (*customer).into(), job: (*job).into() };
+                let job = JobCall::State {
+                    customer: (*customer).into(),
+                    job: (*job).into(),
+                };
                 self.route_job(now, ticket, job, out);
             }
             (ApiMethod::Delete, ["v1", "jobs", customer, job]) => {
-                let job = JobCall::Cancel { customer: (*customer).into(), job: (*job).into() };
+                let job = JobCall::Cancel {
+                    customer: (*customer).into(),
+                    job: (*job).into(),
+                };
                 self.route_job(now, ticket, job, out);
             }
             (ApiMethod::Put, ["v1", "contracts", customer]) => {
@@ -71,8 +81,12 @@
                 None => unknown_customer(customer),
             },
             ["v1", "contracts", customer, "history"] => {
-                let versions: Vec<ContractAnswer> =
-                    self.contracts.history(customer).iter().map(answer).collect();
+                let versions: Vec<ContractAnswer> = self
+                    .contracts
+                    .history(customer)
+                    .iter()
+                    .map(answer)
+                    .collect();
                 if versions.is_empty() {
                     return unknown_customer(customer);
                 }
@@ -92,9 +106,16 @@
             version: current.version,
             offset: current.offset,
             data_centres: current.contract.data_centres.clone(),
-            classes: current.contract.classes.iter().map(|class| class.name.clone()).collect(),
+            classes: current
+                .contract
+                .classes
+                .iter()
+                .map(|class| class.name.clone())
+                .collect(),
         };
-        ContractList { contracts: self.contracts.iter().map(summary).collect() }
+        ContractList {
+            contracts: self.contracts.iter().map(summary).collect(),
+        }
     }
 }
 
@@ -109,7 +130,11 @@
 
 pub(super) fn text(status: u16, body: &str) -> ApiResponse {
     let body = body.as_bytes().to_vec().into();
-    ApiResponse { status, kind: ContentKind::Text, body }
+    ApiResponse {
+        status,
+        kind: ContentKind::Text,
+        body,
+    }
 }
 
 fn unknown_customer(customer: &str) -> ApiResponse {
@@ -124,6 +149,12 @@
 
 /// Value of a query parameter. Names and versions need no percent-encoding.
 fn query<'a>(call: &'a ApiCall, key: &str) -> Option<&'a str> {
-    let pairs = call.query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(name, _)| *name == key).map(|(_, value)| value)
+    let pairs = call
+        .query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='));
+    pairs
+        .into_iter()
+        .find(|(name, _)| *name == key)
+        .map(|(_, value)| value)
 }
--- a/src/process/node/backends.rs
+++ b/src/process/node/backends.rs
@@ -41,7 +41,11 @@
             kind: entry.kind,
         });
         self.leases.set_resources(now, resources.collect());
-        for entry in self.backends.values().filter(|entry| entry.state == HostState::Leaving) {
+        for entry in self
+            .backends
+            .values()
+            .filter(|entry| entry.state == HostState::Leaving)
+        {
             self.leases.mark_leaving(now, &entry.name);
         }
         self.refresh_instances(now, out);
@@ -66,9 +70,11 @@
     fn lease_call(&mut self, now: Millis, action: LeaseAction) -> Option<Action> {
         let (resource, token, renew_tasks) = match action {
             LeaseAction::Acquire { resource } => (resource, None, false),
-            LeaseAction::Renew { resource, token, renew_tasks } => {
-                (resource, Some(token), renew_tasks)
-            }
+            LeaseAction::Renew {
+                resource,
+                token,
+                renew_tasks,
+            } => (resource, Some(token), renew_tasks),
             LeaseAction::Release { resource, token } => {
                 let call = LeaseCall::Release(ReleaseRequest { token });
                 return Some(backend_call(now, resource, call));
@@ -79,7 +85,9 @@
             ttl: self.timing.lease_ttl.0,
             run_ttl: self.timing.run_ttl.0,
             token,
-            ack: token.map(|_| self.dispatcher.take_acks(&resource.name)).unwrap_or_default(),
+            ack: token
+                .map(|_| self.dispatcher.take_acks(&resource.name))
+                .unwrap_or_default(),
             renew_tasks,
         };
         Some(backend_call(now, resource, LeaseCall::Grant(request)))
@@ -87,7 +95,11 @@
 
     /// Keeps claims away from workers whose lease may not be used at present.
     fn drop_unusable(&mut self, now: Millis) {
-        let held: Vec<Name> = self.dispatcher.books().map(|book| book.view.name.clone()).collect();
+        let held: Vec<Name> = self
+            .dispatcher
+            .books()
+            .map(|book| book.view.name.clone())
+            .collect();
         for worker in held {
             let usable = self.leases.usable(now, &worker).is_some();
             self.dispatcher.set_usable(&worker, usable);
@@ -102,9 +114,15 @@
         result: Result<LeaseReply<WorkerReport>>,
         out: &mut Vec<Action>,
     ) {
-        let Some((grant, reply)) = self.lease_answered(now, worker, sent, result) else { return };
-        let Some(lease) = self.leases.usable(now, worker) else { return };
-        let Some(entry) = self.backends.get(worker).cloned() else { return };
+        let Some((grant, reply)) = self.lease_answered(now, worker, sent, result) else {
+            return;
+        };
+        let Some(lease) = self.leases.usable(now, worker) else {
+            return;
+        };
+        let Some(entry) = self.backends.get(worker).cloned() else {
+            return;
+        };
         let rack = entry.rack.unwrap_or_else(|| worker.clone());
         let mut actions = Vec::new();
         let view = super::tasks::view(
@@ -140,7 +158,10 @@
     ) {
         if let Some((grant, reply)) = self.lease_answered(now, instance, sent, result) {
             if grant != Grant::Ignored {
-                let view = InstanceView { sent, report: reply.report };
+                let view = InstanceView {
+                    sent,
+                    report: reply.report,
+                };
                 self.settle_instance(now, instance, &view, out);
                 self.instances.insert(instance.clone(), view);
             }
@@ -159,15 +180,15 @@
             Ok(reply) => {
                 let (token, incarnation) = (reply.token, reply.incarnation);
                 let leaving = reply.leaving;
-                let grant = self.leases.granted(now, sent, resource, token, incarnation, leaving);
+                let grant = self
+                    .leases
+                    .granted(now, sent, resource, token, incarnation, leaving);
                 Some((grant, reply))
             }
             Err(Error::Refused(refusal)) => {
                 tracing::debug!(%resource, ?refusal, "lease refused");
-                if self.leases.refused(now, resource, refusal) {
-                    telemetry::lease_lapsed();
-                    self.dispatcher.lose(resource);
-                }
+                self.leases.refused(now, resource, refusal);
+                self.forget_backend(resource);
                 None
             }
             Err(error) => {
@@ -178,6 +199,18 @@
         }
     }
 
+    /// Drops what is known of a resource whose lease another host holds.
+    fn forget_backend(&mut self, resource: &Name) {
+        let was_held =
+            self.dispatcher.book(resource).is_some() || self.instances.contains_key(resource);
+        if was_held {
+            tracing::warn!(%resource, "the lease was lost");
+            telemetry::lease_lapsed();
+        }
+        self.dispatcher.lose(resource);
+        self.instances.remove(resource);
+    }
+
     pub(super) fn released(&mut self, now: Millis, resource: &Name, result: Result<()>) {
         match result {
             Ok(()) => {
@@ -187,7 +220,7 @@
             }
             Err(Error::Refused(refusal)) => {
                 self.leases.refused(now, resource, refusal);
-                self.dispatcher.lose(resource);
+                self.forget_backend(resource);
             }
             Err(_) => self.leases.failed(now, resource),
         }
@@ -211,7 +244,8 @@
             Err(error) => tracing::debug!(%worker, %task, %error, "start without effect"),
         }
         let mut actions = Vec::new();
-        self.dispatcher.started(now, worker, task, attempt, result, &mut actions);
+        self.dispatcher
+            .started(now, worker, task, attempt, result, &mut actions);
         self.dispatch(now, actions, out);
     }
 
@@ -226,16 +260,36 @@
         for action in actions {
             match action {
                 DispatchAction::Append(record) => self.journal.push(record),
-                DispatchAction::Start { worker, address, task, request } => {
+                DispatchAction::Start {
+                    worker,
+                    address,
+                    task,
+                    request,
+                } => {
                     let usable = self.leases.usable(now, &worker);
                     if usable.is_some_and(|lease| lease.token == request.token) {
-                        out.push(Action::Start { worker, address, task, request });
+                        out.push(Action::Start {
+                            worker,
+                            address,
+                            task,
+                            request,
+                        });
                     } else {
                         unsent.push((worker, task, request.attempt));
                     }
                 }
-                DispatchAction::Command { worker, address, command, request } => {
-                    out.push(Action::Command { worker, address, command, request });
+                DispatchAction::Command {
+                    worker,
+                    address,
+                    command,
+                    request,
+                } => {
+                    out.push(Action::Command {
+                        worker,
+                        address,
+                        command,
+                        request,
+                    });
                 }
             }
         }
@@ -246,7 +300,8 @@
             };
             let result = Err(StartError::NotSent(error));
             let mut more = Vec::new();
-            self.dispatcher.started(now, &worker, &task, attempt, result, &mut more);
+            self.dispatcher
+                .started(now, &worker, &task, attempt, result, &mut more);
         }
     }
 
@@ -254,8 +309,7 @@
     pub(super) fn refresh_workers(&mut self) {
         let others = self.backends_of(HostKind::Worker).map(|entry| {
             let rack = entry.rack.clone().unwrap_or_else(|| entry.name.clone());
-            let mut view =
-                WorkerView::new(entry.name.clone(), rack, crate::base::Size::ZERO);
+            let mut view = WorkerView::new(entry.name.clone(), rack, crate::base::Size::ZERO);
             view.open = false;
             view
         });
@@ -265,9 +319,23 @@
 }
 
 fn backend_call(asked: Millis, resource: Resource, call: LeaseCall) -> Action {
-    let Resource { name, address, kind } = resource;
+    let Resource {
+        name,
+        address,
+        kind,
+    } = resource;
     match kind {
-        HostKind::Worker => Action::WorkerLease { worker: name, address, call, asked },
-        _ => Action::InstanceLease { instance: name, address, call, asked },
+        HostKind::Worker => Action::WorkerLease {
+            worker: name,
+            address,
+            call,
+            asked,
+        },
+        _ => Action::InstanceLease {
+            instance: name,
+            address,
+            call,
+            asked,
+        },
     }
 }
--- a/src/process/node/contracts.rs
+++ b/src/process/node/contracts.rs
@@ -4,7 +4,7 @@
 use super::node::Node;
 use crate::base::{Millis, Name, Ran, Size};
 use crate::connection::ApiResponse;
-use crate::connection::wire::{ContractsReply, Published, PublishRefusal, ReadReply};
+use crate::connection::wire::{ContractsReply, PublishRefusal, Published, ReadReply};
 use crate::process::telemetry;
 use crate::version::{Append, Applied, Contract, Proposed};
 
@@ -33,7 +33,11 @@
 
     fn contract_applied(&mut self, now: Millis, applied: Applied, out: &mut Vec<Action>) {
         match applied {
-            Applied::Accepted { proposal, customer, version } => {
+            Applied::Accepted {
+                proposal,
+                customer,
+                version,
+            } => {
                 tracing::info!(contract = %customer, version, "contract in force");
                 self.contract_changed(now, &customer);
                 if let Some(open) = self.proposals.remove(&proposal) {
@@ -43,8 +47,17 @@
             }
             Applied::Lost { proposal, winner } => {
                 if let Some(open) = self.proposals.remove(&proposal) {
-                    let Proposal { ticket, customer, base, .. } = open;
-                    let body = PublishRefusal::LostRace { customer, base, version: winner };
+                    let Proposal {
+                        ticket,
+                        customer,
+                        base,
+                        ..
+                    } = open;
+                    let body = PublishRefusal::LostRace {
+                        customer,
+                        base,
+                        version: winner,
+                    };
                     out.push(respond(ticket, ApiResponse::json(409, &body)));
                 }
             }
@@ -57,7 +70,9 @@
 
     /// Derives the limits of a customer from its contract in force.
     pub(super) fn contract_changed(&mut self, _now: Millis, customer: &Name) {
-        let Some(current) = self.contracts.get(customer) else { return };
+        let Some(current) = self.contracts.get(customer) else {
+            return;
+        };
         let contract = &current.contract;
         self.burn.set_contract(contract);
         let quota = quota_here(contract, &self.identity.data_centre);
@@ -93,16 +108,24 @@
             }
         };
         if *contract.customer != *customer {
-            let reason =
-                format!("the contract names {:?}, the path {customer:?}", contract.customer);
-            let response =
-                ApiResponse::error(400, "bad_contract", Some("customer"), reason, None);
+            let reason = format!(
+                "the contract names {:?}, the path {customer:?}",
+                contract.customer
+            );
+            let response = ApiResponse::error(400, "bad_contract", Some("customer"), reason, None);
             return out.push(respond(ticket, response));
         }
-        let current = self.contracts.get(customer).map_or(0, |current| current.version);
+        let current = self
+            .contracts
+            .get(customer)
+            .map_or(0, |current| current.version);
         if current > base {
             let customer = contract.customer;
-            let body = PublishRefusal::LostRace { customer, base, version: current };
+            let body = PublishRefusal::LostRace {
+                customer,
+                base,
+                version: current,
+            };
             return out.push(respond(ticket, ApiResponse::json(409, &body)));
         }
         self.sequence += 1;
@@ -111,13 +134,23 @@
         let customer = contract.customer.clone();
         let data = Proposed::encode(&proposal, base, contract);
         let until = now + self.timing.append_timeout;
-        let open = Proposal { ticket, customer, base, data, until, is_sent: false };
+        let open = Proposal {
+            ticket,
+            customer,
+            base,
+            data,
+            until,
+            is_sent: false,
+        };
         self.proposals.insert(proposal.clone(), open);
         self.publishing.push_back(proposal);
     }
 
     fn identity_pair(&self) -> Identity<'_> {
-        Identity { host: &self.identity.host, incarnation: self.identity.incarnation }
+        Identity {
+            host: &self.identity.host,
+            incarnation: self.identity.incarnation,
+        }
     }
 
     /// Appends the next proposal or restatement and ends proposals that wait for too long.
@@ -130,21 +163,24 @@
             return;
         }
         while let Some(name) = self.publishing.pop_front() {
-            let Some(proposal) = self.proposals.get_mut(&name) else { continue };
+            let Some(proposal) = self.proposals.get_mut(&name) else {
+                continue;
+            };
             proposal.is_sent = true;
             let data = proposal.data.clone();
             return self.append_contract(data, out);
         }
-        if let Some(data) = self.contract_to_restate(now) {
-            self.append_contract(data, out);
-        }
     }
 
     fn append_contract(&mut self, data: Vec<u8>, out: &mut Vec<Action>) {
         self.sequence += 1;
         self.contract_append = Some(self.sequence);
         let sequence = self.sequence;
-        out.push(Action::Append { stream: Stream::Contracts, sequence, data });
+        out.push(Action::Append {
+            stream: Stream::Contracts,
+            sequence,
+            data,
+        });
     }
 
     pub(super) fn contract_appended(
@@ -183,7 +219,9 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in late {
-            let Some(open) = self.proposals.remove(&name) else { continue };
+            let Some(open) = self.proposals.remove(&name) else {
+                continue;
+            };
             let response = match open.is_sent {
                 false => unavailable(),
                 true => ApiResponse::error(
@@ -236,7 +274,10 @@
 
 /// Share of a contract's quota in one data centre; `None` if the contract excludes it.
 fn quota_here(contract: &Contract, data_centre: &Name) -> Option<Size> {
-    let position = contract.data_centres.iter().position(|name| name == data_centre)?;
+    let position = contract
+        .data_centres
+        .iter()
+        .position(|name| name == data_centre)?;
     let count = contract.data_centres.len() as u32;
     let share = |total: u32| total / count + u32::from((position as u32) < total % count);
     Some(Size {
--- a/src/process/node/event.rs
+++ b/src/process/node/event.rs
@@ -18,26 +18,64 @@
     /// The platform's host list.
     Hosts(Result<HostList>),
     /// A read of a stream; a failure tells that the log is out of reach.
-    Read { stream: Stream, reply: Result<ReadReply> },
-    Appended { stream: Stream, sequence: u64, sent: Millis, result: Result<Offset> },
-    WorkerLease { worker: Name, sent: Millis, result: Result<LeaseReply<WorkerReport>> },
-    InstanceLease { instance: Name, sent: Millis, result: Result<LeaseReply<InstanceReport>> },
-    Released { resource: Name, result: Result<()> },
+    Read {
+        stream: Stream,
+        reply: Result<ReadReply>,
+    },
+    Appended {
+        stream: Stream,
+        sequence: u64,
+        sent: Millis,
+        result: Result<Offset>,
+    },
+    WorkerLease {
+        worker: Name,
+        sent: Millis,
+        result: Result<LeaseReply<WorkerReport>>,
+    },
+    InstanceLease {
+        instance: Name,
+        sent: Millis,
+        result: Result<LeaseReply<InstanceReport>>,
+    },
+    Released {
+        resource: Name,
+        result: Result<()>,
+    },
     Started {
         worker: Name,
         task: TaskId,
         attempt: Attempt,
         result: std::result::Result<StartState, StartError>,
     },
-    /// A command had no effect; a successful one shows in the next report.
-    CommandFailed { worker: Name, error: Error },
-    InstanceAnswered { dispatch: Dispatch, outcome: InstanceOutcome },
+    /// A command took effect; the next report shows it.
+    CommandDone {
+        worker: Name,
+    },
+    CommandFailed {
+        worker: Name,
+        error: Error,
+    },
+    InstanceAnswered {
+        dispatch: Dispatch,
+        outcome: InstanceOutcome,
+    },
     /// A call of this host to a peer has ended.
-    PeerAnswered { call: u64, result: Result<PeerReply>, bytes: usize },
+    PeerAnswered {
+        call: u64,
+        result: Result<PeerReply>,
+        bytes: usize,
+    },
     /// A peer calls this host.
-    PeerCalled { ticket: u64, request: PeerRequest },
+    PeerCalled {
+        ticket: u64,
+        request: PeerRequest,
+    },
     /// A caller or an operator calls this host.
-    Api { ticket: u64, call: ApiCall },
+    Api {
+        ticket: u64,
+        call: ApiCall,
+    },
     /// The process was asked to stop.
     Drain,
 }
--- a/src/process/node/jobs.rs
+++ b/src/process/node/jobs.rs
@@ -48,8 +48,7 @@
         match serde_json::from_slice::<JobSubmission>(body) {
             Ok(submission) => self.route_job(now, ticket, JobCall::Submit(submission), out),
             Err(error) => {
-                let response =
-                    ApiResponse::error(400, "bad_job", None, error, Some(Ran::NotRun));
+                let response = ApiResponse::error(400, "bad_job", None, error, Some(Ran::NotRun));
                 out.push(Action::Respond { ticket, response });
             }
         }
@@ -80,7 +79,10 @@
                 ApiResponse::error(503, "home_unreachable", None, reason, Some(Ran::NotRun));
             return out.push(Action::Respond { ticket, response });
         };
-        let purpose = PeerPurpose::Job { ticket, host: host.clone() };
+        let purpose = PeerPurpose::Job {
+            ticket,
+            host: host.clone(),
+        };
         self.call_peer(host, PeerRequest::Job(call), CALL_TIMEOUT, purpose, out);
     }
 
@@ -132,7 +134,13 @@
         let Some(current) = self.contracts.get(customer) else {
             let reason = format!("customer {customer:?} has no contract in force");
             let ran = Some(Ran::NotRun);
-            return Err(ApiResponse::error(404, "unknown_customer", Some("customer"), reason, ran));
+            return Err(ApiResponse::error(
+                404,
+                "unknown_customer",
+                Some("customer"),
+                reason,
+                ran,
+            ));
         };
         let key = format!("{customer}/{job}");
         let home = prefer(&key, &current.contract.data_centres);
@@ -147,8 +155,10 @@
         } else {
             self.membership.live_in(now, home)
         };
-        let others: Vec<Name> =
-            hosts.into_iter().filter(|host| *host != self.identity.host).collect();
+        let others: Vec<Name> = hosts
+            .into_iter()
+            .filter(|host| *host != self.identity.host)
+            .collect();
         rank(&key, &others).first().map(|host| (*host).clone())
     }
 
@@ -156,9 +166,20 @@
         match call {
             JobCall::Submit(submission) => match self.accept(now, &submission) {
                 Ok(()) => {
-                    let JobSubmission { customer, job, tasks, .. } = submission;
+                    let JobSubmission {
+                        customer,
+                        job,
+                        tasks,
+                        ..
+                    } = submission;
                     let until = now + self.timing.append_timeout;
-                    let open = Submission { origin, customer, job, tasks, until };
+                    let open = Submission {
+                        origin,
+                        customer,
+                        job,
+                        tasks,
+                        until,
+                    };
                     self.submissions.push(open);
                     self.answer_accepted(out);
                 }
@@ -195,8 +216,7 @@
         }
         let accepted = self.wall(now);
         for index in 0..submission.tasks {
-            let task =
-                TaskId::new(submission.customer.clone(), submission.job.clone(), index);
+            let task = TaskId::new(submission.customer.clone(), submission.job.clone(), index);
             if self.ledger.task(&task).is_some() {
                 continue;
             }
@@ -218,10 +238,18 @@
 
     /// Finds the faults of a submission that the contract and the ledger show.
     fn check(&self, submission: &JobSubmission) -> Result<Class, ApiResponse> {
-        let JobSubmission { customer, class, job, tasks, size, .. } = submission;
+        let JobSubmission {
+            customer,
+            class,
+            job,
+            tasks,
+            size,
+            ..
+        } = submission;
         if !is_name(job) {
-            let reason =
-                format!("a job name has 1 to {MAX_NAME} letters, digits, dots, dashes or underscores");
+            let reason = format!(
+                "a job name has 1 to {MAX_NAME} letters, digits, dots, dashes or underscores"
+            );
             return Err(refuse(400, "bad_job", Some("job"), reason));
         }
         let Some(current) = self.contracts.get(customer) else {
@@ -245,7 +273,11 @@
         if size.processors == 0 && size.memory == 0 && size.accelerators == 0 {
             return Err(refuse(400, "bad_job", Some("size"), "the size is zero"));
         }
-        let quota = self.quotas.get(customer).copied().unwrap_or(current.contract.quota);
+        let quota = self
+            .quotas
+            .get(customer)
+            .copied()
+            .unwrap_or(current.contract.quota);
         if !size.fits(&quota) {
             let reason = format!("one task of {size:?} exceeds the quota {quota:?} here");
             return Err(refuse(400, "over_quota", Some("size"), reason));
@@ -271,11 +303,12 @@
     /// Answers the submissions all of whose tasks are read back.
     fn answer_accepted(&mut self, out: &mut Vec<Action>) {
         let ledger = &self.ledger;
-        let (done, open) = std::mem::take(&mut self.submissions).into_iter().partition(
-            |open: &Submission| {
-                ledger.job(&open.customer, &open.job).count() >= open.tasks as usize
-            },
-        );
+        let (done, open) =
+            std::mem::take(&mut self.submissions)
+                .into_iter()
+                .partition(|open: &Submission| {
+                    ledger.job(&open.customer, &open.job).count() >= open.tasks as usize
+                });
         self.submissions = open;
         let done: Vec<Submission> = done;
         for submission in done {
@@ -339,29 +372,51 @@
 
     fn job_list(&self, customer: &Name) -> Vec<JobState> {
         let mut jobs: Vec<Name> = Vec::new();
-        for (id, _) in self.ledger.iter().filter(|(id, _)| id.customer == *customer) {
+        for (id, _) in self
+            .ledger
+            .iter()
+            .filter(|(id, _)| id.customer == *customer)
+        {
             if jobs.last() != Some(&id.job) {
                 jobs.push(id.job.clone());
             }
         }
-        jobs.iter().filter_map(|job| self.job_state(customer, job)).collect()
+        jobs.iter()
+            .filter_map(|job| self.job_state(customer, job))
+            .collect()
     }
 
     fn job_state(&self, customer: &Name, job: &Name) -> Option<JobState> {
         let tasks: Vec<(&TaskId, &Task)> = self.ledger.job(customer, job).collect();
         let class = tasks.first()?.1.spec.class.clone();
-        let tasks = tasks.into_iter().map(|(id, task)| self.summary(id, task)).collect();
-        Some(JobState { customer: customer.clone(), job: job.clone(), class, tasks })
+        let tasks = tasks
+            .into_iter()
+            .map(|(id, task)| self.summary(id, task))
+            .collect();
+        Some(JobState {
+            customer: customer.clone(),
+            job: job.clone(),
+            class,
+            tasks,
+        })
     }
 
     fn summary(&self, id: &TaskId, task: &Task) -> TaskSummary {
         let (attempt, state, worker) = match &task.phase {
             Phase::Pending { next } => (*next, "pending", None),
-            Phase::Claimed { attempt, worker, .. } => (*attempt, "claimed", Some(worker.clone())),
+            Phase::Claimed {
+                attempt, worker, ..
+            } => (*attempt, "claimed", Some(worker.clone())),
             Phase::Done { attempt, result } => (*attempt, result_name(*result), None),
         };
         let reason = self.dispatcher.misfit(id).cloned();
-        TaskSummary { index: id.index, attempt, state: state.into(), worker, reason }
+        TaskSummary {
+            index: id.index,
+            attempt,
+            state: state.into(),
+            worker,
+            reason,
+        }
     }
 }
 
@@ -369,8 +424,15 @@
     match origin {
         Origin::Api(ticket) => out.push(Action::Respond { ticket, response }),
         Origin::Peer(ticket) => {
-            let answer = Answer { status: response.status, ran: None, body: response.body };
-            out.push(Action::ReplyPeer { ticket, reply: PeerReply::Answer(answer) });
+            let answer = Answer {
+                status: response.status,
+                ran: None,
+                body: response.body,
+            };
+            out.push(Action::ReplyPeer {
+                ticket,
+                reply: PeerReply::Answer(answer),
+            });
         }
     }
 }
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -53,8 +53,8 @@
                 epoch,
             },
             peers: settings.peers.clone(),
-            timing: settings.timing,
-            limits: settings.limits,
+            timing: settings.timing.clone(),
+            limits: settings.limits.clone(),
             retention: settings.platform.retention,
         }
     }
@@ -108,7 +108,13 @@
 
 impl Node {
     pub fn new(settings: NodeSettings) -> Self {
-        let NodeSettings { identity, peers, timing, limits, retention } = settings;
+        let NodeSettings {
+            identity,
+            peers,
+            timing,
+            limits,
+            retention,
+        } = settings;
         let host = identity.host.clone();
         let entries = peers.iter().map(EntryHost::from).collect();
         let dedupe = Millis(timing.finished_ttl.0.min(retention.0 / 2));
@@ -123,7 +129,10 @@
             quarantine: Quarantine::new(),
             urgent: UrgentRouter::new(host.clone(), urgent_limits(&limits)),
             burn: Burn::new(host),
-            peers: peers.into_iter().map(|peer| (peer.name.clone(), peer)).collect(),
+            peers: peers
+                .into_iter()
+                .map(|peer| (peer.name.clone(), peer))
+                .collect(),
             backends: HashMap::new(),
             instances: HashMap::new(),
             live: Vec::new(),
@@ -155,26 +164,49 @@
         match event {
             Event::Hosts(list) => self.hosts_read(now, list, out),
             Event::Read { stream, reply } => self.stream_read(now, stream, reply, out),
-            Event::Appended { stream, sequence, sent, result } => {
+            Event::Appended {
+                stream,
+                sequence,
+                sent,
+                result,
+            } => {
                 self.appended(now, stream, sequence, sent, result, out);
             }
-            Event::WorkerLease { worker, sent, result } => {
+            Event::WorkerLease {
+                worker,
+                sent,
+                result,
+            } => {
                 self.worker_answered(now, &worker, sent, result, out);
             }
-            Event::InstanceLease { instance, sent, result } => {
+            Event::InstanceLease {
+                instance,
+                sent,
+                result,
+            } => {
                 self.instance_leased(now, &instance, sent, result, out);
             }
             Event::Released { resource, result } => self.released(now, &resource, result),
-            Event::Started { worker, task, attempt, result } => {
+            Event::Started {
+                worker,
+                task,
+                attempt,
+                result,
+            } => {
                 self.started(now, &worker, &task, attempt, result, out);
             }
+            Event::CommandDone { worker } => tracing::debug!(%worker, "command done"),
             Event::CommandFailed { worker, error } => {
                 tracing::warn!(%worker, %error, "a command to a worker had no effect");
             }
             Event::InstanceAnswered { dispatch, outcome } => {
                 self.instance_answered(now, dispatch, outcome, out);
             }
-            Event::PeerAnswered { call, result, bytes } => {
+            Event::PeerAnswered {
+                call,
+                result,
+                bytes,
+            } => {
                 self.peer_answered(now, call, result, bytes, out);
             }
             Event::PeerCalled { ticket, request } => self.peer_called(now, ticket, request, out),
@@ -206,7 +238,9 @@
 
     /// Workers or instances of this data centre.
     pub(super) fn backends_of(&self, kind: HostKind) -> impl Iterator<Item = &HostEntry> {
-        self.backends.values().filter(move |entry| entry.kind == kind)
+        self.backends
+            .values()
+            .filter(move |entry| entry.kind == kind)
     }
 
     fn drain(&mut self, now: Millis) {
@@ -260,5 +294,8 @@
 }
 
 fn urgent_limits(limits: &Limits) -> UrgentLimits {
-    UrgentLimits { queue: limits.queue as usize, ..UrgentLimits::default() }
+    UrgentLimits {
+        queue: limits.queue as usize,
+        ..UrgentLimits::default()
+    }
 }
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -4,11 +4,11 @@
 
 use super::action::Action;
 use super::node::Node;
-use crate::base::{Millis, Name, Offset};
-use crate::connection::Error;
+use crate::base::{Millis, Name, Offset, Ran};
 use crate::connection::wire::{
     Answer, ContractsRequest, Hello, PeerReply, PeerRequest, RunningReport, TailReply, TailRequest,
 };
+use crate::connection::{ApiResponse, Error};
 use crate::process::telemetry;
 use crate::request::{Dispatch, UrgentAnswer};
 
@@ -26,7 +26,10 @@
     /// An urgent request of the router.
     Forward(Dispatch),
     /// A job call of the API caller with this ticket.
-    Job { ticket: u64, host: Name },
+    Job {
+        ticket: u64,
+        host: Name,
+    },
 }
 
 impl Node {
@@ -36,7 +39,12 @@
         let informed = self.membership.informed(now);
         self.leases.set_hosts(now, &live, &informed);
         if live != self.live {
-            let gone = self.live.iter().filter(|host| !live.contains(host)).cloned().collect();
+            let gone = self
+                .live
+                .iter()
+                .filter(|host| !live.contains(host))
+                .cloned()
+                .collect();
             self.live = live;
             self.hosts_changed(now, gone, out);
         }
@@ -95,7 +103,11 @@
             for name in &hello.leaving {
                 self.leases.mark_leaving(now, name);
             }
-            let held = hello.held.iter().map(|held| held.resource.clone()).collect();
+            let held = hello
+                .held
+                .iter()
+                .map(|held| held.resource.clone())
+                .collect();
             self.held.insert(hello.host.clone(), held);
         }
         self.membership.heard(now, &hello);
@@ -104,7 +116,9 @@
             self.settle_held(now, &hello, out);
         }
         if hello.contracts_offset > self.contracts.offset() {
-            let request = ContractsRequest { since: self.contracts.offset() };
+            let request = ContractsRequest {
+                since: self.contracts.offset(),
+            };
             let is_open = self.is_open(
                 |purpose| matches!(purpose, PeerPurpose::Contracts(host) if *host == hello.host),
             );
@@ -123,10 +137,15 @@
             return;
         }
         let informed = self.membership.informed(now);
-        let Some(host) = informed.into_iter().find(|host| *host != self.identity.host) else {
+        let Some(host) = informed
+            .into_iter()
+            .find(|host| *host != self.identity.host)
+        else {
             return;
         };
-        let message = PeerRequest::Tail(TailRequest { from: self.log_offset() });
+        let message = PeerRequest::Tail(TailRequest {
+            from: self.log_offset(),
+        });
         let purpose = PeerPurpose::Tail(host.clone());
         self.call_peer(host, message, CONTROL_TIMEOUT, purpose, out);
     }
@@ -135,9 +154,19 @@
         if !self.reads_log(now, TAIL_AGE) {
             return PeerReply::Unavailable;
         }
-        let first = self.relayed.front().map_or(self.log_offset(), |record| record.offset);
-        let records = self.relayed.iter().filter(|record| record.offset >= from).cloned();
-        PeerReply::Tail(TailReply { first, records: records.collect() })
+        let first = self
+            .relayed
+            .front()
+            .map_or(self.log_offset(), |record| record.offset);
+        let records = self
+            .relayed
+            .iter()
+            .filter(|record| record.offset >= from)
+            .cloned();
+        PeerReply::Tail(TailReply {
+            first,
+            records: records.collect(),
+        })
     }
 
     fn tail_answered(&mut self, now: Millis, reply: TailReply, out: &mut Vec<Action>) {
@@ -176,7 +205,12 @@
             return self.peer_answered(Millis(0), call, Err(error), 0, out);
         };
         let timeout = std::time::Duration::from_millis(timeout.0);
-        out.push(Action::CallPeer { call, address, request, timeout });
+        out.push(Action::CallPeer {
+            call,
+            address,
+            request,
+            timeout,
+        });
     }
 
     pub(super) fn peer_answered(
@@ -187,7 +221,9 @@
         bytes: usize,
         out: &mut Vec<Action>,
     ) {
-        let Some(purpose) = self.calls.remove(&call) else { return };
+        let Some(purpose) = self.calls.remove(&call) else {
+            return;
+        };
         self.count_bytes(&purpose, bytes);
         match (purpose, result) {
             (PeerPurpose::Hello(_), Ok(PeerReply::Hello(hello))) => self.heard(now, hello, out),
@@ -203,11 +239,11 @@
                 self.forward_answered(now, dispatch, answer, out);
             }
             (PeerPurpose::Forward(dispatch), Ok(PeerReply::Unavailable)) => {
-                let answer = Some(UrgentAnswer::unavailable());
+                let answer = Some(unavailable());
                 self.forward_answered(now, dispatch, answer, out);
             }
             (PeerPurpose::Forward(dispatch), Err(error)) if error.is_without_effect() => {
-                let answer = Some(UrgentAnswer::unavailable());
+                let answer = Some(unavailable());
                 self.forward_answered(now, dispatch, answer, out);
             }
             (PeerPurpose::Forward(dispatch), _) => {
@@ -228,7 +264,8 @@
         out: &mut Vec<Action>,
     ) {
         let mut actions = Vec::new();
-        self.urgent.peer_answered(now, dispatch, answer, &mut actions);
+        self.urgent
+            .peer_answered(now, dispatch, answer, &mut actions);
         self.route(now, actions, out);
     }
 
@@ -262,7 +299,8 @@
         for report in &hello.reports {
             let sent = Millis(now.0.saturating_sub(report.age));
             let mut actions = Vec::new();
-            self.urgent.settle(now, &report.instance, sent, &report.running, &mut actions);
+            self.urgent
+                .settle(now, &report.instance, sent, &report.running, &mut actions);
             self.route(now, actions, out);
         }
     }
@@ -280,10 +318,29 @@
             // Urgent requests stay within the data centre.
             PeerPurpose::Forward(_) => return,
         };
-        let is_remote =
-            self.peers.get(host).is_some_and(|peer| peer.region != self.identity.region);
+        let is_remote = self
+            .peers
+            .get(host)
+            .is_some_and(|peer| peer.region != self.identity.region);
         if is_remote {
             telemetry::region_bytes(label, bytes as u64);
         }
     }
 }
+
+/// Stands for a peer that was not reached or does not serve.
+fn unavailable() -> UrgentAnswer {
+    let body = ApiResponse::error(
+        503,
+        "peer_unavailable",
+        None,
+        "the entry host that should run the request is out of reach",
+        Some(Ran::NotRun),
+    )
+    .body;
+    UrgentAnswer {
+        status: 503,
+        ran: Some(Ran::NotRun),
+        body,
+    }
+}
--- a/src/process/node/status.rs
+++ b/src/process/node/status.rs
@@ -31,11 +31,16 @@
     }
 
     pub(super) fn status(&self, now: Millis) -> Status {
-        let mut entries: Vec<EntryStatus> =
-            self.peers.keys().map(|name| self.entry_status(now, name)).collect();
+        let mut entries: Vec<EntryStatus> = self
+            .peers
+            .keys()
+            .map(|name| self.entry_status(now, name))
+            .collect();
         entries.sort_by(|a, b| a.name.cmp(&b.name));
-        let mut workers: Vec<WorkerStatus> =
-            self.backends_of(HostKind::Worker).map(|entry| self.worker_status(now, entry)).collect();
+        let mut workers: Vec<WorkerStatus> = self
+            .backends_of(HostKind::Worker)
+            .map(|entry| self.worker_status(now, entry))
+            .collect();
         workers.sort_by(|a, b| a.name.cmp(&b.name));
         let mut instances: Vec<InstanceStatus> = self
             .backends_of(HostKind::Instance)
@@ -63,9 +68,18 @@
     fn entry_status(&self, now: Millis, name: &Name) -> EntryStatus {
         let data_centre = self.peers[name].data_centre.clone();
         if *name == self.identity.host {
-            let state = if self.draining { EntryState::Draining } else { EntryState::Live };
+            let state = if self.draining {
+                EntryState::Draining
+            } else {
+                EntryState::Live
+            };
             let log_lag = self.tail.read.map(|read| now.since(read).0);
-            return EntryStatus { name: name.clone(), data_centre, state, log_lag };
+            return EntryStatus {
+                name: name.clone(),
+                data_centre,
+                state,
+                log_lag,
+            };
         }
         let hello = self.membership.hello(now, name);
         let state = match &hello {
@@ -73,8 +87,15 @@
             Some(hello) if hello.draining => EntryState::Draining,
             Some(_) => EntryState::Live,
         };
-        let log_lag = hello.map(|hello| hello.log_age).filter(|age| *age != u64::MAX);
-        EntryStatus { name: name.clone(), data_centre, state, log_lag }
+        let log_lag = hello
+            .map(|hello| hello.log_age)
+            .filter(|age| *age != u64::MAX);
+        EntryStatus {
+            name: name.clone(),
+            data_centre,
+            state,
+            log_lag,
+        }
     }
 
     fn worker_status(&self, now: Millis, entry: &HostEntry) -> WorkerStatus {
@@ -92,7 +113,11 @@
 
     fn instance_status(&self, now: Millis, entry: &HostEntry) -> InstanceStatus {
         let is_held = self.leases.usable(now, &entry.name).is_some();
-        let report = self.instances.get(&entry.name).filter(|_| is_held).map(|view| &view.report);
+        let report = self
+            .instances
+            .get(&entry.name)
+            .filter(|_| is_held)
+            .map(|view| &view.report);
         InstanceStatus {
             name: entry.name.clone(),
             service: entry.service.clone(),
@@ -104,7 +129,11 @@
     }
 
     fn backend_state(&self, entry: &HostEntry) -> HostState {
-        if self.leases.is_leaving(&entry.name) { HostState::Leaving } else { entry.state }
+        if self.leases.is_leaving(&entry.name) {
+            HostState::Leaving
+        } else {
+            entry.state
+        }
     }
 
     fn holder(&self, now: Millis, resource: &Name) -> Option<Name> {
@@ -120,10 +149,22 @@
             let count = match &task.phase {
                 Phase::Pending { .. } => &mut counts.pending,
                 Phase::Claimed { .. } => &mut counts.claimed,
-                Phase::Done { result: TaskResult::Succeeded, .. } => &mut counts.succeeded,
-                Phase::Done { result: TaskResult::Failed, .. } => &mut counts.failed,
-                Phase::Done { result: TaskResult::Cancelled, .. } => &mut counts.cancelled,
-                Phase::Done { result: TaskResult::Unknown, .. } => &mut counts.unknown,
+                Phase::Done {
+                    result: TaskResult::Succeeded,
+                    ..
+                } => &mut counts.succeeded,
+                Phase::Done {
+                    result: TaskResult::Failed,
+                    ..
+                } => &mut counts.failed,
+                Phase::Done {
+                    result: TaskResult::Cancelled,
+                    ..
+                } => &mut counts.cancelled,
+                Phase::Done {
+                    result: TaskResult::Unknown,
+                    ..
+                } => &mut counts.unknown,
             };
             *count += 1;
         }
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -47,7 +47,12 @@
     quotas: &'a HashMap<Name, Size>,
     can_claim: bool,
 ) -> DispatchView<'a> {
-    DispatchView { ledger, hosts, quotas, can_claim }
+    DispatchView {
+        ledger,
+        hosts,
+        quotas,
+        can_claim,
+    }
 }
 
 impl Node {
@@ -79,7 +84,15 @@
         }
         for record in reply.records {
             let LogRecord { offset, time, data } = record;
-            self.apply(now, RelayedRecord { offset, time, data: data.into() }, out);
+            self.apply(
+                now,
+                RelayedRecord {
+                    offset,
+                    time,
+                    data: data.into(),
+                },
+                out,
+            );
         }
         self.tail.read = Some(now);
         self.membership.log_read(now);
--- a/src/process/node/urgent.rs
+++ b/src/process/node/urgent.rs
@@ -89,8 +89,15 @@
     ) {
         if let Err(response) = self.submit(now, Origin::Peer(ticket), forward, out) {
             let ran = Some(Ran::NotRun);
-            let answer = Answer { status: response.status, ran, body: response.body };
-            out.push(Action::ReplyPeer { ticket, reply: PeerReply::Answer(answer) });
+            let answer = Answer {
+                status: response.status,
+                ran,
+                body: response.body,
+            };
+            out.push(Action::ReplyPeer {
+                ticket,
+                reply: PeerReply::Answer(answer),
+            });
         }
     }
 
@@ -112,7 +119,11 @@
             let reason = format!("the contract allows {} bytes", class.max_body);
             return Err(refuse(413, "too_large", "body", reason));
         }
-        let left = if forward.hops == 0 { class.deadline } else { Millis(forward.deadline) };
+        let left = if forward.hops == 0 {
+            class.deadline
+        } else {
+            Millis(forward.deadline)
+        };
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
         let caller = Caller {
@@ -175,20 +186,37 @@
     }
 
     /// Carries out what the router decided.
-    pub(super) fn route(
-        &mut self,
-        now: Millis,
-        actions: Vec<UrgentAction>,
-        out: &mut Vec<Action>,
-    ) {
+    pub(super) fn route(&mut self, now: Millis, actions: Vec<UrgentAction>, out: &mut Vec<Action>) {
         for action in actions {
             match action {
-                UrgentAction::Send { dispatch, address, token, request, deadline, body, .. } => {
+                UrgentAction::Send {
+                    dispatch,
+                    address,
+                    token,
+                    request,
+                    deadline,
+                    body,
+                    ..
+                } => {
                     let timeout = Duration::from_millis((deadline + LATE).0);
-                    let call = InstanceCall { request, token, deadline, body };
-                    out.push(Action::Send { dispatch, address, call, timeout });
+                    let call = InstanceCall {
+                        request,
+                        token,
+                        deadline,
+                        body,
+                    };
+                    out.push(Action::Send {
+                        dispatch,
+                        address,
+                        call,
+                        timeout,
+                    });
                 }
-                UrgentAction::Forward { dispatch, host, forward } => {
+                UrgentAction::Forward {
+                    dispatch,
+                    host,
+                    forward,
+                } => {
                     let timeout = forward.deadline + LATE;
                     let message = PeerRequest::Forward(Forward {
                         request: forward.request,
@@ -209,7 +237,9 @@
     }
 
     fn answer(&mut self, now: Millis, ticket: Ticket, answer: UrgentAnswer, out: &mut Vec<Action>) {
-        let Some(caller) = self.callers.remove(&ticket.0) else { return };
+        let Some(caller) = self.callers.remove(&ticket.0) else {
+            return;
+        };
         match caller.origin {
             Origin::Api(ticket) => {
                 self.count_answer(now, &caller, &answer);
@@ -250,7 +280,8 @@
             telemetry::refused("admission");
         }
         let good = result == "in_time";
-        self.burn.observe(now, &caller.customer, &caller.class, good);
+        self.burn
+            .observe(now, &caller.customer, &caller.class, good);
     }
 
     pub(super) fn instance_answered(
@@ -266,7 +297,8 @@
             InstanceOutcome::Broken => InstanceResult::Broken,
         };
         let mut actions = Vec::new();
-        self.urgent.instance_answered(now, dispatch, result, &mut actions);
+        self.urgent
+            .instance_answered(now, dispatch, result, &mut actions);
         self.route(now, actions, out);
     }
 
@@ -279,7 +311,8 @@
         out: &mut Vec<Action>,
     ) {
         let mut actions = Vec::new();
-        self.urgent.settle(now, instance, view.sent, &view.report.running, &mut actions);
+        self.urgent
+            .settle(now, instance, view.sent, &view.report.running, &mut actions);
         self.route(now, actions, out);
     }
 
@@ -327,7 +360,9 @@
         for host in gone {
             let held: HashSet<Name> = self.held.remove(&host).unwrap_or_default();
             let instances = held.into_iter().filter(|name| {
-                self.backends.get(name).is_some_and(|entry| entry.kind == HostKind::Instance)
+                self.backends
+                    .get(name)
+                    .is_some_and(|entry| entry.kind == HostKind::Instance)
             });
             let instances = instances.collect();
             tracing::info!(%host, "entry host is no longer live");
--- /dev/null
+++ b/src/process/runtime/mod.rs
@@ -0,0 +1,10 @@
+//! The adapters around the core and the loop that drives it.
+
+mod adapters;
+mod calls;
+mod clock;
+mod run;
+mod scheduler;
+mod sink;
+
+pub use run::{Error, Result, run};
--- a/src/request/book.rs
+++ b/src/request/book.rs
@@ -18,11 +18,15 @@
     /// Its claim is not read back yet; its size is reserved.
     Proposed,
     /// Claimed, or about to be, without room; nothing is reserved.
-    Waiting { since: Millis },
+    Waiting {
+        since: Millis,
+    },
     /// A start is under way.
     Starting,
     /// A start has an unknown outcome and is repeated at `retry`.
-    Unsure { retry: Millis },
+    Unsure {
+        retry: Millis,
+    },
     Running,
 }
 
@@ -51,7 +55,14 @@
     }
 
     fn new(attempt: Attempt, demand: Demand, state: SlotState) -> Self {
-        Slot { attempt, demand, state, command: None, not_before: Millis(0), is_unsure: false }
+        Slot {
+            attempt,
+            demand,
+            state,
+            command: None,
+            not_before: Millis(0),
+            is_unsure: false,
+        }
     }
 
     fn is_reserved(&self) -> bool {
@@ -82,7 +93,10 @@
 
     /// State of this attempt; `None` if another or no attempt of the task is known.
     pub(super) fn state(&self, id: &TaskId, attempt: Attempt) -> Option<SlotState> {
-        self.slots.get(id).filter(|slot| slot.attempt == attempt).map(|slot| slot.state)
+        self.slots
+            .get(id)
+            .filter(|slot| slot.attempt == attempt)
+            .map(|slot| slot.state)
     }
 
     /// Whether the attempt may be released: no start of it can still arrive.
@@ -112,7 +126,9 @@
         demand: Demand,
     ) -> bool {
         match self.slots.get(id) {
-            Some(slot) if slot.attempt != attempt && slot.state == SlotState::Running => return false,
+            Some(slot) if slot.attempt != attempt && slot.state == SlotState::Running => {
+                return false;
+            }
             Some(slot) if slot.attempt == attempt && slot.not_before > now => return false,
             Some(slot) if slot.attempt == attempt && slot.is_reserved() => return true,
             Some(slot) if slot.attempt == attempt => {
@@ -127,17 +143,21 @@
             _ => self.remove(id),
         }
         if self.view.commit(&demand) {
-            self.slots.insert(id.clone(), Slot::proposed(attempt, demand));
+            self.slots
+                .insert(id.clone(), Slot::proposed(attempt, demand));
             return true;
         }
         self.view.queued += 1;
-        self.slots.insert(id.clone(), Slot::waiting(attempt, demand, now));
+        self.slots
+            .insert(id.clone(), Slot::waiting(attempt, demand, now));
         false
     }
 
     /// Gives the room of an attempt back and lets it wait.
     pub(super) fn withdraw(&mut self, id: &TaskId, now: Millis) {
-        let Some(slot) = self.slots.get_mut(id) else { return };
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
         slot.state = SlotState::Waiting { since: now };
         slot.not_before = now + ROOM_RETRY;
         let demand = slot.demand.clone();
@@ -146,7 +166,9 @@
     }
 
     pub(super) fn remove(&mut self, id: &TaskId) {
-        let Some(slot) = self.slots.remove(id) else { return };
+        let Some(slot) = self.slots.remove(id) else {
+            return;
+        };
         if slot.is_reserved() {
             self.view.release(&slot.demand);
         } else {
@@ -194,8 +216,10 @@
                     None => unknown_demand(id, entry.size),
                 };
                 self.view.adopt(&demand);
-                self.slots
-                    .insert(id.clone(), Slot::new(entry.attempt, demand, SlotState::Running));
+                self.slots.insert(
+                    id.clone(),
+                    Slot::new(entry.attempt, demand, SlotState::Running),
+                );
             }
         }
     }
@@ -209,9 +233,12 @@
         pause: Millis,
         out: &mut Vec<DispatchAction>,
     ) {
-        let Some(slot) = self.slots.get_mut(id) else { return };
-        let is_recent =
-            slot.command.is_some_and(|(sent, at)| sent == command && now.since(at) < pause);
+        let Some(slot) = self.slots.get_mut(id) else {
+            return;
+        };
+        let is_recent = slot
+            .command
+            .is_some_and(|(sent, at)| sent == command && now.since(at) < pause);
         if is_recent {
             return;
         }
@@ -231,11 +258,14 @@
     /// Sets the reported use above the reserved sizes.
     pub(super) fn excess(&mut self, entries: &[TaskEntry]) {
         let above = |entry: &TaskEntry| {
-            entry.usage.filter(|_| !entry.state.has_ended()).map_or(Size::ZERO, |usage| {
-                usage.saturating_sub(&entry.size)
-            })
+            entry
+                .usage
+                .filter(|_| !entry.state.has_ended())
+                .map_or(Size::ZERO, |usage| usage.saturating_sub(&entry.size))
         };
-        self.view.excess =
-            entries.iter().map(above).fold(Size::ZERO, |sum, size| sum.saturating_add(&size));
+        self.view.excess = entries
+            .iter()
+            .map(above)
+            .fold(Size::ZERO, |sum, size| sum.saturating_add(&size));
     }
 }
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -31,8 +31,18 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchAction {
     Append(Record),
-    Start { worker: Name, address: Name, task: TaskId, request: StartRequest },
-    Command { worker: Name, address: Name, command: Command, request: TaskCommand },
+    Start {
+        worker: Name,
+        address: Name,
+        task: TaskId,
+        request: StartRequest,
+    },
+    Command {
+        worker: Name,
+        address: Name,
+        command: Command,
+        request: TaskCommand,
+    },
 }
 
 /// What the dispatcher may assume at one poll.
@@ -102,13 +112,19 @@
 
     /// Ended attempts that the worker may forget.
     pub fn take_acks(&mut self, worker: &str) -> Vec<Ack> {
-        self.books.get_mut(worker).map(|book| std::mem::take(&mut book.acks)).unwrap_or_default()
+        self.books
+            .get_mut(worker)
+            .map(|book| std::mem::take(&mut book.acks))
+            .unwrap_or_default()
     }
 
     /// Starts that wait for an answer.
     pub fn open_starts(&self) -> usize {
         let starting = |book: &Book| {
-            book.slots.values().filter(|slot| slot.state == SlotState::Starting).count()
+            book.slots
+                .values()
+                .filter(|slot| slot.state == SlotState::Starting)
+                .count()
         };
         self.books.values().map(starting).sum()
     }
@@ -143,7 +159,9 @@
             self.lose(held.name);
             self.books.insert(held.name.clone(), Book::new(&held));
         }
-        let Some(mut book) = self.books.remove(held.name) else { return };
+        let Some(mut book) = self.books.remove(held.name) else {
+            return;
+        };
         book.lease = held.lease;
         book.view.capacity = held.report.capacity;
         book.view.open = !held.lease.leaving && held.allowed;
@@ -165,7 +183,9 @@
         result: Result<StartState, StartError>,
         out: &mut Vec<DispatchAction>,
     ) {
-        let Some(book) = self.books.get_mut(worker) else { return };
+        let Some(book) = self.books.get_mut(worker) else {
+            return;
+        };
         let is_current = book
             .slots
             .get(task)
@@ -178,28 +198,36 @@
             Ok(_) | Err(StartError::Ended) => book.set_state(task, SlotState::Running),
             Err(StartError::StaleToken) => self.lose(worker),
             Err(StartError::NotSent(_)) => {
-                book.set_state(task, SlotState::Unsure { retry: now + START_RETRY });
+                book.set_state(
+                    task,
+                    SlotState::Unsure {
+                        retry: now + START_RETRY,
+                    },
+                );
             }
             Err(StartError::Unknown(_)) => book.set_unsure(task, now + START_RETRY),
             Err(StartError::NoCapacity) => book.withdraw(task, now),
             Err(StartError::StartFailed) if !book.may_release(task) => {
-                book.set_state(task, SlotState::Unsure { retry: now + START_RETRY });
+                book.set_state(
+                    task,
+                    SlotState::Unsure {
+                        retry: now + START_RETRY,
+                    },
+                );
             }
             Err(StartError::StartFailed) => {
                 book.remove(task);
-                let record = Record::Released { task: task.clone(), attempt };
+                let record = Record::Released {
+                    task: task.clone(),
+                    attempt,
+                };
                 self.finish(task, attempt, record, out);
             }
         }
     }
 
     /// Collects starts, commands and claims that are due.
-    pub fn poll(
-        &mut self,
-        now: Millis,
-        view: &DispatchView<'_>,
-        out: &mut Vec<DispatchAction>,
-    ) {
+    pub fn poll(&mut self, now: Millis, view: &DispatchView<'_>, out: &mut Vec<DispatchAction>) {
         self.forget(now, view.ledger);
         let workers: Vec<Name> = self.books.keys().cloned().collect();
         for worker in &workers {
@@ -260,7 +288,10 @@
     ) {
         if entry.state.has_ended() {
             book.remove_attempt(id, entry.attempt);
-            book.acks.push(Ack { task: entry.task.clone(), attempt: entry.attempt });
+            book.acks.push(Ack {
+                task: entry.task.clone(),
+                attempt: entry.attempt,
+            });
             return;
         }
         book.hold(id, entry, None);
@@ -278,15 +309,19 @@
             .ledger
             .claimed_on(worker)
             .filter_map(|(id, task)| match task.phase {
-                Phase::Claimed { attempt, incarnation, .. } => {
-                    Some((id.clone(), attempt, incarnation))
-                }
+                Phase::Claimed {
+                    attempt,
+                    incarnation,
+                    ..
+                } => Some((id.clone(), attempt, incarnation)),
                 _ => None,
             })
             .collect();
         for (id, attempt, incarnation) in claims {
             self.proposed.remove(&id);
-            let Some(task) = view.ledger.task(&id) else { continue };
+            let Some(task) = view.ledger.task(&id) else {
+                continue;
+            };
             self.advance(now, worker, &id, task, (attempt, incarnation), out);
         }
     }
@@ -304,13 +339,19 @@
         if self.reported.contains(&(id.clone(), attempt)) {
             return;
         }
-        let Some(book) = self.books.get_mut(worker) else { return };
+        let Some(book) = self.books.get_mut(worker) else {
+            return;
+        };
         let is_other = book.lease.incarnation != incarnation;
         let state = book.state(id, attempt);
         if is_other && !matches!(state, Some(SlotState::Running)) {
             book.remove(id);
             let outcome = Outcome::Lost;
-            let record = Record::Ended { task: id.clone(), attempt, outcome };
+            let record = Record::Ended {
+                task: id.clone(),
+                attempt,
+                outcome,
+            };
             return self.finish(id, attempt, record, out);
         }
         match state {
@@ -333,10 +374,15 @@
         out: &mut Vec<DispatchAction>,
     ) {
         let demand = self.demand(task);
-        let Some(book) = self.books.get_mut(worker) else { return };
+        let Some(book) = self.books.get_mut(worker) else {
+            return;
+        };
         if (task.cancelled || book.lease.leaving) && book.may_release(id) {
             book.remove(id);
-            let record = Record::Released { task: id.clone(), attempt };
+            let record = Record::Released {
+                task: id.clone(),
+                attempt,
+            };
             return self.finish(id, attempt, record, out);
         }
         if !book.reserve(now, id, attempt, demand) {
@@ -353,8 +399,12 @@
         attempt: Attempt,
         out: &mut Vec<DispatchAction>,
     ) {
-        let Some(book) = self.books.get_mut(worker) else { return };
-        let Some(slot) = book.slots.get_mut(id) else { return };
+        let Some(book) = self.books.get_mut(worker) else {
+            return;
+        };
+        let Some(slot) = book.slots.get_mut(id) else {
+            return;
+        };
         slot.state = SlotState::Starting;
         let request = StartRequest {
             token: book.lease.token,
@@ -374,12 +424,7 @@
     }
 
     /// Releases claims that wait for room while another worker has it.
-    fn release_waiting(
-        &mut self,
-        now: Millis,
-        ledger: &Ledger,
-        out: &mut Vec<DispatchAction>,
-    ) {
+    fn release_waiting(&mut self, now: Millis, ledger: &Ledger, out: &mut Vec<DispatchAction>) {
         let mut late = Vec::new();
         for book in self.books.values() {
             for (id, slot) in book.slots.iter().filter(|(_, slot)| !slot.is_unsure) {
@@ -400,7 +445,10 @@
                 if let Some(book) = self.books.get_mut(&worker) {
                     book.remove(&id);
                 }
-                let record = Record::Released { task: id.clone(), attempt: slot.attempt };
+                let record = Record::Released {
+                    task: id.clone(),
+                    attempt: slot.attempt,
+                };
                 self.finish(&id, slot.attempt, record, out);
             }
         }
@@ -431,9 +479,13 @@
             if !self.is_turn(now, first, &id, view.hosts) {
                 continue;
             }
-            let Some(task) = view.ledger.task(&id) else { continue };
+            let Some(task) = view.ledger.task(&id) else {
+                continue;
+            };
             // A customer without a contract in force gets no new claims.
-            let Some(quota) = view.quotas.get(&id.customer).copied() else { continue };
+            let Some(quota) = view.quotas.get(&id.customer).copied() else {
+                continue;
+            };
             if !self.is_within(view.ledger, &id, task, &quota) {
                 continue;
             }
@@ -465,12 +517,16 @@
             }
         };
         self.misfits.remove(id);
-        let Some(book) = self.books.get_mut(&worker) else { return };
+        let Some(book) = self.books.get_mut(&worker) else {
+            return;
+        };
         if book.view.commit(&demand) {
-            book.slots.insert(id.clone(), Slot::proposed(attempt, demand));
+            book.slots
+                .insert(id.clone(), Slot::proposed(attempt, demand));
         } else {
             book.view.queued += 1;
-            book.slots.insert(id.clone(), Slot::waiting(attempt, demand, now));
+            book.slots
+                .insert(id.clone(), Slot::waiting(attempt, demand, now));
         }
         if let Some(view) = views.iter_mut().find(|view| view.name == worker) {
             view.clone_from(&book.view);
@@ -500,7 +556,10 @@
     /// Whether it is this host's turn to claim a task that it first saw pending at `first`.
     fn is_turn(&self, now: Millis, first: Millis, id: &TaskId, hosts: &[Name]) -> bool {
         let order = rank(&id.to_string(), hosts);
-        let position = order.iter().position(|host| **host == self.host).unwrap_or(order.len());
+        let position = order
+            .iter()
+            .position(|host| **host == self.host)
+            .unwrap_or(order.len());
         now.since(first) >= Millis(RANK_STEP.0 * position as u64)
     }
 
@@ -513,7 +572,10 @@
 
     fn views(&self) -> Vec<WorkerView> {
         let held = self.books.values().map(|book| book.view.clone());
-        let others = self.others.iter().filter(|view| !self.books.contains_key(&view.name));
+        let others = self
+            .others
+            .iter()
+            .filter(|view| !self.books.contains_key(&view.name));
         held.chain(others.cloned()).collect()
     }
 
@@ -533,10 +595,14 @@
     /// Drops what later records have made void.
     fn forget(&mut self, now: Millis, ledger: &Ledger) {
         self.reported.retain(|(id, attempt)| {
-            ledger.task(id).is_some_and(|task| !task.has_ended(*attempt))
+            ledger
+                .task(id)
+                .is_some_and(|task| !task.has_ended(*attempt))
         });
         let is_pending = |id: &TaskId| {
-            ledger.task(id).is_some_and(|task| matches!(task.phase, Phase::Pending { .. }))
+            ledger
+                .task(id)
+                .is_some_and(|task| matches!(task.phase, Phase::Pending { .. }))
         };
         self.seen.retain(|id, _| is_pending(id));
         self.misfits.retain(|id, _| is_pending(id));
@@ -569,18 +635,28 @@
 }
 
 fn size_key(task: &Task) -> SizeKey {
-    SizeKey::new(task.spec.task.customer.clone(), task.spec.class.clone(), task.spec.size)
+    SizeKey::new(
+        task.spec.task.customer.clone(),
+        task.spec.class.clone(),
+        task.spec.size,
+    )
 }
 
 fn end_record(id: &TaskId, task: &Task, entry: &TaskEntry) -> Record {
     let attempt = entry.attempt;
-    let ended = |outcome| Record::Ended { task: id.clone(), attempt, outcome };
+    let ended = |outcome| Record::Ended {
+        task: id.clone(),
+        attempt,
+        outcome,
+    };
     match (entry.state, &entry.checkpoint) {
         (TaskState::Succeeded, _) => ended(Outcome::Succeeded),
         (TaskState::Failed, _) => ended(Outcome::Failed),
-        (TaskState::Checkpointed, Some(checkpoint)) => {
-            Record::Checkpointed { task: id.clone(), attempt, checkpoint: checkpoint.clone() }
-        }
+        (TaskState::Checkpointed, Some(checkpoint)) => Record::Checkpointed {
+            task: id.clone(),
+            attempt,
+            checkpoint: checkpoint.clone(),
+        },
         (TaskState::Stopped, _) if task.cancelled => ended(Outcome::Cancelled),
         _ => ended(Outcome::Lost),
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,17 +1,23 @@
 //! State that lives as long as one request or task.
 
 mod admission;
+mod book;
 mod budget;
+mod dispatch;
 mod estimate;
 mod pairs;
 mod placement;
+mod quarantine;
 mod urgent;
 
 pub use admission::{Admission, Place};
+pub use book::{Book, Slot, SlotState};
 pub use budget::RetryBudget;
+pub use dispatch::{DispatchAction, DispatchView, Dispatcher, HeldWorker};
 pub use estimate::{SizeEstimator, SizeKey};
 pub use pairs::{ClassKey, PairPenalties};
 pub use placement::{Demand, Misfit, NoFit, Placer, WorkerView};
+pub use quarantine::Quarantine;
 pub use urgent::{
     Dispatch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer, UrgentForward,
     UrgentLimits, UrgentRequest, UrgentRouter,
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,11 +1,13 @@
 //! Versioned state that the log orders: contracts and tasks.
 
 mod contract;
+mod contracts;
 mod journal;
 mod ledger;
 mod record;
 
 pub use contract::{Class, Contract, MAX_BODY, Urgency};
+pub use contracts::{Applied, ContractError, ContractTable, Proposed, Versioned};
 pub use journal::{Append, Journal};
 pub use ledger::{Change, Ledger, LedgerTiming, Requeue, Suspicion, Task};
 pub use record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
