--- a/src/request/placement.rs
+++ b/src/request/placement.rs
@@ -26,6 +26,8 @@
     pub urgent: bool,
     /// Tasks of the same job that are claimed or running, by rack.
     pub racks: Vec<(Name, u32)>,
+    /// Workers on which an earlier attempt failed to start or was evicted; chosen last.
+    pub avoid: Vec<Name>,
 }
 
 impl Demand {
@@ -41,6 +43,7 @@
             size,
             urgent,
             racks: Vec::new(),
+            avoid: Vec::new(),
         }
     }
 }
@@ -221,6 +224,9 @@
     }
 }
 
+/// Cost of a worker to avoid; above the cost of any other.
+const AVOID_COST: f32 = 100.0;
+
 /// Chooses workers by best fit and learned interference.
 #[derive(Debug, Default)]
 pub struct Placer {
@@ -358,7 +364,8 @@
     } else {
         added_penalty(demand, worker, pairs)
     };
-    let exact = unused + PENALTY_WEIGHT * penalty;
+    let avoided = demand.avoid.contains(&worker.name);
+    let exact = unused + PENALTY_WEIGHT * penalty + if avoided { AVOID_COST } else { 0.0 };
     let rack = demand.racks.iter().find(|(rack, _)| *rack == worker.rack);
     Cost {
         step: (exact * STEPS) as u32,
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -197,6 +197,20 @@
     );
 }
 
+// Guards against a task that returns at once to the worker that failed to start it, and against one
+// that waits for ever because no other worker has room.
+#[test]
+fn avoided_worker_is_the_last_choice() {
+    let workers = [
+        standard("a", Size::new(8_000, 8_000, 0)),
+        standard("b", Size::ZERO),
+    ];
+    let mut demand = batch(Size::new(1_000, 1_000, 0));
+    demand.avoid.push("a".into());
+    assert_eq!(chosen(&demand, &workers).as_deref(), Ok("b"));
+    assert_eq!(chosen(&demand, &workers[..1]).as_deref(), Ok("a"));
+}
+
 // Guards against unbounded queues of claims on one worker.
 #[test]
 fn claims_ahead_are_bounded_and_balanced() {
