Wire quarantine and interference into the dispatcher

Cause: starts that fail and workers whose services are slow had no consequence. Change: the dispatcher owns quarantine and interference, acts at most once per report, and holds claims of a job that failed on several workers for 60 s.

--- a/src/process/node/backends.rs
+++ b/src/process/node/backends.rs
@@ -2,6 +2,7 @@
 
 use super::action::{Action, LeaseCall};
 use super::node::Node;
+use super::tasks::dispatch_view;
 use super::urgent::InstanceView;
 use crate::base::{Attempt, Millis, Name, TaskId};
 use crate::connection::wire::{
@@ -102,7 +103,7 @@
             .collect();
         for worker in held {
             let usable = self.leases.usable(now, &worker).is_some();
-            self.dispatcher.set_usable(&worker, usable);
+            self.dispatcher.set_usable(now, &worker, usable);
         }
     }
 
@@ -125,12 +126,8 @@
         };
         let rack = entry.rack.unwrap_or_else(|| worker.clone());
         let mut actions = Vec::new();
-        let view = super::tasks::view(
-            &self.ledger,
-            &self.live,
-            &self.quotas,
-            super::tasks::can_claim(now, &self.tail, &self.journal, self.draining),
-        );
+        let can_claim = super::tasks::can_claim(now, &self.tail, &self.journal, self.draining);
+        let view = dispatch_view!(self, can_claim);
         self.dispatcher.report(
             now,
             &view,
@@ -140,7 +137,6 @@
                 rack: &rack,
                 lease,
                 grant,
-                allowed: self.quarantine.allows(now, worker),
                 report: &reply.report,
             },
             &mut actions,
@@ -235,13 +231,8 @@
         result: std::result::Result<StartState, StartError>,
         out: &mut Vec<Action>,
     ) {
-        match &result {
-            Ok(_) => self.quarantine.succeeded(worker),
-            Err(StartError::StartFailed) => {
-                tracing::warn!(%worker, %task, "the worker failed to start the task");
-                self.quarantine.failed(now, worker, task);
-            }
-            Err(error) => tracing::debug!(%worker, %task, %error, "start without effect"),
+        if let Err(error) = &result {
+            tracing::debug!(%worker, %task, %error, "start without effect");
         }
         let mut actions = Vec::new();
         self.dispatcher
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -14,7 +14,7 @@
 use crate::connection::{LeaseTable, LeaseTiming};
 use crate::process::settings::{Limits, Peer, Settings, Timing};
 use crate::process::{Burn, EntryHost, Membership, Suspicions};
-use crate::request::{Dispatcher, Quarantine, UrgentLimits, UrgentRouter};
+use crate::request::{Dispatcher, UrgentLimits, UrgentRouter};
 use crate::version::{ContractTable, Journal, Ledger, LedgerTiming};
 
 /// Who this host is.
@@ -74,7 +74,6 @@
     pub(super) ledger: Ledger,
     pub(super) journal: Journal,
     pub(super) dispatcher: Dispatcher,
-    pub(super) quarantine: Quarantine,
     pub(super) urgent: UrgentRouter,
     pub(super) burn: Burn,
     /// Workers and instances of this data centre, from the host list.
@@ -99,6 +98,10 @@
     pub(super) tail: Tail,
     /// Raw records for peers that cannot read the log.
     pub(super) relayed: VecDeque<RelayedRecord>,
+    /// Services with an instance on each worker's host.
+    pub(super) services: HashMap<Name, Vec<Name>>,
+    /// Services that are slow on each worker's host.
+    pub(super) slow: HashMap<Name, Vec<Name>>,
     /// Quota of each customer in this data centre.
     pub(super) quotas: HashMap<Name, Size>,
     pub(super) contracts_read: Option<Millis>,
@@ -126,7 +129,6 @@
             ledger: Ledger::new(LedgerTiming { dedupe, retention }),
             journal: Journal::new(host.clone(), identity.incarnation, timing.append_interval),
             dispatcher: Dispatcher::new(host.clone()),
-            quarantine: Quarantine::new(),
             urgent: UrgentRouter::new(host.clone(), urgent_limits(&limits)),
             burn: Burn::new(host),
             peers: peers
@@ -148,6 +150,8 @@
             next_ticket: 0,
             tail: Tail::default(),
             relayed: VecDeque::new(),
+            services: HashMap::new(),
+            slow: HashMap::new(),
             quotas: HashMap::new(),
             contracts_read: None,
             draining: false,
@@ -195,7 +199,7 @@
             } => {
                 self.started(now, &worker, &task, attempt, result, out);
             }
-            Event::CommandDone { worker } => tracing::debug!(%worker, "command done"),
+            Event::CommandDone { worker } => self.dispatcher.commanded(now, &worker),
             Event::CommandFailed { worker, error } => {
                 tracing::warn!(%worker, %error, "a command to a worker had no effect");
             }
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -1,15 +1,12 @@
 //! The task stream: reading, appending, claiming and restating.
 
-use std::collections::HashMap;
-
 use super::action::{Action, Stream};
 use super::node::Node;
-use crate::base::{Millis, Name, Offset, Size};
+use crate::base::{Millis, Name, Offset};
 use crate::connection::Error;
 use crate::connection::wire::{LogRecord, ReadReply, RelayedRecord};
 use crate::process::telemetry;
-use crate::request::DispatchView;
-use crate::version::{Append, Batch, Change, Journal, Ledger, Record, Requeue, TaskResult};
+use crate::version::{Append, Batch, Change, Journal, Record, Requeue, TaskResult};
 
 type Result<T> = std::result::Result<T, Error>;
 
@@ -41,19 +38,20 @@
     is_fresh && tail.caught_up && journal.is_healthy() && !draining
 }
 
-pub(super) fn view<'a>(
-    ledger: &'a Ledger,
-    hosts: &'a [Name],
-    quotas: &'a HashMap<Name, Size>,
-    can_claim: bool,
-) -> DispatchView<'a> {
-    DispatchView {
-        ledger,
-        hosts,
-        quotas,
-        can_claim,
-    }
+/// Borrows only the fields of the node that the dispatcher reads beside its own.
+macro_rules! dispatch_view {
+    ($node:ident, $can_claim:expr) => {
+        $crate::request::DispatchView {
+            ledger: &$node.ledger,
+            hosts: &$node.live,
+            services: &$node.services,
+            slow: &$node.slow,
+            quotas: &$node.quotas,
+            can_claim: $can_claim,
+        }
+    };
 }
+pub(super) use dispatch_view;
 
 impl Node {
     pub(super) fn stream_read(
@@ -193,7 +191,7 @@
     pub(super) fn poll_tasks(&mut self, now: Millis, out: &mut Vec<Action>) {
         self.refresh_workers();
         let can_claim = can_claim(now, &self.tail, &self.journal, self.draining);
-        let view = view(&self.ledger, &self.live, &self.quotas, can_claim);
+        let view = dispatch_view!(self, can_claim);
         let mut actions = Vec::new();
         self.dispatcher.poll(now, &view, &mut actions);
         self.dispatch(now, actions, out);
--- a/src/request/book.rs
+++ b/src/request/book.rs
@@ -36,6 +36,8 @@
     pub attempt: Attempt,
     pub demand: Demand,
     pub state: SlotState,
+    /// When this host first knew the attempt to run.
+    pub(super) since: Option<Millis>,
     /// Last command and its time.
     command: Option<(Command, Millis)>,
     /// Time before which a start is not tried again.
@@ -59,6 +61,7 @@
             attempt,
             demand,
             state,
+            since: None,
             command: None,
             not_before: Millis(0),
             is_unsure: false,
@@ -195,14 +198,39 @@
         }
     }
 
+    /// Allows or stops new claims on the worker.
+    pub(super) fn set_open(&mut self, allowed: bool) {
+        self.view.open = allowed && !self.lease.leaving;
+    }
+
+    /// How long this host has known the task to run.
+    pub(super) fn run_time(&self, now: Millis, id: &TaskId) -> Millis {
+        self.slots
+            .get(id)
+            .and_then(|slot| slot.since)
+            .map_or(Millis(0), |since| now.since(since))
+    }
+
+    /// Whether the task has run for at least `time`.
+    pub(super) fn has_run(&self, now: Millis, id: &TaskId, time: Millis) -> bool {
+        self.run_time(now, id) >= time
+    }
+
     /// Accounts for an attempt that the worker reports as running.
-    pub(super) fn hold(&mut self, id: &TaskId, entry: &TaskEntry, task: Option<&Task>) {
+    pub(super) fn hold(
+        &mut self,
+        now: Millis,
+        id: &TaskId,
+        entry: &TaskEntry,
+        task: Option<&Task>,
+    ) {
         if entry.state.has_ended() {
             return;
         }
         match self.slots.get_mut(id) {
             Some(slot) if slot.attempt == entry.attempt && slot.is_reserved() => {
                 slot.state = SlotState::Running;
+                slot.since.get_or_insert(now);
             }
             _ => {
                 self.remove(id);
@@ -216,10 +244,9 @@
                     None => unknown_demand(id, entry.size),
                 };
                 self.view.adopt(&demand);
-                self.slots.insert(
-                    id.clone(),
-                    Slot::new(entry.attempt, demand, SlotState::Running),
-                );
+                let mut slot = Slot::new(entry.attempt, demand, SlotState::Running);
+                slot.since = Some(now);
+                self.slots.insert(id.clone(), slot);
             }
         }
     }
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -4,13 +4,18 @@
 
 use super::book::{Book, Slot, SlotState};
 use super::estimate::{SizeEstimator, SizeKey};
+use super::interference::{Interference, Relief, RunningTask, TaskKind};
+use super::pairs::ClassKey;
 use super::placement::{Demand, NoFit, Placer, WorkerView};
+use super::quarantine::Quarantine;
 use crate::base::{Attempt, Millis, Name, Size, TaskId, rank};
-use crate::connection::wire::{Ack, StartRequest, StartState, TaskCommand, TaskEntry, TaskState};
+use crate::connection::wire::{
+    Ack, StartRequest, StartState, TaskCommand, TaskEntry, TaskState, WorkerReport,
+};
 use crate::connection::{Command, Grant, Lease, StartError};
 use crate::version::{Ledger, Outcome, Phase, Record, Task};
 
-/// Highest priority value that counts as urgent.
+/// Priority of urgent tasks.
 const URGENT_PRIORITY: u8 = 0;
 /// Pending tasks that one poll looks at.
 const SCAN: usize = 512;
@@ -24,6 +29,10 @@
 const START_RETRY: Millis = Millis(500);
 /// Time between two identical commands for one attempt.
 const COMMAND_RETRY: Millis = Millis(2_000);
+/// An attempt that has run for this long shows that its worker can start tasks.
+const SETTLED: Millis = Millis(10_000);
+/// Time between two claims of a job that failed on several workers.
+const POISON_RETRY: Millis = Millis(60_000);
 /// Time that a claim waits for room before it is released to another worker with room.
 const AHEAD_TTL: Millis = Millis(10_000);
 
@@ -51,6 +60,10 @@
     pub ledger: &'a Ledger,
     /// Live entry hosts of the data centre, this one included.
     pub hosts: &'a [Name],
+    /// Services with an instance on each worker's host.
+    pub services: &'a HashMap<Name, Vec<Name>>,
+    /// Services that are slow on each worker's host.
+    pub slow: &'a HashMap<Name, Vec<Name>>,
     /// Quota in this data centre of each customer.
     pub quotas: &'a HashMap<Name, Size>,
     /// Whether new claims may be proposed: the task stream was read to its end lately and
@@ -71,10 +84,14 @@
     seen: HashMap<TaskId, Millis>,
     /// Attempts whose end this process has put into the journal.
     reported: HashSet<(TaskId, Attempt)>,
-    /// Why pending tasks can never run.
+    /// Why pending tasks can't run.
     misfits: HashMap<TaskId, Name>,
+    /// Last claims of tasks whose job failed on several workers.
+    retried: HashMap<TaskId, Millis>,
     placer: Placer,
     estimator: SizeEstimator,
+    quarantine: Quarantine,
+    interference: Interference,
 }
 
 impl Dispatcher {
@@ -87,8 +104,11 @@
             seen: HashMap::new(),
             reported: HashSet::new(),
             misfits: HashMap::new(),
+            retried: HashMap::new(),
             placer: Placer::new(),
             estimator: SizeEstimator::new(),
+            quarantine: Quarantine::new(),
+            interference: Interference::new(),
         }
     }
 
@@ -131,15 +151,17 @@
 
     /// Drops the accounting of a worker whose lease is no longer held.
     pub fn lose(&mut self, worker: &str) {
-        if self.books.remove(worker).is_some() {
+        if let Some(book) = self.books.remove(worker) {
+            self.interference.forget(&book.view.name);
             self.proposed.retain(|_, (on, _)| &**on != worker);
         }
     }
 
     /// Sets whether the lease on a worker may be used now; claims go to usable workers only.
-    pub fn set_usable(&mut self, worker: &str, usable: bool) {
+    pub fn set_usable(&mut self, now: Millis, worker: &str, usable: bool) {
+        let allowed = usable && self.quarantine.allows(now, worker);
         if let Some(book) = self.books.get_mut(worker) {
-            book.view.open = usable && !book.lease.leaving;
+            book.set_open(allowed);
         }
     }
 
@@ -164,11 +186,13 @@
         };
         book.lease = held.lease;
         book.view.capacity = held.report.capacity;
-        book.view.open = !held.lease.leaving && held.allowed;
+        book.view.services = view.services.get(held.name).cloned().unwrap_or_default();
         book.excess(&held.report.tasks);
         for entry in &held.report.tasks {
             self.reconcile(now, view.ledger, &mut book, entry, out);
         }
+        self.relieve(now, view, &mut book, held.report, out);
+        book.set_open(self.quarantine.allows(now, held.name));
         self.books.insert(held.name.clone(), book);
         self.start_claims(now, view, held.name, out);
     }
@@ -217,6 +241,9 @@
             }
             Err(StartError::StartFailed) => {
                 book.remove(task);
+                let worker = book.view.name.clone();
+                tracing::warn!(%worker, %task, "the worker failed to start the task");
+                self.quarantine.failed(now, &worker, task);
                 let record = Record::Released {
                     task: task.clone(),
                     attempt,
@@ -253,7 +280,7 @@
         };
         let Some(task) = ledger.task(&id) else {
             // The task was forgotten, or the ledger has not read that far.
-            book.hold(&id, entry, None);
+            book.hold(now, &id, entry, None);
             return;
         };
         if let Some(usage) = entry.usage {
@@ -267,11 +294,19 @@
             if *attempt == entry.attempt && *worker == book.view.name);
         if is_claimed && entry.state.has_ended() {
             book.remove(&id);
+            match entry.state {
+                TaskState::Succeeded => self.quarantine.succeeded(&book.view.name, &id),
+                TaskState::Failed => self.quarantine.failed(now, &book.view.name, &id),
+                _ => {}
+            }
             let record = end_record(&id, task, entry);
             self.finish(&id, entry.attempt, record, out);
             return;
         }
-        book.hold(&id, entry, Some(task));
+        book.hold(now, &id, entry, Some(task));
+        if book.has_run(now, &id, SETTLED) {
+            self.quarantine.succeeded(&book.view.name, &id);
+        }
         if is_claimed && task.cancelled {
             book.command(now, &id, Command::Stop, COMMAND_RETRY, out);
         }
@@ -294,10 +329,79 @@
             });
             return;
         }
-        book.hold(id, entry, None);
+        book.hold(now, id, entry, None);
         book.command(now, id, Command::Stop, COMMAND_RETRY, out);
     }
 
+    /// Acts on at most one task of a worker whose service is slow or whose tasks use too much.
+    fn relieve(
+        &mut self,
+        now: Millis,
+        view: &DispatchView<'_>,
+        book: &mut Book,
+        report: &WorkerReport,
+        out: &mut Vec<DispatchAction>,
+    ) {
+        let worker = book.view.name.clone();
+        let slow = view.slow.get(&worker).map_or(&[] as &[Name], Vec::as_slice);
+        self.placer.observe(now, &mut book.view, slow);
+        let measured = Millis(now.0.saturating_sub(report.measured));
+        let tasks: Vec<RunningTask> = report
+            .tasks
+            .iter()
+            .filter(|entry| !entry.state.has_ended())
+            .filter_map(|entry| self.running_task(now, view.ledger, book, entry))
+            .collect();
+        let capacity = report.capacity;
+        let Some(relief) = self
+            .interference
+            .report(now, &worker, measured, capacity, &tasks, slow)
+        else {
+            return;
+        };
+        tracing::info!(%worker, ?relief, ?slow, "relieving the worker");
+        let command = match relief {
+            Relief::Throttle { .. } => Command::Throttle,
+            Relief::Evict { .. } => Command::Checkpoint,
+            Relief::Stop { .. } => Command::Stop,
+        };
+        book.command(now, relief.task(), command, COMMAND_RETRY, out);
+    }
+
+    fn running_task(
+        &self,
+        now: Millis,
+        ledger: &Ledger,
+        book: &Book,
+        entry: &TaskEntry,
+    ) -> Option<RunningTask> {
+        let id: TaskId = entry.task.parse().ok()?;
+        let task = ledger.task(&id)?;
+        let class = ClassKey::new(id.customer.clone(), task.spec.class.clone());
+        let kind = match &task.spec {
+            spec if spec.priority == URGENT_PRIORITY => TaskKind::Urgent,
+            spec if spec.at_most_once => TaskKind::AtMostOnce,
+            spec if spec.watcher => TaskKind::Watcher,
+            _ => TaskKind::Restartable,
+        };
+        Some(RunningTask {
+            unsaved: book.run_time(now, &id),
+            penalty: self.placer.penalty(now, &class, &book.view.services),
+            task: id,
+            attempt: entry.attempt,
+            class: class.class,
+            reserved: entry.size,
+            usage: entry.usage,
+            throttled: entry.state == TaskState::Throttled,
+            kind,
+        })
+    }
+
+    /// A command took effect on the worker.
+    pub fn commanded(&mut self, now: Millis, worker: &Name) {
+        self.interference.acted(now, worker);
+    }
+
     fn start_claims(
         &mut self,
         now: Millis,
@@ -357,7 +461,7 @@
         match state {
             Some(SlotState::Starting | SlotState::Running) => {}
             Some(SlotState::Unsure { retry }) if now < retry => {}
-            Some(SlotState::Unsure { .. }) => self.send_start(worker, id, task, attempt, out),
+            Some(SlotState::Unsure { .. }) => self.send_start(now, worker, id, task, attempt, out),
             Some(SlotState::Proposed | SlotState::Waiting { .. }) | None => {
                 self.start(now, worker, id, task, attempt, out);
             }
@@ -388,11 +492,12 @@
         if !book.reserve(now, id, attempt, demand) {
             return;
         }
-        self.send_start(worker, id, task, attempt, out);
+        self.send_start(now, worker, id, task, attempt, out);
     }
 
     fn send_start(
         &mut self,
+        now: Millis,
         worker: &Name,
         id: &TaskId,
         task: &Task,
@@ -406,6 +511,7 @@
             return;
         };
         slot.state = SlotState::Starting;
+        self.quarantine.started(now, worker);
         let request = StartRequest {
             token: book.lease.token,
             task: id.to_string(),
@@ -476,7 +582,7 @@
                 return;
             }
             let first = *self.seen.entry(id.clone()).or_insert(now);
-            if !self.is_turn(now, first, &id, view.hosts) {
+            if self.is_poison(now, &id) || !self.is_turn(now, first, &id, view.hosts) {
                 continue;
             }
             let Some(task) = view.ledger.task(&id) else {
@@ -553,6 +659,24 @@
         claimed.saturating_add(&task.spec.size).fits(quota)
     }
 
+    /// Whether a claim of the task has to wait because its job failed on several workers.
+    fn is_poison(&mut self, now: Millis, id: &TaskId) -> bool {
+        if !self.quarantine.is_poison(id) {
+            self.retried.remove(id);
+            return false;
+        }
+        self.misfits.insert(
+            id.clone(),
+            "the job failed to start on several workers".into(),
+        );
+        let last = *self.retried.entry(id.clone()).or_insert(now);
+        if now.since(last) < POISON_RETRY {
+            return true;
+        }
+        self.retried.insert(id.clone(), now);
+        false
+    }
+
     /// Whether it is this host's turn to claim a task that it first saw pending at `first`.
     fn is_turn(&self, now: Millis, first: Millis, id: &TaskId, hosts: &[Name]) -> bool {
         let order = rank(&id.to_string(), hosts);
@@ -566,7 +690,7 @@
     fn demand(&self, task: &Task) -> Demand {
         let spec = &task.spec;
         let size = self.estimator.estimate(&size_key(task), spec.size);
-        let urgent = spec.priority <= URGENT_PRIORITY;
+        let urgent = spec.priority == URGENT_PRIORITY;
         Demand::new(spec.task.customer.clone(), spec.class.clone(), size, urgent)
     }
 
@@ -606,6 +730,8 @@
         };
         self.seen.retain(|id, _| is_pending(id));
         self.misfits.retain(|id, _| is_pending(id));
+        self.retried
+            .retain(|id, _| ledger.task(id).is_some_and(|task| !task.is_done()));
         let expired: Vec<(TaskId, Name)> = self
             .proposed
             .iter()
@@ -629,9 +755,7 @@
     pub rack: &'a Name,
     pub lease: Lease,
     pub grant: Grant,
-    /// Whether the worker is not in quarantine.
-    pub allowed: bool,
-    pub report: &'a crate::connection::wire::WorkerReport,
+    pub report: &'a WorkerReport,
 }
 
 fn size_key(task: &Task) -> SizeKey {
