Add a test support module and contract tests of the stand-ins

Process tests need to start stand-ins and jayfork's programs, to wait for conditions instead of sleeping, and to judge from the stand-ins' records. The stand-ins themselves need tests, or a fault that they fail to produce passes for one that jayfork survives.

tests/support starts processes on free ports, ends them on drop, writes INI settings, and checks records for capacity, one place at a time, at most once, checkpoints resumed once and work sent to leaving hosts. tests/standin.rs covers the protocols and faults of all four stand-ins and the checks. It refuses to run with a stand-in older than its sources, because cargo does not rebuild examples for a single test target.

The gate of each listener also holds the calls of named clients, so that a late start meets a newer holder without a race against a timer.

--- a/examples/standin/fleet/control.rs
+++ b/examples/standin/fleet/control.rs
@@ -1,5 +1,6 @@
 //! Control calls of a workers or instances process.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use http::{Method, StatusCode};
@@ -11,8 +12,8 @@
 use crate::net::{Gate, Reply, Request, Response, Service};
 use crate::switches::{Patch, parse};
 
-/// `POST /control` sets switches of the hosts named in `hosts`, or of all; `GET /control/records`
-/// and `GET /control/hosts` return arrays.
+/// `POST /control` sets switches of the hosts named in `hosts`, or of all. `GET /control/records`
+/// and `GET /control/hosts` return arrays, `GET /control/waiting` the calls that each host holds.
 #[derive(Debug)]
 pub struct Control<B> {
     pub fleet: Arc<Fleet<B>>,
@@ -27,6 +28,13 @@
             .with(|_, backend| Response::ok(&backend.recorder().since(from)))
     }
 
+    fn waiting(&self) -> Response {
+        let names = self.entries.iter().map(|entry| &entry.name);
+        let waiting = self.gates.iter().map(|gate| gate.waiting());
+        let waiting: BTreeMap<&Name, usize> = names.zip(waiting).collect();
+        Response::ok(&waiting)
+    }
+
     fn set(&self, request: &Request) -> Response {
         let patch: Patch = match request.json() {
             Ok(patch) => patch,
@@ -82,6 +90,7 @@
         let response = match (&request.method, request.segments().as_slice()) {
             (&Method::POST, ["control"]) => self.set(request),
             (&Method::GET, ["control", "records"]) => self.records(request),
+            (&Method::GET, ["control", "waiting"]) => self.waiting(),
             (&Method::GET, ["control", "hosts"]) => Response::ok(&self.entries),
             _ => Response::not_found(),
         };
--- a/examples/standin/instances/instance.rs
+++ b/examples/standin/instances/instance.rs
@@ -50,7 +50,8 @@
     limits: Limits,
     incarnation: u64,
     lease: ControlLease,
-    running: Vec<Name>,
+    /// Running requests with the token of each.
+    running: Vec<(Name, Token)>,
     leaving: bool,
     crashed: bool,
 }
@@ -87,7 +88,7 @@
             report: InstanceReport {
                 slots: self.limits.slots,
                 connections: self.limits.connections,
-                running: self.running.clone(),
+                running: self.running.iter().map(|(id, _)| id.clone()).collect(),
             },
         })
     }
@@ -118,7 +119,7 @@
             );
             return Err(refusal);
         }
-        self.running.push(id.into());
+        self.running.push((id.into(), token));
         let record = Record::new(now, &self.name, EventKind::Started, id);
         recorder.start(record.with_token(token).with_state("running"));
         Ok(self.incarnation)
@@ -135,10 +136,13 @@
         if self.crashed || self.incarnation != incarnation {
             return None;
         }
-        let slot = self.running.iter().position(|running| **running == *id)?;
-        self.running.swap_remove(slot);
+        let slot = self
+            .running
+            .iter()
+            .position(|(running, _)| **running == *id)?;
+        let (_, token) = self.running.swap_remove(slot);
         let record = Record::new(now, &self.name, EventKind::Ended, id);
-        recorder.end(record.with_state("answered"));
+        recorder.end(record.with_token(token).with_state("answered"));
         Some(Delivery {
             truncated: self.switches.truncate.hits(),
             delay: self.switches.delay_answers,
@@ -170,9 +174,9 @@
         }
         self.crashed = true;
         recorder.push(Record::new(now, &self.name, EventKind::Crashed, ""));
-        for id in std::mem::take(&mut self.running) {
+        for (id, token) in std::mem::take(&mut self.running) {
             let record = Record::new(now, &self.name, EventKind::Ended, &id);
-            recorder.end(record.with_state("crashed"));
+            recorder.end(record.with_token(token).with_state("crashed"));
         }
         self.lease.reset();
     }
--- a/examples/standin/instances/reorder.rs
+++ b/examples/standin/instances/reorder.rs
@@ -7,7 +7,7 @@
 const LONGEST_WAIT: Duration = Duration::from_secs(1);
 
 /// Time between the answers of a batch, so that clients see the order.
-const GAP: Duration = Duration::from_millis(5);
+const GAP: Duration = Duration::from_millis(20);
 
 /// Collects answers of all instances into batches.
 #[derive(Debug, Default)]
--- a/examples/standin/net/gate.rs
+++ b/examples/standin/net/gate.rs
@@ -1,6 +1,7 @@
 //! Network faults of one listener.
 
 use std::collections::HashSet;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Condvar, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -16,18 +17,21 @@
 
 /// Cuts clients off, delays requests, loses answers, freezes or closes all connections.
 ///
-/// Switches: `cuts` (client names, `"*"` for all), `delay_ms`, `freeze`, `crash`, `lose_answers`
-/// (see `Faults`) and `lose_path` (prefix of the paths whose answers are lost).
+/// Switches: `cuts` (client names, `"*"` for all), `holds` (clients whose calls wait until they
+/// are released), `freeze` (holds all calls), `delay_ms`, `crash`, `lose_answers` (see `Faults`)
+/// and `lose_path` (prefix of the paths whose answers are lost).
 #[derive(Debug)]
 pub struct Gate {
     pub connections: Connections,
     state: Mutex<State>,
     changed: Condvar,
+    waiting: AtomicUsize,
 }
 
 #[derive(Debug)]
 struct State {
     cuts: HashSet<Name>,
+    holds: HashSet<Name>,
     delay: Duration,
     frozen: bool,
     crashed: bool,
@@ -40,6 +44,7 @@
     pub fn new(lose_path: &str) -> Self {
         let state = State {
             cuts: HashSet::new(),
+            holds: HashSet::new(),
             delay: Duration::ZERO,
             frozen: false,
             crashed: false,
@@ -50,6 +55,7 @@
             connections: Connections::default(),
             state: Mutex::new(state),
             changed: Condvar::new(),
+            waiting: AtomicUsize::new(0),
         }
     }
 
@@ -58,6 +64,7 @@
         let mut state = self.lock();
         match name {
             "cuts" => state.cuts = parse(name, value)?,
+            "holds" => state.holds = parse(name, value)?,
             "delay_ms" => state.delay = Duration::from_millis(parse(name, value)?),
             "freeze" => state.frozen = parse(name, value)?,
             "crash" => state.crashed = parse(name, value)?,
@@ -88,16 +95,23 @@
         }
         let delay = state.delay;
         drop(state);
+        self.waiting.fetch_add(1, Ordering::Relaxed);
         if !delay.is_zero() {
             std::thread::sleep(delay);
         }
         let state = self
             .changed
-            .wait_while(self.lock(), |state| state.frozen && !state.crashed)
+            .wait_while(self.lock(), |state| state.is_held(request))
             .expect("no thread panics with the lock");
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
         !state.crashed && !state.is_cut(request)
     }
 
+    /// Calls that wait out a delay, a hold or a freeze.
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+
     /// Whether the answer to a request that took effect is lost.
     pub fn loses(&self, request: &Request, reply: &Reply) -> bool {
         let Reply::Answer(response) = reply else {
@@ -119,7 +133,15 @@
 
 impl State {
     fn is_cut(&self, request: &Request) -> bool {
-        let client = request.header(CLIENT).unwrap_or_default();
-        self.cuts.contains("*") || self.cuts.contains(client)
+        names_client(&self.cuts, request)
+    }
+
+    fn is_held(&self, request: &Request) -> bool {
+        !self.crashed && (self.frozen || names_client(&self.holds, request))
     }
 }
+
+fn names_client(names: &HashSet<Name>, request: &Request) -> bool {
+    let client = request.header(CLIENT).unwrap_or_default();
+    names.contains("*") || names.contains(client)
+}
--- a/examples/standin/workers/task.rs
+++ b/examples/standin/workers/task.rs
@@ -1,6 +1,6 @@
 //! One attempt on a worker.
 
-use jayfork::base::{Millis, Name, Size};
+use jayfork::base::{Millis, Name, Size, Token};
 use jayfork::connection::wire::{StartRequest, TaskState};
 
 use super::model::Plan;
@@ -10,6 +10,8 @@
 
 #[derive(Debug)]
 pub struct Task {
+    /// Token with which it was started.
+    pub token: Token,
     pub class: Name,
     pub size: Size,
     pub state: TaskState,
@@ -39,6 +41,7 @@
         lease_until: Millis,
     ) -> Self {
         let mut task = Task {
+            token: request.token,
             class: request.class.clone(),
             size: request.size,
             state: TaskState::Running,
--- a/examples/standin/workers/worker.rs
+++ b/examples/standin/workers/worker.rs
@@ -374,6 +374,7 @@
     ) -> Record {
         Record {
             attempt: Some(key.1),
+            token: Some(task.token),
             size: Some(task.size),
             class: Some(task.class.clone()),
             checkpoint: task.checkpoint.clone(),
--- /dev/null
+++ b/tests/standin.rs
@@ -0,0 +1,20 @@
+//! Contract tests of the stand-ins' protocols and faults.
+
+mod support;
+
+#[path = "standin/calls.rs"]
+mod calls;
+#[path = "standin/checks.rs"]
+mod checks;
+#[path = "standin/hosts.rs"]
+mod hosts;
+#[path = "standin/instances.rs"]
+mod instances;
+#[path = "standin/leases.rs"]
+mod leases;
+#[path = "standin/log.rs"]
+mod log;
+#[path = "standin/processes.rs"]
+mod processes;
+#[path = "standin/workers.rs"]
+mod workers;
--- /dev/null
+++ b/tests/standin/instances.rs
@@ -0,0 +1,249 @@
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+use jayfork::base::Token;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+use crate::calls::{SOON, grant, lease, lease_request, renew_instance, run};
+use crate::support::{Event, Record, Standin, TestDir, until};
+
+fn instance(dir: &TestDir, args: &[&str]) -> (Standin, Token) {
+    let instance = Standin::start(dir, "instances", args);
+    let token = grant(instance.address(0), "e1");
+    (instance, token)
+}
+
+fn of(instance: &Standin, event: Event) -> Vec<Record> {
+    let records = instance.records().into_iter();
+    records.filter(|record| record.event == event).collect()
+}
+
+// Guards against answers that are not derived from the request, or not whole.
+#[parameterized(
+    empty = { 0 },
+    short = { 5 },
+    one_buffer = { 8192 },
+    large = { 16 * 1024 * 1024 },
+)]
+fn answer_repeats_the_request(length: usize) {
+    let dir = TestDir::new("instance-answer");
+    let (instance, token) = instance(&dir, &[]);
+    let body: Vec<u8> = (0..length).map(|index| index as u8).collect();
+    let reply = run(instance.address(0), token, "r-1", &body).unwrap();
+    let expected = [format!("r-1 {length}\n").into_bytes(), body].concat();
+    assert_eq!(reply.status, 200);
+    assert!(reply.body == expected);
+}
+
+// Guards against a service time that is not kept, or a slot that is taken longer.
+#[test]
+fn request_takes_the_service_time() {
+    let dir = TestDir::new("instance-time");
+    let (instance, token) = instance(&dir, &["--service-ms", "150"]);
+    let started = Instant::now();
+    assert_eq!(
+        run(instance.address(0), token, "r", b"").unwrap().status,
+        200
+    );
+    assert!(started.elapsed() >= Duration::from_millis(150));
+    instance.set(json!({"service_ms": 0}));
+    assert_eq!(
+        run(instance.address(0), token, "r2", b"").unwrap().status,
+        200
+    );
+    let times: Vec<u64> = instance.records().iter().map(|r| r.time).collect();
+    assert!(times[2] - times[1] >= 150, "{times:?}");
+}
+
+// Guards against an instance that runs more requests than it has slots.
+#[test]
+fn request_beyond_the_slots_is_refused_and_marked() {
+    let dir = TestDir::new("instance-slots");
+    let (instance, token) = instance(&dir, &["--slots", "2", "--service-ms", "100000"]);
+    let address = instance.address(0);
+    std::thread::scope(|scope| {
+        for id in ["r0", "r1"] {
+            scope.spawn(move || run(address, token, id, b"").is_err());
+        }
+        until("2 running requests", SOON, || {
+            renew_instance(address, token).report.running.len() == 2
+        });
+        let reply = run(address, token, "r2", b"").unwrap();
+        assert_eq!((reply.status, reply.error().as_str()), (503, "busy"));
+        let mut running = renew_instance(address, token).report.running;
+        running.sort();
+        assert_eq!(running, ["r0".into(), "r1".into()]);
+        // Ends the two long requests.
+        instance.set(json!({"crash": true}));
+    });
+    let violations = of(&instance, Event::Violation);
+    assert_eq!(violations.len(), 1);
+    assert_eq!(violations[0].id, "r2");
+    assert_eq!(violations[0].state.as_deref(), Some("over_slots"));
+    assert_eq!(of(&instance, Event::Started).len(), 2);
+}
+
+// Guards against an instance that keeps more connections open than it may.
+#[test]
+fn connection_beyond_the_limit_is_closed_and_marked() {
+    let dir = TestDir::new("instance-connections");
+    let instance = Standin::start(&dir, "instances", &["--connections", "2"]);
+    let open: Vec<TcpStream> = (0..2)
+        .map(|_| TcpStream::connect(instance.address(0)).unwrap())
+        .collect();
+    let mut excess = TcpStream::connect(instance.address(0)).unwrap();
+    excess.set_read_timeout(Some(SOON)).unwrap();
+    let closed = excess.read(&mut [0; 1]);
+    assert!(!closed.is_ok_and(|read| read > 0));
+    let violations = of(&instance, Event::Violation);
+    assert_eq!(violations.len(), 1);
+    assert_eq!(violations[0].state.as_deref(), Some("over_connections"));
+    drop(open);
+    until("a free connection", SOON, || {
+        let mut stream = TcpStream::connect(instance.address(0)).unwrap();
+        let head = b"GET / HTTP/1.1\r\n\r\n";
+        stream.write_all(head).is_ok() && stream.read(&mut [0; 1]).is_ok_and(|read| read > 0)
+    });
+}
+
+/// What the caller sees of a faulty answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Seen {
+    Whole,
+    Broken,
+    NotRun,
+}
+
+// Guards against faults that do not show, that hit more answers than asked, or that change
+// whether the request ran.
+#[parameterized(
+    none = { json!({}), [Seen::Whole, Seen::Whole], 2 },
+    truncated = { json!({"truncate": 1}), [Seen::Broken, Seen::Whole], 2 },
+    lost = { json!({"lose_answers": 1}), [Seen::Broken, Seen::Whole], 2 },
+    delayed = { json!({"delay_answers_ms": 50}), [Seen::Whole, Seen::Whole], 2 },
+    busy = { json!({"busy": true}), [Seen::NotRun, Seen::NotRun], 0 },
+    leaving = { json!({"leaving": true}), [Seen::NotRun, Seen::NotRun], 0 },
+    crashed = { json!({"crash": true}), [Seen::Broken, Seen::Broken], 0 },
+    cut = { json!({"cuts": ["*"]}), [Seen::Broken, Seen::Broken], 0 },
+)]
+fn faulty_answer(patch: Value, expected: [Seen; 2], starts: usize) {
+    let dir = TestDir::new("instance-fault");
+    let (instance, token) = instance(&dir, &[]);
+    instance.set(patch);
+    let seen = ["r0", "r1"].map(|id| match run(instance.address(0), token, id, b"body") {
+        Ok(reply) if reply.status == 200 => {
+            assert_eq!(reply.text(), format!("{id} 4\nbody"));
+            Seen::Whole
+        }
+        Ok(reply) => {
+            assert_eq!(reply.status, 503);
+            Seen::NotRun
+        }
+        Err(_) => Seen::Broken,
+    });
+    assert_eq!(seen, expected);
+    assert_eq!(of(&instance, Event::Started).len(), starts);
+    assert_eq!(of(&instance, Event::Ended).len(), starts);
+}
+
+// Guards against a truncated answer that a client could take for a whole one.
+#[test]
+fn truncated_answer_announces_its_whole_length() {
+    let dir = TestDir::new("instance-truncated");
+    let (instance, token) = instance(&dir, &[]);
+    instance.set(json!({"truncate": 1}));
+    let mut stream = TcpStream::connect(instance.address(0)).unwrap();
+    stream.set_read_timeout(Some(SOON)).unwrap();
+    let head = format!(
+        "POST /requests/r HTTP/1.1\r\nlease-token: {}\r\ndeadline-ms: 1\r\n\
+         content-length: 4\r\n\r\nbody",
+        token.0
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(head.contains("content-length: 8"), "{head}");
+    assert_eq!(body, "r 4\n");
+}
+
+// Guards against reordered answers that still come in the order of the requests.
+#[test]
+fn reordered_answers_come_last_first() {
+    let dir = TestDir::new("instance-reorder");
+    let (instance, token) = instance(&dir, &["--service-ms", "0"]);
+    instance.set(json!({"reorder": 3}));
+    let address = instance.address(0);
+    let order = std::sync::Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for (index, id) in ["r0", "r1", "r2"].into_iter().enumerate() {
+            let order = &order;
+            scope.spawn(move || {
+                assert_eq!(run(address, token, id, b"").unwrap().status, 200);
+                order.lock().unwrap().push(id);
+            });
+            until("the request to run", SOON, || {
+                of(&instance, Event::Ended).len() == index + 1
+            });
+        }
+    });
+    // The first of the batch is always last; the others may race for the client's lock.
+    assert_eq!(order.into_inner().unwrap().last(), Some(&"r0"));
+}
+
+// Guards against a request id that runs twice at once without a mark.
+#[test]
+fn duplicate_request_is_marked() {
+    let dir = TestDir::new("instance-duplicate");
+    let instances = Standin::start(
+        &dir,
+        "instances",
+        &["--count", "2", "--service-ms", "100000"],
+    );
+    std::thread::scope(|scope| {
+        for index in 0..2 {
+            let address = instances.address(index);
+            let token = grant(address, "e1");
+            scope.spawn(move || run(address, token, "r", b"").is_err());
+        }
+        until("both runs", SOON, || {
+            of(&instances, Event::Started).len() == 2
+        });
+        instances.set(json!({"crash": true}));
+    });
+    let violations = of(&instances, Event::Violation);
+    assert_eq!(violations.len(), 1);
+    assert_eq!(violations[0].state.as_deref(), Some("duplicate_run"));
+}
+
+// Guards against a crash that lets a running request end or answer.
+#[test]
+fn crash_ends_running_requests() {
+    let dir = TestDir::new("instance-crash");
+    let (instance, token) = instance(&dir, &["--service-ms", "300"]);
+    let address = instance.address(0);
+    std::thread::scope(|scope| {
+        let call = scope.spawn(move || run(address, token, "r", b"").is_err());
+        until("the run", SOON, || of(&instance, Event::Started).len() == 1);
+        instance.set(json!({"restart": true}));
+        assert!(call.join().unwrap());
+    });
+    let reply = lease(address, &lease_request("e1", None));
+    assert_eq!(reply.ok::<Value>()["report"]["running"], json!([]));
+    let ends = of(&instance, Event::Ended);
+    assert_eq!(ends.len(), 1);
+    assert_eq!(ends[0].state.as_deref(), Some("crashed"));
+}
+
+// Guards against requests that an instance takes without a lease.
+#[test]
+fn request_without_token_is_refused() {
+    let dir = TestDir::new("instance-token");
+    let (instance, _) = instance(&dir, &[]);
+    let client = crate::support::Client::new();
+    let reply = client.post(instance.address(0), "/requests/r", "").unwrap();
+    assert_eq!(reply.status, 400);
+    assert!(of(&instance, Event::Started).is_empty());
+}
--- /dev/null
+++ b/tests/support/dir.rs
@@ -0,0 +1,39 @@
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Directory of one test, for settings and the logs of its processes.
+///
+/// It is removed when the test passes and kept when it fails.
+#[derive(Debug)]
+pub struct TestDir {
+    path: PathBuf,
+}
+
+impl TestDir {
+    pub fn new(test: &str) -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let name = format!(
+            "{test}-{}-{}",
+            std::process::id(),
+            NEXT.fetch_add(1, Ordering::Relaxed)
+        );
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::create_dir_all(&path).expect("the target folder is writable");
+        TestDir { path }
+    }
+
+    pub fn join(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+}
+
+impl Drop for TestDir {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs of the failed test: {}", self.path.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.path);
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/process.rs
@@ -0,0 +1,132 @@
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::process::{Child, ChildStdin, Command, ExitStatus, Stdio};
+use std::sync::Mutex;
+use std::sync::mpsc::{self, Receiver};
+use std::time::Duration;
+
+use serde_json::Value;
+
+use super::{TestDir, eventually};
+
+/// Time for a process to start or to exit on a loaded machine.
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    Stop,
+    Continue,
+    Terminate,
+    Kill,
+}
+
+/// A child process that ends with this value.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    child: Child,
+    /// Held open: stand-ins exit at its end, also when the test process is killed.
+    stdin: Option<ChildStdin>,
+    lines: Mutex<Receiver<String>>,
+}
+
+impl Process {
+    /// Runs `command` with its stderr in `<name>.log` of `dir`.
+    pub fn spawn(dir: &TestDir, name: &str, command: &mut Command) -> Self {
+        let log = File::create(dir.join(&format!("{name}.log"))).expect("the log is writable");
+        let mut child = command
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .stderr(log)
+            .spawn()
+            .unwrap_or_else(|error| panic!("{name}: {command:?}: {error}"));
+        let stdin = child.stdin.take();
+        let stdout = child.stdout.take().expect("stdout is piped");
+        let (sender, lines) = mpsc::channel();
+        // Also keeps the pipe from filling up.
+        std::thread::spawn(move || {
+            for line in BufReader::new(stdout).lines().map_while(Result::ok) {
+                let _ = sender.send(line);
+            }
+        });
+        Process {
+            name: name.to_owned(),
+            child,
+            stdin,
+            lines: Mutex::new(lines),
+        }
+    }
+
+    /// Waits for the next line on stdout and parses it as JSON.
+    pub fn ready_line(&self) -> Value {
+        let line = self
+            .lines
+            .lock()
+            .expect("no reader panics with the lock")
+            .recv_timeout(LIMIT)
+            .unwrap_or_else(|error| panic!("{} printed no ready line: {error}", self.name));
+        serde_json::from_str(&line)
+            .unwrap_or_else(|error| panic!("{}: {line:?}: {error}", self.name))
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    pub fn has_exited(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Signals this child only; does nothing once it has exited.
+    pub fn signal(&mut self, signal: Signal) {
+        if self.has_exited() {
+            return;
+        }
+        // The child is not reaped, so its id cannot belong to another process.
+        let status = Command::new("sh")
+            .args(["-c", "kill -s \"$0\" \"$1\""])
+            .arg(signal.name())
+            .arg(self.child.id().to_string())
+            .status();
+        assert!(
+            status.is_ok_and(|status| status.success()),
+            "{}: cannot send {signal:?}",
+            self.name
+        );
+    }
+
+    /// Waits for the process to exit.
+    pub fn wait(&mut self) -> ExitStatus {
+        let what = format!("exit of {}", self.name);
+        eventually(&what, LIMIT, || {
+            self.child.try_wait().expect("the child is ours")
+        })
+    }
+
+    pub fn terminate(&mut self) -> ExitStatus {
+        self.signal(Signal::Terminate);
+        self.wait()
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+impl Signal {
+    fn name(self) -> &'static str {
+        match self {
+            Signal::Stop => "STOP",
+            Signal::Continue => "CONT",
+            Signal::Terminate => "TERM",
+            Signal::Kill => "KILL",
+        }
+    }
+}
--- /dev/null
+++ b/tests/support/programs.rs
@@ -0,0 +1,43 @@
+use std::ffi::OsStr;
+use std::net::{Ipv4Addr, TcpListener};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU16, Ordering};
+
+use super::{Process, TestDir};
+
+/// Starts `jayforkd` with `args`; the caller waits for readiness.
+pub fn jayforkd(
+    dir: &TestDir,
+    name: &str,
+    args: impl IntoIterator<Item = impl AsRef<OsStr>>,
+) -> Process {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jayforkd"));
+    Process::spawn(dir, name, command.args(args))
+}
+
+/// Runs `jayfork` with `args` to its end.
+pub fn jayfork(args: impl IntoIterator<Item = impl AsRef<OsStr>>) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_jayfork"))
+        .args(args)
+        .output()
+        .expect("jayfork can be run")
+}
+
+/// A port that is free now and that no other caller of this process gets.
+///
+/// Ports are below the range from which Linux picks ports of connections, so that none of those
+/// takes one before its process binds it. Test processes start at different ports.
+pub fn free_port() -> u16 {
+    const FIRST: u16 = 10_000;
+    const COUNT: u16 = 20_000;
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = (std::process::id() % 200) as u16 * 100;
+    for _ in 0..COUNT {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST + (start + step % COUNT) % COUNT;
+        if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            return port;
+        }
+    }
+    panic!("no free port from {FIRST} on");
+}
--- /dev/null
+++ b/tests/support/standin.rs
@@ -0,0 +1,130 @@
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::LazyLock;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::SystemTime;
+
+use jayfork::connection::wire::HostEntry;
+use serde_json::{Value, json};
+
+use super::{Client, Process, Record, TestDir};
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Standin {
+    pub process: Process,
+    /// Address of the control calls; also the service address of `log` and `hosts`.
+    pub control: String,
+    /// Backend servers of `workers` and `instances`.
+    pub hosts: Vec<HostEntry>,
+    client: Client,
+}
+
+impl Standin {
+    /// Starts `standin <subcommand> <args>` on free ports and waits until it serves.
+    pub fn start(dir: &TestDir, subcommand: &str, args: &[&str]) -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let mut command = Command::new(executable());
+        command.arg(subcommand).arg("--until-eof").args(args);
+        let process = Process::spawn(dir, &format!("{subcommand}-{number}"), &mut command);
+        let ready = process.ready_line();
+        let control = ready["control"].as_str().expect("an address").to_owned();
+        let hosts = match ready.get("hosts") {
+            Some(hosts) => serde_json::from_value(hosts.clone()).expect("host entries"),
+            None => Vec::new(),
+        };
+        Standin {
+            process,
+            control,
+            hosts,
+            client: Client::new(),
+        }
+    }
+
+    pub fn address(&self, host: usize) -> &str {
+        &self.hosts[host].address
+    }
+
+    pub fn name(&self, host: usize) -> &str {
+        &self.hosts[host].name
+    }
+
+    /// Sets switches; `hosts` in the patch limits them to some backend servers.
+    pub fn set(&self, patch: Value) {
+        let reply = self.client.post_json(&self.control, "/control", &patch);
+        let reply = reply.expect("the stand-in runs");
+        assert_eq!(reply.status, 200, "{patch}: {}", reply.text());
+    }
+
+    /// Sets switches of one backend server.
+    pub fn set_host(&self, host: usize, mut patch: Value) {
+        patch["hosts"] = json!([self.name(host)]);
+        self.set(patch);
+    }
+
+    /// Replaces the list of a `hosts` stand-in.
+    pub fn put_hosts(&self, hosts: &[HostEntry]) {
+        let body = json!({ "hosts": hosts }).to_string();
+        let reply = self
+            .client
+            .call("PUT", &self.control, "/control/hosts", body);
+        assert_eq!(reply.expect("the stand-in runs").status, 200);
+    }
+
+    /// Everything that really ran, in the order of the stand-in.
+    pub fn records(&self) -> Vec<Record> {
+        self.control("/control/records").ok()
+    }
+
+    /// Calls that a backend server holds back.
+    pub fn waiting(&self, host: usize) -> u64 {
+        let waiting: Value = self.control("/control/waiting").ok();
+        waiting[self.name(host)].as_u64().expect("a count")
+    }
+
+    pub fn stats(&self) -> Value {
+        self.control("/control/stats").ok()
+    }
+
+    fn control(&self, path: &str) -> super::Reply {
+        self.client
+            .get(&self.control, path)
+            .expect("the stand-in runs")
+    }
+}
+
+/// `examples/standin` beside the programs under test.
+///
+/// Cargo rebuilds examples for `cargo test`, but not for `cargo test --test <name>`.
+fn executable() -> &'static Path {
+    static EXECUTABLE: LazyLock<PathBuf> = LazyLock::new(|| {
+        let folder = Path::new(env!("CARGO_BIN_EXE_jayforkd")).parent();
+        let path = folder.expect("a target folder").join("examples/standin");
+        let built = modified(&path);
+        let project = Path::new(env!("CARGO_MANIFEST_DIR"));
+        let sources = ["examples/standin", "src/connection/wire", "src/base.rs"];
+        let newest = sources
+            .iter()
+            .filter_map(|source| newest(&project.join(source)));
+        assert!(
+            built.is_some() && built >= newest.max(),
+            "{} is missing or old: run cargo build --example standin",
+            path.display()
+        );
+        path
+    });
+    &EXECUTABLE
+}
+
+fn newest(path: &Path) -> Option<SystemTime> {
+    match fs::read_dir(path) {
+        Ok(entries) => entries.flatten().filter_map(|e| newest(&e.path())).max(),
+        Err(_) => modified(path),
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    fs::metadata(path).ok()?.modified().ok()
+}
