--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -415,7 +415,7 @@
             return None;
         }
         let since = *entry.unheld.get_or_insert(now);
-        let patience = Millis(timing.standby.0.saturating_mul(0));
+        let patience = Millis(timing.standby.0.saturating_mul(entry.rank as u64));
         let left = patience - now.since(since);
         (left > Millis(0)).then_some(left.min(timing.renew))
     }
