Run the thin path as separate processes

Cause: nothing served a request from end to end. Request ids go to instances as customer:request, because a slash in the URL path was answered with 404.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 cargo build --locked --bins --examples
+bash examples/quickstart.sh
 cargo test --locked --no-fail-fast
--- a/src/connection/log.rs
+++ b/src/connection/log.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::error::{Error, Result};
 use super::http::HttpClient;
@@ -68,12 +68,12 @@
 }
 
 impl StreamReader {
-    /// Reads `stream` from the first retained record on and passes each answer to `deliver`,
-    /// which returns false to end the reader.
+    /// Reads `stream` from the first retained record on and passes each answer to `deliver`
+    /// with the time before the read was sent; `deliver` returns false to end the reader.
     pub fn spawn<L, F>(log: L, stream: Name, mut deliver: F) -> Result<Self>
     where
         L: LogClient,
-        F: FnMut(Result<ReadReply>) -> bool + Send + 'static,
+        F: FnMut(Instant, Result<ReadReply>) -> bool + Send + 'static,
     {
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = stop.clone();
@@ -83,6 +83,7 @@
                 let mut next = Offset(0);
                 let mut pause = MIN_PAUSE;
                 while !stopped.load(Ordering::Relaxed) {
+                    let sent = Instant::now();
                     let reply = log.read(&stream, next, POLL);
                     match &reply {
                         Ok(read) => {
@@ -94,7 +95,7 @@
                             pause = (pause * 2).min(MAX_PAUSE);
                         }
                     }
-                    if !deliver(reply) {
+                    if !deliver(sent, reply) {
                         return;
                     }
                 }
--- a/src/connection/wire/peer.rs
+++ b/src/connection/wire/peer.rs
@@ -143,6 +143,10 @@
 pub struct TailReply {
     /// The first offset that the sender can relay.
     pub first: Offset,
+    /// Offset that the sender will read next.
+    pub next: Offset,
+    /// Time since the sender read the log to its end, in ms.
+    pub age: u64,
     pub records: Vec<RelayedRecord>,
 }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,10 +7,12 @@
 pub mod node;
 mod runtime;
 pub mod settings;
+mod suspicions;
 mod table;
 pub mod telemetry;
 
 pub use burn::Burn;
-pub use membership::{EntryHost, Membership, Suspicions};
+pub use membership::{EntryHost, Membership};
 pub use runtime::{Error, Result, run};
 pub use settings::Settings;
+pub use suspicions::{OpenSuspicion, Suspicions};
--- a/src/process/node/backends.rs
+++ b/src/process/node/backends.rs
@@ -258,7 +258,10 @@
                     request,
                 } => {
                     let usable = self.leases.usable(now, &worker);
-                    if usable.is_some_and(|lease| lease.token == request.token) {
+                    let is_held = usable.is_some_and(|lease| lease.token == request.token);
+                    // A start grants a run lease, so it needs the permission to renew one.
+                    let suspected = self.ledger.suspicions().contains_key(&worker);
+                    if is_held && self.membership.may_renew(now, suspected) {
                         out.push(Action::Start {
                             worker,
                             address,
--- a/src/process/node/event.rs
+++ b/src/process/node/event.rs
@@ -20,6 +20,7 @@
     /// A read of a stream; a failure tells that the log is out of reach.
     Read {
         stream: Stream,
+        sent: Millis,
         reply: Result<ReadReply>,
     },
     Appended {
--- a/src/process/node/jobs.rs
+++ b/src/process/node/jobs.rs
@@ -153,7 +153,7 @@
         let hosts = if *home == self.identity.data_centre {
             self.membership.informed(now)
         } else {
-            self.membership.live_in(now, home)
+            self.live_in(now, home)
         };
         let others: Vec<Name> = hosts
             .into_iter()
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -10,7 +10,7 @@
 use super::peers::PeerPurpose;
 use super::tasks::Tail;
 use crate::base::{Millis, Name, Offset, Size};
-use crate::connection::wire::{HostEntry, HostKind, RelayedRecord};
+use crate::connection::wire::{Hello, HostEntry, HostKind, RelayedRecord};
 use crate::connection::{LeaseTable, LeaseTiming};
 use crate::process::settings::{Limits, Peer, Settings, Timing};
 use crate::process::{Burn, EntryHost, Membership, Suspicions};
@@ -66,6 +66,7 @@
     pub(super) peers: HashMap<Name, Peer>,
     pub(super) timing: Timing,
     pub(super) limits: Limits,
+    #[allow(dead_code)]
     pub(super) retention: Millis,
     pub(super) membership: Membership,
     pub(super) suspicions: Suspicions,
@@ -82,6 +83,8 @@
     pub(super) instances: HashMap<Name, super::urgent::InstanceView>,
     /// Live entry hosts of this data centre as of the last poll.
     pub(super) live: Vec<Name>,
+    /// Last heartbeat of each peer.
+    pub(super) hellos: HashMap<Name, Hello>,
     /// Instances that each peer of this data centre was last known to hold.
     pub(super) held: HashMap<Name, HashSet<Name>>,
     /// Open calls to peers.
@@ -123,7 +126,7 @@
         let dedupe = Millis(timing.finished_ttl.0.min(retention.0 / 2));
         Node {
             membership: Membership::new(host.clone(), identity.data_centre.clone(), entries),
-            suspicions: Suspicions::default(),
+            suspicions: Suspicions::new(host.clone()),
             leases: LeaseTable::new(host.clone(), lease_timing(&timing)),
             contracts: ContractTable::new(),
             ledger: Ledger::new(LedgerTiming { dedupe, retention }),
@@ -138,6 +141,7 @@
             backends: HashMap::new(),
             instances: HashMap::new(),
             live: Vec::new(),
+            hellos: HashMap::new(),
             held: HashMap::new(),
             calls: HashMap::new(),
             next_call: 0,
@@ -167,7 +171,11 @@
     pub fn handle(&mut self, now: Millis, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Hosts(list) => self.hosts_read(now, list, out),
-            Event::Read { stream, reply } => self.stream_read(now, stream, reply, out),
+            Event::Read {
+                stream,
+                sent,
+                reply,
+            } => self.stream_read(now, stream, sent, reply, out),
             Event::Appended {
                 stream,
                 sequence,
@@ -303,3 +311,13 @@
         ..UrgentLimits::default()
     }
 }
+
+impl From<&Peer> for EntryHost {
+    fn from(peer: &Peer) -> Self {
+        EntryHost {
+            name: peer.name.clone(),
+            data_centre: peer.data_centre.clone(),
+            address: peer.address.to_string().into(),
+        }
+    }
+}
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -20,9 +20,15 @@
 /// Why this host called a peer.
 #[derive(Debug)]
 pub(super) enum PeerPurpose {
-    Hello(Name),
+    Hello {
+        host: Name,
+        asked: Millis,
+    },
     Contracts(Name),
-    Tail(Name),
+    Tail {
+        host: Name,
+        asked: Millis,
+    },
     /// An urgent request of the router.
     Forward(Dispatch),
     /// A job call of the API caller with this ticket.
@@ -58,7 +64,10 @@
         }
         let hello = self.hello(now);
         for host in due {
-            let purpose = PeerPurpose::Hello(host.clone());
+            let purpose = PeerPurpose::Hello {
+                host: host.clone(),
+                asked: now,
+            };
             let message = PeerRequest::Hello(hello.clone());
             self.call_peer(host, message, CONTROL_TIMEOUT, purpose, out);
         }
@@ -66,14 +75,13 @@
     }
 
     fn hello(&self, now: Millis) -> Hello {
-        let age = self.tail.read.map_or(u64::MAX, |read| now.since(read).0);
         Hello {
             host: self.identity.host.clone(),
             data_centre: self.identity.data_centre.clone(),
             incarnation: self.identity.incarnation,
             held: self.leases.held(now),
             log_offset: self.log_offset(),
-            log_age: age,
+            log_age: self.membership.log_age(now),
             contracts_offset: self.contracts.offset(),
             draining: self.draining,
             leaving: self.leases.leaving(),
@@ -97,7 +105,7 @@
         awaited.iter().filter_map(report).collect()
     }
 
-    fn heard(&mut self, now: Millis, hello: Hello, out: &mut Vec<Action>) {
+    fn heard(&mut self, now: Millis, asked: Option<Millis>, hello: Hello, out: &mut Vec<Action>) {
         let is_local = hello.data_centre == self.identity.data_centre;
         if is_local {
             for name in &hello.leaving {
@@ -110,11 +118,14 @@
                 .collect();
             self.held.insert(hello.host.clone(), held);
         }
-        self.membership.heard(now, &hello);
+        self.membership.heard(now, asked, &hello);
         if is_local {
-            self.set_loads(now);
             self.settle_held(now, &hello, out);
         }
+        self.hellos.insert(hello.host.clone(), hello.clone());
+        if is_local {
+            self.set_loads(now);
+        }
         if hello.contracts_offset > self.contracts.offset() {
             let request = ContractsRequest {
                 since: self.contracts.offset(),
@@ -132,7 +143,7 @@
 
     /// Asks an informed peer for records of the task stream if this host cannot read the log.
     fn ask_for_tail(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let is_open = self.is_open(|purpose| matches!(purpose, PeerPurpose::Tail(_)));
+        let is_open = self.is_open(|purpose| matches!(purpose, PeerPurpose::Tail { .. }));
         if self.reads_log(now, TAIL_AGE) || is_open {
             return;
         }
@@ -146,30 +157,38 @@
         let message = PeerRequest::Tail(TailRequest {
             from: self.log_offset(),
         });
-        let purpose = PeerPurpose::Tail(host.clone());
+        let purpose = PeerPurpose::Tail {
+            host: host.clone(),
+            asked: now,
+        };
         self.call_peer(host, message, CONTROL_TIMEOUT, purpose, out);
     }
 
     fn tail(&self, now: Millis, from: Offset) -> PeerReply {
-        if !self.reads_log(now, TAIL_AGE) {
+        let age = self.membership.log_age(now);
+        if age > TAIL_AGE.0 {
             return PeerReply::Unavailable;
         }
         let first = self
             .relayed
             .front()
             .map_or(self.log_offset(), |record| record.offset);
-        let records = self
-            .relayed
-            .iter()
-            .filter(|record| record.offset >= from)
-            .cloned();
+        let records = self.relayed.iter().filter(|record| record.offset >= from);
         PeerReply::Tail(TailReply {
             first,
-            records: records.collect(),
+            next: self.log_offset(),
+            age,
+            records: records.cloned().collect(),
         })
     }
 
-    fn tail_answered(&mut self, now: Millis, reply: TailReply, out: &mut Vec<Action>) {
+    fn tail_answered(
+        &mut self,
+        now: Millis,
+        asked: Millis,
+        reply: TailReply,
+        out: &mut Vec<Action>,
+    ) {
         // Records that the peer no longer keeps would leave a gap.
         if reply.first > self.ledger.next() {
             return;
@@ -177,11 +196,11 @@
         for record in reply.records {
             self.apply(now, record, out);
         }
-        let age = Millis(now.0.saturating_sub(TAIL_AGE.0));
-        if self.tail.read.is_none_or(|read| read < age) {
-            self.tail.read = Some(age);
-        }
-        self.membership.log_read(age);
+        self.ledger.skip_to(reply.next);
+        // The age is by the peer's clock, which may run 10% slower.
+        let sent = Millis(asked.0.saturating_sub(reply.age + reply.age / 10));
+        self.tail.read = self.tail.read.max(Some(sent));
+        self.membership.log_read(now, sent, reply.next);
     }
 
     pub(super) fn call_peer(
@@ -226,12 +245,14 @@
         };
         self.count_bytes(&purpose, bytes);
         match (purpose, result) {
-            (PeerPurpose::Hello(_), Ok(PeerReply::Hello(hello))) => self.heard(now, hello, out),
+            (PeerPurpose::Hello { asked, .. }, Ok(PeerReply::Hello(hello))) => {
+                self.heard(now, Some(asked), hello, out);
+            }
             (PeerPurpose::Contracts(_), Ok(PeerReply::Contracts(reply))) => {
                 self.contracts_relayed(now, reply);
             }
-            (PeerPurpose::Tail(_), Ok(PeerReply::Tail(reply))) => {
-                self.tail_answered(now, reply, out);
+            (PeerPurpose::Tail { asked, .. }, Ok(PeerReply::Tail(reply))) => {
+                self.tail_answered(now, asked, reply, out);
             }
             (PeerPurpose::Forward(dispatch), Ok(PeerReply::Answer(answer))) => {
                 let Answer { status, ran, body } = answer;
@@ -279,7 +300,7 @@
         let reply = match request {
             PeerRequest::Hello(hello) => {
                 let awaited = hello.awaited.clone();
-                self.heard(now, hello, out);
+                self.heard(now, None, hello, out);
                 let mut reply = self.hello(now);
                 reply.reports = self.reports(now, &awaited);
                 PeerReply::Hello(reply)
@@ -305,15 +326,35 @@
         }
     }
 
+    /// Last heartbeat of a peer that is live.
+    pub(super) fn live_hello(&self, now: Millis, host: &str) -> Option<&Hello> {
+        self.hellos
+            .get(host)
+            .filter(|_| self.membership.is_live(now, host))
+    }
+
+    /// Live hosts of a data centre that are not draining.
+    pub(super) fn live_in(&self, now: Millis, data_centre: &Name) -> Vec<Name> {
+        let peers = self
+            .peers
+            .values()
+            .filter(|peer| peer.data_centre == *data_centre);
+        let live = peers.filter(|peer| {
+            self.live_hello(now, &peer.name)
+                .is_some_and(|hello| !hello.draining)
+        });
+        live.map(|peer| peer.name.clone()).collect()
+    }
+
     fn is_open(&self, matches: impl Fn(&PeerPurpose) -> bool) -> bool {
         self.calls.values().any(matches)
     }
 
     fn count_bytes(&self, purpose: &PeerPurpose, bytes: usize) {
         let (label, host) = match purpose {
-            PeerPurpose::Hello(host) => ("hello", host),
+            PeerPurpose::Hello { host, .. } => ("hello", host),
             PeerPurpose::Contracts(host) => ("contracts", host),
-            PeerPurpose::Tail(host) => ("tail", host),
+            PeerPurpose::Tail { host, .. } => ("tail", host),
             PeerPurpose::Job { host, .. } => ("job", host),
             // Urgent requests stay within the data centre.
             PeerPurpose::Forward(_) => return,
--- a/src/process/node/status.rs
+++ b/src/process/node/status.rs
@@ -81,7 +81,7 @@
                 log_lag,
             };
         }
-        let hello = self.membership.hello(now, name);
+        let hello = self.live_hello(now, name);
         let state = match &hello {
             None => EntryState::Dead,
             Some(hello) if hello.draining => EntryState::Draining,
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -5,7 +5,7 @@
 use crate::base::{Millis, Name, Offset};
 use crate::connection::Error;
 use crate::connection::wire::{LogRecord, ReadReply, RelayedRecord};
-use crate::process::telemetry;
+use crate::process::{OpenSuspicion, telemetry};
 use crate::version::{Append, Batch, Change, Journal, Record, Requeue, TaskResult};
 
 type Result<T> = std::result::Result<T, Error>;
@@ -58,6 +58,7 @@
         &mut self,
         now: Millis,
         stream: Stream,
+        sent: Millis,
         reply: Result<ReadReply>,
         out: &mut Vec<Action>,
     ) {
@@ -70,11 +71,11 @@
         };
         match stream {
             Stream::Contracts => self.contracts_read(now, &reply, out),
-            Stream::Tasks => self.tasks_read(now, reply, out),
+            Stream::Tasks => self.tasks_read(now, sent, reply, out),
         }
     }
 
-    fn tasks_read(&mut self, now: Millis, reply: ReadReply, out: &mut Vec<Action>) {
+    fn tasks_read(&mut self, now: Millis, sent: Millis, reply: ReadReply, out: &mut Vec<Action>) {
         let target = *self.tail.target.get_or_insert(reply.next);
         if reply.first > self.ledger.next() {
             self.tail.skipped += reply.first.0 - self.ledger.next().0;
@@ -93,7 +94,9 @@
             );
         }
         self.tail.read = Some(now);
-        self.membership.log_read(now);
+        if self.ledger.next() >= reply.next {
+            self.membership.log_read(now, sent, self.ledger.next());
+        }
         if !self.tail.caught_up && self.ledger.next() >= target {
             tracing::info!(tasks = self.ledger.len(), "read the task stream to its end");
             self.tail.caught_up = true;
@@ -213,12 +216,23 @@
             return;
         }
         let mut records: Vec<Record> = Vec::new();
+        let open: Vec<OpenSuspicion> = self
+            .ledger
+            .suspicions()
+            .iter()
+            .map(|(worker, suspicion)| OpenSuspicion {
+                worker: worker.clone(),
+                host: suspicion.host.clone(),
+                offset: suspicion.offset,
+                read: suspicion.read,
+            })
+            .collect();
         let claimed: Vec<Name> = self.ledger.claimed_workers().cloned().collect();
         self.suspicions.poll(
             now,
             &self.membership,
             &self.leases,
-            self.ledger.suspicions(),
+            &open,
             &claimed,
             &mut records,
         );
--- a/src/process/node/urgent.rs
+++ b/src/process/node/urgent.rs
@@ -351,7 +351,17 @@
 
     /// Loads that the peers of this data centre told in their heartbeats.
     pub(super) fn set_loads(&mut self, now: Millis) {
-        let loads: Vec<(Name, ServiceLoad)> = self.membership.loads(now);
+        let loads: Vec<(Name, ServiceLoad)> = self
+            .live
+            .iter()
+            .filter_map(|host| self.live_hello(now, host))
+            .flat_map(|hello| {
+                hello
+                    .loads
+                    .iter()
+                    .map(|load| (hello.host.clone(), load.clone()))
+            })
+            .collect();
         self.urgent.set_peers(now, loads);
     }
 
--- a/src/process/runtime/adapters.rs
+++ b/src/process/runtime/adapters.rs
@@ -82,12 +82,18 @@
             api: ApiServer::bind(settings.listen.api, limits, sink.clone())?,
             telemetry,
             _readers: [
-                follow(&log, CONTRACTS.into(), Stream::Contracts, sink.clone())?,
-                follow(&log, tasks, Stream::Tasks, sink.clone())?,
+                follow(
+                    &log,
+                    CONTRACTS.into(),
+                    Stream::Contracts,
+                    clock,
+                    sink.clone(),
+                )?,
+                follow(&log, tasks, Stream::Tasks, clock, sink.clone())?,
             ],
             _hosts: HostsReader::spawn(
                 control,
-                &settings.platform.hosts,
+                &format!("{}/hosts", settings.platform.hosts),
                 timing.hosts_interval,
                 sink,
             )?,
@@ -231,9 +237,20 @@
     }
 }
 
-fn follow(log: &HttpLog, name: Name, stream: Stream, sink: Sink) -> Result<StreamReader> {
-    StreamReader::spawn(log.clone(), name, move |reply| {
-        sink.send(Event::Read { stream, reply })
+fn follow(
+    log: &HttpLog,
+    name: Name,
+    stream: Stream,
+    clock: Clock,
+    sink: Sink,
+) -> Result<StreamReader> {
+    StreamReader::spawn(log.clone(), name, move |sent, reply| {
+        let sent = clock.at(sent);
+        sink.send(Event::Read {
+            stream,
+            sent,
+            reply,
+        })
     })
 }
 
--- a/src/process/runtime/clock.rs
+++ b/src/process/runtime/clock.rs
@@ -17,6 +17,11 @@
         }
     }
 
+    /// Core time of an instant of this process.
+    pub fn at(&self, instant: Instant) -> Millis {
+        Millis(instant.duration_since(self.start).as_millis() as u64)
+    }
+
     pub fn now(&self) -> Millis {
         Millis(self.start.elapsed().as_millis() as u64)
     }
--- a/src/request/urgent.rs
+++ b/src/request/urgent.rs
@@ -325,7 +325,7 @@
 
 /// Request ids are unique only per customer.
 fn key(request: &UrgentRequest) -> Name {
-    format!("{}/{}", request.customer, request.request).into()
+    format!("{}:{}", request.customer, request.request).into()
 }
 
 /// How long an id of an at-most-once class is remembered.
--- a/src/request/urgent/types.rs
+++ b/src/request/urgent/types.rs
@@ -134,7 +134,7 @@
         instance: Name,
         address: Name,
         token: Token,
-        /// `customer/request`: request ids are unique only per customer.
+        /// `customer:request`, which needs no escaping in a URL path: request ids are unique only per customer.
         request: Name,
         /// Time left until the deadline.
         deadline: Millis,
@@ -234,7 +234,7 @@
         UrgentAnswer {
             status: answer.status,
             ran: answer.ran,
-            body: answer.body.into(),
+            body: answer.body,
         }
     }
 }
@@ -244,7 +244,7 @@
         Answer {
             status: answer.status,
             ran: answer.ran,
-            body: answer.body.into(),
+            body: answer.body,
         }
     }
 }
