Close gaps that mutated stand-ins showed in their tests

The crash switch of log and hosts could also not be taken back, because it closed the port of its own control call.

Each gate now counts restarts and drops the calls that came before one. log and hosts serve control calls on a second port, without faults. Added tests for the gaps: lapse of a task with a declared end, spread of run time and use, unmarked second attempts, held calls, recent records under retention, delayed answers and repeated requests after a restart.

--- a/examples/standin/fleet/control.rs
+++ b/examples/standin/fleet/control.rs
@@ -56,8 +56,8 @@
             for host in &hosts {
                 known |= backend.set_host(now, *host, name, value)?;
                 known |= self.gates[*host].set(name, value)?;
-                if name == "restart" {
-                    self.gates[*host].connections.close_all();
+                if name == "restart" && parse(name, value)? {
+                    self.gates[*host].restart();
                 }
             }
             if !known && !backend.set(now, name, value)? {
--- a/examples/standin/hosts/mod.rs
+++ b/examples/standin/hosts/mod.rs
@@ -6,11 +6,10 @@
 use std::sync::Arc;
 
 use clap::{Arg, ArgMatches, Command};
-use serde_json::json;
 
 use crate::error::Result;
-use crate::net::{Gate, Listener};
-use crate::process::{get_number, get_port, number, serve_until_signal};
+use crate::net::Gate;
+use crate::process::{get_number, number, serve_with_control};
 use list::LaggingList;
 use service::HostsService;
 
@@ -32,11 +31,5 @@
     }
     let gate = Arc::new(Gate::new("/hosts"));
     let service = HostsService::new(list, gate.clone());
-    let listener = Listener::bind(get_port(matches))?;
-    let address = listener.address().to_string();
-    listener.spawn(gate, Arc::new(service));
-    serve_until_signal(
-        matches,
-        &json!({"kind": "hosts", "address": address, "control": address}),
-    )
+    serve_with_control(matches, "hosts", gate, service)
 }
--- a/examples/standin/log/mod.rs
+++ b/examples/standin/log/mod.rs
@@ -8,11 +8,10 @@
 use std::sync::Arc;
 
 use clap::{ArgMatches, Command};
-use serde_json::json;
 
 use crate::error::Result;
-use crate::net::{Gate, Listener};
-use crate::process::{get_number, get_port, number, serve_until_signal};
+use crate::net::Gate;
+use crate::process::{get_number, number, serve_with_control};
 use service::LogService;
 use store::LogStore;
 use stream::Retention;
@@ -50,11 +49,5 @@
     let rate = rate::RateLimit::new(get_number(matches, "rate"), get_number(matches, "burst"));
     let gate = Arc::new(Gate::new("/streams"));
     let service = LogService::new(LogStore::new(retention, rate), gate.clone());
-    let listener = Listener::bind(get_port(matches))?;
-    let address = listener.address().to_string();
-    listener.spawn(gate, Arc::new(service));
-    serve_until_signal(
-        matches,
-        &json!({"kind": "log", "address": address, "control": address}),
-    )
+    serve_with_control(matches, "log", gate, service)
 }
--- a/examples/standin/log/service.rs
+++ b/examples/standin/log/service.rs
@@ -46,6 +46,12 @@
         Response::ok(&self.store.inspect(stream, from, max))
     }
 
+    fn stats(&self) -> Response {
+        let mut stats = self.store.stats();
+        stats["waiting"] = self.gate.waiting().into();
+        Response::ok(&stats)
+    }
+
     fn control(&self, request: &Request) -> Response {
         let patch: Patch = match request.json() {
             Ok(patch) => patch,
@@ -74,7 +80,7 @@
             (&Method::POST, ["streams", stream, "records"]) => self.append(stream, request),
             (&Method::GET, ["streams", stream, "records"]) => self.read(stream, request),
             (&Method::POST, ["control"]) => self.control(request),
-            (&Method::GET, ["control", "stats"]) => Response::ok(&self.store.stats()),
+            (&Method::GET, ["control", "stats"]) => self.stats(),
             (&Method::GET, ["control", "streams", stream, "records"]) => {
                 self.inspect(stream, request)
             }
--- a/examples/standin/net/gate.rs
+++ b/examples/standin/net/gate.rs
@@ -35,6 +35,8 @@
     delay: Duration,
     frozen: bool,
     crashed: bool,
+    /// Counts crashes and restarts: calls that came before one have no effect after it.
+    restarts: u64,
     lost: Faults,
     lose_path: String,
 }
@@ -48,6 +50,7 @@
             delay: Duration::ZERO,
             frozen: false,
             crashed: false,
+            restarts: 0,
             lost: Faults::default(),
             lose_path: lose_path.to_owned(),
         };
@@ -72,14 +75,22 @@
             "lose_path" => state.lose_path = parse(name, value)?,
             _ => return Ok(false),
         }
-        if state.crashed {
-            self.connections.close_all();
-        }
+        let crashed = state.crashed;
         drop(state);
+        if name == "crash" && crashed {
+            self.restart();
+        }
         self.changed.notify_all();
         Ok(true)
     }
 
+    /// Closes all connections; calls that wait are lost.
+    pub fn restart(&self) {
+        self.lock().restarts += 1;
+        self.connections.close_all();
+        self.changed.notify_all();
+    }
+
     pub fn is_crashed(&self) -> bool {
         self.lock().crashed
     }
@@ -93,7 +104,7 @@
         if state.is_cut(request) {
             return false;
         }
-        let delay = state.delay;
+        let (delay, restarts) = (state.delay, state.restarts);
         drop(state);
         self.waiting.fetch_add(1, Ordering::Relaxed);
         if !delay.is_zero() {
@@ -101,10 +112,12 @@
         }
         let state = self
             .changed
-            .wait_while(self.lock(), |state| state.is_held(request))
+            .wait_while(self.lock(), |state| {
+                state.restarts == restarts && state.is_held(request)
+            })
             .expect("no thread panics with the lock");
         self.waiting.fetch_sub(1, Ordering::Relaxed);
-        !state.crashed && !state.is_cut(request)
+        !state.crashed && state.restarts == restarts && !state.is_cut(request)
     }
 
     /// Calls that wait out a delay, a hold or a freeze.
@@ -137,7 +150,7 @@
     }
 
     fn is_held(&self, request: &Request) -> bool {
-        !self.crashed && (self.frozen || names_client(&self.holds, request))
+        self.frozen || names_client(&self.holds, request)
     }
 }
 
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -14,6 +14,8 @@
 mod leases;
 #[path = "standin/log.rs"]
 mod log;
+#[path = "standin/model.rs"]
+mod model;
 #[path = "standin/processes.rs"]
 mod processes;
 #[path = "standin/workers.rs"]
--- a/tests/standin/calls.rs
+++ b/tests/standin/calls.rs
@@ -111,12 +111,12 @@
 }
 
 pub fn append(log: &Standin, data: &[u8]) -> Result<Reply, ureq::Error> {
-    Client::new().post(&log.control, "/streams/s/records", data)
+    Client::new().post(&log.service, "/streams/s/records", data)
 }
 
 pub fn read(log: &Standin, query: &str) -> Reply {
     Client::new()
-        .get(&log.control, &format!("/streams/s/records?{query}"))
+        .get(&log.service, &format!("/streams/s/records?{query}"))
         .expect("the log answers")
 }
 
--- a/tests/standin/hosts.rs
+++ b/tests/standin/hosts.rs
@@ -20,7 +20,7 @@
 }
 
 fn get(hosts: &Standin) -> Reply {
-    let reply = Client::new().get(&hosts.control, "/hosts");
+    let reply = Client::new().get(&hosts.service, "/hosts");
     reply.expect("the list answers")
 }
 
--- a/tests/standin/instances.rs
+++ b/tests/standin/instances.rs
@@ -218,18 +218,24 @@
     assert_eq!(violations[0].state.as_deref(), Some("duplicate_run"));
 }
 
-// Guards against a crash that lets a running request end or answer.
-#[test]
-fn crash_ends_running_requests() {
+// Guards against a crash that lets a running request end or answer, or its caller wait.
+#[parameterized(
+    restart = { json!({"restart": true}) },
+    crash = { json!({"crash": true}) },
+)]
+fn crash_ends_running_requests(patch: Value) {
     let dir = TestDir::new("instance-crash");
-    let (instance, token) = instance(&dir, &["--service-ms", "300"]);
+    let (instance, token) = instance(&dir, &["--service-ms", "100000"]);
     let address = instance.address(0);
     std::thread::scope(|scope| {
         let call = scope.spawn(move || run(address, token, "r", b"").is_err());
         until("the run", SOON, || of(&instance, Event::Started).len() == 1);
-        instance.set(json!({"restart": true}));
+        let crashed = Instant::now();
+        instance.set(patch);
         assert!(call.join().unwrap());
+        assert!(crashed.elapsed() < SOON);
     });
+    instance.set(json!({"crash": false}));
     let reply = lease(address, &lease_request("e1", None));
     assert_eq!(reply.ok::<Value>()["report"]["running"], json!([]));
     let ends = of(&instance, Event::Ended);
@@ -237,6 +243,42 @@
     assert_eq!(ends[0].state.as_deref(), Some("crashed"));
 }
 
+// Guards against a request of an earlier incarnation that ends its repetition.
+#[test]
+fn repeated_request_runs_its_whole_time_after_a_restart() {
+    let dir = TestDir::new("instance-again");
+    let (instance, token) = instance(&dir, &["--service-ms", "300"]);
+    let address = instance.address(0);
+    std::thread::scope(|scope| {
+        let lost = scope.spawn(move || run(address, token, "r", b"").is_err());
+        until("the run", SOON, || of(&instance, Event::Started).len() == 1);
+        instance.set(json!({"restart": true}));
+        assert!(lost.join().unwrap());
+    });
+    let token = grant(address, "e1");
+    assert_eq!(run(address, token, "r", b"").unwrap().status, 200);
+    let times = |event| -> Vec<u64> { of(&instance, event).iter().map(|r| r.time).collect() };
+    assert!(times(Event::Ended)[1] - times(Event::Started)[1] >= 300);
+    assert!(of(&instance, Event::Violation).is_empty());
+}
+
+// Guards against an answer that comes before its delay, and a slot that is held during it.
+#[test]
+fn delayed_answer_frees_its_slot_first() {
+    let dir = TestDir::new("instance-delayed");
+    let (instance, token) = instance(&dir, &["--service-ms", "0"]);
+    instance.set(json!({"delay_answers_ms": 200}));
+    let started = Instant::now();
+    assert_eq!(
+        run(instance.address(0), token, "r", b"").unwrap().status,
+        200
+    );
+    assert!(started.elapsed() >= Duration::from_millis(200));
+    let records = instance.records();
+    let times: Vec<u64> = records.iter().map(|record| record.time).collect();
+    assert!(times[2] - times[1] < 200, "{times:?}");
+}
+
 // Guards against requests that an instance takes without a lease.
 #[test]
 fn request_without_token_is_refused() {
--- a/tests/standin/log.rs
+++ b/tests/standin/log.rs
@@ -67,6 +67,41 @@
     assert_eq!(reply.offset, Offset(3));
 }
 
+// Guards against records that expire before their time.
+#[test]
+fn retention_by_age_keeps_recent_records() {
+    let dir = TestDir::new("log-recent");
+    let log = Standin::start(&dir, "log", &["--retention-ms", "600000"]);
+    append_numbers(&log, 3);
+    assert_eq!(offsets(&read(&log, "from=0").ok()), [0, 1, 2]);
+}
+
+// Guards against a call that was under way when its connection was lost and takes effect later.
+#[parameterized(
+    crash = { &[json!({"crash": true}), json!({"crash": false})] },
+    cut = { &[json!({"cuts": ["*"]})] },
+)]
+fn held_append_is_lost(patches: &[Value]) {
+    let dir = TestDir::new("log-held");
+    let log = Standin::start(&dir, "log", &[]);
+    log.set(json!({"freeze": true}));
+    std::thread::scope(|scope| {
+        let call = scope.spawn(|| append(&log, b"x").is_err());
+        until("the held append", SOON, || log.stats()["waiting"] == 1);
+        for patch in patches {
+            log.set(patch.clone());
+        }
+        log.set(json!({"freeze": false}));
+        assert!(call.join().unwrap());
+    });
+    until("the end of the call", SOON, || log.stats()["waiting"] == 0);
+    log.set(json!({"cuts": []}));
+    assert_eq!(
+        append(&log, b"x").unwrap().ok::<AppendReply>().offset,
+        Offset(0)
+    );
+}
+
 // Guards against refusals that take effect, and against faults that hit the wrong calls.
 #[parameterized(
     down = { json!({"down": true}), 503, "down", 503 },
@@ -149,7 +184,7 @@
     log.set(json!({"cuts": cuts}));
     let call = |client: &str| {
         let client = Client::new().with_header("client", client);
-        client.post(&log.control, "/streams/s/records", "x")
+        client.post(&log.service, "/streams/s/records", "x")
     };
     for client in cut {
         assert!(call(client).is_err(), "{client}");
--- /dev/null
+++ b/tests/standin/model.rs
@@ -0,0 +1,175 @@
+//! How long tasks run on workers, what they use and how they end.
+
+use std::time::Duration;
+
+use jayfork::base::Size;
+use jayfork::connection::wire::TaskReply;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+use crate::calls::{SOON, command, entry, grant, renew, start, start_request};
+use crate::support::{Event, Record, Standin, TestDir, eventually, until};
+use crate::workers::{TASK, of, worker};
+
+/// Waits for the end of the first task that ends.
+fn ended(worker: &Standin) -> Record {
+    eventually("end of a task", SOON, || {
+        of(worker, Event::Ended).into_iter().next()
+    })
+}
+
+// Guards against a spread that is none, that exceeds its bounds or that changes between runs.
+#[test]
+fn spread_repeats_with_the_seed() {
+    let dir = TestDir::new("worker-spread");
+    let run_times = |seed: &str| -> Vec<u64> {
+        let (worker, token) = worker(&dir, &["--seed", seed]);
+        worker.set(json!({"default_class": {"spread_percent": 50, "run_ms": 200}}));
+        for index in 0..10 {
+            let request = start_request(token, &format!("c/j/{index}"), 0);
+            assert_eq!(start(worker.address(0), &request).status, 200);
+        }
+        until("all ends", SOON, || of(&worker, Event::Ended).len() == 10);
+        let mut ends = of(&worker, Event::Ended);
+        ends.sort_by(|a, b| a.id.cmp(&b.id));
+        let starts = of(&worker, Event::Started);
+        ends.iter()
+            .zip(starts)
+            .map(|(end, start)| end.time - start.time)
+            .collect()
+    };
+    let first = run_times("7");
+    assert!(
+        first.iter().all(|time| (100..=300).contains(time)),
+        "{first:?}"
+    );
+    assert!(first.iter().any(|time| *time != first[0]), "{first:?}");
+    assert_eq!(run_times("7"), first);
+    assert_ne!(run_times("8"), first);
+}
+
+// Guards against reported use that does not vary between tasks.
+#[test]
+fn spread_varies_the_use() {
+    let dir = TestDir::new("worker-spread-use");
+    let (worker, token) = worker(&dir, &["--report-lag-ms", "0", "--report-every-ms", "1"]);
+    worker.set(json!({"default_class": {"spread_percent": 50}}));
+    for index in 0..10 {
+        let request = start_request(token, &format!("c/j/{index}"), 0);
+        assert_eq!(start(worker.address(0), &request).status, 200);
+    }
+    let usage = eventually("all measurements", SOON, || -> Option<Vec<Size>> {
+        let tasks = renew(worker.address(0), token).report.tasks;
+        tasks.into_iter().map(|task| task.usage).collect()
+    });
+    let processors: Vec<u32> = usage.iter().map(|usage| usage.processors).collect();
+    assert!(
+        processors.iter().all(|used| (500..=1500).contains(used)),
+        "{usage:?}"
+    );
+    assert!(
+        processors.iter().any(|used| *used != processors[0]),
+        "{usage:?}"
+    );
+}
+
+// Guards against run times that do not follow the model, so that tests cannot rely on them.
+#[parameterized(
+    declared = { json!({}), false, 400 },
+    shorter = { json!({"classes": {"merge": {"run_percent": 50}}}), false, 200 },
+    longer = { json!({"classes": {"merge": {"run_percent": 150}}}), false, 600 },
+    other_class = { json!({"classes": {"tally": {"run_percent": 50}}}), false, 400 },
+    any_class = { json!({"default_class": {"run_percent": 50}}), false, 200 },
+    absolute = { json!({"default_class": {"run_ms": 70}}), false, 70 },
+    noisy = { json!({"noisy": 200}), false, 800 },
+    throttled = { json!({}), true, 800 },
+)]
+fn task_runs_as_long_as_the_model_says(patch: Value, throttled: bool, expected: u64) {
+    let dir = TestDir::new("worker-model");
+    let (worker, token) = worker(&dir, &[]);
+    worker.set(patch);
+    let mut request = start_request(token, TASK, 0);
+    request.run = 400;
+    assert_eq!(start(worker.address(0), &request).status, 200);
+    if throttled {
+        assert_eq!(
+            command(worker.address(0), "throttle", token, TASK, 0).status,
+            200
+        );
+    }
+    let end = ended(&worker);
+    let records = worker.records();
+    let time = |event| records.iter().find(|r| r.event == event).map(|r| r.time);
+    let started = time(Event::Started).unwrap();
+    // Full speed until the throttle, half of it afterwards.
+    let until_throttle = time(Event::Throttled).map_or(0, |time| time - started);
+    assert_eq!(end.time - started, expected - until_throttle);
+    assert_eq!(end.state.as_deref(), Some("succeeded"));
+}
+
+// Guards against a resumed task that starts over or that resumes on its own worker only.
+#[test]
+fn checkpointed_task_resumes_elsewhere() {
+    let dir = TestDir::new("worker-resume");
+    let workers = Standin::start(&dir, "workers", &["--count", "2"]);
+    let tokens = [0, 1].map(|index| grant(workers.address(index), "e1"));
+    let mut request = start_request(tokens[0], TASK, 0);
+    request.run = 1000;
+    assert_eq!(start(workers.address(0), &request).status, 200);
+    std::thread::sleep(Duration::from_millis(20));
+    let reply: TaskReply = command(workers.address(0), "checkpoint", tokens[0], TASK, 0).ok();
+    request.token = tokens[1];
+    request.attempt = request.attempt.next();
+    request.checkpoint = reply.checkpoint;
+    assert_eq!(start(workers.address(1), &request).status, 200);
+    until("both ends", SOON, || of(&workers, Event::Ended).len() == 2);
+    let times = |event| -> Vec<u64> { of(&workers, event).iter().map(|r| r.time).collect() };
+    let (started, ended) = (times(Event::Started), times(Event::Ended));
+    let run: u64 = ended.iter().sum::<u64>() - started.iter().sum::<u64>();
+    assert_eq!(run, 1000);
+    assert!(ended[0] - started[0] >= 20);
+}
+
+// Guards against failures that cannot be told from successes.
+#[parameterized(
+    named = { json!({"fail_tasks": [TASK]}), "failed" },
+    other_named = { json!({"fail_tasks": ["c/j/1"]}), "succeeded" },
+    whole_class = { json!({"classes": {"merge": {"fail_percent": 100}}}), "failed" },
+)]
+fn task_fails_when_told(patch: Value, expected: &str) {
+    let dir = TestDir::new("worker-fail");
+    let (worker, token) = worker(&dir, &[]);
+    worker.set(patch);
+    let mut request = start_request(token, TASK, 0);
+    request.run = 10;
+    assert_eq!(start(worker.address(0), &request).status, 200);
+    assert_eq!(ended(&worker).state.as_deref(), Some(expected));
+}
+
+// Guards against usage that shows without lag, or that does not follow the true use.
+#[test]
+fn usage_shows_late_and_follows_the_model() {
+    let dir = TestDir::new("worker-usage");
+    let args = ["--report-lag-ms", "200", "--report-every-ms", "100"];
+    let (worker, token) = worker(&dir, &args);
+    worker.set(json!({"classes": {"merge": {"use_percent": 150}}}));
+    assert_eq!(
+        start(worker.address(0), &start_request(token, TASK, 0)).status,
+        200
+    );
+    let usage = || entry(worker.address(0), token, TASK, 0).unwrap().usage;
+    let started = of(&worker, Event::Started)[0].time;
+    let measured = eventually("first measurement", SOON, usage);
+    let report = renew(worker.address(0), token).report;
+    let probe = start_request(token, "c/j/probe", 0);
+    assert_eq!(start(worker.address(0), &probe).status, 200);
+    assert!(of(&worker, Event::Started)[1].time - started >= 200);
+    assert_eq!(measured, Size::new(1500, 1536, 0));
+    assert!(
+        (200..=300).contains(&report.measured),
+        "{}",
+        report.measured
+    );
+    worker.set(json!({"noisy": 200}));
+    until("noise", SOON, || usage() == Some(Size::new(3000, 3072, 0)));
+}
--- a/tests/standin/processes.rs
+++ b/tests/standin/processes.rs
@@ -53,7 +53,7 @@
     let dir = TestDir::new("process-stop");
     let mut log = Standin::start(&dir, "log", &["--rate", "0"]);
     log.process.signal(Signal::Stop);
-    let address = log.control.clone();
+    let address = log.service.clone();
     let calls: Vec<_> = (0..32)
         .map(|_| {
             let address = address.clone();
@@ -87,7 +87,7 @@
     platform.add_workers(&dir, &["--count", "2", "--data-centre", "praha-karlin"]);
     platform.add_instances(&dir, &["--service", "assembly"]);
     let client = Client::new().with_header("client", "e1");
-    let address = platform.list.control.clone();
+    let address = platform.list.service.clone();
     let list = |client: &Client| client.get(&address, "/hosts");
     let names = list(&client).unwrap().text();
     for name in ["praha-karlin-w0", "praha-karlin-w1", "dc-assembly-0"] {
@@ -97,7 +97,7 @@
     assert!(list(&client).is_err());
     assert!(
         client
-            .get(&platform.log.control, "/streams/s/records")
+            .get(&platform.log.service, "/streams/s/records")
             .is_err()
     );
     for entry in platform.entries() {
--- a/tests/standin/workers.rs
+++ b/tests/standin/workers.rs
@@ -1,7 +1,5 @@
-use std::time::Duration;
-
 use jayfork::base::{Size, Token};
-use jayfork::connection::wire::{StartReply, StartState, TaskReply, TaskState};
+use jayfork::connection::wire::{LeaseReply, StartReply, StartState, TaskReply, TaskState};
 use serde_json::{Value, json};
 use yare::parameterized;
 
@@ -9,12 +7,12 @@
     LONG, SOON, acknowledge, command, entry, grant, lease, lease_request, release, renew, start,
     start_request,
 };
-use crate::support::{Client, Event, Record, Standin, TestDir, eventually, until};
+use crate::support::{Client, Event, Record, Standin, TestDir, until};
 
-const TASK: &str = "c/j/0";
+pub const TASK: &str = "c/j/0";
 
 /// Starts one worker and takes its lease.
-fn worker(dir: &TestDir, args: &[&str]) -> (Standin, Token) {
+pub fn worker(dir: &TestDir, args: &[&str]) -> (Standin, Token) {
     let worker = Standin::start(dir, "workers", args);
     let token = grant(worker.address(0), "e1");
     (worker, token)
@@ -24,18 +22,11 @@
     entry(worker.address(0), token, TASK, attempt).map(|entry| entry.state)
 }
 
-fn of(worker: &Standin, event: Event) -> Vec<Record> {
+pub fn of(worker: &Standin, event: Event) -> Vec<Record> {
     let records = worker.records().into_iter();
     records.filter(|record| record.event == event).collect()
 }
 
-/// Waits for the end of the first task that ends.
-fn ended(worker: &Standin) -> Record {
-    eventually("end of a task", SOON, || {
-        of(worker, Event::Ended).into_iter().next()
-    })
-}
-
 // Guards against an overcommitted worker in any dimension, and against refusals of what fits.
 #[parameterized(
     fills_it = { Size::new(4000, 4096, 2), true },
@@ -133,41 +124,61 @@
 
 // Guards against run leases that never lapse or that lapse although they are renewed.
 #[parameterized(
-    not_renewed = { false, true },
-    renewed = { true, false },
+    not_renewed = { false, 0, Some(("lapsed", 1000)) },
+    not_renewed_with_an_end = { false, 100_000, Some(("lapsed", 1000)) },
+    renewed = { true, 0, None },
+    ends_before = { false, 400, Some(("succeeded", 400)) },
 )]
-fn run_lease_lapses_unless_renewed(renew_tasks: bool, lapses: bool) {
+fn run_lease_lapses_unless_renewed(renew_tasks: bool, run: u64, end: Option<(&str, u64)>) {
     let dir = TestDir::new("worker-run-lease");
     let worker = Standin::start(&dir, "workers", &[]);
+    let address = worker.address(0);
     let mut request = lease_request("e1", None);
     request.run_ttl = 1000;
-    let token = lease(worker.address(0), &request).ok::<Value>()["token"].as_u64();
-    let token = Token(token.unwrap());
-    let task = start_request(token, TASK, 0);
-    assert_eq!(start(worker.address(0), &task).status, 200);
-    // Ends after the run lease of the start: the other task shows that it would have lapsed.
-    let mut request = lease_request("e1", Some(token));
-    request.run_ttl = if renew_tasks { LONG } else { 1000 };
+    let granted: LeaseReply<Value> = lease(address, &request).ok();
+    let mut task = start_request(granted.token, TASK, 0);
+    task.run = run;
+    assert_eq!(start(address, &task).status, 200);
+    request.token = Some(granted.token);
+    request.run_ttl = LONG;
     request.renew_tasks = renew_tasks;
-    assert_eq!(lease(worker.address(0), &request).status, 200);
-    let mut witness = lease_request("e1", Some(token));
-    witness.run_ttl = 1000;
-    assert_eq!(lease(worker.address(0), &witness).status, 200);
-    let other = start_request(token, "c/j/witness", 0);
-    assert_eq!(start(worker.address(0), &other).status, 200);
+    assert_eq!(lease(address, &request).status, 200);
+
+    // A task that starts later and lapses shows that the time of the first one has come.
+    request.run_ttl = 1000;
+    request.renew_tasks = false;
+    assert_eq!(lease(address, &request).status, 200);
+    let witness = start_request(granted.token, "c/j/witness", 0);
+    assert_eq!(start(address, &witness).status, 200);
+    let ended = |id: &str| of(&worker, Event::Ended).into_iter().find(|r| r.id == id);
     until("lapse of the witness", SOON, || {
-        let ended = of(&worker, Event::Ended);
-        ended.iter().any(|record| record.id == "c/j/witness")
+        ended("c/j/witness").is_some()
+    });
+
+    let started = &of(&worker, Event::Started)[0];
+    let ended = ended(TASK);
+    let seen = ended.as_ref().map(|record| {
+        let state = record.state.as_deref().unwrap_or_default();
+        (state, record.time - started.time)
     });
-    let lapsed = of(&worker, Event::Ended)
-        .into_iter()
-        .find(|record| record.id == TASK);
-    assert_eq!(lapsed.is_some(), lapses);
-    if let Some(record) = lapsed {
-        let started = &of(&worker, Event::Started)[0];
-        assert_eq!(record.state.as_deref(), Some("lapsed"));
-        assert_eq!(record.time - started.time, 1000);
+    assert_eq!(seen, end);
+}
+
+// Guards against marks on work that was moved properly.
+#[test]
+fn second_attempt_after_the_first_ended_is_not_marked() {
+    let dir = TestDir::new("worker-moved");
+    let workers = Standin::start(&dir, "workers", &["--count", "2"]);
+    for (index, attempt) in [(0, 0), (1, 1)] {
+        let address = workers.address(index);
+        let token = grant(address, "e1");
+        assert_eq!(
+            start(address, &start_request(token, TASK, attempt)).status,
+            200
+        );
+        assert_eq!(command(address, "stop", token, TASK, attempt).status, 200);
     }
+    assert!(of(&workers, Event::Violation).is_empty());
 }
 
 // Guards against a lost answer that also loses its effect.
@@ -255,79 +266,6 @@
     assert_eq!(state(&worker, newest, 0), Some(TaskState::Running));
 }
 
-// Guards against run times that do not follow the model, so that tests cannot rely on them.
-#[parameterized(
-    declared = { json!({}), false, 400 },
-    shorter = { json!({"classes": {"merge": {"run_percent": 50}}}), false, 200 },
-    longer = { json!({"classes": {"merge": {"run_percent": 150}}}), false, 600 },
-    other_class = { json!({"classes": {"tally": {"run_percent": 50}}}), false, 400 },
-    any_class = { json!({"default_class": {"run_percent": 50}}), false, 200 },
-    absolute = { json!({"default_class": {"run_ms": 70}}), false, 70 },
-    noisy = { json!({"noisy": 200}), false, 800 },
-    throttled = { json!({}), true, 800 },
-)]
-fn task_runs_as_long_as_the_model_says(patch: Value, throttled: bool, expected: u64) {
-    let dir = TestDir::new("worker-model");
-    let (worker, token) = worker(&dir, &[]);
-    worker.set(patch);
-    let mut request = start_request(token, TASK, 0);
-    request.run = 400;
-    assert_eq!(start(worker.address(0), &request).status, 200);
-    if throttled {
-        assert_eq!(
-            command(worker.address(0), "throttle", token, TASK, 0).status,
-            200
-        );
-    }
-    let end = ended(&worker);
-    let records = worker.records();
-    let time = |event| records.iter().find(|r| r.event == event).map(|r| r.time);
-    let started = time(Event::Started).unwrap();
-    // Full speed until the throttle, half of it afterwards.
-    let until_throttle = time(Event::Throttled).map_or(0, |time| time - started);
-    assert_eq!(end.time - started, expected - until_throttle);
-    assert_eq!(end.state.as_deref(), Some("succeeded"));
-}
-
-// Guards against a resumed task that starts over or that resumes on its own worker only.
-#[test]
-fn checkpointed_task_resumes_elsewhere() {
-    let dir = TestDir::new("worker-resume");
-    let workers = Standin::start(&dir, "workers", &["--count", "2"]);
-    let tokens = [0, 1].map(|index| grant(workers.address(index), "e1"));
-    let mut request = start_request(tokens[0], TASK, 0);
-    request.run = 1000;
-    assert_eq!(start(workers.address(0), &request).status, 200);
-    std::thread::sleep(Duration::from_millis(20));
-    let reply: TaskReply = command(workers.address(0), "checkpoint", tokens[0], TASK, 0).ok();
-    request.token = tokens[1];
-    request.attempt = request.attempt.next();
-    request.checkpoint = reply.checkpoint;
-    assert_eq!(start(workers.address(1), &request).status, 200);
-    until("both ends", SOON, || of(&workers, Event::Ended).len() == 2);
-    let times = |event| -> Vec<u64> { of(&workers, event).iter().map(|r| r.time).collect() };
-    let (started, ended) = (times(Event::Started), times(Event::Ended));
-    let run: u64 = ended.iter().sum::<u64>() - started.iter().sum::<u64>();
-    assert_eq!(run, 1000);
-    assert!(ended[0] - started[0] >= 20);
-}
-
-// Guards against failures that cannot be told from successes.
-#[parameterized(
-    named = { json!({"fail_tasks": [TASK]}), "failed" },
-    other_named = { json!({"fail_tasks": ["c/j/1"]}), "succeeded" },
-    whole_class = { json!({"classes": {"merge": {"fail_percent": 100}}}), "failed" },
-)]
-fn task_fails_when_told(patch: Value, expected: &str) {
-    let dir = TestDir::new("worker-fail");
-    let (worker, token) = worker(&dir, &[]);
-    worker.set(patch);
-    let mut request = start_request(token, TASK, 0);
-    request.run = 10;
-    assert_eq!(start(worker.address(0), &request).status, 200);
-    assert_eq!(ended(&worker).state.as_deref(), Some(expected));
-}
-
 // Guards against a failed start that ran, or that hits other workers.
 #[test]
 fn failing_worker_refuses_every_start() {
@@ -361,34 +299,6 @@
     assert_eq!(violations[0].host, workers.name(1));
 }
 
-// Guards against usage that shows without lag, or that does not follow the true use.
-#[test]
-fn usage_shows_late_and_follows_the_model() {
-    let dir = TestDir::new("worker-usage");
-    let args = ["--report-lag-ms", "200", "--report-every-ms", "100"];
-    let (worker, token) = worker(&dir, &args);
-    worker.set(json!({"classes": {"merge": {"use_percent": 150}}}));
-    assert_eq!(
-        start(worker.address(0), &start_request(token, TASK, 0)).status,
-        200
-    );
-    let usage = || entry(worker.address(0), token, TASK, 0).unwrap().usage;
-    let started = of(&worker, Event::Started)[0].time;
-    let measured = eventually("first measurement", SOON, usage);
-    let report = renew(worker.address(0), token).report;
-    let probe = start_request(token, "c/j/probe", 0);
-    assert_eq!(start(worker.address(0), &probe).status, 200);
-    assert!(of(&worker, Event::Started)[1].time - started >= 200);
-    assert_eq!(measured, Size::new(1500, 1536, 0));
-    assert!(
-        (200..=300).contains(&report.measured),
-        "{}",
-        report.measured
-    );
-    worker.set(json!({"noisy": 200}));
-    until("noise", SOON, || usage() == Some(Size::new(3000, 3072, 0)));
-}
-
 // Guards against a restart that keeps tasks, and against one that goes on running them.
 #[parameterized(
     restart = { json!({"restart": true}) },
@@ -402,7 +312,9 @@
         200
     );
     worker.set(patch);
-    assert_eq!(ended(&worker).state.as_deref(), Some("crashed"));
+    let ends = of(&worker, Event::Ended);
+    assert_eq!(ends.len(), 1);
+    assert_eq!(ends[0].state.as_deref(), Some("crashed"));
     worker.set(json!({"crash": false}));
     let token = grant(worker.address(0), "e2");
     assert!(renew(worker.address(0), token).report.tasks.is_empty());
@@ -460,20 +372,23 @@
     assert_eq!(of(&workers, Event::Started).len(), 1);
 }
 
-// Guards against a call that took effect after its host crashed.
-#[test]
-fn start_that_waits_for_a_crashed_worker_is_lost() {
-    let dir = TestDir::new("worker-crash-wait");
-    let (worker, token) = worker(&dir, &[]);
+// Guards against a call that takes effect after its host lost its connections.
+#[parameterized(
+    crash = { json!({"crash": true}) },
+    restart = { json!({"restart": true}) },
+)]
+fn held_lease_call_is_lost(patch: Value) {
+    let dir = TestDir::new("worker-held");
+    let (worker, _) = worker(&dir, &[]);
     worker.set(json!({"freeze": true}));
     std::thread::scope(|scope| {
         let address = worker.address(0);
-        let request = start_request(token, TASK, 0);
-        let client = Client::new();
-        let lost = scope.spawn(move || client.post_json(address, "/tasks", &request));
-        until("the waiting start", SOON, || worker.waiting(0) == 1);
-        worker.set(json!({"crash": true}));
+        let lost = scope
+            .spawn(move || Client::new().post_json(address, "/lease", &lease_request("e1", None)));
+        until("the held call", SOON, || worker.waiting(0) == 1);
+        worker.set(patch);
         assert!(lost.join().unwrap().is_err());
     });
-    assert!(of(&worker, Event::Started).is_empty());
+    until("the end of the call", SOON, || worker.waiting(0) == 0);
+    assert_eq!(of(&worker, Event::Granted).len(), 1);
 }
--- a/tests/support/standin.rs
+++ b/tests/support/standin.rs
@@ -14,8 +14,10 @@
 #[derive(Debug)]
 pub struct Standin {
     pub process: Process,
-    /// Address of the control calls; also the service address of `log` and `hosts`.
+    /// Address of the control calls.
     pub control: String,
+    /// Address of `log` and `hosts`; empty for other stand-ins.
+    pub service: String,
     /// Backend servers of `workers` and `instances`.
     pub hosts: Vec<HostEntry>,
     client: Client,
@@ -31,6 +33,7 @@
         let process = Process::spawn(dir, &format!("{subcommand}-{number}"), &mut command);
         let ready = process.ready_line();
         let control = ready["control"].as_str().expect("an address").to_owned();
+        let service = ready["address"].as_str().unwrap_or_default().to_owned();
         let hosts = match ready.get("hosts") {
             Some(hosts) => serde_json::from_value(hosts.clone()).expect("host entries"),
             None => Vec::new(),
@@ -38,6 +41,7 @@
         Standin {
             process,
             control,
+            service,
             hosts,
             client: Client::new(),
         }
