Test that stand-ins end with their test, and document their switches

A stand-in that outlives its test holds ports and processor time of later tests. Nothing showed that the end of stdin and the drop of a child, stopped ones included, end it. The checks of slots and of repeated requests had no tests either.

Adds these tests, a wait for the readiness of jayforkd, and the list of switches on each type that has some.

--- a/examples/standin/instances/instance_fleet.rs
+++ b/examples/standin/instances/instance_fleet.rs
@@ -33,6 +33,12 @@
     pub time: Duration,
 }
 
+/// All instances with their service time.
+///
+/// Switches of a host, beside those of `Gate`: `leaving`, `busy`, `service_ms` (`null` for the
+/// mean of all), `truncate` (see `Faults`), `delay_answers_ms`, `reorder` (answers that are sent
+/// last first), `restart` (empty memory, new incarnation) and `crash` (ends all requests; `false`
+/// restarts).
 #[derive(Debug)]
 pub struct InstanceFleet {
     instances: Vec<Instance>,
--- a/examples/standin/log/store.rs
+++ b/examples/standin/log/store.rs
@@ -23,6 +23,8 @@
     OverRate,
 }
 
+/// Switches: `down`, `read_only`, `rate` (appends per second), `retention_ms` and
+/// `retention_records`.
 #[derive(Debug)]
 pub struct LogStore {
     state: Mutex<State>,
--- a/examples/standin/workers/worker_fleet.rs
+++ b/examples/standin/workers/worker_fleet.rs
@@ -15,6 +15,12 @@
 use crate::recorder::Recorder;
 use crate::switches::parse;
 
+/// All workers with the model of their tasks.
+///
+/// Switches of a host, beside those of `Gate`: `leaving`, `fail_starts`, `noisy` (slowdown and
+/// extra use in percent, 100 is none), `restart` (empty memory, new incarnation) and `crash` (ends
+/// all tasks; `false` restarts). Switches of the process: `report_lag_ms`, `remember_ms` and those
+/// of `Model`.
 #[derive(Debug)]
 pub struct WorkerFleet {
     workers: Vec<Worker>,
--- a/tests/standin/checks.rs
+++ b/tests/standin/checks.rs
@@ -181,3 +181,37 @@
     let records = records([new().add(1, "w", Event::Violation, "a", 0)]);
     assert!(matches!(records.check_marks(), Err(Breach::Marked { .. })));
 }
+
+impl Process {
+    /// Records of requests carry no size.
+    fn without_size(mut self) -> Self {
+        self.records
+            .iter_mut()
+            .for_each(|record| record.size = None);
+        self
+    }
+}
+
+#[parameterized(
+    at_the_limit = { new().start(1, "i", "a", 0).start(1, "i", "b", 0), true },
+    beyond = { new().start(1, "i", "a", 0).start(1, "i", "b", 0).start(1, "i", "c", 0), false },
+    freed = {
+        new().start(1, "i", "a", 0).start(1, "i", "b", 0).end(2, "i", "a", 0).start(2, "i", "c", 0),
+        true
+    },
+    other_host = { new().start(1, "i", "a", 0).start(1, "i", "b", 0).start(1, "j", "c", 0), true },
+)]
+fn slots(process: Process, passes: bool) {
+    let result = records([process.without_size()]).check_slots(2);
+    assert_eq!(result.is_ok(), passes, "{result:?}");
+}
+
+#[parameterized(
+    once = { new().start(1, "i", "a", 0).start(1, "i", "b", 0), true },
+    again = { new().start(1, "i", "a", 0).end(2, "i", "a", 0).start(3, "j", "a", 0), false },
+    others_again = { new().start(1, "i", "c", 0).end(2, "i", "c", 0).start(3, "j", "c", 0), true },
+)]
+fn requests_once(process: Process, passes: bool) {
+    let result = records([process.without_size()]).check_requests_once(&["a", "b"]);
+    assert_eq!(result.is_ok(), passes, "{result:?}");
+}
--- a/tests/standin/processes.rs
+++ b/tests/standin/processes.rs
@@ -1,4 +1,4 @@
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use serde_json::json;
@@ -23,6 +23,28 @@
     assert!(standin.process.terminate().success());
 }
 
+// Guards against stand-ins that stay when their test process was killed.
+#[test]
+fn standin_exits_when_its_test_ends() {
+    let dir = TestDir::new("process-eof");
+    let mut log = Standin::start(&dir, "log", &[]);
+    log.process.close_stdin();
+    assert!(log.process.wait().success());
+}
+
+// Guards against children that outlive the value that started them, stopped ones included.
+#[parameterized(running = { false }, stopped = { true })]
+fn drop_ends_the_process(stopped: bool) {
+    let dir = TestDir::new("process-drop");
+    let mut log = Standin::start(&dir, "log", &[]);
+    let address = log.service.clone();
+    if stopped {
+        log.process.signal(Signal::Stop);
+    }
+    drop(log);
+    assert!(TcpStream::connect(address).is_err());
+}
+
 // Guards against a fixed port that is ignored, and against hosts on unexpected ports.
 #[test]
 fn workers_take_consecutive_ports() {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -18,7 +18,7 @@
 pub use platform::Platform;
 pub use poll::{eventually, until};
 pub use process::{Process, Signal};
-pub use programs::{free_port, jayfork, jayforkd};
+pub use programs::{free_port, jayfork, jayforkd, until_ready};
 pub use records::{Breach, Event, Record, Records};
 pub use settings::Settings;
 pub use standin::Standin;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -69,6 +69,11 @@
             .unwrap_or_else(|error| panic!("{}: {line:?}: {error}", self.name))
     }
 
+    /// Closes the child's stdin, as the end of the test process does.
+    pub fn close_stdin(&mut self) {
+        self.stdin = None;
+    }
+
     pub fn id(&self) -> u32 {
         self.child.id()
     }
--- a/tests/support/programs.rs
+++ b/tests/support/programs.rs
@@ -2,8 +2,12 @@
 use std::net::{Ipv4Addr, TcpListener};
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::time::Duration;
 
-use super::{Process, TestDir};
+use super::{Client, Process, TestDir, until};
+
+/// Time for `jayforkd` to start on a loaded machine.
+const READY_LIMIT: Duration = Duration::from_secs(30);
 
 /// Starts `jayforkd` with `args`; the caller waits for readiness.
 pub fn jayforkd(
@@ -15,6 +19,15 @@
     Process::spawn(dir, name, command.args(args))
 }
 
+/// Waits until `GET /ready` of a `jayforkd` answers 200.
+pub fn until_ready(address: &str) {
+    let client = Client::new();
+    until(&format!("readiness of {address}"), READY_LIMIT, || {
+        let reply = client.get(address, "/ready");
+        reply.is_ok_and(|reply| reply.status == 200)
+    });
+}
+
 /// Runs `jayfork` with `args` to its end.
 pub fn jayfork(args: impl IntoIterator<Item = impl AsRef<OsStr>>) -> Output {
     Command::new(env!("CARGO_BIN_EXE_jayfork"))
