--- a/tests/standin/processes.rs
+++ b/tests/standin/processes.rs
@@ -1,4 +1,4 @@
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::{Ipv4Addr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use serde_json::json;
@@ -23,6 +23,28 @@
     assert!(standin.process.terminate().success());
 }
 
+// Guards against stand-ins that stay when their test process was killed.
+#[test]
+fn standin_exits_when_its_test_ends() {
+    let dir = TestDir::new("process-eof");
+    let mut log = Standin::start(&dir, "log", &[]);
+    log.process.close_stdin();
+    assert!(log.process.wait().success());
+}
+
+// Guards against children that outlive the value that started them, stopped ones included.
+#[parameterized(running = { false }, stopped = { true })]
+fn drop_ends_the_process(stopped: bool) {
+    let dir = TestDir::new("process-drop");
+    let mut log = Standin::start(&dir, "log", &[]);
+    let address = log.service.clone();
+    if stopped {
+        log.process.signal(Signal::Stop);
+    }
+    drop(log);
+    assert!(TcpStream::connect(address).is_err());
+}
+
 // Guards against a fixed port that is ignored, and against hosts on unexpected ports.
 #[test]
 fn workers_take_consecutive_ports() {
@@ -53,7 +75,7 @@
     let dir = TestDir::new("process-stop");
     let mut log = Standin::start(&dir, "log", &["--rate", "0"]);
     log.process.signal(Signal::Stop);
-    let address = log.control.clone();
+    let address = log.service.clone();
     let calls: Vec<_> = (0..32)
         .map(|_| {
             let address = address.clone();
@@ -87,7 +109,7 @@
     platform.add_workers(&dir, &["--count", "2", "--data-centre", "praha-karlin"]);
     platform.add_instances(&dir, &["--service", "assembly"]);
     let client = Client::new().with_header("client", "e1");
-    let address = platform.list.control.clone();
+    let address = platform.list.service.clone();
     let list = |client: &Client| client.get(&address, "/hosts");
     let names = list(&client).unwrap().text();
     for name in ["praha-karlin-w0", "praha-karlin-w1", "dc-assembly-0"] {
@@ -97,7 +119,7 @@
     assert!(list(&client).is_err());
     assert!(
         client
-            .get(&platform.log.control, "/streams/s/records")
+            .get(&platform.log.service, "/streams/s/records")
             .is_err()
     );
     for entry in platform.entries() {
