Tell slow instances from their service times

Cause: the interference policy had no signal, so nothing was ever relieved. Change: a moving average of the service time per instance; an instance above twice its service's median is slow; peers tell their slow instances in Hello; the host list may name the worker of an instance.

--- a/examples/standin/fleet/launch.rs
+++ b/examples/standin/fleet/launch.rs
@@ -20,6 +20,8 @@
     pub data_centre: Name,
     pub service: Option<Name>,
     pub names: Vec<Name>,
+    /// Start of the names of the workers on which the instances run.
+    pub workers: Option<Name>,
     /// Hosts to a rack; 0 tells no racks.
     pub rack_size: usize,
     /// Paths whose answers `lose_answers` loses unless `lose_path` is set.
@@ -76,6 +78,10 @@
             rack: rack.map(|rack| format!("{}-r{rack}", self.data_centre).into()),
             kind: self.kind,
             service: self.service.clone(),
+            worker: self
+                .workers
+                .as_ref()
+                .map(|prefix| format!("{prefix}{host}").into()),
             state: HostState::Live,
         }
     }
--- a/examples/standin/instances/mod.rs
+++ b/examples/standin/instances/mod.rs
@@ -40,6 +40,11 @@
             "64",
             "Connections that an instance keeps open",
         ))
+        .arg(text(
+            "on-workers",
+            "",
+            "Start of the names of the workers on which the instances run; none if empty",
+        ))
         .arg(number("service-ms", "20", "Mean time to run a request"))
         .arg(number(
             "spread-percent",
@@ -60,6 +65,9 @@
         kind: HostKind::Instance,
         data_centre: data_centre.into(),
         service: Some(service.into()),
+        workers: Some(get_text(matches, "on-workers"))
+            .filter(|prefix| !prefix.is_empty())
+            .map(Into::into),
         names: (0..get_number(matches, "count"))
             .map(|index| format!("{prefix}{index}").into())
             .collect(),
--- a/examples/standin/workers/mod.rs
+++ b/examples/standin/workers/mod.rs
@@ -70,6 +70,7 @@
         names: (0..get_number(matches, "count"))
             .map(|index| format!("{prefix}{index}").into())
             .collect(),
+        workers: None,
         rack_size: get_number(matches, "rack-size") as usize,
         lose_path: "/tasks",
     };
--- a/src/connection/wire/hosts.rs
+++ b/src/connection/wire/hosts.rs
@@ -21,6 +21,9 @@
     /// Service that an instance runs; `None` for other kinds.
     #[serde(default)]
     pub service: Option<Name>,
+    /// Worker on which an instance runs, if the platform tells.
+    #[serde(default)]
+    pub worker: Option<Name>,
     pub state: HostState,
 }
 
--- a/src/connection/wire/peer.rs
+++ b/src/connection/wire/peer.rs
@@ -46,6 +46,8 @@
     /// Backends that the sender knows to be leaving.
     pub leaving: Vec<Name>,
     pub loads: Vec<ServiceLoad>,
+    /// Instances that are slow in comparison with others of their service.
+    pub slow: Vec<Name>,
     /// Instances whose reports the sender needs.
     pub awaited: Vec<Name>,
     /// Reports of instances that the receiver awaits and the sender holds.
--- a/src/process/node/backends.rs
+++ b/src/process/node/backends.rs
@@ -49,6 +49,11 @@
         {
             self.leases.mark_leaving(now, &entry.name);
         }
+        let backends = &self.backends;
+        self.latencies
+            .retain(|instance| backends.contains_key(instance));
+        self.refresh_slow(now);
+        self.refresh_workers();
         self.refresh_instances(now, out);
     }
 
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -14,7 +14,7 @@
 use crate::connection::{LeaseTable, LeaseTiming};
 use crate::process::settings::{Limits, Peer, Settings, Timing};
 use crate::process::{Burn, EntryHost, Membership, Suspicions};
-use crate::request::{Dispatcher, UrgentLimits, UrgentRouter};
+use crate::request::{Dispatch, Dispatcher, Latencies, UrgentLimits, UrgentRouter};
 use crate::version::{ContractTable, Journal, Ledger, LedgerTiming};
 
 /// Who this host is.
@@ -77,6 +77,9 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) urgent: UrgentRouter,
     pub(super) burn: Burn,
+    pub(super) latencies: Latencies,
+    /// Instance and start of each request under way.
+    pub(super) sends: HashMap<Dispatch, (Name, Millis)>,
     /// Workers and instances of this data centre, from the host list.
     pub(super) backends: HashMap<Name, HostEntry>,
     /// Latest reports of the instances whose lease is held.
@@ -134,6 +137,8 @@
             dispatcher: Dispatcher::new(host.clone()),
             urgent: UrgentRouter::new(host.clone(), urgent_limits(&limits)),
             burn: Burn::new(host),
+            latencies: Latencies::new(),
+            sends: HashMap::new(),
             peers: peers
                 .into_iter()
                 .map(|peer| (peer.name.clone(), peer))
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -86,6 +86,7 @@
             draining: self.draining,
             leaving: self.leases.leaving(),
             loads: self.urgent.loads(),
+            slow: self.latencies.slow(now),
             awaited: self.urgent.awaited_instances(),
             reports: Vec::new(),
         }
--- a/src/process/node/urgent.rs
+++ b/src/process/node/urgent.rs
@@ -191,13 +191,14 @@
             match action {
                 UrgentAction::Send {
                     dispatch,
+                    instance,
                     address,
                     token,
                     request,
                     deadline,
                     body,
-                    ..
                 } => {
+                    self.sends.insert(dispatch, (instance, now));
                     let timeout = Duration::from_millis((deadline + LATE).0);
                     let call = InstanceCall {
                         request,
@@ -291,6 +292,17 @@
         outcome: InstanceOutcome,
         out: &mut Vec<Action>,
     ) {
+        let sent = self.sends.remove(&dispatch);
+        if let (Some((instance, at)), InstanceOutcome::Answer { .. }) = (sent, &outcome) {
+            let service = self
+                .backends
+                .get(&instance)
+                .and_then(|entry| entry.service.as_ref());
+            if let Some(service) = service {
+                self.latencies
+                    .observe(now, service, &instance, now.since(at));
+            }
+        }
         let result = match outcome {
             InstanceOutcome::Answer { status, body } => InstanceResult::Answer { status, body },
             InstanceOutcome::Refused => InstanceResult::Refused,
@@ -343,6 +355,35 @@
         self.route(now, actions, out);
     }
 
+    /// Finds the workers on which an instance runs, and those whose instance is slow.
+    pub(super) fn refresh_slow(&mut self, now: Millis) {
+        let mut slow: HashSet<Name> = self.latencies.slow(now).into_iter().collect();
+        for host in &self.live {
+            slow.extend(
+                self.live_hello(now, host)
+                    .into_iter()
+                    .flat_map(|hello| hello.slow.clone()),
+            );
+        }
+        self.services.clear();
+        self.slow.clear();
+        for entry in self.backends.values() {
+            let (Some(worker), Some(service)) = (&entry.worker, &entry.service) else {
+                continue;
+            };
+            let services = self.services.entry(worker.clone()).or_default();
+            if !services.contains(service) {
+                services.push(service.clone());
+            }
+            if slow.contains(&entry.name) {
+                self.slow
+                    .entry(worker.clone())
+                    .or_default()
+                    .push(service.clone());
+            }
+        }
+    }
+
     pub(super) fn poll_urgent(&mut self, now: Millis, out: &mut Vec<Action>) {
         let mut actions = Vec::new();
         self.urgent.poll(now, &mut actions);
--- /dev/null
+++ b/tests/latency.rs
@@ -0,0 +1,41 @@
+//! Detection of instances that their neighbours slow down.
+
+use jayfork::base::{Millis, Name};
+use jayfork::request::Latencies;
+use yare::parameterized;
+
+fn observe(latencies: &mut Latencies, now: u64, instance: &str, taken: u64, samples: u32) {
+    let (service, instance): (Name, Name) = ("proofs".into(), instance.into());
+    for _ in 0..samples {
+        latencies.observe(Millis(now), &service, &instance, Millis(taken));
+    }
+}
+
+/// Guards against evictions on noise, on few samples and on old measurements.
+#[parameterized(
+    twice_as_slow = { 100, 20, 1_000, true },
+    within_noise_factor = { 70, 20, 1_000, false },
+    few_samples = { 100, 9, 1_000, false },
+    old_measurement = { 100, 20, 12_000, false },
+)]
+fn slow_instance(taken: u64, samples: u32, now: u64, expected: bool) {
+    let mut latencies = Latencies::new();
+    for instance in ["i1", "i2", "i3"] {
+        observe(&mut latencies, 0, instance, 40, 20);
+    }
+    observe(&mut latencies, 0, "i4", taken, samples);
+    let slow = latencies.slow(Millis(now));
+    assert_eq!(slow.contains(&Name::from("i4")), expected, "{slow:?}");
+    assert!(!slow.contains(&Name::from("i1")));
+}
+
+/// Guards against evictions when load slows all instances alike.
+#[test]
+fn a_slow_service_has_no_slow_instance() {
+    let mut latencies = Latencies::new();
+    for instance in ["i1", "i2", "i3"] {
+        observe(&mut latencies, 0, instance, 40, 20);
+        observe(&mut latencies, 500, instance, 400, 40);
+    }
+    assert!(latencies.slow(Millis(1_000)).is_empty());
+}
--- a/tests/standin/hosts.rs
+++ b/tests/standin/hosts.rs
@@ -15,6 +15,7 @@
         rack: None,
         kind: HostKind::Worker,
         service: None,
+        worker: None,
         state,
     }
 }
