--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -20,6 +20,8 @@
     due: BTreeSet<(Millis, Name)>,
     live: Group,
     informed: Group,
+    /// Whether a host list that names any resource was read.
+    listed: bool,
     draining: bool,
 }
 
@@ -32,6 +34,7 @@
             due: BTreeSet::new(),
             live: Group::default(),
             informed: Group::default(),
+            listed: false,
             draining: false,
         }
     }
@@ -43,6 +46,7 @@
         for entry in self.entries.values_mut() {
             entry.listed = false;
         }
+        self.listed |= !resources.is_empty();
         for resource in resources {
             self.list(now, resource);
         }
@@ -300,9 +304,9 @@
         Some(now.since(unanswered))
     }
 
-    /// Whether the resource is on the host list, or its lease is held.
-    pub fn knows(&self, name: &str) -> bool {
-        self.entries.contains_key(name)
+    /// Whether the host list is known, does not name the resource, and its lease is not held.
+    pub fn is_absent(&self, name: &str) -> bool {
+        self.listed && !self.entries.contains_key(name)
     }
 
     fn usable_entry(&self, now: Millis, entry: &Entry) -> Option<Lease> {
--- a/tests/lease.rs
+++ b/tests/lease.rs
@@ -403,7 +403,7 @@
     ));
     table.refused(Millis(1_000), &name("w"), LeaseRefusal::StaleToken);
     assert!(poll(&mut table, 1_000).is_empty());
-    assert!(!table.knows("w"));
+    assert!(table.is_absent("w"));
 }
 
 /// Guards against a poll whose cost grows with the resources that are not due.
