--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -12,7 +12,7 @@
 pub mod telemetry;
 
 pub use burn::Burn;
-pub use membership::{EntryHost, Membership};
+pub use membership::{EntryHost, Membership, RUN_TTL, Word};
 pub use runtime::{Error, Result, run};
 pub use settings::Settings;
-pub use suspicions::{OpenSuspicion, Suspicions};
+pub use suspicions::{OpenSuspicion, Suspicions, UNANSWERED};
--- a/src/process/suspicions.rs
+++ b/src/process/suspicions.rs
@@ -107,7 +107,7 @@
         self.absent = carry(
             now,
             &self.absent,
-            claimed.iter().filter(|w| !leases.knows(w)),
+            claimed.iter().filter(|w| leases.is_absent(w)),
         );
     }
 
@@ -196,7 +196,8 @@
             return false;
         }
         // The worker answers this host, so its report will tell.
-        if leases.knows(&suspicion.worker) && leases.silence(now, &suspicion.worker).is_none() {
+        if !leases.is_absent(&suspicion.worker) && leases.silence(now, &suspicion.worker).is_none()
+        {
             return false;
         }
         let key = (suspicion.worker.clone(), suspicion.offset);
