Hold ids while a host that is out of contact may run them

Cause: random interleavings of several routers found two ways to run an id twice at once and two ways to wait for ever. (1) A host that was only out of contact acquired an instance after its peers had counted it as settled. (2) A host without any instance from before the loss of contact ran its own ids while the other side had settled it. (3) A home sent an id to a peer that was asking the home about it. (4) Two hosts asked each other.

Change: `unsettle` may be called again for each of `lost_hosts` and adds instances. Ids are also held for lost hosts of lower rank unless this host has held an instance since before the loss. A run that is not queued, sent or forwarded is not joined by the home. An instance is paused for 100 ms after five refusals in a row. Retries only need time for the service. `loads` takes the time. The retry budget saves up 50 tokens.

Result: the model (3 hosts, 4 instances; deaths, restarts, stops, cut links, broken messages) checks I1, I2, I4, I5, I6, the bound on retries and that every caller is answered. Seen failing first against changed variants: the model for slots, inherited slots, broken attempts (slot, block), older reports, attempted ids, attach and held ids; the admission tests for deadline order, early refusal, service time, drops, bound, waits, removal, budget and goodput.

--- a/src/request/admission.rs
+++ b/src/request/admission.rs
@@ -61,9 +61,18 @@
         free: u32,
         item: T,
     ) -> Result<Place, T> {
+        self.insert(now, deadline, self.wait(slots, free), item)
+    }
+
+    /// Queues an item that was taken before. Its deadline puts it ahead of most others, so that
+    /// only the service time has to fit.
+    pub fn requeue(&mut self, now: Millis, deadline: Millis, item: T) -> Result<Place, T> {
+        self.insert(now, deadline, 0.0, item)
+    }
+
+    fn insert(&mut self, now: Millis, deadline: Millis, wait: f64, item: T) -> Result<Place, T> {
         let left = deadline.since(now).0 as f64;
-        let needed = self.wait(slots, free) + self.allowance();
-        if self.queue.len() >= self.limit || needed > left {
+        if self.queue.len() >= self.limit || wait + self.allowance() > left {
             return Err(item);
         }
         self.sequence += 1;
--- a/src/request/urgent.rs
+++ b/src/request/urgent.rs
@@ -72,7 +72,7 @@
 impl UrgentRouter {
     pub fn new(host: Name, limits: UrgentLimits) -> Self {
         UrgentRouter {
-            handover: Handover::new(host.clone()),
+            handover: Handover::new(host.clone(), limits.silence),
             host,
             peers: Peers::default(),
             instances: Instances::default(),
@@ -123,7 +123,7 @@
         out: &mut Vec<UrgentAction>,
     ) {
         self.observe(now);
-        for (key, instance, reported) in self.instances.update(&owned) {
+        for (key, instance, reported) in self.instances.update(now, &owned) {
             self.handover.block(&key, &instance, reported);
         }
         for info in &owned {
@@ -135,16 +135,23 @@
         }
     }
 
-    /// `host` was lost while it held `instances`; its ids are held until each one is settled.
+    /// `host` is lost, and neither this host nor a live peer holds `instances`.
     ///
-    /// A host that starts names itself and the instances that no live peer holds, since it may
-    /// have run ids before the restart.
+    /// Ids that the lost host may run are held until every instance that was ever listed is
+    /// settled. Call this on every change for each of `lost_hosts` with all such instances of the
+    /// data centre, since a host that is only out of contact may acquire one later. A host that
+    /// starts names itself, since it may have run ids before the restart.
     pub fn unsettle(&mut self, now: Millis, host: &Name, instances: Vec<Name>) {
         self.observe(now);
         self.handover.unsettle(now, host, instances);
     }
 
-    /// `instance` has a new holder or is gone; `running` is from a report asked for at `reported`.
+    /// Hosts that `unsettle` is to be called for.
+    pub fn lost_hosts(&self) -> Vec<Name> {
+        self.handover.lost_hosts()
+    }
+
+    /// `instance` has a live holder or is gone; `running` is from a report asked for at `reported`.
     ///
     /// Later reports are needed as long as `awaited_instances` lists the instance.
     pub fn settle(
@@ -183,7 +190,12 @@
         if request.attach {
             return self.attach(now, &key, request, out);
         }
-        if self.runs.contains_key(&key) {
+        if let Some(run) = self.runs.get(&key) {
+            let home = request.from.as_ref().filter(|_| request.hops >= 2);
+            let waits = |home: &Name| !run.can_join(home, self.handover.outranks(&key, home));
+            if home.is_some_and(waits) {
+                return refuse(request.ticket, Refusal::Misdirected, Ran::NotRun, out);
+            }
             return self.join_run(&key, request, out);
         }
         let home = self.handover.home(now, &key);
@@ -260,7 +272,7 @@
     }
 
     /// What this host tells its peers about each service.
-    pub fn loads(&self) -> Vec<ServiceLoad> {
+    pub fn loads(&self, now: Millis) -> Vec<ServiceLoad> {
         let services: BTreeSet<&Name> = self
             .instances
             .services()
@@ -268,7 +280,7 @@
             .collect();
         services
             .into_iter()
-            .map(|service| self.load(service))
+            .map(|service| self.load(now, service))
             .collect()
     }
 
@@ -278,8 +290,8 @@
         runs.count() + self.relays.len()
     }
 
-    fn load(&self, service: &Name) -> ServiceLoad {
-        let (slots, free) = self.instances.slots(service);
+    fn load(&self, now: Millis, service: &Name) -> ServiceLoad {
+        let (slots, free) = self.instances.slots(now, service);
         let queue = self.queues.get(service);
         ServiceLoad {
             service: service.clone(),
@@ -293,7 +305,7 @@
     /// Reacts to a stop of this process: leases may have lapsed and ids may have moved.
     fn observe(&mut self, now: Millis) {
         let last = self.last_event.replace(now).unwrap_or(now);
-        if now.since(last) > self.limits.stall {
+        if now.since(last) > self.limits.silence {
             self.instances.suspend();
             self.handover.forget_contact(now);
         }
--- a/src/request/urgent/answers.rs
+++ b/src/request/urgent/answers.rs
@@ -24,7 +24,7 @@
         let service = run.request.service.clone();
         match result {
             InstanceResult::Answer { status, body } => {
-                self.instances.finish(&instance, key);
+                self.instances.answer(&instance, key);
                 if let Some(queue) = self.queues.get_mut(&service) {
                     queue.observe(now.since(at));
                 }
@@ -40,7 +40,9 @@
             }
             InstanceResult::Refused => {
                 run.charge = true;
-                self.instances.refuse(now, &instance, key);
+                run.avoid = Some(instance.clone());
+                self.instances
+                    .refuse(&instance, key, now + self.limits.delay);
                 self.advance(now, key, out);
             }
             InstanceResult::Broken => {
--- a/src/request/urgent/ask.rs
+++ b/src/request/urgent/ask.rs
@@ -23,10 +23,7 @@
             self.handover.cede(key, &peer, now + self.limits.cede);
             return refuse(ticket, Refusal::NotAttached, Ran::NotRun, out);
         };
-        let is_idle = matches!(
-            run.phase,
-            Phase::Held | Phase::Asking { .. } | Phase::Paused
-        );
+        let is_idle = run.is_idle();
         let asks_back = run.uncertain.as_ref() == Some(&peer);
         if is_idle && !asks_back {
             if run.uncertain.is_some() || !self.handover.outranks(key, &peer) {
--- a/src/request/urgent/handover.rs
+++ b/src/request/urgent/handover.rs
@@ -31,6 +31,8 @@
 #[derive(Debug)]
 pub(super) struct Handover {
     host: Name,
+    /// Silence after which a peer is lost.
+    silence: Millis,
     /// Live hosts and the time since when they have been continuously live; ordered by name.
     live: BTreeMap<Name, Millis>,
     lost: BTreeMap<Name, Lost>,
@@ -43,8 +45,9 @@
 }
 
 impl Handover {
-    pub fn new(host: Name) -> Self {
+    pub fn new(host: Name, silence: Millis) -> Self {
         Handover {
+            silence,
             live: BTreeMap::from([(host.clone(), Millis(0))]),
             host,
             lost: BTreeMap::new(),
@@ -90,12 +93,10 @@
 
     /// The live host that runs `key` or has it run.
     pub fn home(&self, now: Millis, key: &str) -> &Name {
-        if let Some((host, until)) = self.ceded.get(key)
-            && *until > now
-        {
-            return host;
+        match self.ceded.get(key) {
+            Some((host, until)) if *until > now => host,
+            _ => prefer(key, self.live.keys()).unwrap_or(&self.host),
         }
-        prefer(key, self.live.keys()).unwrap_or(&self.host)
     }
 
     /// Whether `host` comes before this host in the order of `key`.
@@ -108,7 +109,11 @@
             since: now,
             unsettled: None,
         });
-        lost.unsettled = Some(instances.into_iter().collect());
+        lost.unsettled.get_or_insert_default().extend(instances);
+    }
+
+    pub fn lost_hosts(&self) -> Vec<Name> {
+        self.lost.keys().cloned().collect()
     }
 
     /// Returns whether the instance was unsettled.
@@ -131,17 +136,22 @@
         self.lost.get(host).is_some_and(|lost| !lost.is_settled())
     }
 
-    /// What lost hosts that came before this one mean for `key`, if lost less than `window` ago.
-    pub fn hold(&self, now: Millis, key: &str, window: Millis) -> Hold {
+    /// What lost hosts mean for `key`, if lost less than `window` ago. `presence` is the time since
+    /// when this host has held some instance without a break.
+    ///
+    /// A lost host may be alive and only out of contact. One that comes before this host in the
+    /// order of `key` may run the id on any instance that it holds. One that comes later may do
+    /// so only after it has settled all instances of this host, which it cannot while this host
+    /// still holds one from before the loss.
+    pub fn hold(&self, now: Millis, key: &str, window: Millis, presence: Option<Millis>) -> Hold {
         let mut hold = Hold::None;
         for (host, lost) in &self.lost {
-            if !self.outranks(key, host) {
-                continue;
-            }
-            if !lost.is_settled() {
+            let outranks = self.outranks(key, host);
+            let is_present = presence.is_some_and(|since| since + self.silence <= lost.since);
+            if !lost.is_settled() && (outranks || !is_present) {
                 return Hold::Unsettled;
             }
-            if now.since(lost.since) < window {
+            if outranks && now.since(lost.since) < window {
                 hold = Hold::Forgotten;
             }
         }
@@ -154,7 +164,9 @@
     /// theirs before, and all peers if the former home was lost, since they may be running ids
     /// for it.
     pub fn peers_to_ask(&self, now: Millis, key: &str, window: Millis) -> Vec<Name> {
-        let all = self.hold(now, key, window) != Hold::None;
+        let is_recent = |lost: &Lost| now.since(lost.since) < window;
+        let mut lost = self.lost.iter().filter(|(_, lost)| is_recent(lost));
+        let all = lost.any(|(host, _)| self.outranks(key, host));
         let peers = self.live.iter().filter(|(name, _)| **name != self.host);
         let peers = peers.filter(|(_, since)| all || now.since(**since) < window);
         rank(key, peers.map(|(name, _)| name))
--- a/src/request/urgent/run.rs
+++ b/src/request/urgent/run.rs
@@ -61,6 +61,8 @@
     pub asked: Vec<Name>,
     /// Peer that may be running the id.
     pub uncertain: Option<Name>,
+    /// Instance that refused the latest attempt.
+    pub avoid: Option<Name>,
     pub timer: Option<Millis>,
 }
 
@@ -70,7 +72,32 @@
         is_running || !self.waiters.is_empty()
     }
 
-    pub(super) fn is_wanted(&self) -> bool {
+    /// Whether it is not settled that this host runs the id.
+    pub fn is_idle(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Held | Phase::Asking { .. } | Phase::Paused
+        )
+    }
+
+    /// Whether `home`, which asks this host to run the id, can wait for this run.
+    ///
+    /// Otherwise each of the two could wait for the other.
+    pub fn can_join(&self, home: &Name, outranks: bool) -> bool {
+        match &self.phase {
+            Phase::Queued(_) | Phase::Sent { .. } => true,
+            Phase::Forwarded { host, .. } => host != home || !outranks,
+            _ => false,
+        }
+    }
+
+    fn is_asked_by(&self, peer: &Name) -> bool {
+        self.waiters
+            .iter()
+            .any(|waiter| waiter.asking.as_ref() == Some(peer))
+    }
+
+    pub fn is_wanted(&self) -> bool {
         self.waiters.iter().any(|waiter| waiter.asking.is_none())
     }
 }
@@ -109,6 +136,7 @@
             stay: false,
             asked: Vec::new(),
             uncertain: None,
+            avoid: None,
             timer: None,
             request,
         };
@@ -157,18 +185,20 @@
             return self.wait(key, Phase::Blocked);
         }
         if let Some(peer) = run.uncertain.clone() {
-            let asks_back = |waiter: &Waiter| waiter.asking.as_ref() == Some(&peer);
             if self.handover.is_unsettled(&peer) {
                 return self.wait(key, Phase::Blocked);
             }
-            if self.handover.is_live(&peer) && !run.waiters.iter().any(asks_back) {
+            if self.handover.is_live(&peer) && !run.is_asked_by(&peer) {
                 return self.ask(now, key, peer, out);
             }
             run.uncertain = None;
         }
         if !run.executor {
             let window = self.limits.handover.max(memory(&run.request));
-            match self.handover.hold(now, key, window) {
+            match self
+                .handover
+                .hold(now, key, window, self.instances.presence())
+            {
                 Hold::Unsettled => return self.wait(key, Phase::Held),
                 Hold::Forgotten if !run.request.idempotent => {
                     let answer = UrgentAnswer::refusal(Refusal::Forgotten, Ran::Unknown);
@@ -177,7 +207,7 @@
                 _ => {}
             }
             let mut peers = self.handover.peers_to_ask(now, key, window).into_iter();
-            if let Some(peer) = peers.find(|peer| !run.asked.contains(peer)) {
+            if let Some(peer) = peers.find(|p| !run.asked.contains(p) && !run.is_asked_by(p)) {
                 return self.ask(now, key, peer, out);
             }
         }
@@ -214,12 +244,11 @@
         let limits = &self.limits;
         let queues = self.queues.entry(service.clone());
         let queue = queues.or_insert_with(|| Admission::new(limits.queue, limits.mean));
-        if queue.is_empty()
-            && let Some(instance) = self.instances.pick(&service).cloned()
-        {
+        let instance = self.instances.pick(now, &service, run.avoid.as_ref());
+        if let Some(instance) = instance.filter(|_| queue.is_empty()).cloned() {
             return self.send(now, key, &instance, out);
         }
-        let (slots, free) = self.instances.slots(&service);
+        let (slots, free) = self.instances.slots(now, &service);
         let local = queue.wait(slots, free);
         if !run.executor && !run.stay {
             let left = run.request.deadline.since(now).0 as f64;
@@ -233,7 +262,13 @@
                 }
             }
         }
-        match queue.offer(now, run.request.deadline, slots, free, key.clone()) {
+        let deadline = run.request.deadline;
+        let queued = if run.sends > 0 && slots > 0 {
+            queue.requeue(now, deadline, key.clone())
+        } else {
+            queue.offer(now, deadline, slots, free, key.clone())
+        };
+        match queued {
             Ok(place) => self.set_phase(key, Phase::Queued(place)),
             Err(_) => self.refuse_run(now, key, Refusal::Overloaded, out),
         }
@@ -297,14 +332,17 @@
         for key in late {
             self.refuse_run(now, &key, Refusal::Expired, out);
         }
-        while let Some(instance) = self.instances.pick(service).cloned() {
+        while self.instances.pick(now, service, None).is_some() {
             let Some(key) = self.queues.get_mut(service).and_then(Admission::take) else {
                 return;
             };
-            if self.handover.is_blocked(&key) {
-                self.advance(now, &key, out);
-            } else {
-                self.send(now, &key, &instance, out);
+            let avoid = self.runs.get(&key).and_then(|run| run.avoid.as_ref());
+            let instance = self.instances.pick(now, service, avoid).cloned();
+            match instance {
+                Some(instance) if !self.handover.is_blocked(&key) => {
+                    self.send(now, &key, &instance, out);
+                }
+                _ => self.advance(now, &key, out),
             }
         }
     }
@@ -402,10 +440,9 @@
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
-        if let Phase::Queued(place) = &run.phase
-            && let Some(queue) = self.queues.get_mut(&run.request.service)
-        {
-            queue.remove(*place);
+        if let Phase::Queued(place) = &run.phase {
+            let queue = self.queues.get_mut(&run.request.service);
+            queue.and_then(|queue| queue.remove(*place));
         }
         if matches!(phase, Phase::Held | Phase::Blocked) {
             self.waiting.insert(key.clone());
--- a/src/request/urgent/types.rs
+++ b/src/request/urgent/types.rs
@@ -27,13 +27,14 @@
     pub saved_retries: u32,
     /// Peers are asked for running ids this long after contact with them was (re-)established.
     pub handover: Millis,
-    /// Delay before a misdirected forward or a failed question to a peer is repeated.
+    /// Delay before a misdirected forward or a failed question to a peer is repeated, and before
+    /// an instance that refused a request gets another one.
     pub delay: Millis,
     /// How long a host does not run an id after it told a peer that it has no such id.
     pub cede: Millis,
-    /// A longer gap between two events means that this process was stopped, so that peers may
-    /// have taken over its instances and its ids.
-    pub stall: Millis,
+    /// Silence after which a peer counts as dead. A longer gap between two events means that this
+    /// process was stopped, so that peers may have taken over its instances and its ids.
+    pub silence: Millis,
 }
 
 impl Default for UrgentLimits {
@@ -43,12 +44,14 @@
             mean: Millis(20),
             hop: Millis(1),
             retries: 10,
-            saved_retries: 1_000,
+            // A burst of the requests on six instances of 8 slots; more would let retries exceed a
+            // tenth of the attempts for seconds after a quiet time.
+            saved_retries: 50,
             handover: Millis(30_000),
             delay: Millis(100),
             // Longer than the 2 s after which a silent peer counts as dead, plus two heartbeats.
             cede: Millis(5_000),
-            stall: Millis(2_000),
+            silence: Millis(2_000),
         }
     }
 }
