--- /dev/null
+++ b/tests/quota.rs
@@ -0,0 +1,451 @@
+//! Quotas split over data centres, and loans between them.
+
+use std::collections::BTreeMap;
+
+use jayfork::base::{Millis, Name, Size};
+use jayfork::request::{Loan, LoanId, LoanTerms, Quotas};
+use proptest::prelude::*;
+use yare::parameterized;
+
+const TERMS: LoanTerms = LoanTerms {
+    term: Millis(100_000),
+    drain: Millis(10_000),
+};
+
+fn name(text: &str) -> Name {
+    text.into()
+}
+
+fn names(texts: &[&str]) -> Vec<Name> {
+    texts.iter().map(|text| name(text)).collect()
+}
+
+fn customer() -> Name {
+    name("vltava")
+}
+
+fn cores(processors: u32) -> Size {
+    Size::new(processors, 0, 0)
+}
+
+fn quotas(data_centre: &str) -> Quotas {
+    Quotas::new(
+        name(data_centre),
+        name(&format!("entry-{data_centre}")),
+        1,
+        TERMS,
+    )
+}
+
+/// A quota of 90 cores over three data centres.
+fn thirds(data_centre: &str) -> Quotas {
+    let mut quotas = quotas(data_centre);
+    quotas.set(&customer(), 1, cores(90), &names(&["a", "b", "c"]));
+    quotas
+}
+
+fn limit(quotas: &Quotas, now: u64) -> u32 {
+    quotas.limit(Millis(now), &customer()).processors
+}
+
+/// A loan of 20 cores from `a` to `b`, asked for at 0 and passed on at 1 s.
+fn lend(a: &mut Quotas, b: &mut Quotas) -> Loan {
+    let request = b.ask(Millis(0), &customer(), cores(20)).unwrap();
+    let loan = a.lend(&request, cores(10)).unwrap();
+    assert!(a.lent(Millis(1_000), Millis(0), &loan, cores(10)));
+    assert!(b.borrow(Millis(1_000), &loan));
+    loan
+}
+
+#[parameterized(
+    even = { 90, &["a", "b", "c"], [30, 30, 30] },
+    remainder = { 92, &["a", "b", "c"], [31, 31, 30] },
+    repeated_name = { 90, &["a", "b", "b"], [45, 45, 0] },
+    one = { 90, &["b"], [0, 90, 0] },
+    none = { 90, &[], [0, 0, 0] },
+    smaller_than_the_list = { 2, &["a", "b", "c"], [1, 1, 0] },
+)]
+fn shares_add_up_to_the_quota(total: u32, list: &[&str], expected: [u32; 3]) {
+    let shares = ["a", "b", "c"].map(|data_centre| {
+        let mut quotas = quotas(data_centre);
+        quotas.set(&customer(), 1, cores(total), &names(list));
+        limit(&quotas, 0)
+    });
+    assert_eq!(shares, expected);
+}
+
+#[parameterized(
+    fits = { cores(20), cores(10), true },
+    too_many_cores = { cores(20), cores(11), false },
+    too_much_memory = { cores(20), Size::new(1, 1, 0), false },
+)]
+fn tasks_fit_the_share_in_every_dimension(running: Size, extra: Size, fits: bool) {
+    let quotas = thirds("a");
+    assert_eq!(quotas.allows(Millis(0), &customer(), running, extra), fits);
+    assert!(!quotas.allows(Millis(0), &name("unknown"), Size::ZERO, extra));
+}
+
+#[test]
+fn a_loan_moves_quota_for_a_bounded_time() {
+    let (mut a, mut b) = (thirds("a"), thirds("b"));
+    let loan = lend(&mut a, &mut b);
+    assert_eq!((limit(&a, 1_000), limit(&b, 1_000)), (10, 50));
+    // 100 s less a margin of 10.2 s and 10 s to stop tasks.
+    assert_eq!((limit(&b, 79_799), limit(&b, 79_800)), (50, 30));
+    assert_eq!(b.excess(Millis(79_800), &customer(), cores(45)), cores(15));
+    assert!(a.due(Millis(100_999)).is_empty());
+    assert_eq!(a.due(Millis(101_000)), std::slice::from_ref(&loan.id));
+    assert_eq!(
+        limit(&a, 101_000),
+        10,
+        "the share is back only with the record"
+    );
+    a.ended(&customer(), &loan.id);
+    assert_eq!(limit(&a, 101_000), 30);
+}
+
+#[test]
+fn recalled_loans_are_repaid_once_their_use_ends() {
+    let (mut a, mut b) = (thirds("a"), thirds("b"));
+    let loan = lend(&mut a, &mut b);
+    assert_eq!(a.outstanding(&customer()), [&loan]);
+    assert!(b.repay(Millis(2_000), &customer(), cores(45)).is_empty());
+    b.recall(&customer(), &loan.id);
+    assert_eq!(limit(&b, 2_000), 30);
+    assert!(b.repay(Millis(2_000), &customer(), cores(45)).is_empty());
+    assert_eq!(b.repay(Millis(3_000), &customer(), cores(30)), [loan.id]);
+}
+
+#[test]
+fn loans_that_are_not_needed_are_repaid() {
+    let (mut a, mut b) = (thirds("a"), thirds("b"));
+    let loan = lend(&mut a, &mut b);
+    assert_eq!(b.repay(Millis(2_000), &customer(), cores(30)), [loan.id]);
+    assert_eq!(limit(&b, 2_000), 30);
+}
+
+#[parameterized(
+    in_use = { 11, 20 },
+    more_than_the_share = { 0, 31 },
+)]
+fn only_unused_share_is_lent(running: u32, size: u32) {
+    let (a, mut b) = (thirds("a"), thirds("b"));
+    let request = b.ask(Millis(0), &customer(), cores(size)).unwrap();
+    assert_eq!(a.lend(&request, cores(running)), None);
+}
+
+/// Guards against two hosts of a data centre that lend the same share.
+#[test]
+fn the_loan_that_is_read_second_is_not_passed_on() {
+    let (mut a, mut b) = (thirds("a"), thirds("b"));
+    let mut c = thirds("c");
+    let first = a
+        .lend(&b.ask(Millis(0), &customer(), cores(20)).unwrap(), cores(0))
+        .unwrap();
+    let second = a
+        .lend(&c.ask(Millis(0), &customer(), cores(20)).unwrap(), cores(0))
+        .unwrap();
+    assert!(a.lent(Millis(1), Millis(0), &first, cores(0)));
+    assert!(!a.lent(Millis(1), Millis(0), &second, cores(0)));
+    assert!(
+        !a.lent(Millis(1), Millis(0), &first, cores(0)),
+        "a record that is read twice"
+    );
+    a.ended(&customer(), &second.id);
+    assert_eq!(limit(&a, 1), 10);
+}
+
+/// Guards against a loan that outlives its lender's term because its message was delayed.
+#[parameterized(
+    in_time = { 79_000, true },
+    too_late = { 80_000, false },
+)]
+fn a_delayed_loan_counts_from_the_request(at: u64, is_used: bool) {
+    let (mut a, mut b) = (thirds("a"), thirds("b"));
+    let request = b.ask(Millis(0), &customer(), cores(20)).unwrap();
+    let loan = a.lend(&request, cores(0)).unwrap();
+    a.lent(Millis(0), Millis(0), &loan, cores(0));
+    assert_eq!(b.borrow(Millis(at), &loan), is_used);
+    assert!(!b.borrow(Millis(at), &loan), "a repeated message");
+}
+
+/// Guards against use of a loan after a restart, when the time of the request is not known.
+#[test]
+fn a_restarted_borrower_does_not_use_earlier_loans() {
+    let (a, mut b) = (thirds("a"), thirds("b"));
+    let request = b.ask(Millis(0), &customer(), cores(20)).unwrap();
+    let loan = a.lend(&request, cores(0)).unwrap();
+    assert!(!thirds("b").borrow(Millis(0), &loan));
+}
+
+/// Guards against a lender that forgets its loans in a restart.
+#[test]
+fn a_restarted_lender_counts_its_loans_from_the_log() {
+    let (mut a, mut b) = (thirds("a"), thirds("b"));
+    let loan = lend(&mut a, &mut b);
+    let mut restarted = thirds("a");
+    restarted.lent(Millis(500), Millis(30_000), &loan, cores(0));
+    assert_eq!(limit(&restarted, 500), 10);
+    assert!(restarted.due(Millis(70_499)).is_empty());
+    assert_eq!(restarted.due(Millis(70_500)), [loan.id]);
+}
+
+/// Guards against a share that grows while another data centre still uses its former one.
+#[test]
+fn a_share_of_a_new_list_grows_only_when_all_follow() {
+    let mut a = thirds("a");
+    a.set(&customer(), 2, cores(90), &names(&["a", "b"]));
+    assert_eq!(limit(&a, 0), 30);
+    a.confirm(&customer(), 1);
+    assert_eq!(limit(&a, 0), 30);
+    a.confirm(&customer(), 2);
+    assert_eq!(limit(&a, 0), 45);
+}
+
+#[parameterized(
+    larger_quota = { 2, 120, &["a", "b", "c"], 40 },
+    smaller_quota = { 2, 60, &["a", "b", "c"], 20 },
+    longer_list = { 2, 80, &["a", "b", "c", "d"], 20 },
+    removed = { 2, 90, &["b", "c"], 0 },
+    older_version = { 1, 120, &["a", "b", "c"], 30 },
+)]
+fn contract_changes_apply(version: u64, total: u32, list: &[&str], expected: u32) {
+    let mut a = thirds("a");
+    a.set(&customer(), version, cores(total), &names(list));
+    assert_eq!(limit(&a, 0), expected);
+}
+
+/// Guards against a loan whose lender lost its share.
+#[test]
+fn a_new_list_ends_the_use_of_loans() {
+    let (mut a, mut b) = (thirds("a"), thirds("b"));
+    lend(&mut a, &mut b);
+    b.set(&customer(), 2, cores(90), &names(&["b", "c"]));
+    assert_eq!(limit(&b, 1_000), 30);
+}
+
+#[derive(Debug, Clone)]
+enum Op {
+    Start(usize, u32),
+    /// Starts tasks until the limit is reached.
+    Fill(usize),
+    End(usize),
+    Ask(usize, usize, u32),
+    /// Delivers a message between data centres; those of a partition come late or never.
+    Deliver(usize),
+    Recall(usize),
+    Repay(usize),
+    Restart(usize),
+    Tick(u64),
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        8 => (0..3_usize, 1..25_u32).prop_map(|(at, size)| Op::Start(at, size)),
+        4 => (0..3_usize).prop_map(Op::Fill),
+        4 => (0..3_usize).prop_map(Op::End),
+        4 => (0..3_usize, 0..3_usize, 1..31_u32).prop_map(|(a, b, size)| Op::Ask(a, b, size)),
+        6 => (0..100_usize).prop_map(Op::Deliver),
+        1 => (0..3_usize).prop_map(Op::Recall),
+        2 => (0..3_usize).prop_map(Op::Repay),
+        1 => (0..3_usize).prop_map(Op::Restart),
+        3 => (1..20_u64).prop_map(Op::Tick),
+        1 => (20..120_u64).prop_map(Op::Tick),
+    ]
+}
+
+enum Message {
+    Ask(usize, jayfork::request::LoanRequest),
+    Loan(usize, Loan),
+    Recall(usize, LoanId),
+    Repaid(usize, LoanId),
+}
+
+struct DataCentre {
+    quotas: Quotas,
+    running: Vec<u32>,
+    excess_since: Option<u64>,
+    /// Loans in this data centre's stream, with the time of the record and whether they ended.
+    stream: BTreeMap<LoanId, (u64, Loan, bool)>,
+    incarnation: u64,
+}
+
+impl DataCentre {
+    fn running(&self) -> u32 {
+        self.running.iter().sum()
+    }
+}
+
+struct Model {
+    now: u64,
+    centres: Vec<DataCentre>,
+    messages: Vec<Message>,
+}
+
+const CENTRES: [&str; 3] = ["a", "b", "c"];
+
+fn position(data_centre: &Name) -> usize {
+    CENTRES
+        .iter()
+        .position(|name| **name == **data_centre)
+        .unwrap()
+}
+
+impl Model {
+    fn new() -> Self {
+        let centres = CENTRES.map(|data_centre| DataCentre {
+            quotas: thirds(data_centre),
+            running: Vec::new(),
+            excess_since: None,
+            stream: BTreeMap::new(),
+            incarnation: 1,
+        });
+        Model {
+            now: 0,
+            centres: centres.into(),
+            messages: Vec::new(),
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        let now = Millis(self.now);
+        match *op {
+            Op::Start(at, size) => {
+                self.start(at, size);
+            }
+            Op::Fill(at) => while self.start(at, 1) {},
+            Op::End(at) => drop(self.centres[at].running.pop()),
+            Op::Ask(at, to, size) => {
+                let request = self.centres[at].quotas.ask(now, &customer(), cores(size));
+                self.messages.push(Message::Ask(to, request.unwrap()));
+            }
+            Op::Deliver(pick) if !self.messages.is_empty() => {
+                let message = self.messages.remove(pick % self.messages.len());
+                self.deliver(message);
+            }
+            Op::Deliver(_) => {}
+            Op::Recall(at) => {
+                for loan in self.centres[at].quotas.outstanding(&customer()) {
+                    let recall = Message::Recall(position(&loan.borrower), loan.id.clone());
+                    self.messages.push(recall);
+                }
+            }
+            Op::Repay(at) => {
+                let needed = cores(self.centres[at].running());
+                let repaid = self.centres[at].quotas.repay(now, &customer(), needed);
+                for id in repaid {
+                    for to in 0..CENTRES.len() {
+                        self.messages.push(Message::Repaid(to, id.clone()));
+                    }
+                }
+            }
+            Op::Restart(at) => self.restart(at),
+            Op::Tick(seconds) => (0..seconds).for_each(|_| self.pass_second()),
+        }
+    }
+
+    fn start(&mut self, at: usize, size: u32) -> bool {
+        let centre = &mut self.centres[at];
+        let running = cores(centre.running());
+        let now = Millis(self.now);
+        let is_allowed = centre.quotas.allows(now, &customer(), running, cores(size));
+        if is_allowed {
+            centre.running.push(size);
+        }
+        is_allowed
+    }
+
+    fn deliver(&mut self, message: Message) {
+        let now = Millis(self.now);
+        match message {
+            Message::Ask(to, request) => {
+                let centre = &mut self.centres[to];
+                let running = cores(centre.running());
+                let Some(loan) = centre.quotas.lend(&request, running) else {
+                    return;
+                };
+                centre
+                    .stream
+                    .insert(loan.id.clone(), (self.now, loan.clone(), false));
+                if centre.quotas.lent(now, Millis(0), &loan, running) {
+                    self.messages
+                        .push(Message::Loan(position(&loan.borrower), loan));
+                }
+            }
+            Message::Loan(to, loan) => drop(self.centres[to].quotas.borrow(now, &loan)),
+            Message::Recall(to, id) => self.centres[to].quotas.recall(&customer(), &id),
+            Message::Repaid(to, id) => self.end_loan(to, &id),
+        }
+    }
+
+    fn end_loan(&mut self, at: usize, id: &LoanId) {
+        let centre = &mut self.centres[at];
+        if let Some((_, _, has_ended)) = centre.stream.get_mut(id) {
+            *has_ended = true;
+            centre.quotas.ended(&customer(), id);
+        }
+    }
+
+    /// The new process reads its stream; it knows only part of each record's age.
+    fn restart(&mut self, at: usize) {
+        let centre = &mut self.centres[at];
+        centre.incarnation += 1;
+        let host = name(&format!("entry-{}", CENTRES[at]));
+        centre.quotas = Quotas::new(name(CENTRES[at]), host, centre.incarnation, TERMS);
+        centre
+            .quotas
+            .set(&customer(), 1, cores(90), &names(&CENTRES));
+        let running = cores(centre.running.iter().sum());
+        for (time, loan, has_ended) in centre.stream.values() {
+            let age = Millis((self.now - time) / 2);
+            centre.quotas.lent(Millis(self.now), age, loan, running);
+            if *has_ended {
+                centre.quotas.ended(&customer(), &loan.id);
+            }
+        }
+    }
+
+    fn pass_second(&mut self) {
+        self.now += 1_000;
+        for at in 0..CENTRES.len() {
+            for id in self.centres[at].quotas.due(Millis(self.now)) {
+                self.end_loan(at, &id);
+            }
+            self.stop_excess(at);
+        }
+    }
+
+    /// Stops tasks as late as `LoanTerms::drain` allows.
+    fn stop_excess(&mut self, at: usize) {
+        let now = self.now;
+        let centre = &mut self.centres[at];
+        let excess = |centre: &DataCentre| {
+            let running = cores(centre.running());
+            centre.quotas.excess(Millis(now), &customer(), running) != Size::ZERO
+        };
+        if !excess(centre) {
+            centre.excess_since = None;
+            return;
+        }
+        let since = *centre.excess_since.get_or_insert(now);
+        if now - since < TERMS.drain.0 - 1_000 {
+            return;
+        }
+        while excess(centre) {
+            centre.running.pop();
+        }
+    }
+}
+
+proptest! {
+    /// Guards I1: the sum of what runs never exceeds the quota, whatever messages are delayed.
+    #[test]
+    fn the_sum_never_exceeds_the_quota(ops in proptest::collection::vec(op(), 1..150)) {
+        let mut model = Model::new();
+        for op in &ops {
+            model.apply(op);
+            let sum: u32 = model.centres.iter().map(DataCentre::running).sum();
+            prop_assert!(sum <= 90, "{} cores run after {:?} at {}", sum, op, model.now);
+        }
+    }
+}
