--- a/benches/overload.rs
+++ b/benches/overload.rs
@@ -391,8 +391,7 @@
     let mut unlimited = limits.clone();
     unlimited.retries = 100_000_000;
     for load in [0.5, 1.0, 2.0, 5.0] {
-        let bounded = Cluster::new(seed, load, &limits).run();
-        bounded.print("jayfork", load);
+        (Cluster::new(seed, load, &limits).run()).print("jayfork", load);
         let unbounded = Cluster::new(seed, load, &unlimited).run();
         unbounded.print("no retry budget", load);
         run_fifo(seed, load).print("fifo, no admission", load);
--- a/tests/urgent.rs
+++ b/tests/urgent.rs
@@ -621,6 +621,61 @@
     assert_eq!(f.answers(), [(ticket, 200, None)]);
 }
 
+/// Guards I2: a lost host may only be out of contact, and acquire an instance later.
+#[test]
+fn a_lost_host_that_may_hold_an_instance_is_unsettled_again() {
+    let mut f = Fixture::with_instance(&["a", "b"]);
+    f.set_hosts(&["a"]);
+    f.router.unsettle(Millis(f.now), &name("b"), Vec::new());
+    f.pass(100);
+    f.router.unsettle(Millis(f.now), &name("b"), names(&["i9"]));
+    f.submit(&id_of("b", &["a", "b"]), IDEMPOTENT);
+    f.assert_idle();
+    f.settle("i9", &[]);
+    f.sent();
+}
+
+/// Guards I2: while this host held no instance, the lost host may have taken over its ids.
+#[parameterized(
+    held_before = { true },
+    acquired_after = { false },
+)]
+fn own_ids_are_held_without_an_instance_from_before_the_loss(held_before: bool) {
+    let mut f = Fixture::new(&["a", "b"]);
+    if held_before {
+        f.report("i1", &[]);
+    }
+    f.pass(2_000);
+    f.set_hosts(&["a"]);
+    f.router.unsettle(Millis(f.now), &name("b"), names(&["i9"]));
+    f.pass(1_000);
+    f.report("i1", &[]);
+    f.submit(&id_of("a", &["a", "b"]), IDEMPOTENT);
+    if !held_before {
+        f.assert_idle();
+        f.settle("i9", &[]);
+    }
+    f.sent();
+}
+
+/// Guards against two hosts that wait for each other: `b` would wait for `a`, which asks `b` next.
+#[test]
+fn the_home_does_not_wait_for_a_run_that_is_asking() {
+    let mut f = Fixture::with_instance(&["a"]);
+    let id = ids_of(&["b", "a", "c"]).next().unwrap();
+    f.set_hosts(&["a", "c"]);
+    f.submit(&id, IDEMPOTENT);
+    f.forwarded();
+    f.set_hosts(&["a", "b", "c"]);
+    let options = Options {
+        hops: 2,
+        from: Some("b"),
+        ..IDEMPOTENT
+    };
+    let ticket = f.submit(&id, options);
+    assert_eq!(f.answers(), [(ticket, 421, Some(Ran::NotRun))]);
+}
+
 /// Guards I6: the lost home may have run the id, and nobody remembers.
 #[test]
 fn at_most_once_ids_of_a_lost_home_end_as_unknown() {
