--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -85,7 +85,7 @@
             contracts_offset: self.contracts.offset(),
             draining: self.draining,
             leaving: self.leases.leaving(),
-            loads: self.urgent.loads(),
+            loads: self.urgent.loads(now),
             slow: self.latencies.slow(now),
             awaited: self.urgent.awaited_instances(),
             reports: Vec::new(),
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod pairs;
 mod placement;
 mod quarantine;
+mod quota;
 mod urgent;
 
 pub use admission::{Admission, Place};
@@ -22,6 +23,7 @@
 pub use pairs::{ClassKey, PairPenalties};
 pub use placement::{Demand, Misfit, NoFit, Placer, WorkerView};
 pub use quarantine::Quarantine;
+pub use quota::{Loan, LoanId, LoanRequest, LoanTerms, Quotas};
 pub use urgent::{
     Dispatch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer, UrgentForward,
     UrgentLimits, UrgentRequest, UrgentRouter,
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -42,6 +42,9 @@
         draining: false,
         leaving: Vec::new(),
         loads: Vec::new(),
+        slow: Vec::new(),
+        awaited: Vec::new(),
+        reports: Vec::new(),
     }
 }
 
@@ -298,7 +301,13 @@
     let (now, record) = watch.run(11_000, 120_000).unwrap();
     assert_eq!(
         (now, record),
-        (56_000, Record::WorkerLost { worker: name("w") })
+        (
+            56_000,
+            Record::WorkerLost {
+                worker: name("w"),
+                suspected: Offset(50)
+            }
+        )
     );
 }
 
