Refuse messages from before a lost one; make actions reproducible

Cause: an interleaving ran an id twice at once: a home lost its message to a peer, asked the peer later, was told that the id is not there, and ran it; 11 s later the peer read the first message and ran it too.

Change: messages between hosts carry an epoch (incarnation of the sender and a count of lost messages to that peer); a message to run an id with an earlier epoch than the latest one seen is refused as not run. UrgentRouter::new takes the incarnation. Keys are sorted before they are acted on. UrgentAnswer::unavailable is what a peer that took no action counts as.

--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,6 @@
 pub use budget::RetryBudget;
 pub use quota::{Loan, LoanId, LoanRequest, LoanTerms, Quotas};
 pub use urgent::{
-    Dispatch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer, UrgentForward,
-    UrgentLimits, UrgentRequest, UrgentRouter,
+    Dispatch, Epoch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer,
+    UrgentForward, UrgentLimits, UrgentRequest, UrgentRouter,
 };
--- a/src/request/urgent.rs
+++ b/src/request/urgent.rs
@@ -14,7 +14,7 @@
 mod run;
 mod types;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::base::{Millis, Name, Ran};
 use crate::connection::wire::ServiceLoad;
@@ -31,8 +31,8 @@
 use types::Refusal;
 
 pub use types::{
-    Dispatch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer, UrgentForward,
-    UrgentLimits, UrgentRequest,
+    Dispatch, Epoch, InstanceResult, OwnedInstance, Ticket, UrgentAction, UrgentAnswer,
+    UrgentForward, UrgentLimits, UrgentRequest,
 };
 
 /// Which table holds an id's caller or dispatch. A host can relay an id to its home and at the
@@ -54,7 +54,7 @@
     handover: Handover,
     peers: Peers,
     instances: Instances,
-    queues: HashMap<Name, Admission<Name>>,
+    queues: BTreeMap<Name, Admission<Name>>,
     budget: RetryBudget,
     runs: HashMap<Name, Run>,
     relays: HashMap<Name, Relay>,
@@ -70,13 +70,14 @@
 }
 
 impl UrgentRouter {
-    pub fn new(host: Name, limits: UrgentLimits) -> Self {
+    /// `incarnation` is larger than that of any earlier process of this host.
+    pub fn new(host: Name, incarnation: u64, limits: UrgentLimits) -> Self {
         UrgentRouter {
-            handover: Handover::new(host.clone(), limits.silence),
+            handover: Handover::new(host.clone(), incarnation, limits.silence),
             host,
             peers: Peers::default(),
             instances: Instances::default(),
-            queues: HashMap::new(),
+            queues: BTreeMap::new(),
             budget: RetryBudget::new(limits.retries, limits.saved_retries),
             runs: HashMap::new(),
             relays: HashMap::new(),
@@ -101,10 +102,10 @@
         let Some(gone) = self.handover.set_hosts(now, hosts) else {
             return;
         };
-        for key in self.runs.keys().cloned().collect::<Vec<_>>() {
+        for key in sorted(self.runs.keys()) {
             self.review_run(now, &key, &gone, out);
         }
-        for key in self.relays.keys().cloned().collect::<Vec<_>>() {
+        for key in sorted(self.relays.keys()) {
             self.review_relay(now, &key, &gone, out);
         }
     }
@@ -187,6 +188,11 @@
         if !request.idempotent && self.recent.contains(now, &key) {
             return refuse(request.ticket, Refusal::Repeated, Ran::Unknown, out);
         }
+        if let Some(home) = request.from.as_ref().filter(|_| request.hops >= 2) {
+            if !self.handover.receive(home, request.epoch) {
+                return refuse(request.ticket, Refusal::Misdirected, Ran::NotRun, out);
+            }
+        }
         if request.attach {
             return self.attach(now, &key, request, out);
         }
@@ -350,6 +356,13 @@
     out.push(UrgentAction::Answer { ticket, answer });
 }
 
+/// The order of a hash map differs between runs; actions must not depend on it.
+fn sorted<'a>(keys: impl Iterator<Item = &'a Name>) -> Vec<Name> {
+    let mut keys: Vec<Name> = keys.cloned().collect();
+    keys.sort_unstable();
+    keys
+}
+
 fn pop_due(timers: &mut BTreeSet<(Millis, Name)>, now: Millis) -> Vec<Name> {
     let mut due = Vec::new();
     while timers.first().is_some_and(|(at, _)| *at <= now) {
--- a/src/request/urgent/answers.rs
+++ b/src/request/urgent/answers.rs
@@ -65,6 +65,11 @@
         let Some(run) = self.runs.get(key) else {
             return;
         };
+        if let Phase::Forwarded { host, .. } | Phase::Asking { host, .. } = &run.phase {
+            if answer.is_none() {
+                self.handover.advance_epoch(host);
+            }
+        }
         match &run.phase {
             Phase::Forwarded { host, .. } => {
                 let host = host.clone();
--- a/src/request/urgent/ask.rs
+++ b/src/request/urgent/ask.rs
@@ -52,7 +52,8 @@
         let Some(run) = self.runs.get(key) else {
             return;
         };
-        let forward = message(now, &run.request, true);
+        let epoch = self.handover.epoch(&host);
+        let forward = message(now, &run.request, epoch, true);
         out.push(UrgentAction::Forward {
             dispatch,
             host,
--- a/src/request/urgent/handover.rs
+++ b/src/request/urgent/handover.rs
@@ -4,6 +4,8 @@
 
 use crate::base::{Millis, Name, prefer, rank};
 
+use super::types::Epoch;
+
 /// A host that was lost, with what is still unknown about its requests.
 #[derive(Debug)]
 struct Lost {
@@ -42,12 +44,24 @@
     /// Ids that a peer may run because this host told it that it does not.
     ceded: HashMap<Name, (Name, Millis)>,
     ceded_until: BTreeSet<(Millis, Name)>,
+    /// Epoch of this host's messages to each peer; `first` until a message is lost.
+    sending: HashMap<Name, Epoch>,
+    first: Epoch,
+    /// Latest epoch of each peer's messages.
+    received: HashMap<Name, Epoch>,
 }
 
 impl Handover {
-    pub fn new(host: Name, silence: Millis) -> Self {
+    pub fn new(host: Name, incarnation: u64, silence: Millis) -> Self {
+        let first = Epoch {
+            incarnation,
+            number: 0,
+        };
         Handover {
             silence,
+            sending: HashMap::new(),
+            first,
+            received: HashMap::new(),
             live: BTreeMap::from([(host.clone(), Millis(0))]),
             host,
             lost: BTreeMap::new(),
@@ -187,7 +201,7 @@
         self.blocked.contains_key(key)
     }
 
-    /// Returns ids whose attempt on `instance` is shown to have ended by a report that was asked
+    /// Returns in order the ids whose attempt on `instance` is shown to have ended by a report that was asked
     /// for at `reported`.
     pub fn ended(&mut self, instance: &Name, reported: Millis, running: &[Name]) -> Vec<Name> {
         if self.blocked.is_empty() {
@@ -205,9 +219,28 @@
             }
             !instances.is_empty()
         });
+        ended.sort_unstable();
         ended
     }
 
+    /// Epoch of the next message to `peer`.
+    pub fn epoch(&self, peer: &Name) -> Epoch {
+        self.sending.get(peer).copied().unwrap_or(self.first)
+    }
+
+    /// A message to `peer` was lost.
+    pub fn advance_epoch(&mut self, peer: &Name) {
+        let epoch = self.sending.entry(peer.clone()).or_insert(self.first);
+        epoch.number += 1;
+    }
+
+    /// Notes the epoch of a message; false if it was sent before a later one was lost.
+    pub fn receive(&mut self, peer: &Name, epoch: Epoch) -> bool {
+        let latest = self.received.entry(peer.clone()).or_default();
+        *latest = epoch.max(*latest);
+        epoch == *latest
+    }
+
     pub fn cede(&mut self, key: &Name, host: &Name, until: Millis) {
         self.ceded.insert(key.clone(), (host.clone(), until));
         self.ceded_until.insert((until, key.clone()));
--- a/src/request/urgent/relay.rs
+++ b/src/request/urgent/relay.rs
@@ -99,6 +99,7 @@
             deadline: left,
             hops: 1,
             attach: false,
+            epoch: self.handover.epoch(&home),
             body: relay.request.body.clone(),
         };
         let dispatch = self.new_dispatch(Owner::Relay(key.clone()));
--- a/src/request/urgent/run.rs
+++ b/src/request/urgent/run.rs
@@ -4,7 +4,7 @@
 
 use super::handover::Hold;
 use super::types::{
-    Dispatch, OwnedInstance, Refusal, Ticket, UrgentAction, UrgentAnswer, UrgentForward,
+    Dispatch, Epoch, OwnedInstance, Refusal, Ticket, UrgentAction, UrgentAnswer, UrgentForward,
 };
 use super::{Admission, Owner, UrgentRequest, UrgentRouter, memory, refuse};
 use crate::request::admission::Place;
@@ -315,7 +315,8 @@
             return;
         };
         self.peers.sent(&run.request.service, &host);
-        let forward = message(now, &run.request, false);
+        let epoch = self.handover.epoch(&host);
+        let forward = message(now, &run.request, epoch, false);
         out.push(UrgentAction::Forward {
             dispatch,
             host,
@@ -471,7 +472,12 @@
 }
 
 /// The message that asks a peer to run a request, or whether it is running it.
-pub(super) fn message(now: Millis, request: &UrgentRequest, attach: bool) -> UrgentForward {
+pub(super) fn message(
+    now: Millis,
+    request: &UrgentRequest,
+    epoch: Epoch,
+    attach: bool,
+) -> UrgentForward {
     UrgentForward {
         request: request.request.clone(),
         customer: request.customer.clone(),
@@ -479,6 +485,7 @@
         deadline: request.deadline.since(now),
         hops: 2,
         attach,
+        epoch,
         body: if attach {
             Default::default()
         } else {
--- a/src/request/urgent/types.rs
+++ b/src/request/urgent/types.rs
@@ -1,6 +1,7 @@
 //! Inputs and outputs of `UrgentRouter`.
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::base::{Millis, Name, Ran, Token};
 use crate::connection::wire::{Answer, ErrorBody};
@@ -13,6 +14,18 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Dispatch(pub u64);
 
+/// Orders the messages of one host to another across lost connections and restarts.
+///
+/// After a connection was lost, messages sent before it must not start a request any more, since
+/// the sender goes by what the peer answered later.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Epoch {
+    /// Incarnation of the sender; a later one is larger.
+    pub incarnation: u64,
+    /// Counts lost messages to this peer.
+    pub number: u64,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UrgentLimits {
     /// Longest queue per service.
@@ -77,6 +90,8 @@
     pub from: Option<Name>,
     /// Asks only for a running attempt to wait for; starts nothing and carries no body.
     pub attach: bool,
+    /// As sent by the peer; the default from a caller.
+    pub epoch: Epoch,
     pub body: Bytes,
 }
 
@@ -117,6 +132,7 @@
     pub hops: u8,
     /// As in `UrgentRequest`.
     pub attach: bool,
+    pub epoch: Epoch,
     pub body: Bytes,
 }
 
@@ -208,6 +224,13 @@
 const MISDIRECTED: u16 = 421;
 
 impl UrgentAnswer {
+    /// Answer of a peer that took no action, so that the sender tries again later.
+    ///
+    /// A peer that is draining must not give it to `attach`, since it may be running the id.
+    pub fn unavailable() -> Self {
+        UrgentAnswer::refusal(Refusal::Misdirected, Ran::NotRun)
+    }
+
     pub(super) fn refusal(refusal: Refusal, ran: Ran) -> Self {
         let body = ErrorBody {
             error: refusal.kind().into(),
