Move queued requests on when the last instance is lost

Cause: requests that were queued when a host lost its last usable instance waited until their deadline, although a peer could take them.

Change: with no usable slot the queue of the service is cleared; each request is forwarded to the best peer or refused as not run. Queue handling has its own file.

--- a/src/request/urgent.rs
+++ b/src/request/urgent.rs
@@ -9,6 +9,7 @@
 mod handover;
 mod instances;
 mod peers;
+mod queue;
 mod recent;
 mod relay;
 mod run;
--- a/src/request/urgent/run.rs
+++ b/src/request/urgent/run.rs
@@ -274,7 +274,7 @@
         }
     }
 
-    fn send(
+    pub(super) fn send(
         &mut self,
         now: Millis,
         key: &Name,
@@ -324,30 +324,6 @@
         });
     }
 
-    /// Sends queued requests to free slots and drops those that are too late.
-    pub(super) fn drain_queue(&mut self, now: Millis, service: &Name, out: &mut Vec<UrgentAction>) {
-        let mut late = Vec::new();
-        if let Some(queue) = self.queues.get_mut(service) {
-            queue.expire(now, &mut late);
-        }
-        for key in late {
-            self.refuse_run(now, &key, Refusal::Expired, out);
-        }
-        while self.instances.pick(now, service, None).is_some() {
-            let Some(key) = self.queues.get_mut(service).and_then(Admission::take) else {
-                return;
-            };
-            let avoid = self.runs.get(&key).and_then(|run| run.avoid.as_ref());
-            let instance = self.instances.pick(now, service, avoid).cloned();
-            match instance {
-                Some(instance) if !self.handover.is_blocked(&key) => {
-                    self.send(now, &key, &instance, out);
-                }
-                _ => self.advance(now, &key, out),
-            }
-        }
-    }
-
     /// A timer of the run has passed.
     pub(super) fn run_due(&mut self, now: Millis, key: &Name, out: &mut Vec<UrgentAction>) {
         let Some(run) = self.runs.get_mut(key) else {
--- a/tests/urgent.rs
+++ b/tests/urgent.rs
@@ -344,6 +344,29 @@
     f.assert_idle();
 }
 
+/// Guards against callers that wait for instances that this host has lost.
+#[parameterized(
+    to_a_peer = { true },
+    refused = { false },
+)]
+fn queued_requests_move_on_when_the_last_instance_is_lost(peer_is_free: bool) {
+    let mut f = Fixture::with_instance(&["a", "b"]);
+    let ids: Vec<String> = ids_of(&["a", "b"]).take(3).collect();
+    let tickets: Vec<Ticket> = ids.iter().map(|id| f.submit(id, IDEMPOTENT)).collect();
+    f.all_sent();
+    if peer_is_free {
+        let now = Millis(f.now);
+        f.router.set_peers(now, vec![(name("b"), load(8, 8, 0))]);
+    }
+    f.set_instances(Vec::new());
+    if peer_is_free {
+        assert_eq!(f.forwarded().2.hops, 2);
+    } else {
+        assert_eq!(f.answers(), [(tickets[2], 503, Some(Ran::NotRun))]);
+    }
+    f.assert_idle();
+}
+
 /// Guards I7 and I8.
 #[parameterized(
     leaving = { true, true },
