Test late starts and late WorkerLost records

Cause: the model covered a start that is under way for longer than its run lease, and a WorkerLost that arrives after its suspicion was closed and another one opened, only by chance. It also started the attempt at once, so that no start was decided after a suspicion.

--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -1150,3 +1150,83 @@
     assert!(model.worker.running.is_some(), "the task was stopped");
     assert!(!model.truth.lost);
 }
+
+/// Guards against a start that was under way when the worker was declared lost.
+#[test]
+fn a_late_start_is_refused() {
+    let mut model = Model::new([100; HOSTS], 100, 200);
+    model.step(&Step::Pass(199)).unwrap();
+    for host in 0..HOSTS {
+        model.step(&Step::Worker(host, true, 280)).unwrap();
+    }
+    model.step(&Step::Pass(4)).unwrap();
+    let is_start = |message: &(u64, To, Message)| matches!(message.2, Message::Start { .. });
+    assert!(model.network.iter().any(is_start));
+    model.step(&Step::Silence(true)).unwrap();
+    model.step(&Step::Pass(270)).unwrap();
+    assert!(model.truth.lost && model.network.iter().any(is_start));
+    model.step(&Step::Pass(100)).unwrap();
+}
+
+/// Guards against a late `WorkerLost` that takes effect on a later suspicion than its own.
+#[test]
+fn a_late_worker_lost_needs_its_own_suspicion() {
+    let mut model = Model::new([100; HOSTS], 100, 0);
+    let pass_until = |model: &mut Model, done: &dyn Fn(&Model) -> bool| {
+        let mut ticks = 0;
+        while !done(model) {
+            model.step(&Step::Pass(1)).unwrap();
+            ticks += 1;
+            assert!(ticks < 400);
+        }
+    };
+    let appends = |model: &mut Model, appends, delay| {
+        for host in 0..HOSTS {
+            model.step(&Step::Log(host, true, appends, delay)).unwrap();
+        }
+    };
+    model.start = u64::MAX;
+    model.step(&Step::Pass(40)).unwrap();
+    model.step(&Step::Silence(true)).unwrap();
+    pass_until(&mut model, &|model| !model.truth.open.is_empty());
+    appends(&mut model, true, 130);
+    pass_until(&mut model, &|model| {
+        !model.network.is_empty() && model.network.iter().any(is_lost)
+    });
+    appends(&mut model, false, 0);
+    model.step(&Step::Silence(false)).unwrap();
+    pass_until(&mut model, &|model| {
+        model
+            .hosts
+            .iter()
+            .any(|host| host.leases.usable(host.now(model.tick), "w").is_some())
+    });
+    appends(&mut model, true, 0);
+    model.start = 0;
+    pass_until(&mut model, &|model| model.worker.running.is_some());
+    assert!(model.truth.open.is_empty());
+    // The second suspicion is by the host that declared the first.
+    let late = model
+        .network
+        .iter()
+        .find(|message| is_lost(message))
+        .unwrap();
+    let Message::Append(Logged { host: writer, .. }) = late.2.clone() else {
+        unreachable!()
+    };
+    for host in (0..HOSTS).filter(|&host| host_name(host) != writer) {
+        model.step(&Step::Log(host, true, false, 0)).unwrap();
+    }
+    model.step(&Step::Silence(true)).unwrap();
+    pass_until(&mut model, &|model| !model.truth.open.is_empty());
+    assert!(model.worker.running.is_some() && model.network.iter().any(is_lost));
+    model.step(&Step::Pass(130)).unwrap();
+    assert!(!model.truth.lost);
+}
+
+fn is_lost(message: &(u64, To, Message)) -> bool {
+    let Message::Append(logged) = &message.2 else {
+        return false;
+    };
+    matches!(logged.record, Record::WorkerLost { .. })
+}
