--- /dev/null
+++ b/tests/contracts.rs
@@ -0,0 +1,615 @@
+//! Contracts: validation, the fold of the stream, relay between hosts, and restatement.
+
+use std::collections::{BTreeMap, HashMap};
+
+use jayfork::base::{Millis, Name, Offset, Size, rank};
+use jayfork::connection::wire::RelayedContract;
+use jayfork::version::{
+    Applied, Class, Contract, ContractError, ContractKind, ContractRecord, ContractTable, MAX_BODY,
+    Retain, Urgency, Versioned,
+};
+use proptest::prelude::*;
+use serde_json::{Value, json};
+use yare::parameterized;
+
+fn name(text: &str) -> Name {
+    Name::from(text)
+}
+
+fn valid() -> Value {
+    json!({
+        "customer": "vltava-prints",
+        "data_centres": ["praha-karlin", "brno-zabovresky"],
+        "quota": {"processors": 64_000, "memory": 240_000},
+        "classes": [
+            {"name": "proofs", "urgency": "urgent", "service": "issue-assembly", "deadline": 4_000},
+            {"name": "merges", "urgency": "deferrable", "at_most_once": true},
+            {"name": "watch", "urgency": "watcher"},
+        ],
+    })
+}
+
+/// Guards against defaults that change what an operator published.
+#[test]
+fn parses_with_defaults() {
+    let contract = Contract::parse(valid().to_string().as_bytes()).unwrap();
+    assert_eq!(contract.quota, Size::new(64_000, 240_000, 0));
+    let proofs = &contract.classes[0];
+    assert_eq!(proofs.deadline, Some(Millis(4_000)));
+    assert_eq!(
+        (proofs.objective, proofs.max_body, proofs.max_attempts),
+        (0.99, MAX_BODY, 5)
+    );
+    assert!(contract.classes[1].at_most_once && !proofs.at_most_once);
+}
+
+/// Sets the value at a JSON pointer, or removes it if `value` is `"REMOVE"`.
+fn altered(pointer: &str, value: Value) -> Value {
+    let mut contract = valid();
+    let (parent, key) = pointer.rsplit_once('/').unwrap();
+    match contract.pointer_mut(parent).unwrap() {
+        Value::Object(map) if value == "REMOVE" => drop(map.remove(key)),
+        Value::Object(map) => drop(map.insert(key.to_owned(), value)),
+        Value::Array(list) => list[key.parse::<usize>().unwrap()] = value,
+        other => panic!("{other}"),
+    }
+    contract
+}
+
+/// Guards against a refusal that does not tell the operator which field to change, and to what.
+#[parameterized(
+    customer_empty = { "/customer", json!(""), "customer", "\"\"", "1 to 64 of the characters" },
+    customer_with_slash = { "/customer", json!("a/b"), "customer", "a/b", "1 to 64 of the characters" },
+    customer_missing = { "/customer", json!("REMOVE"), "customer", "", "missing" },
+    customer_number = { "/customer", json!(7), "customer", "7", "expected a string" },
+    no_data_centre = { "/data_centres", json!([]), "data_centres", "0", "1 to 64 entries" },
+    data_centre_twice = { "/data_centres", json!(["x", "x"]), "data_centres[1]", "\"x\"", "occurs once" },
+    data_centre_blank = { "/data_centres", json!(["x", " "]), "data_centres[1]", "\" \"", "1 to 64 of" },
+    quota_zero = { "/quota/processors", json!(0), "quota.processors", "0", "1 to 4294967295 millicores" },
+    quota_negative = { "/quota/memory", json!(-1), "quota.memory", "-1", "expected u32" },
+    quota_unknown = { "/quota/disks", json!(1), "quota.disks", "", "unknown" },
+    quota_missing = { "/quota", json!("REMOVE"), "quota", "", "missing" },
+    no_classes = { "/classes", json!([]), "classes", "0", "1 to 64 entries" },
+    class_not_object = { "/classes/1", json!("x"), "classes[1]", "\"x\"", "expected an object" },
+    class_twice = { "/classes/1/name", json!("proofs"), "classes[1].name", "\"proofs\"", "occurs once" },
+    class_unknown_field = { "/classes/1/colour", json!(1), "classes[1].colour", "", "unknown" },
+    urgency_unknown = { "/classes/1/urgency", json!("soon"), "classes[1].urgency", "\"soon\"", "expected one of" },
+    urgent_without_deadline = { "/classes/0/deadline", json!("REMOVE"), "classes[0].deadline", "", "missing" },
+    urgent_without_service = { "/classes/0/service", json!(null), "classes[0].service", "", "missing" },
+    deadline_short = { "/classes/0/deadline", json!(9), "classes[0].deadline", "9", "10 to 600000 ms" },
+    deadline_long = { "/classes/0/deadline", json!(600_001), "classes[0].deadline", "600001", "10 to 600000 ms" },
+    deadline_text = { "/classes/0/deadline", json!("4s"), "classes[0].deadline", "\"4s\"", "expected u64" },
+    deadline_of_batch = { "/classes/1/deadline", json!(50), "classes[1].deadline", "50", "not urgent" },
+    service_of_batch = { "/classes/1/service", json!("s"), "classes[1].service", "s", "not urgent" },
+    watcher_once = { "/classes/2/at_most_once", json!(true), "classes[2].at_most_once", "true", "false for a watcher" },
+    objective_low = { "/classes/0/objective", json!(0.49), "classes[0].objective", "0.49", "at least 0.5 and below 1" },
+    objective_one = { "/classes/0/objective", json!(1), "classes[0].objective", "1", "at least 0.5 and below 1" },
+    objective_decimals = { "/classes/0/objective", json!(0.9999999), "classes[0].objective", "0.9999999", "6 decimals" },
+    body_zero = { "/classes/0/max_body", json!(0), "classes[0].max_body", "0", "1 to 16777216 bytes" },
+    body_large = { "/classes/0/max_body", json!(MAX_BODY + 1), "classes[0].max_body", "16777217", "1 to 16777216 bytes" },
+    attempts_zero = { "/classes/1/max_attempts", json!(0), "classes[1].max_attempts", "0", "1 to 100 attempts" },
+    attempts_many = { "/classes/1/max_attempts", json!(101), "classes[1].max_attempts", "101", "1 to 100 attempts" },
+)]
+fn refuses(pointer: &str, value: Value, field: &str, shown: &str, allowed: &str) {
+    let error = Contract::parse(altered(pointer, value).to_string().as_bytes()).unwrap_err();
+    assert_eq!(error.field(), Some(field), "{error}");
+    let text = error.to_string();
+    assert!(
+        text.starts_with(field) && text.contains(shown) && text.contains(allowed),
+        "{text}"
+    );
+}
+
+/// Guards against input that panics or counts as a contract.
+#[parameterized(
+    empty = { "" },
+    cut = { "{\"customer\":" },
+    list = { "[]" },
+    duplicate_field = { "{\"customer\":\"a\",\"customer\":\"a\"}" },
+)]
+fn refuses_what_is_no_contract(text: &str) {
+    assert!(Contract::parse(text.as_bytes()).is_err());
+}
+
+/// Guards against a contract that was accepted and is skipped when ranges are narrowed later.
+#[test]
+fn the_fold_ignores_ranges() {
+    let json = altered("/classes/0/deadline", json!(1)).to_string();
+    assert!(matches!(
+        Contract::parse(json.as_bytes()),
+        Err(ContractError::Range { .. })
+    ));
+    assert!(Contract::read(json.as_bytes()).is_ok());
+}
+
+// --- fold ---
+
+/// A contract that `mark` tells apart.
+fn contract(customer: &str, mark: u64) -> Contract {
+    Contract {
+        customer: name(customer),
+        data_centres: vec![name("cluj-a")],
+        quota: Size::new(1_000, 1_000, 0),
+        classes: vec![Class {
+            name: name("checks"),
+            urgency: Urgency::Urgent,
+            service: Some(name("injection-log")),
+            deadline: Some(Millis(1_000 + mark)),
+            at_most_once: false,
+            objective: 0.999,
+            max_body: 1_024,
+            max_attempts: 3,
+        }],
+    }
+}
+
+fn propose(proposal: &str, base: u64, mark: u64) -> Vec<u8> {
+    ContractRecord::propose(name(proposal), base, &contract("c", mark)).encode()
+}
+
+fn accepted(version: u64, proposal: &str) -> Applied {
+    Applied::Accepted {
+        customer: name("c"),
+        version,
+        proposal: name(proposal),
+    }
+}
+
+fn mark(table: &ContractTable) -> Option<(u64, u64)> {
+    let versioned = table.get("c")?;
+    let deadline = versioned.contract.classes[0].deadline?;
+    Some((versioned.version, deadline.0 - 1_000))
+}
+
+/// Guards against a race of two operators in which both win, or the loser is not told.
+#[test]
+fn log_order_decides_a_race() {
+    let mut table = ContractTable::new();
+    assert_eq!(
+        table.apply(Offset(0), &propose("p0", 0, 0)),
+        accepted(1, "p0")
+    );
+    assert_eq!(
+        table.apply(Offset(1), &propose("p1", 1, 1)),
+        accepted(2, "p1")
+    );
+    let lost = Applied::Lost {
+        proposal: name("p2"),
+        winner: 2,
+    };
+    assert_eq!(table.apply(Offset(2), &propose("p2", 1, 2)), lost);
+    assert_eq!(mark(&table), Some((2, 1)));
+    let versions: Vec<u64> = table
+        .history("c")
+        .iter()
+        .map(|versioned| versioned.version)
+        .collect();
+    assert_eq!(versions, [1, 2]);
+}
+
+/// Guards against an operator who is told that the own, accepted contract lost.
+#[test]
+fn an_append_repeated_after_a_lost_answer_is_known() {
+    let mut table = ContractTable::new();
+    table.apply(Offset(0), &propose("p0", 0, 0));
+    assert_eq!(table.apply(Offset(1), &propose("p0", 0, 0)), Applied::Known);
+    assert_eq!(
+        table.apply(Offset(2), &propose("p1", 1, 1)),
+        accepted(2, "p1")
+    );
+    assert_eq!(table.apply(Offset(3), &propose("p0", 0, 0)), Applied::Known);
+    assert_eq!(mark(&table), Some((2, 1)));
+}
+
+/// Guards against a record that stops the fold or takes effect although it is not well formed.
+#[parameterized(
+    no_json = { b"{".to_vec() },
+    other_kind = { json!({"kind": "x", "proposal": "p", "customer": "c", "base": 1, "contract": contract("c", 9)}).to_string().into_bytes() },
+    other_customer = { json!({"kind": "proposed", "proposal": "p", "customer": "d", "base": 1, "contract": contract("c", 9)}).to_string().into_bytes() },
+    no_contract = { json!({"kind": "proposed", "proposal": "p", "customer": "c", "base": 1, "contract": {}}).to_string().into_bytes() },
+    last_base = { json!({"kind": "proposed", "proposal": "p", "customer": "c", "base": u64::MAX, "contract": contract("c", 9)}).to_string().into_bytes() },
+)]
+fn skips_malformed_records(data: Vec<u8>) {
+    let mut table = ContractTable::new();
+    table.apply(Offset(0), &propose("p0", 0, 0));
+    assert!(matches!(
+        table.apply(Offset(1), &data),
+        Applied::Malformed(_)
+    ));
+    assert_eq!((mark(&table), table.malformed()), (Some((1, 0)), 1));
+    assert_eq!(
+        table.apply(Offset(2), &propose("p1", 1, 1)),
+        accepted(2, "p1")
+    );
+}
+
+/// Guards against an older contract from a peer, or from a second reading of the stream.
+#[test]
+fn never_reverts() {
+    let mut table = ContractTable::new();
+    let relay = |version, offset, m| RelayedContract {
+        offset: Offset(offset),
+        version,
+        contract: serde_json::to_string(&contract("c", m)).unwrap(),
+    };
+    assert_eq!(table.relay(relay(7, 70, 7)), Ok(true));
+    assert_eq!(table.relay(relay(7, 70, 7)), Ok(false));
+    assert_eq!(table.relay(relay(6, 60, 6)), Ok(false));
+    for offset in 0..3 {
+        table.apply(
+            Offset(offset),
+            &propose(&format!("p{offset}"), offset, 100 + offset),
+        );
+        assert_eq!(mark(&table), Some((7, 7)));
+    }
+    assert_eq!(
+        table.apply(Offset(1), &propose("x", 3, 200)),
+        Applied::Known
+    );
+    assert!(
+        table
+            .relay(RelayedContract {
+                contract: "{".to_owned(),
+                ..relay(8, 80, 8)
+            })
+            .is_err()
+    );
+    assert_eq!(mark(&table), Some((7, 7)));
+}
+
+/// Guards against a peer that asks for the same contracts with every `Hello`.
+#[test]
+fn relays_what_is_newer() {
+    let mut table = ContractTable::new();
+    for offset in 0..4 {
+        let record = ContractRecord::propose(name("p"), 0, &contract(&format!("c{offset}"), 0));
+        table.apply(Offset(offset), &record.encode());
+    }
+    assert_eq!(table.offset(), Offset(4));
+    let mut peer = ContractTable::new();
+    let offered = table.since(peer.offset());
+    assert_eq!(offered.len(), 4);
+    for relayed in offered {
+        assert_eq!(peer.relay(relayed), Ok(true));
+    }
+    peer.relayed(table.offset());
+    assert_eq!((peer.offset(), peer.next()), (Offset(4), Offset(0)));
+    assert_eq!(peer.since(Offset(2)).len(), 2);
+}
+
+/// Guards against a proposal that lost against a winner whose record has expired.
+#[test]
+fn a_gap_is_settled_at_the_end_of_the_stream() {
+    let mut table = ContractTable::new();
+    table.apply(Offset(0), &propose("p0", 0, 0));
+    // Version 2 expired at offset 1; p2 lost against it.
+    assert_eq!(
+        table.apply(Offset(2), &propose("p2", 1, 2)),
+        Applied::Unsettled
+    );
+    assert_eq!((mark(&table), table.offset()), (Some((1, 0)), Offset(0)));
+    assert_eq!(table.restate("c"), None);
+    let mut writer = ContractTable::new();
+    writer.apply(Offset(0), &propose("p0", 0, 0));
+    writer.apply(Offset(1), &propose("p1", 1, 1));
+    let restated = writer.restate("c").unwrap().encode();
+    assert_eq!(writer.apply(Offset(2), &restated), Applied::Known);
+    assert_eq!(table.apply(Offset(3), &restated), Applied::Unsettled);
+    table.reached_end(Offset(4));
+    assert_eq!((mark(&table), table.offset()), (Some((2, 1)), Offset(4)));
+    assert_eq!(
+        table.apply(Offset(4), &propose("p3", 2, 3)),
+        accepted(3, "p3")
+    );
+}
+
+/// Guards against a history that keeps a proposal that lost.
+#[test]
+fn a_restatement_corrects_the_history() {
+    let restated = |base, m| {
+        let mut record = ContractRecord::propose(name("won"), base, &contract("c", m));
+        record.kind = ContractKind::Restated;
+        record.encode()
+    };
+    let mut table = ContractTable::new();
+    table.apply(Offset(5), &propose("lost", 1, 9));
+    table.apply(Offset(6), &propose("p3", 2, 3));
+    table.apply(Offset(7), &restated(1, 2));
+    table.reached_end(Offset(8));
+    let history = table.history("c").iter();
+    let proposals: Vec<&str> = history.map(|versioned| &*versioned.proposal).collect();
+    assert_eq!((proposals, mark(&table)), (vec!["won", "p3"], Some((3, 3))));
+}
+
+// --- model ---
+
+const HOSTS: usize = 3;
+/// Records that the log retains.
+const RETAINED: usize = 60;
+const CUSTOMERS: [&str; 2] = ["c", "d"];
+
+#[derive(Debug, Clone)]
+enum Step {
+    /// Host proposes a contract for a customer on the version that it has, and appends it so often.
+    Propose(usize, usize, usize),
+    /// Host appends what it has, whether that is due or not.
+    Restate(usize, usize),
+    Malformed,
+    /// Host reads so many records.
+    Read(usize, usize),
+    /// First host learns from the second.
+    Relay(usize, usize),
+    Restart(usize),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let (host, customer) = (0..HOSTS, 0..CUSTOMERS.len());
+    let step = prop_oneof![
+        8 => (host.clone(), customer.clone(), 1..3usize).prop_map(|(h, c, n)| Step::Propose(h, c, n)),
+        2 => (host.clone(), customer).prop_map(|(h, c)| Step::Restate(h, c)),
+        1 => Just(Step::Malformed),
+        6 => (host.clone(), 1..20usize).prop_map(|(h, n)| Step::Read(h, n)),
+        3 => (host.clone(), host.clone()).prop_map(|(a, b)| Step::Relay(a, b)),
+        1 => host.prop_map(Step::Restart),
+    ];
+    prop::collection::vec(step, 1..300)
+}
+
+/// What a version is, as decided by log order.
+#[derive(Debug, Clone, PartialEq)]
+struct Truth {
+    version: u64,
+    proposal: Name,
+    contract: Contract,
+    offset: usize,
+}
+
+#[derive(Default)]
+struct Model {
+    log: Vec<Vec<u8>>,
+    tables: Vec<ContractTable>,
+    truth: HashMap<(Name, u64), Truth>,
+    current: BTreeMap<Name, Truth>,
+    /// Versions in force seen per host process and customer.
+    seen: HashMap<(usize, Name), u64>,
+    proposals: u64,
+}
+
+impl Model {
+    fn new() -> Self {
+        Model {
+            tables: (0..HOSTS).map(|_| ContractTable::new()).collect(),
+            ..Model::default()
+        }
+    }
+
+    fn first(&self) -> usize {
+        self.log.len().saturating_sub(RETAINED)
+    }
+
+    /// Appends, and restates what is due: each contract whose record is at half the retention.
+    fn append(&mut self, record: &ContractRecord) {
+        self.put(record);
+        let half = self.log.len().saturating_sub(RETAINED / 2);
+        let due: Vec<Truth> = self
+            .current
+            .values()
+            .filter(|t| t.offset < half)
+            .cloned()
+            .collect();
+        for truth in due {
+            let mut restated =
+                ContractRecord::propose(truth.proposal, truth.version - 1, &truth.contract);
+            restated.kind = ContractKind::Restated;
+            self.put(&restated);
+        }
+    }
+
+    fn put(&mut self, record: &ContractRecord) {
+        let offset = self.log.len();
+        self.log.push(record.encode());
+        let current = self.current.get(&record.customer);
+        let version = record.base + 1;
+        let key = (record.customer.clone(), version);
+        let same = self
+            .truth
+            .get(&key)
+            .is_some_and(|t| t.proposal == record.proposal);
+        if !same && current.map_or(0, |t| t.version) != record.base {
+            return;
+        }
+        let mut truth = self.truth.get(&key).cloned().unwrap_or_else(|| Truth {
+            version,
+            proposal: record.proposal.clone(),
+            contract: serde_json::from_value(record.contract.clone()).unwrap(),
+            offset,
+        });
+        truth.offset = offset;
+        if current.is_none_or(|t| t.version <= version) {
+            self.current.insert(record.customer.clone(), truth.clone());
+        }
+        self.truth.insert(key, truth);
+    }
+
+    fn read(&mut self, host: usize, count: usize) {
+        let first = self.first();
+        let table = &mut self.tables[host];
+        let from = (table.next().0 as usize).max(first);
+        for (offset, record) in self.log.iter().enumerate().skip(from).take(count) {
+            table.apply(Offset(offset as u64), record);
+        }
+        if from + count >= self.log.len() {
+            table.reached_end(Offset(self.log.len() as u64));
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        match *step {
+            Step::Propose(host, customer, appends) => {
+                let customer = CUSTOMERS[customer];
+                let base = self.tables[host].get(customer).map_or(0, |v| v.version);
+                self.proposals += 1;
+                let proposal = name(&format!("p{}", self.proposals));
+                let contract = contract(customer, self.proposals);
+                let record = ContractRecord::propose(proposal, base, &contract);
+                (0..appends).for_each(|_| self.append(&record));
+            }
+            Step::Restate(host, customer) => {
+                if let Some(record) = self.tables[host].restate(CUSTOMERS[customer]) {
+                    self.append(&record);
+                }
+            }
+            Step::Malformed => self.log.push(b"{}".to_vec()),
+            Step::Read(host, count) => self.read(host, count),
+            Step::Relay(to, from) => {
+                let (offset, offered) = {
+                    let from = &self.tables[from];
+                    (from.offset(), from.since(self.tables[to].offset()))
+                };
+                let table = &mut self.tables[to];
+                for relayed in offered {
+                    table.relay(relayed).unwrap();
+                }
+                table.relayed(offset);
+            }
+            Step::Restart(host) => {
+                self.tables[host] = ContractTable::new();
+                self.seen.retain(|(h, _), _| *h != host);
+            }
+        }
+    }
+
+    /// What is in force was accepted by log order and never goes back.
+    fn check(&mut self) -> Result<(), TestCaseError> {
+        for (host, table) in self.tables.iter().enumerate() {
+            for versioned in table.iter() {
+                let customer = versioned.contract.customer.clone();
+                let truth = &self.truth.get(&(customer.clone(), versioned.version));
+                prop_assert_eq!(truth.map(|t| &t.contract), Some(&versioned.contract));
+                let seen = self.seen.entry((host, customer)).or_default();
+                prop_assert!(versioned.version >= *seen, "reverted from {}", seen);
+                *seen = versioned.version;
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    /// Guards against contracts that revert, differ between hosts, or depend on the order in which
+    /// the log and the peers told of them.
+    #[test]
+    fn all_tables_converge(steps in steps()) {
+        let mut model = Model::new();
+        for step in &steps {
+            model.step(step);
+            model.check()?;
+        }
+        // A table that has only read the log, and one that heard from a peer before.
+        model.tables.extend([ContractTable::new(), ContractTable::new()]);
+        model.read(0, usize::MAX / 2);
+        model.step(&Step::Relay(HOSTS + 1, 0));
+        for host in 0..model.tables.len() {
+            model.read(host, usize::MAX / 2);
+        }
+        model.check()?;
+        let expected: Vec<Versioned> = model.current.values().map(|truth| Versioned {
+            version: truth.version,
+            offset: Offset(truth.offset as u64),
+            proposal: truth.proposal.clone(),
+            contract: truth.contract.clone(),
+        }).collect();
+        for (host, table) in model.tables.iter().enumerate() {
+            let found: Vec<Versioned> = table.iter().cloned().collect();
+            prop_assert_eq!(&found, &expected, "host {}", host);
+            prop_assert_eq!(table.offset(), Offset(model.log.len() as u64));
+        }
+        for customer in CUSTOMERS {
+            let told = model.tables[HOSTS + 1].history(customer);
+            prop_assert_eq!(told, model.tables[HOSTS].history(customer));
+        }
+    }
+}
+
+// --- restatement ---
+
+const DAY: u64 = 86_400_000;
+
+fn hosts() -> Vec<Name> {
+    let hosts = [name("a"), name("b"), name("c")];
+    rank("c", &hosts).into_iter().cloned().collect()
+}
+
+/// The host at `place` in the order of item `c`, whose record was written at `written`.
+fn retain(place: usize, written: u64) -> Retain<Name> {
+    let mut retain = Retain::new(hosts()[place].clone(), Millis(DAY));
+    retain.written(Millis(written + 1_000), &name("c"), Millis(1_000));
+    retain
+}
+
+fn due(retain: &mut Retain<Name>, now: u64, hosts: &[Name]) -> usize {
+    let mut keys = Vec::new();
+    retain.poll(Millis(now), hosts, 10, &mut keys);
+    keys.len()
+}
+
+/// Guards against records that expire, and against all hosts appending the same at once.
+#[parameterized(first = { 0, 0 }, second = { 1, 5_000 }, third = { 2, 10_000 })]
+fn due_at_half_the_retention(place: usize, delay: u64) {
+    let mut retain = retain(place, 0);
+    let at = DAY / 2 + delay;
+    assert_eq!(due(&mut retain, DAY / 2, &hosts()), usize::from(delay == 0));
+    if delay > 0 {
+        assert_eq!(due(&mut retain, at - 1, &hosts()), 0);
+        assert_eq!(due(&mut retain, at, &hosts()), 1);
+    }
+    assert_eq!(due(&mut retain, at + 9_999, &hosts()), 0);
+    assert_eq!(
+        due(&mut retain, at + 10_000, &hosts()),
+        1,
+        "the append did not arrive"
+    );
+}
+
+/// Guards against a second append of what another host has appended.
+#[test]
+fn a_record_read_back_starts_over() {
+    let mut retain = retain(1, 0);
+    let half = DAY / 2;
+    assert_eq!(due(&mut retain, half, &hosts()), 0);
+    retain.written(Millis(half + 200), &name("c"), Millis(100));
+    assert_eq!(due(&mut retain, 2 * half, &hosts()), 0);
+    // An older record does not count.
+    retain.written(Millis(half + 300), &name("c"), Millis(half));
+    assert_eq!(due(&mut retain, 2 * half, &hosts()), 0);
+    assert_eq!(due(&mut retain, 2 * half + 5_100, &hosts()), 1);
+    retain.forget(&name("c"));
+    assert!(retain.is_empty());
+    assert_eq!(due(&mut retain, 10 * DAY, &hosts()), 0);
+}
+
+/// Guards against items that nobody appends because the first host in order is dead.
+#[test]
+fn follows_the_live_hosts() {
+    let mut retain = retain(1, 0);
+    assert_eq!(due(&mut retain, DAY / 2, &hosts()), 0);
+    assert_eq!(due(&mut retain, DAY / 2 + 5_000, &hosts()[1..]), 1);
+}
+
+/// Guards against an overdue item that is lost at the start of a process, and a flood of appends.
+#[test]
+fn overdue_items_come_in_portions() {
+    let mut retain: Retain<Name> = Retain::new(name("a"), Millis(DAY));
+    for i in 0..25 {
+        retain.written(Millis(5), &name(&format!("c{i}")), Millis(DAY));
+    }
+    let hosts = [name("a")];
+    assert_eq!(
+        (0..4)
+            .map(|_| due(&mut retain, 10, &hosts))
+            .collect::<Vec<_>>(),
+        [10, 10, 5, 0]
+    );
+}
