Require that the readers of a suspicion answer now

Cause: a host that takes the task stream from a peer after a restart may know less than its former process told the declaring host. The last word of the former process would still count, while the new one permits a holder to renew.

Change: a peer counts as a reader of the suspicion only if it answered within the last 2 s.

--- a/src/process/membership.rs
+++ b/src/process/membership.rs
@@ -207,8 +207,8 @@
 
     /// Whether a majority of the data centre's entry hosts answers, itself included.
     pub fn hears_majority(&self, now: Millis) -> bool {
-        let answers = |word: &Word| now.since(word.asked) < SILENCE;
-        self.is_majority(1 + self.words().filter(|(_, word)| answers(word)).count())
+        let answering = self.words().filter(|(_, word)| answers(now, word.asked));
+        self.is_majority(1 + answering.count())
     }
 
     /// Whether this host has read the log to its end within the last 20 s.
@@ -341,3 +341,8 @@
         names
     }
 }
+
+/// Whether a peer whose last word was asked for at `asked` answers now.
+pub(super) fn answers(now: Millis, asked: Millis) -> bool {
+    now.since(asked) < SILENCE
+}
--- a/src/process/suspicions.rs
+++ b/src/process/suspicions.rs
@@ -6,7 +6,7 @@
 use crate::connection::LeaseTable;
 use crate::version::Record;
 
-use super::membership::{Membership, RUN_TTL};
+use super::membership::{Membership, RUN_TTL, answers};
 
 /// Time without an answer and without a holder after which a worker is suspected.
 ///
@@ -55,6 +55,8 @@
     incarnation: u64,
     /// When this host first knew that the peer had read the suspicion.
     since: Millis,
+    /// Before the peer's last word was asked for.
+    asked: Millis,
 }
 
 impl Suspicions {
@@ -128,13 +130,12 @@
                     .get(name)
                     .filter(|reader| reader.incarnation == word.incarnation)
                     .map_or(now, |reader| reader.since);
-                readers.insert(
-                    name.clone(),
-                    Reader {
-                        incarnation: word.incarnation,
-                        since,
-                    },
-                );
+                let reader = Reader {
+                    incarnation: word.incarnation,
+                    since,
+                    asked: word.asked,
+                };
+                readers.insert(name.clone(), reader);
             }
             self.readers.insert(key, readers);
         }
@@ -181,6 +182,10 @@
     /// the log before this host did, or has the word of a majority that had not read it. The
     /// second ends 20 s after a majority has read the suspicion, whenever `WorkerLost` reaches the
     /// log. The last start or renewal lasts 20 s.
+    ///
+    /// The majority must answer now. A peer that restarted may take the log from another one whose
+    /// last read is some seconds old; such a read reaches the suspicion only if the restart was
+    /// after the wait.
     fn is_lost(
         &self,
         now: Millis,
@@ -192,7 +197,7 @@
         if suspicion.host != self.host || !unanswered(suspicion.read) {
             return false;
         }
-        if !membership.reads_log(now) || !membership.hears_majority(now) {
+        if !membership.reads_log(now) {
             return false;
         }
         // The worker answers this host, so its report will tell.
@@ -201,8 +206,9 @@
             return false;
         }
         let key = (suspicion.worker.clone(), suspicion.offset);
+        let counts = |reader: &&Reader| unanswered(reader.since) && answers(now, reader.asked);
         let readers = self.readers.get(&key);
-        let count = readers.map_or(0, |r| r.values().filter(|r| unanswered(r.since)).count());
+        let count = readers.map_or(0, |readers| readers.values().filter(counts).count());
         membership.is_majority(1 + count)
     }
 
--- a/src/version/contracts.rs
+++ b/src/version/contracts.rs
@@ -12,7 +12,7 @@
 /// Versions kept per customer; 190 customers with 1 KB each take 6 MB.
 const HISTORY: usize = 32;
 
-/// Why a record of the stream, or a relayed contract, is skipped.
+/// Why a record of the stream is skipped.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
     #[error("contract record is not of the right form: {0}")]
@@ -186,8 +186,13 @@
     }
 
     /// Takes a contract that a peer has in force; returns whether it is newer.
-    pub fn relay(&mut self, relayed: RelayedContract) -> Result<bool> {
-        let contract = Contract::read(relayed.contract.as_bytes())?;
+    ///
+    /// One that does not parse is skipped and counted.
+    pub fn relay(&mut self, relayed: RelayedContract) -> bool {
+        let Ok(contract) = Contract::read(relayed.contract.as_bytes()) else {
+            self.malformed += 1;
+            return false;
+        };
         let entry = self.customers.entry(contract.customer.clone());
         let newer = Versioned {
             version: relayed.version,
@@ -195,7 +200,7 @@
             proposal: Name::from(""),
             contract,
         };
-        Ok(entry.or_default().replace(newer))
+        entry.or_default().replace(newer)
     }
 
     /// Takes note that a peer has told of all contracts below `offset`.
@@ -257,7 +262,7 @@
         Some(ContractRecord::new(kind, proposal, base, &current.contract))
     }
 
-    /// Number of records skipped as malformed.
+    /// Number of records and relayed contracts skipped as malformed.
     pub fn malformed(&self) -> u64 {
         self.malformed
     }
--- a/tests/contracts.rs
+++ b/tests/contracts.rs
@@ -229,9 +229,9 @@
         version,
         contract: serde_json::to_string(&contract("c", m)).unwrap(),
     };
-    assert_eq!(table.relay(relay(7, 70, 7)), Ok(true));
-    assert_eq!(table.relay(relay(7, 70, 7)), Ok(false));
-    assert_eq!(table.relay(relay(6, 60, 6)), Ok(false));
+    assert!(table.relay(relay(7, 70, 7)));
+    assert!(!table.relay(relay(7, 70, 7)));
+    assert!(!table.relay(relay(6, 60, 6)));
     for offset in 0..3 {
         table.apply(
             Offset(offset),
@@ -243,14 +243,12 @@
         table.apply(Offset(1), &propose("x", 3, 200)),
         Applied::Known
     );
-    assert!(
-        table
-            .relay(RelayedContract {
-                contract: "{".to_owned(),
-                ..relay(8, 80, 8)
-            })
-            .is_err()
-    );
+    let cut = RelayedContract {
+        contract: "{".to_owned(),
+        ..relay(8, 80, 8)
+    };
+    assert!(!table.relay(cut));
+    assert_eq!(table.malformed(), 1);
     assert_eq!(mark(&table), Some((7, 7)));
 }
 
@@ -267,7 +265,7 @@
     let offered = table.since(peer.offset());
     assert_eq!(offered.len(), 4);
     for relayed in offered {
-        assert_eq!(peer.relay(relayed), Ok(true));
+        assert!(peer.relay(relayed));
     }
     peer.relayed(table.offset());
     assert_eq!((peer.offset(), peer.next()), (Offset(4), Offset(0)));
--- a/tests/contracts_model.rs
+++ b/tests/contracts_model.rs
@@ -176,7 +176,7 @@
                 };
                 let table = &mut self.tables[to];
                 for relayed in offered {
-                    table.relay(relayed).unwrap();
+                    table.relay(relayed);
                 }
                 table.relayed(offset);
             }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -307,6 +307,7 @@
     WorkerAnswers,
     PeerHasNotRead,
     PeerRestarts,
+    ReaderIsSilent,
     ForeignSuspicion,
 }
 
@@ -318,6 +319,7 @@
     it_answers = { Fault::WorkerAnswers },
     majority_has_not_read_the_suspicion = { Fault::PeerHasNotRead },
     majority_restarted = { Fault::PeerRestarts },
+    only_a_peer_that_has_not_read_it_answers = { Fault::ReaderIsSilent },
     suspicion_of_another_host = { Fault::ForeignSuspicion },
 )]
 fn is_not_declared_lost(fault: Fault) {
@@ -356,6 +358,7 @@
             watch.suspect(11_000);
         }
         Fault::PeerRestarts => watch.b.incarnation = 2,
+        Fault::ReaderIsSilent => watch.b = hello("c", 50, 0),
         Fault::ForeignSuspicion => watch.open[0].host = name("b"),
     }
     match watch.run(30_250, 70_000) {
