Let hosts of the lost-worker model read the log through peers

Change: the model has such reads, which count from the peer's own read; the conditions are written without let chains.

--- a/src/version/contracts.rs
+++ b/src/version/contracts.rs
@@ -288,12 +288,11 @@
             known.offset = offset;
             return Applied::Known;
         }
-        if let Some(known) = self.folded.iter_mut().find(|v| v.version == version)
-            && gap
-            && record.kind == ContractKind::Restated
-        {
+        let restated = record.kind == ContractKind::Restated;
+        let taken = self.folded.iter_mut().find(|v| v.version == version);
+        if let Some(taken) = taken.filter(|_| gap && restated) {
             // The proposal taken for this version lost against an expired winner.
-            *known = Versioned {
+            *taken = Versioned {
                 version,
                 offset,
                 proposal,
--- a/tests/model/mod.rs
+++ b/tests/model/mod.rs
@@ -1,11 +1,11 @@
 //! A model of three entry hosts, the log and a worker that runs one attempt.
 
+mod calls;
 mod parts;
 
 use jayfork::base::{Millis, Offset, Token};
 use jayfork::connection::LeaseAction;
 use jayfork::connection::wire::LeaseRefusal;
-use jayfork::process::OpenSuspicion;
 use proptest::prelude::*;
 
 pub use parts::*;
@@ -154,15 +154,41 @@
                 records,
             } => {
                 let host = &mut self.hosts[index];
-                if host.process != process || host.fold.next != from {
+                if host.process != process {
                     return;
                 }
                 host.reading = None;
+                if host.fold.next != from {
+                    return;
+                }
                 records
                     .iter()
                     .for_each(|logged| host.fold.apply(now, logged));
                 host.peers.log_read(now, sent, Offset(host.fold.next));
             }
+            Message::Tail {
+                host,
+                process,
+                from,
+                asked,
+            } => self.answer_tail(index, host, process, from, asked),
+            Message::TailAnswer {
+                process,
+                asked,
+                from,
+                records,
+                age,
+            } => {
+                let host = &mut self.hosts[index];
+                if host.process != process || host.fold.next != from {
+                    return;
+                }
+                for logged in &records {
+                    host.fold.apply(now, logged);
+                }
+                let sent = Millis(asked.0 - age - age / 10);
+                host.peers.log_read(now, sent, Offset(host.fold.next));
+            }
             Message::Hello {
                 from,
                 process,
@@ -280,7 +306,7 @@
                 if token.0 != worker.token || worker.released {
                     return refused;
                 }
-                if renew_tasks && let Some(running) = &mut worker.running {
+                if let Some(running) = worker.running.as_mut().filter(|_| renew_tasks) {
                     *running = until.max(*running);
                 }
             }
@@ -338,11 +364,8 @@
                 self.send(delay, To::Worker, message);
             }
         }
-        if let Some(lease) = start
-            && tick >= self.start
-            && self.hosts[index].reaches
-            && !self.silent
-        {
+        let reaches = self.hosts[index].reaches && !self.silent;
+        if let Some(lease) = start.filter(|_| reaches && tick >= self.start) {
             let message = Message::Start {
                 token: lease.token.0,
                 seen,
@@ -351,88 +374,4 @@
         }
         self.suspect(index, now);
     }
-
-    pub fn read(&mut self, index: usize, now: Millis) {
-        let host = &mut self.hosts[index];
-        if let Some(age) = &mut host.reading {
-            *age += 1;
-            // A late answer stays useful, so the next read waits for longer than other calls.
-            if *age <= 10 * TIMEOUT {
-                return;
-            }
-        }
-        host.reading = Some(0);
-        let (process, from, reads) = (host.process, host.fold.next, host.reads);
-        if reads {
-            let message = Message::Read {
-                host: index,
-                process,
-                from,
-                sent: now,
-            };
-            self.send(0, To::Log, message);
-        }
-    }
-
-    pub fn greet(&mut self, index: usize, now: Millis) {
-        for age in self.hosts[index].greeting.iter_mut().flatten() {
-            *age += 1;
-        }
-        for peer in self.hosts[index].peers.due(now) {
-            let to = (0..HOSTS).find(|&i| host_name(i) == peer).unwrap();
-            let host = &mut self.hosts[index];
-            if host.greeting[to].is_some_and(|age| age <= TIMEOUT) {
-                continue;
-            }
-            host.greeting[to] = Some(0);
-            let (process, hello) = (host.process, host.hello(index, now));
-            if self.links[index][to] {
-                let message = Message::Hello {
-                    from: index,
-                    process,
-                    asked: now,
-                    hello,
-                };
-                self.send(0, To::Host(to), message);
-            }
-        }
-    }
-
-    pub fn suspect(&mut self, index: usize, now: Millis) {
-        let host = &mut self.hosts[index];
-        let open: Vec<OpenSuspicion> = (host.fold.open.iter())
-            .map(|(writer, offset, read)| OpenSuspicion {
-                worker: name("w"),
-                host: writer.clone(),
-                offset: Offset(*offset),
-                read: *read,
-            })
-            .collect();
-        let claimed = if host.fold.lost {
-            vec![]
-        } else {
-            vec![name("w")]
-        };
-        let mut records = Vec::new();
-        let (peers, leases) = (&host.peers, &host.leases);
-        host.suspicions
-            .poll(now, peers, leases, &open, &claimed, &mut records);
-        let own = host
-            .fold
-            .open
-            .iter()
-            .find(|open| open.0 == host_name(index));
-        let suspected = own.map_or(u64::MAX, |open| open.1);
-        let (appends, delay) = (host.appends, host.append_delay);
-        for record in records {
-            let logged = Logged {
-                host: host_name(index),
-                record,
-                suspected,
-            };
-            if appends {
-                self.send(delay, To::Log, Message::Append(logged));
-            }
-        }
-    }
 }
--- a/tests/model/parts.rs
+++ b/tests/model/parts.rs
@@ -10,6 +10,8 @@
 pub const TICK: u64 = 250;
 /// Ticks after which a caller gives up on an answer.
 pub const TIMEOUT: u64 = 4;
+/// Age in ms of its own read up to which a host passes records on, and above which it asks for them.
+pub const TAIL_AGE: u64 = 1_500;
 
 #[derive(Debug, Clone)]
 pub enum Step {
@@ -103,6 +105,19 @@
         from: u64,
         records: Vec<Logged>,
     },
+    Tail {
+        host: usize,
+        process: u64,
+        from: u64,
+        asked: Millis,
+    },
+    TailAnswer {
+        process: u64,
+        asked: Millis,
+        from: u64,
+        records: Vec<Logged>,
+        age: u64,
+    },
     Hello {
         from: usize,
         process: u64,
