--- a/src/process/node/contracts.rs
+++ b/src/process/node/contracts.rs
@@ -1,12 +1,15 @@
 //! The contract stream: reading, publishing and restating.
 
 use super::action::{Action, Stream};
-use super::node::Node;
+use super::node::{Identity, Node};
 use crate::base::{Millis, Name, Ran, Size};
 use crate::connection::ApiResponse;
-use crate::connection::wire::{ContractsReply, PublishRefusal, Published, ReadReply};
+use crate::connection::wire::{ContractsReply, LogRecord, PublishRefusal, Published, ReadReply};
 use crate::process::telemetry;
-use crate::version::{Append, Applied, Contract, Proposed};
+use crate::version::{Append, Applied, Contract, ContractRecord};
+
+/// A host restates contracts only if it read the stream this recently.
+const FRESH: Millis = Millis(5_000);
 
 /// A published contract that is not read back yet.
 #[derive(Debug)]
@@ -25,13 +28,30 @@
     pub(super) fn contracts_read(&mut self, now: Millis, reply: &ReadReply, out: &mut Vec<Action>) {
         for record in &reply.records {
             let applied = self.contracts.apply(record.offset, &record.data);
-            self.contract_applied(now, applied, out);
+            self.retain_contract(now, record);
+            self.contract_applied(applied, out);
+        }
+        let end = reply.records.last().map(|record| record.offset.next());
+        if end.is_none_or(|end| end == reply.next) {
+            let had_gap = self.contracts.has_gap() || self.contracts.next() < reply.next;
+            self.contracts.reached_end(reply.next);
+            if had_gap {
+                self.contracts_changed();
+            }
         }
         self.contracts_read = Some(now);
         telemetry::contract_age(Millis(0));
     }
 
-    fn contract_applied(&mut self, now: Millis, applied: Applied, out: &mut Vec<Action>) {
+    /// Takes note of when the newest record of a contract was written.
+    fn retain_contract(&mut self, now: Millis, record: &LogRecord) {
+        if let Ok(read) = serde_json::from_slice::<ContractRecord>(&record.data) {
+            let age = Millis(self.wall(now).saturating_sub(record.time));
+            self.retained_contracts.written(now, &read.customer, age);
+        }
+    }
+
+    fn contract_applied(&mut self, applied: Applied, out: &mut Vec<Action>) {
         match applied {
             Applied::Accepted {
                 proposal,
@@ -39,7 +59,7 @@
                 version,
             } => {
                 tracing::info!(contract = %customer, version, "contract in force");
-                self.contract_changed(now, &customer);
+                self.contract_changed(&customer);
                 if let Some(open) = self.proposals.remove(&proposal) {
                     let body = Published { customer, version };
                     out.push(respond(open.ticket, ApiResponse::json(200, &body)));
@@ -64,12 +84,24 @@
             Applied::Malformed(error) => {
                 tracing::warn!(%error, "skipping a malformed contract record");
             }
-            Applied::Known => {}
+            Applied::Known | Applied::Unsettled => {}
+        }
+    }
+
+    /// Derives the limits of all customers again.
+    fn contracts_changed(&mut self) {
+        let customers: Vec<Name> = self
+            .contracts
+            .iter()
+            .map(|current| current.contract.customer.clone())
+            .collect();
+        for customer in customers {
+            self.contract_changed(&customer);
         }
     }
 
     /// Derives the limits of a customer from its contract in force.
-    pub(super) fn contract_changed(&mut self, _now: Millis, customer: &Name) {
+    pub(super) fn contract_changed(&mut self, customer: &Name) {
         let Some(current) = self.contracts.get(customer) else {
             return;
         };
@@ -128,11 +160,19 @@
             };
             return out.push(respond(ticket, ApiResponse::json(409, &body)));
         }
+        if current < base {
+            let reason = format!("this host knows version {current}, not yet {base}");
+            let response =
+                ApiResponse::error(503, "behind", Some("base"), reason, Some(Ran::NotRun));
+            return out.push(respond(ticket, response));
+        }
         self.sequence += 1;
-        let Identity { host, incarnation } = self.identity_pair();
-        let proposal = format!("{host}/{incarnation}/{}", self.sequence);
+        let Identity {
+            host, incarnation, ..
+        } = &self.identity;
+        let proposal: Name = format!("{host}/{incarnation}/{}", self.sequence).into();
         let customer = contract.customer.clone();
-        let data = Proposed::encode(&proposal, base, contract);
+        let data = ContractRecord::propose(proposal.clone(), base, &contract).encode();
         let until = now + self.timing.append_timeout;
         let open = Proposal {
             ticket,
@@ -146,13 +186,6 @@
         self.publishing.push_back(proposal);
     }
 
-    fn identity_pair(&self) -> Identity<'_> {
-        Identity {
-            host: &self.identity.host,
-            incarnation: self.identity.incarnation,
-        }
-    }
-
     /// Appends the next proposal or restatement and ends proposals that wait for too long.
     pub(super) fn poll_contracts(&mut self, now: Millis, out: &mut Vec<Action>) {
         if let Some(read) = self.contracts_read {
@@ -170,6 +203,17 @@
             let data = proposal.data.clone();
             return self.append_contract(data, out);
         }
+        let mut due = Vec::new();
+        if self.reads_contracts(now) {
+            self.retained_contracts.poll(now, &self.live, 1, &mut due);
+        }
+        let restated = due
+            .first()
+            .and_then(|customer| self.contracts.restate(customer));
+        if let Some(record) = restated {
+            tracing::info!(contract = %record.customer, "restating the contract before it expires");
+            self.append_contract(record.encode(), out);
+        }
     }
 
     fn append_contract(&mut self, data: Vec<u8>, out: &mut Vec<Action>) {
@@ -198,7 +242,7 @@
             // Reading the record back tells whether it took effect and won.
             return;
         }
-        let refused: Vec<String> = self
+        let refused: Vec<Name> = self
             .proposals
             .iter()
             .filter(|(name, open)| open.is_sent && !self.publishing.contains(name))
@@ -212,7 +256,7 @@
     }
 
     fn expire_proposals(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let late: Vec<String> = self
+        let late: Vec<Name> = self
             .proposals
             .iter()
             .filter(|(_, open)| open.until <= now)
@@ -246,21 +290,23 @@
 
     /// Takes contracts that a peer relayed.
     pub(super) fn contracts_relayed(&mut self, now: Millis, reply: ContractsReply) {
+        let mut is_newer = false;
         for relayed in reply.contracts {
-            let parsed = Contract::parse(relayed.contract.as_bytes());
-            let Ok(contract) = parsed else { continue };
-            if self.contracts.relay(relayed) {
-                tracing::info!(contract = %contract.customer, "contract in force through a peer");
-                self.contract_changed(now, &contract.customer);
-            }
+            is_newer |= self.contracts.relay(relayed);
+        }
+        self.contracts.relayed(reply.offset);
+        if is_newer {
+            tracing::info!("newer contracts came into force through a peer");
+            self.contracts_changed();
         }
         self.contracts_read = Some(now);
     }
-}
 
-struct Identity<'a> {
-    host: &'a Name,
-    incarnation: u64,
+    /// Whether the contract stream was read lately.
+    fn reads_contracts(&self, now: Millis) -> bool {
+        self.contracts_read
+            .is_some_and(|read| now.since(read) < FRESH)
+    }
 }
 
 fn respond(ticket: u64, response: ApiResponse) -> Action {
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -15,7 +15,7 @@
 use crate::process::settings::{Limits, Peer, Settings, Timing};
 use crate::process::{Burn, EntryHost, Membership, Suspicions};
 use crate::request::{Dispatch, Dispatcher, Latencies, UrgentLimits, UrgentRouter};
-use crate::version::{ContractTable, Journal, Ledger, LedgerTiming};
+use crate::version::{ContractTable, Journal, Ledger, LedgerTiming, Retain};
 
 /// Who this host is.
 #[derive(Debug, Clone)]
@@ -66,8 +66,6 @@
     pub(super) peers: HashMap<Name, Peer>,
     pub(super) timing: Timing,
     pub(super) limits: Limits,
-    #[allow(dead_code)]
-    pub(super) retention: Millis,
     pub(super) membership: Membership,
     pub(super) suspicions: Suspicions,
     pub(super) leases: LeaseTable,
@@ -93,9 +91,9 @@
     /// Open calls to peers.
     pub(super) calls: HashMap<u64, PeerPurpose>,
     pub(super) next_call: u64,
-    pub(super) proposals: HashMap<String, Proposal>,
+    pub(super) proposals: HashMap<Name, Proposal>,
     /// Proposals that wait for their append, first one first; at most one append is under way.
-    pub(super) publishing: VecDeque<String>,
+    pub(super) publishing: VecDeque<Name>,
     pub(super) contract_append: Option<u64>,
     pub(super) sequence: u64,
     pub(super) submissions: Vec<Submission>,
@@ -111,6 +109,8 @@
     /// Quota of each customer in this data centre.
     pub(super) quotas: HashMap<Name, Size>,
     pub(super) contracts_read: Option<Millis>,
+    /// Contracts by the time at which their records have to be appended again.
+    pub(super) retained_contracts: Retain<Name>,
     /// Whether a majority of the data centre's entry hosts answered at the last poll.
     pub(super) had_majority: bool,
     /// Since when no majority answers.
@@ -126,7 +126,6 @@
             peers,
             timing,
             limits,
-            retention,
         } = settings;
         let host = identity.host.clone();
         let entries = peers.iter().map(EntryHost::from).collect();
@@ -140,7 +139,7 @@
             journal: Journal::new(host.clone(), identity.incarnation, timing.append_interval),
             dispatcher: Dispatcher::new(host.clone()),
             urgent: UrgentRouter::new(host.clone(), identity.incarnation, urgent_limits(&limits)),
-            burn: Burn::new(host),
+            burn: Burn::new(host.clone()),
             latencies: Latencies::new(),
             sends: HashMap::new(),
             peers: peers
@@ -167,6 +166,7 @@
             slow: HashMap::new(),
             quotas: HashMap::new(),
             contracts_read: None,
+            retained_contracts: Retain::new(host.clone(), retention),
             had_majority: false,
             alone: None,
             draining: false,
@@ -174,7 +174,6 @@
             identity,
             timing,
             limits,
-            retention,
         }
     }
 
