Make all readers of the task stream agree and fence releases

Faults, each found by tests/ledger.rs, tests/ledger_late.rs or on reading: - A `Released` from a former holder took effect after a takeover, although the new holder may have started the attempt: two runs. `Claimed` and `Released` now carry the lease token, and a new holder appends `Adopted` and reads it back before it starts a claim of an earlier lease. The log decides which of the two counts. Adopted claims wait while the log is down; claims of a steady holder start as before. - A host that had lost a worker without learning it ended a newer holder's attempt as `Lost` when the incarnation differed.

Ruled out: deciding quotas by restated sums (a wrong verdict persists in a late reader until the attempt ends), and carrying the token in the worker protocol (needs a change of the platform).

ledger.rs is split: transition, restate, suspicion and quota_check.

--- a/src/request/book.rs
+++ b/src/request/book.rs
@@ -6,7 +6,7 @@
 use super::placement::{Demand, WorkerView};
 use crate::base::{Attempt, Millis, Name, Size, TaskId};
 use crate::connection::wire::{Ack, TaskCommand, TaskEntry};
-use crate::connection::{Command, Lease};
+use crate::connection::{Command, Grant, Lease};
 use crate::version::{Phase, Task};
 
 /// Pause before a start that the worker refused for lack of room is tried again.
@@ -81,6 +81,8 @@
     pub lease: Lease,
     pub slots: BTreeMap<TaskId, Slot>,
     pub(super) acks: Vec<Ack>,
+    /// Starts that were sent earlier under the same lease are not known and may still arrive.
+    is_partial: bool,
 }
 
 impl Book {
@@ -91,6 +93,7 @@
             lease: held.lease,
             slots: BTreeMap::new(),
             acks: Vec::new(),
+            is_partial: held.grant == Grant::Renewed,
         }
     }
 
@@ -104,7 +107,9 @@
 
     /// Whether the attempt may be released: no start of it can still arrive.
     pub(super) fn may_release(&self, id: &TaskId) -> bool {
-        self.slots.get(id).is_none_or(|slot| !slot.is_unsure)
+        self.slots
+            .get(id)
+            .map_or(!self.is_partial, |slot| !slot.is_unsure)
     }
 
     pub(super) fn set_unsure(&mut self, id: &TaskId, retry: Millis) {
@@ -145,15 +150,16 @@
             }
             _ => self.remove(id),
         }
-        if self.view.commit(&demand) {
-            self.slots
-                .insert(id.clone(), Slot::proposed(attempt, demand));
-            return true;
-        }
-        self.view.queued += 1;
-        self.slots
-            .insert(id.clone(), Slot::waiting(attempt, demand, now));
-        false
+        let has_room = self.view.commit(&demand);
+        let mut slot = if has_room {
+            Slot::proposed(attempt, demand)
+        } else {
+            self.view.queued += 1;
+            Slot::waiting(attempt, demand, now)
+        };
+        slot.is_unsure = self.is_partial;
+        self.slots.insert(id.clone(), slot);
+        has_room
     }
 
     /// Gives the room of an attempt back and lets it wait.
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -8,12 +8,12 @@
 use super::pairs::ClassKey;
 use super::placement::{Demand, NoFit, Placer, WorkerView};
 use super::quarantine::Quarantine;
-use crate::base::{Attempt, Millis, Name, Size, TaskId, rank};
+use crate::base::{Attempt, Millis, Name, Size, TaskId, Token, rank};
 use crate::connection::wire::{
     Ack, StartRequest, StartState, TaskCommand, TaskEntry, TaskState, WorkerReport,
 };
-use crate::connection::{Command, Grant, Lease, StartError};
-use crate::version::{Ledger, Outcome, Phase, Record, Task};
+use crate::connection::{Command, Error, Grant, Lease, StartError};
+use crate::version::{Ledger, Outcome, Phase, QuotaCheck, Record, Task};
 
 /// Priority of urgent tasks.
 const URGENT_PRIORITY: u8 = 0;
@@ -82,8 +82,13 @@
     proposed: HashMap<TaskId, (Name, Millis)>,
     /// When this host first saw a pending task.
     seen: HashMap<TaskId, Millis>,
-    /// Attempts whose end this process has put into the journal.
-    reported: HashSet<(TaskId, Attempt)>,
+    /// Attempts whose end this process has put into the journal, by the lease it held then. Under
+    /// a later lease the end is judged anew, because the first record may be void.
+    reported: HashSet<(TaskId, Attempt, Token)>,
+    /// Claims of former holders that this process has put into the journal as adopted.
+    adopted: HashMap<TaskId, (Attempt, Token)>,
+    /// Number of starts without an answer by attempt.
+    unanswered: HashMap<(TaskId, Attempt), u32>,
     /// Why pending tasks can't run.
     misfits: HashMap<TaskId, Name>,
     /// Last claims of tasks whose job failed on several workers.
@@ -103,6 +108,8 @@
             proposed: HashMap::new(),
             seen: HashMap::new(),
             reported: HashSet::new(),
+            adopted: HashMap::new(),
+            unanswered: HashMap::new(),
             misfits: HashMap::new(),
             retried: HashMap::new(),
             placer: Placer::new(),
@@ -207,6 +214,7 @@
         result: Result<StartState, StartError>,
         out: &mut Vec<DispatchAction>,
     ) {
+        let result = self.answered(task, attempt, result);
         let Some(book) = self.books.get_mut(worker) else {
             return;
         };
@@ -241,18 +249,45 @@
             }
             Err(StartError::StartFailed) => {
                 book.remove(task);
+                let token = book.lease.token;
                 let worker = book.view.name.clone();
                 tracing::warn!(%worker, %task, "the worker failed to start the task");
                 self.quarantine.failed(now, &worker, task);
                 let record = Record::Released {
                     task: task.clone(),
                     attempt,
+                    token,
                 };
-                self.finish(task, attempt, record, out);
+                self.finish(task, (attempt, token), record, out);
             }
         }
     }
 
+    /// The result of a start, or `Unknown` if it may belong to an earlier start of the attempt.
+    ///
+    /// An answer that arrives late, after the lease was lost and taken again, says nothing of the
+    /// start that was sent since.
+    fn answered(
+        &mut self,
+        task: &TaskId,
+        attempt: Attempt,
+        result: Result<StartState, StartError>,
+    ) -> Result<StartState, StartError> {
+        let key = (task.clone(), attempt);
+        let open = self.unanswered.remove(&key).unwrap_or_default();
+        if open <= 1 {
+            return result;
+        }
+        self.unanswered.insert(key, open - 1);
+        match result {
+            Ok(state) => Ok(state),
+            Err(error) => Err(StartError::Unknown(Error::Broken {
+                address: task.to_string(),
+                reason: format!("an earlier or a later start was answered: {error}"),
+            })),
+        }
+    }
+
     /// Collects starts, commands and claims that are due.
     pub fn poll(&mut self, now: Millis, view: &DispatchView<'_>, out: &mut Vec<DispatchAction>) {
         self.forget(now, view.ledger);
@@ -300,7 +335,7 @@
                 _ => {}
             }
             let record = end_record(&id, task, entry);
-            self.finish(&id, entry.attempt, record, out);
+            self.finish(&id, (entry.attempt, book.lease.token), record, out);
             return;
         }
         book.hold(now, &id, entry, Some(task));
@@ -409,24 +444,32 @@
         worker: &Name,
         out: &mut Vec<DispatchAction>,
     ) {
-        let claims: Vec<(TaskId, Attempt, u64)> = view
+        let claims: Vec<(TaskId, Claim)> = view
             .ledger
             .claimed_on(worker)
             .filter_map(|(id, task)| match task.phase {
                 Phase::Claimed {
                     attempt,
                     incarnation,
+                    token,
                     ..
-                } => Some((id.clone(), attempt, incarnation)),
+                } => {
+                    let claim = Claim {
+                        attempt,
+                        incarnation,
+                        token,
+                    };
+                    Some((id.clone(), claim))
+                }
                 _ => None,
             })
             .collect();
-        for (id, attempt, incarnation) in claims {
+        for (id, claim) in claims {
             self.proposed.remove(&id);
             let Some(task) = view.ledger.task(&id) else {
                 continue;
             };
-            self.advance(now, worker, &id, task, (attempt, incarnation), out);
+            self.advance(now, worker, &id, task, claim, out);
         }
     }
 
@@ -437,16 +480,22 @@
         worker: &Name,
         id: &TaskId,
         task: &Task,
-        (attempt, incarnation): (Attempt, u64),
+        claim: Claim,
         out: &mut Vec<DispatchAction>,
     ) {
-        if self.reported.contains(&(id.clone(), attempt)) {
-            return;
-        }
         let Some(book) = self.books.get_mut(worker) else {
             return;
         };
-        let is_other = book.lease.incarnation != incarnation;
+        let attempt = claim.attempt;
+        let token = book.lease.token;
+        // The claim belongs to a later holder: this host has lost the lease without learning it.
+        if token < claim.token {
+            return;
+        }
+        if self.reported.contains(&(id.clone(), attempt, token)) {
+            return;
+        }
+        let is_other = book.lease.incarnation != claim.incarnation;
         let state = book.state(id, attempt);
         if is_other && !matches!(state, Some(SlotState::Running)) {
             book.remove(id);
@@ -456,18 +505,47 @@
                 attempt,
                 outcome,
             };
-            return self.finish(id, attempt, record, out);
+            return self.finish(id, (attempt, token), record, out);
         }
         match state {
             Some(SlotState::Starting | SlotState::Running) => {}
             Some(SlotState::Unsure { retry }) if now < retry => {}
             Some(SlotState::Unsure { .. }) => self.send_start(now, worker, id, task, attempt, out),
+            Some(SlotState::Proposed | SlotState::Waiting { .. }) | None
+                if token != claim.token =>
+            {
+                self.adopt(worker, id, attempt, token, out);
+            }
             Some(SlotState::Proposed | SlotState::Waiting { .. }) | None => {
                 self.start(now, worker, id, task, attempt, out);
             }
         }
     }
 
+    /// Takes over a claim that was made under an earlier lease, before it is started.
+    ///
+    /// A former holder may still have a `Released` in its journal; the log decides which of the
+    /// two records counts.
+    fn adopt(
+        &mut self,
+        worker: &Name,
+        id: &TaskId,
+        attempt: Attempt,
+        token: Token,
+        out: &mut Vec<DispatchAction>,
+    ) {
+        if self.adopted.get(id) == Some(&(attempt, token)) {
+            return;
+        }
+        self.adopted.insert(id.clone(), (attempt, token));
+        out.push(DispatchAction::Append(Record::Adopted {
+            task: id.clone(),
+            attempt,
+            worker: worker.clone(),
+            token,
+        }));
+    }
+
     fn start(
         &mut self,
         now: Millis,
@@ -483,11 +561,13 @@
         };
         if (task.cancelled || book.lease.leaving) && book.may_release(id) {
             book.remove(id);
+            let token = book.lease.token;
             let record = Record::Released {
                 task: id.clone(),
                 attempt,
+                token,
             };
-            return self.finish(id, attempt, record, out);
+            return self.finish(id, (attempt, token), record, out);
         }
         if !book.reserve(now, id, attempt, demand) {
             return;
@@ -511,6 +591,7 @@
             return;
         };
         slot.state = SlotState::Starting;
+        *self.unanswered.entry((id.clone(), attempt)).or_default() += 1;
         self.quarantine.started(now, worker);
         let request = StartRequest {
             token: book.lease.token,
@@ -536,17 +617,20 @@
             for (id, slot) in book.slots.iter().filter(|(_, slot)| !slot.is_unsure) {
                 if let SlotState::Waiting { since } = slot.state {
                     if now.since(since) >= AHEAD_TTL {
-                        late.push((book.view.name.clone(), id.clone(), slot.clone()));
+                        let worker = book.view.name.clone();
+                        late.push((worker, book.lease.token, id.clone(), slot.clone()));
                     }
                 }
             }
         }
-        for (worker, id, slot) in late {
+        for (worker, token, id, slot) in late {
             let is_claimed = ledger.task(&id).is_some_and(|task| {
-                matches!(task.phase, Phase::Claimed { attempt, .. } if attempt == slot.attempt)
+                matches!(task.phase, Phase::Claimed { attempt, token: claimed, .. }
+                    if attempt == slot.attempt && claimed == token)
             });
             let views = self.views();
             let elsewhere = self.placer.choose(now, &slot.demand, &views);
+
             if is_claimed && elsewhere.is_ok_and(|chosen| chosen != worker) {
                 if let Some(book) = self.books.get_mut(&worker) {
                     book.remove(&id);
@@ -554,8 +638,9 @@
                 let record = Record::Released {
                     task: id.clone(),
                     attempt: slot.attempt,
+                    token,
                 };
-                self.finish(&id, slot.attempt, record, out);
+                self.finish(&id, (slot.attempt, token), record, out);
             }
         }
     }
@@ -595,7 +680,8 @@
             if !self.is_within(view.ledger, &id, task, &quota) {
                 continue;
             }
-            self.propose(now, &id, task, (attempt, quota), &mut views, out);
+            let check = view.ledger.quota_check(&task.spec, quota);
+            self.propose(now, &id, task, (attempt, check), &mut views, out);
         }
     }
 
@@ -604,7 +690,7 @@
         now: Millis,
         id: &TaskId,
         task: &Task,
-        (attempt, quota): (Attempt, Size),
+        (attempt, quota): (Attempt, QuotaCheck),
         views: &mut [WorkerView],
         out: &mut Vec<DispatchAction>,
     ) {
@@ -643,6 +729,7 @@
             attempt,
             worker,
             incarnation: book.lease.incarnation,
+            token: book.lease.token,
             quota,
         }));
     }
@@ -707,18 +794,23 @@
     fn finish(
         &mut self,
         id: &TaskId,
-        attempt: Attempt,
+        (attempt, token): (Attempt, Token),
         record: Record,
         out: &mut Vec<DispatchAction>,
     ) {
-        if self.reported.insert((id.clone(), attempt)) {
+        if self.reported.insert((id.clone(), attempt, token)) {
             out.push(DispatchAction::Append(record));
         }
     }
 
     /// Drops what later records have made void.
     fn forget(&mut self, now: Millis, ledger: &Ledger) {
-        self.reported.retain(|(id, attempt)| {
+        self.reported.retain(|(id, attempt, _)| {
+            ledger
+                .task(id)
+                .is_some_and(|task| !task.has_ended(*attempt))
+        });
+        self.adopted.retain(|id, (attempt, _)| {
             ledger
                 .task(id)
                 .is_some_and(|task| !task.has_ended(*attempt))
@@ -747,6 +839,14 @@
     }
 }
 
+/// A claim on the log.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    attempt: Attempt,
+    incarnation: u64,
+    token: Token,
+}
+
 /// A held worker and the report that came with its lease.
 #[derive(Debug)]
 pub struct HeldWorker<'a> {
--- a/src/version/record.rs
+++ b/src/version/record.rs
@@ -2,7 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::base::{Attempt, Name, Offset, Size, TaskId};
+use super::quota_check::QuotaCheck;
+use crate::base::{Attempt, Name, Offset, Size, TaskId, Token};
 
 /// One append: the records that a host collected since its last one.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,14 +27,19 @@
         attempt: Attempt,
         worker: Name,
         incarnation: u64,
-        /// The customer's quota in this data centre as the writer knew it; the claim is void if
-        /// it would exceed that.
-        quota: Size,
+        /// The writer's lease on the worker.
+        token: Token,
+        /// The claim is void if it exceeds the customer's quota.
+        quota: QuotaCheck,
     },
     /// The attempt is known not to have run.
+    ///
+    /// Void unless `token` is the lease under which the attempt was claimed or last adopted: a
+    /// later holder may have started it.
     Released {
         task: TaskId,
         attempt: Attempt,
+        token: Token,
     },
     Checkpointed {
         task: TaskId,
@@ -65,6 +71,14 @@
     },
     /// State of a task whose earlier records are about to expire.
     Restated(Box<Restated>),
+    /// The writer holds `worker` under a newer lease than the claim's; it executes the claim after
+    /// it has read this record.
+    Adopted {
+        task: TaskId,
+        attempt: Attempt,
+        worker: Name,
+        token: Token,
+    },
 }
 
 /// What a caller asked for.
@@ -118,6 +132,8 @@
         attempt: Attempt,
         worker: Name,
         incarnation: u64,
+        /// Lease under which the attempt may be started or released.
+        token: Token,
     },
     Done {
         attempt: Attempt,
--- /dev/null
+++ b/src/version/transition.rs
@@ -0,0 +1,153 @@
+//! Transition of one task by one record.
+
+use super::ledger::{Change, Requeue, Task};
+use super::record::{Outcome, Phase, Record, TaskResult};
+use crate::base::Attempt;
+
+/// Applies one record to a known task; `None` if the record is not valid in its phase.
+pub(super) fn step(task: &mut Task, record: &Record) -> Option<Change> {
+    let id = task.spec.task.clone();
+    match record {
+        Record::Claimed {
+            attempt,
+            worker,
+            incarnation,
+            token,
+            ..
+        } => {
+            if task.phase != (Phase::Pending { next: *attempt }) {
+                return None;
+            }
+            let (attempt, worker) = (*attempt, worker.clone());
+            task.phase = Phase::Claimed {
+                attempt,
+                worker: worker.clone(),
+                incarnation: *incarnation,
+                token: *token,
+            };
+            Some(Change::Claimed {
+                task: id,
+                attempt,
+                worker,
+            })
+        }
+        Record::Adopted {
+            attempt,
+            worker,
+            token,
+            ..
+        } => {
+            let Phase::Claimed {
+                attempt: claimed,
+                worker: on,
+                token: held,
+                ..
+            } = &mut task.phase
+            else {
+                return None;
+            };
+            if claimed != attempt || on != worker || *held >= *token {
+                return None;
+            }
+            *held = *token;
+            Some(Change::Claimed {
+                task: id,
+                attempt: *attempt,
+                worker: worker.clone(),
+            })
+        }
+        Record::Released { attempt, token, .. } => {
+            let attempt = current(task, *attempt)?;
+            // A later holder may have started the attempt after the writer lost the worker's lease.
+            if !matches!(task.phase, Phase::Claimed { token: held, .. } if held == *token) {
+                return None;
+            }
+            if task.cancelled {
+                return Some(finish(task, attempt, TaskResult::Cancelled));
+            }
+            Some(requeue(task, attempt, Requeue::Released))
+        }
+        Record::Checkpointed {
+            attempt,
+            checkpoint,
+            ..
+        } => {
+            let attempt = current(task, *attempt)?;
+            if task.cancelled {
+                return Some(finish(task, attempt, TaskResult::Cancelled));
+            }
+            task.checkpoint = Some(checkpoint.clone());
+            Some(requeue(task, attempt, Requeue::Checkpointed))
+        }
+        Record::Ended {
+            attempt, outcome, ..
+        } => {
+            let attempt = current(task, *attempt)?;
+            Some(end(task, attempt, *outcome))
+        }
+        Record::CancelRequested { .. } => cancel(task),
+        _ => None,
+    }
+}
+
+fn current(task: &Task, attempt: Attempt) -> Option<Attempt> {
+    match task.phase {
+        Phase::Claimed {
+            attempt: claimed, ..
+        } if claimed == attempt => Some(attempt),
+        _ => None,
+    }
+}
+
+fn end(task: &mut Task, attempt: Attempt, outcome: Outcome) -> Change {
+    let spec = task.spec.clone();
+    match outcome {
+        Outcome::Cancelled => finish(task, attempt, TaskResult::Cancelled),
+        Outcome::Succeeded if spec.watcher && !task.cancelled => {
+            requeue(task, attempt, Requeue::WatcherEnded)
+        }
+        Outcome::Succeeded => finish(task, attempt, TaskResult::Succeeded),
+        Outcome::Failed => {
+            task.failures += 1;
+            let is_final = spec.at_most_once || task.failures >= spec.max_attempts;
+            if task.cancelled || (is_final && !spec.watcher) {
+                return finish(task, attempt, TaskResult::Failed);
+            }
+            requeue(task, attempt, Requeue::Failed)
+        }
+        Outcome::Lost if spec.at_most_once => finish(task, attempt, TaskResult::Unknown),
+        Outcome::Lost if task.cancelled => finish(task, attempt, TaskResult::Cancelled),
+        Outcome::Lost => requeue(task, attempt, Requeue::Lost),
+    }
+}
+
+fn cancel(task: &mut Task) -> Option<Change> {
+    let id = task.spec.task.clone();
+    match task.phase {
+        Phase::Done { .. } => None,
+        Phase::Pending { next } => Some(finish(task, next, TaskResult::Cancelled)),
+        Phase::Claimed { .. } if task.cancelled => None,
+        Phase::Claimed { .. } => {
+            task.cancelled = true;
+            Some(Change::CancelRequested { task: id })
+        }
+    }
+}
+
+fn requeue(task: &mut Task, attempt: Attempt, reason: Requeue) -> Change {
+    task.phase = Phase::Pending {
+        next: attempt.next(),
+    };
+    Change::Pending {
+        task: task.spec.task.clone(),
+        reason,
+    }
+}
+
+fn finish(task: &mut Task, attempt: Attempt, result: TaskResult) -> Change {
+    task.phase = Phase::Done { attempt, result };
+    Change::Done {
+        task: task.spec.task.clone(),
+        result,
+    }
+}
