Keep what is known of an append with a lost answer

Such records now stay, and `is_sent` reports them. - A batch that was read back after its answer was lost was appended again. `is_healthy` now also holds when nothing is queued; the pause between appends stays.

Ruled out: keeping claims in the queue to probe the log (a claim must not be repeated blindly), and an empty batch as a probe (cost at every idle host).

--- a/src/version/journal.rs
+++ b/src/version/journal.rs
@@ -24,8 +24,8 @@
 /// Collects records and appends them in batches, one at a time.
 ///
 /// All records are idempotent in the ledger's fold, so a batch with an unknown outcome is repeated
-/// until an append succeeds or the batch is read back from the stream. Claims are not repeated:
-/// a claim that took effect is read back, and one that did not is better proposed anew.
+/// until an append succeeds or one of its appends is read back from the stream. Claims are not
+/// repeated: a claim that took effect is read back, and one that did not is better proposed anew.
 #[derive(Debug)]
 pub struct Journal {
     host: Name,
@@ -33,8 +33,8 @@
     /// Shortest time between two appends.
     interval: Millis,
     sequence: u64,
-    queue: VecDeque<Record>,
-    /// Records of the last append until its outcome is known, and whether it is under way.
+    queue: VecDeque<Entry>,
+    /// The last append until its outcome is known.
     sent: Option<Sent>,
     /// Time before which nothing is appended.
     resume: Millis,
@@ -42,12 +42,17 @@
     failures: u32,
 }
 
+#[derive(Debug)]
+struct Entry {
+    record: Record,
+    /// Appends of the record that had an unknown outcome and may still take effect.
+    unknown: Vec<u64>,
+}
+
 #[derive(Debug)]
 struct Sent {
     sequence: u64,
-    records: Vec<Record>,
-    /// The adapter has not answered yet.
-    is_open: bool,
+    entries: Vec<Entry>,
     /// The batch was read back from the stream.
     is_read: bool,
 }
@@ -68,21 +73,25 @@
     }
 
     pub fn push(&mut self, record: Record) {
-        self.queue.push_back(record);
+        let unknown = Vec::new();
+        self.queue.push_back(Entry { record, unknown });
     }
 
-    /// Removes queued records that were never part of an append; returns how many.
+    /// Removes queued records that are known not to be on the log; returns how many.
+    ///
+    /// A record whose append had an unknown outcome stays, because that append may take effect.
     pub fn withdraw(&mut self, matches: impl Fn(&Record) -> bool) -> usize {
         let before = self.queue.len();
-        self.queue.retain(|record| !matches(record));
+        self.queue
+            .retain(|entry| !entry.unknown.is_empty() || !matches(&entry.record));
         before - self.queue.len()
     }
 
     /// Whether any record of a matching kind may have reached the log without being confirmed.
     pub fn is_sent(&self, matches: impl Fn(&Record) -> bool) -> bool {
-        self.sent
-            .as_ref()
-            .is_some_and(|sent| sent.records.iter().any(matches))
+        let sent = self.sent.iter().flat_map(|sent| &sent.entries);
+        let unknown = self.queue.iter().filter(|entry| !entry.unknown.is_empty());
+        sent.chain(unknown).any(|entry| matches(&entry.record))
     }
 
     /// The next batch to append, if one is due.
@@ -91,13 +100,13 @@
             return None;
         }
         let count = self.queue.len().min(MAX_BATCH);
-        let records: Vec<Record> = self.queue.drain(..count).collect();
+        let entries: Vec<Entry> = self.queue.drain(..count).collect();
+        let records = entries.iter().map(|entry| entry.record.clone()).collect();
         self.sequence += 1;
         self.resume = now + self.interval;
         self.sent = Some(Sent {
             sequence: self.sequence,
-            records: records.clone(),
-            is_open: true,
+            entries,
             is_read: false,
         });
         Some(Batch {
@@ -110,10 +119,9 @@
 
     /// Takes the outcome of the append of batch `sequence`.
     pub fn appended(&mut self, now: Millis, sequence: u64, outcome: Append) {
-        let Some(mut sent) = self.sent.take_if(|sent| sent.sequence == sequence) else {
+        let Some(sent) = self.sent.take_if(|sent| sent.sequence == sequence) else {
             return;
         };
-        sent.is_open = false;
         if outcome == Append::Done || sent.is_read {
             self.failures = 0;
             self.pause = MIN_PAUSE;
@@ -122,10 +130,14 @@
         self.failures += 1;
         self.resume = now + self.pause;
         self.pause = Millis((self.pause.0 * 2).min(MAX_PAUSE.0));
-        for record in sent.records.into_iter().rev() {
-            if !matches!(record, Record::Claimed { .. }) {
-                self.queue.push_front(record);
+        for mut entry in sent.entries.into_iter().rev() {
+            if matches!(entry.record, Record::Claimed { .. }) {
+                continue;
+            }
+            if outcome == Append::Unknown {
+                entry.unknown.push(sequence);
             }
+            self.queue.push_front(entry);
         }
     }
 
@@ -136,16 +148,23 @@
         }
         if let Some(sent) = &mut self.sent {
             sent.is_read |= sent.sequence == batch.sequence;
+            sent.entries
+                .retain(|entry| !entry.unknown.contains(&batch.sequence));
         }
+        self.queue
+            .retain(|entry| !entry.unknown.contains(&batch.sequence));
     }
 
-    /// Whether the last append succeeded.
+    /// Whether the last append succeeded, or no record is left to find out whether the log is back.
+    ///
+    /// Claims are proposed only while this holds, and a failed append of nothing but claims leaves
+    /// no record behind: without the second condition no append would ever follow.
     pub fn is_healthy(&self) -> bool {
-        self.failures == 0
+        self.failures == 0 || self.backlog() == 0
     }
 
     /// Records that are not known to be on the log.
     pub fn backlog(&self) -> usize {
-        self.queue.len() + self.sent.as_ref().map_or(0, |sent| sent.records.len())
+        self.queue.len() + self.sent.as_ref().map_or(0, |sent| sent.entries.len())
     }
 }
