--- a/src/request/book.rs
+++ b/src/request/book.rs
@@ -1,6 +1,6 @@
 //! Accounting of one held worker.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use super::dispatch::{DispatchAction, HeldWorker, unknown_demand};
 use super::placement::{Demand, WorkerView};
@@ -81,6 +81,8 @@
     pub lease: Lease,
     pub slots: BTreeMap<TaskId, Slot>,
     pub(super) acks: Vec<Ack>,
+    /// Attempts that the last report shows as ended and whose claim this host had not read then.
+    pub(super) ended: HashSet<(TaskId, Attempt)>,
     /// Starts that were sent earlier under the same lease are not known and may still arrive.
     is_partial: bool,
 }
@@ -93,6 +95,7 @@
             lease: held.lease,
             slots: BTreeMap::new(),
             acks: Vec::new(),
+            ended: HashSet::new(),
             is_partial: held.grant == Grant::Renewed,
         }
     }
@@ -231,6 +234,7 @@
         task: Option<&Task>,
     ) {
         if entry.state.has_ended() {
+            self.ended.insert((id.clone(), entry.attempt));
             return;
         }
         match self.slots.get_mut(id) {
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -36,6 +36,11 @@
 /// Time that a claim waits for room before it is released to another worker with room.
 const AHEAD_TTL: Millis = Millis(10_000);
 
+/// Time after which a claim that waits for room is released even if this host knows of none: a
+/// worker that another host holds may have it. Each release and new claim costs the log about
+/// 130 bytes, so a full data centre must not repeat them often.
+const WAIT_TTL: Millis = Millis(120_000);
+
 /// What the dispatcher wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum DispatchAction {
@@ -195,6 +200,7 @@
         book.view.capacity = held.report.capacity;
         book.view.services = view.services.get(held.name).cloned().unwrap_or_default();
         book.excess(&held.report.tasks);
+        book.ended.clear();
         for entry in &held.report.tasks {
             self.reconcile(now, view.ledger, &mut book, entry, out);
         }
@@ -495,6 +501,10 @@
         if self.reported.contains(&(id.clone(), attempt, token)) {
             return;
         }
+        // The attempt has run; the next report tells how it ended.
+        if book.ended.contains(&(id.clone(), attempt)) {
+            return;
+        }
         let is_other = book.lease.incarnation != claim.incarnation;
         let state = book.state(id, attempt);
         if is_other && !matches!(state, Some(SlotState::Running)) {
@@ -618,20 +628,27 @@
                 if let SlotState::Waiting { since } = slot.state {
                     if now.since(since) >= AHEAD_TTL {
                         let worker = book.view.name.clone();
-                        late.push((worker, book.lease.token, id.clone(), slot.clone()));
+                        let is_expired = now.since(since) >= WAIT_TTL;
+                        late.push((
+                            worker,
+                            book.lease.token,
+                            id.clone(),
+                            slot.clone(),
+                            is_expired,
+                        ));
                     }
                 }
             }
         }
-        for (worker, token, id, slot) in late {
+        for (worker, token, id, slot, is_expired) in late {
             let is_claimed = ledger.task(&id).is_some_and(|task| {
                 matches!(task.phase, Phase::Claimed { attempt, token: claimed, .. }
                     if attempt == slot.attempt && claimed == token)
             });
             let views = self.views();
             let elsewhere = self.placer.choose(now, &slot.demand, &views);
-
-            if is_claimed && elsewhere.is_ok_and(|chosen| chosen != worker) {
+            let has_room = elsewhere.is_ok_and(|chosen| chosen != worker);
+            if is_claimed && (has_room || is_expired) {
                 if let Some(book) = self.books.get_mut(&worker) {
                     book.remove(&id);
                 }
@@ -681,23 +698,28 @@
                 continue;
             }
             let check = view.ledger.quota_check(&task.spec, quota);
-            self.propose(now, &id, task, (attempt, check), &mut views, out);
+            // Every host has had its turn to place the task where there is room.
+            let turns = RANK_STEP.0 * view.hosts.len() as u64;
+            let may_wait = now.since(first) >= Millis(turns);
+            self.propose(now, &id, task, (attempt, check), may_wait, &mut views, out);
         }
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn propose(
         &mut self,
         now: Millis,
         id: &TaskId,
         task: &Task,
         (attempt, quota): (Attempt, QuotaCheck),
+        may_wait: bool,
         views: &mut [WorkerView],
         out: &mut Vec<DispatchAction>,
     ) {
         let mut demand = self.demand(task);
         demand.size = Placer::reservable(demand.size, task.spec.size, demand.urgent, views);
         let chosen = match self.placer.choose(now, &demand, views) {
-            Err(NoFit::NotNow) => self.placer.choose_ahead(&demand, views),
+            Err(NoFit::NotNow) if may_wait => self.placer.choose_ahead(&demand, views),
             chosen => chosen,
         };
         let worker = match chosen {
