--- a/tests/life/checks.rs
+++ b/tests/life/checks.rs
@@ -96,6 +96,11 @@
                 self.now
             );
         }
+        let used = self.ledger.claimed_size("vltava");
+        assert!(
+            used.fits(&self.quotas["vltava"]),
+            "over the quota: {used:?}"
+        );
         let mut starts: BTreeMap<(&TaskId, Attempt), usize> = BTreeMap::new();
         for run in &self.runs {
             let key = (run.task.clone(), run.attempt);
--- a/tests/life/world.rs
+++ b/tests/life/world.rs
@@ -75,7 +75,7 @@
     open: BTreeSet<u64>,
     calls: u64,
     pub runs: Vec<Run>,
-    quotas: HashMap<Name, Size>,
+    pub quotas: HashMap<Name, Size>,
     /// Reads the log at once, for the checks.
     pub ledger: Ledger,
     /// Attempts that the log shows as not run.
@@ -103,7 +103,7 @@
             open: BTreeSet::new(),
             calls: 0,
             runs: Vec::new(),
-            quotas: [("vltava".into(), Size::new(5_000, 50_000, 0))].into(),
+            quotas: [("vltava".into(), Size::new(9_000, 50_000, 0))].into(),
             ledger: Ledger::new(LedgerTiming::default()),
             not_run: BTreeSet::new(),
             saved: BTreeSet::new(),
--- a/tests/task_life.rs
+++ b/tests/task_life.rs
@@ -235,7 +235,7 @@
     FailStarts(usize),
 }
 
-const TASKS: u32 = 9;
+const TASKS: u32 = 12;
 
 fn event() -> impl Strategy<Value = Event> {
     let (host, worker, task) = (0..3usize, 0..2usize, 0..TASKS);
