--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -126,6 +126,7 @@
             peers,
             timing,
             limits,
+            retention,
         } = settings;
         let host = identity.host.clone();
         let entries = peers.iter().map(EntryHost::from).collect();
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -217,8 +217,7 @@
         let mut records: Vec<Record> = Vec::new();
         let open: Vec<OpenSuspicion> = self
             .ledger
-            .suspicions()
-            .iter()
+            .open_suspicions()
             .map(|(worker, suspicion)| OpenSuspicion {
                 worker: worker.clone(),
                 host: suspicion.host.clone(),
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -4,14 +4,20 @@
 mod contracts;
 mod journal;
 mod ledger;
+mod quota_check;
 mod record;
+mod restate;
 mod retain;
+mod suspicion;
+mod transition;
 
 pub use contract::{Class, Contract, Error as ContractError, MAX_BODY, Urgency};
 pub use contracts::{
     Applied, ContractKind, ContractRecord, ContractTable, Error as ContractRecordError, Versioned,
 };
 pub use journal::{Append, Journal};
-pub use ledger::{Change, Ledger, LedgerTiming, Requeue, Suspicion, Task};
+pub use ledger::{Change, Ledger, LedgerTiming, Requeue, Task};
+pub use quota_check::QuotaCheck;
 pub use record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
 pub use retain::Retain;
+pub use suspicion::Suspicion;
--- a/tests/model/parts.rs
+++ b/tests/model/parts.rs
@@ -204,9 +204,6 @@
             reading: None,
             greeting: [None; HOSTS],
             calling: None,
-            slow: Vec::new(),
-            awaited: Vec::new(),
-            reports: Vec::new(),
         }
     }
 
@@ -251,6 +248,9 @@
         draining: false,
         leaving: Vec::new(),
         loads: Vec::new(),
+        slow: Vec::new(),
+        awaited: Vec::new(),
+        reports: Vec::new(),
     }
 }
 
