Serve callers with hyper in place of tiny_http

Ruled out: more threads (moves the bound, leaves the pool and the allocation), 'connection: close' on each answer (ends keep-alive, leaves the rest), an own server.

Change: ApiServer on hyper 1 (http1 server only) in one current-thread runtime on its own thread; limits for connections, for the bytes of bodies held by server and core, and for the time without progress of heads, bodies and answers. 'limits.callers' was not used; it now bounds the connections and its default is 512. close() also refuses requests whose bodies were being received. ApiHandler::closed cancels queued requests of callers that have gone; a caller that closes only its sending half counts as gone. Input is discarded for up to 2 s after a refusal, so that the caller can still read it. tiny_http is removed.

--- /dev/null
+++ b/src/connection/api/answer.rs
@@ -0,0 +1,70 @@
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+
+use super::shared::InProgress;
+
+/// Requests of a connection whose answers hyper has taken and may still have to write.
+#[derive(Debug, Default)]
+pub struct Unwritten {
+    requests: RefCell<Vec<InProgress>>,
+}
+
+impl Unwritten {
+    /// All that hyper has taken is written.
+    pub fn written(&self) {
+        self.requests.borrow_mut().clear();
+    }
+}
+
+/// Body of an answer. Its request stays in progress until the connection has written it.
+#[derive(Debug)]
+pub struct AnswerBody {
+    data: Option<Bytes>,
+    request: Option<InProgress>,
+    unwritten: Rc<Unwritten>,
+}
+
+impl AnswerBody {
+    /// `request` is `None` for an answer that a closing server does not wait for.
+    pub fn new(data: Bytes, request: Option<InProgress>, unwritten: Rc<Unwritten>) -> Self {
+        AnswerBody {
+            data: Some(data).filter(|data| !data.is_empty()),
+            request,
+            unwritten,
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.data.take().map(|data| Ok(Frame::data(data))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_none()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.data.as_ref().map_or(0, |data| data.len() as u64))
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        if let Some(request) = self.request.take() {
+            self.unwritten.requests.borrow_mut().push(request);
+        }
+    }
+}
--- a/src/process/node/event.rs
+++ b/src/process/node/event.rs
@@ -77,6 +77,10 @@
         ticket: u64,
         call: ApiCall,
     },
+    /// A caller has closed its connection before its answer.
+    ApiClosed {
+        ticket: u64,
+    },
     /// The process was asked to stop.
     Drain,
 }
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -223,6 +223,7 @@
             }
             Event::PeerCalled { ticket, request } => self.peer_called(now, ticket, request, out),
             Event::Api { ticket, call } => self.api_called(now, ticket, call, out),
+            Event::ApiClosed { ticket } => self.api_closed(now, ticket, out),
             Event::Drain => self.drain(now),
         }
     }
--- a/src/process/node/urgent.rs
+++ b/src/process/node/urgent.rs
@@ -265,6 +265,22 @@
         }
     }
 
+    /// Cancels the request of a caller that is gone, unless it has been sent to an instance.
+    pub(super) fn api_closed(&mut self, now: Millis, ticket: u64, out: &mut Vec<Action>) {
+        let origin = Origin::Api(ticket);
+        let found = self
+            .callers
+            .iter()
+            .find(|(_, caller)| caller.origin == origin);
+        let Some(ticket) = found.map(|(ticket, _)| *ticket) else {
+            return;
+        };
+        self.callers.remove(&ticket);
+        let mut actions = Vec::new();
+        self.urgent.cancel(now, Ticket(ticket), &mut actions);
+        self.route(now, actions, out);
+    }
+
     fn count_answer(&mut self, now: Millis, caller: &Caller, answer: &UrgentAnswer) {
         let is_late = now > caller.deadline;
         let result = match (answer.ran, answer.status, is_late) {
--- a/src/process/runtime/adapters.rs
+++ b/src/process/runtime/adapters.rs
@@ -25,8 +25,6 @@
 const APPEND_THREADS: usize = 2;
 /// A caller that reads its answer more slowly than this is cut.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(30);
-const API_READERS: usize = 16;
-const API_WRITERS: usize = 16;
 
 type HttpClients = Clients<HttpLog, HttpWorkers, HttpInstances>;
 type HttpCall = Call<HttpLog, HttpWorkers, HttpInstances>;
@@ -70,8 +68,9 @@
         });
         let limits = ApiLimits {
             body: settings.limits.body,
-            readers: API_READERS,
-            writers: API_WRITERS,
+            bodies: settings.limits.bodies,
+            connections: settings.limits.callers as usize,
+            ..ApiLimits::default()
         };
         Ok(Adapters {
             clients,
--- a/src/process/runtime/sink.rs
+++ b/src/process/runtime/sink.rs
@@ -41,4 +41,8 @@
     fn called(&self, ticket: u64, call: ApiCall) {
         self.send(Event::Api { ticket, call });
     }
+
+    fn closed(&self, ticket: u64) {
+        self.send(Event::ApiClosed { ticket });
+    }
 }
--- a/src/process/settings/limits.rs
+++ b/src/process/settings/limits.rs
@@ -9,8 +9,8 @@
     pub struct Limits in "limits" {
         /// Calls in flight to backend servers.
         threads: u32 = 64, 1 => 1_024;
-        /// Threads that serve callers.
-        callers: u32 = 64, 1 => 1_024;
+        /// Connections of callers open at once; each takes a file descriptor.
+        callers: u32 = 512, 1 => 65_536;
         /// Urgent requests that may wait for a slot.
         queue: u32 = 4_096, 1 => 1_000_000;
         /// Largest request body, in bytes.
--- /dev/null
+++ b/tests/api.rs
@@ -0,0 +1,16 @@
+//! The callers' HTTP server against raw TCP callers.
+
+#[path = "api/bodies.rs"]
+mod bodies;
+#[path = "api/bursts.rs"]
+mod bursts;
+#[path = "api/caller.rs"]
+mod caller;
+#[path = "api/close.rs"]
+mod close;
+#[path = "api/heads.rs"]
+mod heads;
+#[path = "api/limits.rs"]
+mod limits;
+#[path = "api/service.rs"]
+mod service;
--- /dev/null
+++ b/tests/api/bodies.rs
@@ -0,0 +1,130 @@
+//! Bodies of every kind.
+
+use std::time::Duration;
+
+use yare::parameterized;
+
+use super::service::{MAX_BODY, Service, big};
+
+/// Long enough for a request that wrongly reaches the handler to be seen.
+const SETTLE: Duration = Duration::from_millis(200);
+
+/// Guards against bodies that are cut or mixed up, at the largest size that is allowed.
+#[test]
+fn the_largest_body_arrives_whole() {
+    let service = Service::start();
+    let body = big();
+    for _ in 0..2 {
+        let mut caller = service.caller();
+        let answer = std::thread::scope(|scope| {
+            scope.spawn(|| service.caller().post("/other", &body));
+            caller.post("/echo", &body);
+            caller.answer()
+        });
+        assert_eq!(answer.status, 200);
+        assert!(answer.body == body, "the body is not whole");
+    }
+}
+
+/// Guards against chunk boundaries that show in the body, and against losing the next request.
+#[parameterized(
+    one_byte_chunks = { 40, 1, false },
+    odd_chunks = { 100_000, 777, false },
+    with_trailer = { 100, 30, true },
+    one_large_chunk = { MAX_BODY, MAX_BODY, false },
+    many_chunks = { MAX_BODY, 65_536, false },
+)]
+fn chunked_bodies_arrive_whole(size: usize, chunk: usize, with_trailer: bool) {
+    let service = Service::start();
+    let mut caller = service.caller();
+    let body = big().slice(..size);
+    caller.head_chunked("/echo");
+    for part in body.chunks(chunk) {
+        caller.send(format!("{:x}\r\n", part.len()));
+        caller.send(part);
+        caller.send("\r\n");
+    }
+    caller.send("0\r\n");
+    if with_trailer {
+        caller.send("checksum: none\r\n");
+    }
+    caller.send("\r\n");
+    assert!(caller.answer().body == body, "the body is not whole");
+    caller.get("/next");
+    assert_eq!(caller.answer().text(), "/next?");
+}
+
+/// Guards against acting on a part of a request.
+#[parameterized(
+    declared_small = { "content-length: 100", "forty bytes" },
+    declared_large = { "content-length: 100000", "forty bytes" },
+    without_body = { "content-length: 5000", "" },
+    chunked_inside_a_chunk = { "transfer-encoding: chunked", "64\r\nforty bytes" },
+    chunked_between_chunks = { "transfer-encoding: chunked", "5\r\nforty\r\n" },
+    chunked_without_the_last_line = { "transfer-encoding: chunked", "5\r\nforty\r\n0\r\n" },
+)]
+fn a_truncated_body_is_refused(header: &str, body: &str) {
+    let service = Service::start();
+    let mut caller = service.caller();
+    caller.send(format!(
+        "POST /cut HTTP/1.1\r\nhost: t\r\n{header}\r\n\r\n{body}"
+    ));
+    caller.finish();
+    let answer = caller.answer();
+    assert_eq!(answer.status, 400);
+    assert_eq!(
+        answer.refusal(),
+        ("truncated_body".into(), "not_run".into())
+    );
+    std::thread::sleep(SETTLE);
+    assert_eq!(service.seen(), Vec::<String>::new());
+}
+
+/// Guards against reading a body that is refused anyway.
+#[parameterized(
+    declared = { "content-length: 16777217", "" },
+    declared_far_larger = { "content-length: 1000000000000", "some" },
+    chunked = { "transfer-encoding: chunked", "1000001\r\n" },
+)]
+fn a_too_large_body_is_refused_before_its_end(header: &str, start: &str) {
+    let service = Service::start();
+    let mut caller = service.caller();
+    caller.patience(Duration::from_secs(5));
+    caller.send(format!(
+        "POST /big HTTP/1.1\r\nhost: t\r\n{header}\r\n\r\n{start}"
+    ));
+    if header.contains("chunked") {
+        caller.send(vec![b'x'; MAX_BODY + 1]);
+    }
+    let answer = caller.answer();
+    assert_eq!(answer.status, 413);
+    assert_eq!(answer.refusal(), ("too_large".into(), "not_run".into()));
+    assert_eq!(service.seen(), Vec::<String>::new());
+}
+
+/// Guards against refusals that a caller loses because it writes its whole body before it reads.
+#[test]
+fn a_caller_that_writes_first_sees_the_refusal() {
+    let service = Service::start();
+    let mut caller = service.caller();
+    caller.head("/big", MAX_BODY + 1);
+    let body = vec![b'x'; MAX_BODY + 1];
+    caller.try_send(&body).expect("the body is discarded");
+    assert_eq!(caller.answer().status, 413);
+}
+
+/// Guards against refused bodies that hold threads: all readers of an earlier server waited for
+/// the ends of such bodies.
+#[test]
+fn refused_bodies_delay_nobody() {
+    let service = Service::start();
+    let mut refused: Vec<_> = (0..32).map(|_| service.caller()).collect();
+    for caller in &mut refused {
+        caller.head("/big", MAX_BODY + 1);
+        assert_eq!(caller.answer().status, 413);
+    }
+    let mut caller = service.caller();
+    caller.patience(Duration::from_secs(2));
+    caller.get("/prompt");
+    assert_eq!(caller.answer().text(), "/prompt?");
+}
--- /dev/null
+++ b/tests/api/service.rs
@@ -0,0 +1,134 @@
+//! A server under test with a small handler.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jayfork::connection::{ApiCall, ApiHandler, ApiLimits, ApiResponse, ApiServer, ContentKind};
+
+use super::caller::Caller;
+
+/// Largest body that the server under test takes.
+pub const MAX_BODY: usize = 16 << 20;
+
+#[derive(Clone)]
+struct Handler {
+    calls: Sender<(u64, ApiCall)>,
+    gone: Sender<u64>,
+}
+
+impl ApiHandler for Handler {
+    fn called(&self, ticket: u64, call: ApiCall) {
+        let _ = self.calls.send((ticket, call));
+    }
+
+    fn closed(&self, ticket: u64) {
+        let _ = self.gone.send(ticket);
+    }
+}
+
+/// A running server: `/hold` waits for the test, `/big` answers with `MAX_BODY` bytes, and any
+/// other path answers with the body, or with the path and query if there is no body.
+pub struct Service {
+    pub server: Arc<ApiServer>,
+    held: Mutex<Receiver<(u64, ApiCall)>>,
+    gone: Mutex<Receiver<u64>>,
+    seen: Arc<Mutex<Vec<String>>>,
+}
+
+pub fn limits() -> ApiLimits {
+    ApiLimits {
+        body: MAX_BODY as u64,
+        ..ApiLimits::default()
+    }
+}
+
+impl Service {
+    pub fn start() -> Self {
+        Service::with_limits(limits())
+    }
+
+    pub fn with_limits(limits: ApiLimits) -> Self {
+        let (calls, received) = channel();
+        let (hold, held) = channel();
+        let (gone, is_gone) = channel();
+        let local = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handler = Handler { calls, gone };
+        let server = ApiServer::bind(local, limits, handler).expect("a free port can be bound");
+        let server = Arc::new(server);
+        let seen = Arc::new(Mutex::new(Vec::new()));
+        let (weak, paths) = (Arc::downgrade(&server), seen.clone());
+        thread::spawn(move || {
+            while let Ok((ticket, call)) = received.recv() {
+                paths.lock().unwrap().push(call.path.clone());
+                let Some(server) = weak.upgrade() else { return };
+                match call.path.as_str() {
+                    "/hold" => drop(hold.send((ticket, call))),
+                    "/big" => server.respond(ticket, raw(big())),
+                    _ if call.body.is_empty() => {
+                        let text = format!("{}?{}", call.path, call.query);
+                        server.respond(ticket, raw(text.into()));
+                    }
+                    _ => server.respond(ticket, raw(call.body)),
+                }
+            }
+        });
+        let held = Mutex::new(held);
+        let gone = Mutex::new(is_gone);
+        Service {
+            server,
+            held,
+            gone,
+            seen,
+        }
+    }
+
+    pub fn caller(&self) -> Caller {
+        Caller::connect(self.server.address())
+    }
+
+    /// The next request to `/hold`.
+    pub fn held(&self) -> (u64, ApiCall) {
+        self.held
+            .lock()
+            .unwrap()
+            .recv_timeout(Duration::from_secs(5))
+            .expect("a held request arrives")
+    }
+
+    /// The next ticket whose caller is gone; `None` if there is none within `limit`.
+    pub fn gone(&self, limit: Duration) -> Option<u64> {
+        self.gone.lock().unwrap().recv_timeout(limit).ok()
+    }
+
+    pub fn answer(&self, ticket: u64, body: impl Into<Bytes>) {
+        self.server.respond(ticket, raw(body.into()));
+    }
+
+    /// Paths that have reached the handler.
+    pub fn seen(&self) -> Vec<String> {
+        self.seen.lock().unwrap().clone()
+    }
+}
+
+fn raw(body: Bytes) -> ApiResponse {
+    ApiResponse {
+        status: 200,
+        kind: ContentKind::Raw,
+        body,
+    }
+}
+
+/// `MAX_BODY` bytes that repeat with a prime period, so that a lost or doubled block shows.
+pub fn big() -> Bytes {
+    static BIG: OnceLock<Bytes> = OnceLock::new();
+    let make = || {
+        let period: Vec<u8> = (0..251).collect();
+        let bytes = period.repeat(MAX_BODY / period.len() + 1);
+        Bytes::from(bytes).slice(..MAX_BODY)
+    };
+    BIG.get_or_init(make).clone()
+}
