--- a/src/request/interference.rs
+++ b/src/request/interference.rs
@@ -10,15 +10,17 @@
 /// Use above 110% of the reservation counts as too much; below that it is within the error of the
 /// measurement.
 const EXCESS_PERCENT: u32 = 110;
-/// A task is a candidate if it contributes at least this share of the trouble; acting on the others
-/// costs their work and relieves nothing.
+/// A task is a candidate if it contributes this share of what the largest contributor does; acting
+/// on the others costs their work and relieves next to nothing.
 const MIN_PART: f32 = 0.1;
+/// The same within the group that is acted on, so that a throttle of the main contributors is not
+/// followed by a throttle of every task on the worker.
+const MIN_GROUP_PART: f32 = 0.5;
 /// Fresh reports with trouble before a throttle. One slow report may be a passing load shift.
 const THROTTLE_AFTER: u32 = 2;
-/// Fresh reports with trouble after an action before an eviction or a stop.
-const EVICT_AFTER: u32 = 3;
-/// Contribution of a class without a learned penalty.
-const BASE_PENALTY: f32 = 0.05;
+/// Fresh reports with trouble after an action before an eviction or a stop. A wait of 3
+/// led to the same latency in `benches/policy.rs`, with more evictions.
+const EVICT_AFTER: u32 = 10;
 /// Work lost by any eviction: checkpoint, wait and restart.
 const RESTART: Millis = Millis(30_000);
 const HOUR: Millis = Millis(3_600_000);
@@ -58,6 +60,10 @@
         ClassKey::new(self.task.customer.clone(), self.class.clone())
     }
 
+    fn is(&self, task: &TaskId, attempt: Attempt) -> bool {
+        self.attempt == attempt && self.task.index == task.index && self.task == *task
+    }
+
     fn relief(&self, action: Asked) -> Relief {
         let (task, attempt) = (self.task.clone(), self.attempt);
         match action {
@@ -125,7 +131,8 @@
     measured: Millis,
     /// Consecutive fresh reports with trouble since the last action.
     troubled: u32,
-    asked: HashMap<(TaskId, Attempt), Asked>,
+    /// The last action on each task that had one.
+    asked: Vec<(TaskId, Attempt, Asked)>,
     classes: Vec<(ClassKey, usize)>,
 }
 
@@ -246,7 +253,8 @@
     ) -> Option<Relief> {
         let (last, ordinary): (Vec<_>, Vec<_>) =
             candidates.iter().copied().partition(|c| c.task.is_last());
-        let group = if ordinary.is_empty() { last } else { ordinary };
+        let mut group = if ordinary.is_empty() { last } else { ordinary };
+        keep_main(&mut group, MIN_GROUP_PART);
         let (throttled, free): (Vec<_>, Vec<_>) =
             group.into_iter().partition(Candidate::is_throttled);
 
@@ -292,7 +300,7 @@
         if let Some(watched) = self.workers.get_mut(worker) {
             watched.barrier = now;
             watched.troubled = 0;
-            watched.asked.insert((task.clone(), attempt), asked);
+            watched.ask(task, attempt, asked);
         }
         if asked != Asked::Evict {
             return;
@@ -312,14 +320,15 @@
         };
         let mut classes: Vec<(ClassKey, usize)> = Vec::new();
         for task in tasks {
-            let known = classes
-                .iter_mut()
-                .find(|(c, _)| c.class == task.class && c.customer == task.task.customer);
-            match known {
+            let same = |c: &ClassKey| c.class == task.class && c.customer == task.task.customer;
+            match classes.iter_mut().find(|(c, _)| same(c)) {
                 Some((_, count)) => *count += 1,
                 None => classes.push((task.key(), 1)),
             }
         }
+        if classes == watched.classes {
+            return;
+        }
         for (class, count) in &classes {
             *self.running.entry(class.clone()).or_default() += count;
         }
@@ -337,17 +346,25 @@
             barrier: now,
             measured: Millis(0),
             troubled: 0,
-            asked: HashMap::new(),
+            asked: Vec::new(),
             classes: Vec::new(),
         }
     }
 
     fn forget_ended(&mut self, tasks: &[RunningTask]) {
-        self.asked.retain(|(task, attempt), _| {
-            tasks
-                .iter()
-                .any(|t| t.task == *task && t.attempt == *attempt)
-        });
+        self.asked
+            .retain(|(task, attempt, _)| tasks.iter().any(|t| t.is(task, *attempt)));
+    }
+
+    fn asked(&self, running: &RunningTask) -> Option<Asked> {
+        let mut asked = self.asked.iter();
+        let entry = asked.find(|(task, attempt, _)| running.is(task, *attempt));
+        entry.map(|(_, _, action)| *action)
+    }
+
+    fn ask(&mut self, task: &TaskId, attempt: Attempt, action: Asked) {
+        self.asked.retain(|(t, a, _)| t != task || *a != attempt);
+        self.asked.push((task.clone(), attempt, action));
     }
 
     /// The tasks that contribute a material part of the trouble.
@@ -366,15 +383,14 @@
                 Trouble::Processors => task.used().processors as f32,
                 Trouble::Memory => task.used().memory as f32,
             };
-            let asked = self.asked.get(&(task.task.clone(), task.attempt)).copied();
+            let asked = self.asked(task);
             candidates.push(Candidate {
                 task,
                 relief,
                 asked,
             });
         }
-        let total: f32 = candidates.iter().map(|c| c.relief).sum();
-        candidates.retain(|c| c.relief > 0.0 && c.relief >= total * MIN_PART);
+        keep_main(&mut candidates, MIN_PART);
         candidates
     }
 }
@@ -388,10 +404,19 @@
     }
 }
 
-/// Contribution of a task to slow services; use above the reservation counts twice.
+/// Keeps the candidates that contribute at least `part` of what the largest one does.
+fn keep_main(candidates: &mut Vec<Candidate<'_>>, part: f32) {
+    let largest = candidates.iter().map(|c| c.relief).fold(0.0, f32::max);
+    candidates.retain(|c| c.relief > 0.0 && c.relief >= largest * part);
+}
+
+/// Contribution of a task to slow services, in log odds. Use above the reservation counts twice, and
+/// counts also for a class without a penalty.
 fn slow_part(task: &RunningTask, capacity: Size) -> f32 {
-    let processors = task.used().processors as f32 + task.excess().processors as f32;
-    processors / capacity.processors.max(1) as f32 * (BASE_PENALTY + task.penalty)
+    let used = task.used().processors as f32;
+    let excess = task.excess().processors as f32;
+    let whole = capacity.processors.max(1) as f32;
+    (used * task.penalty + excess * (task.penalty + 1.0)) / whole
 }
 
 fn find_trouble(capacity: Size, tasks: &[RunningTask], slow: &[Name]) -> Option<Trouble> {
--- a/src/request/pairs.rs
+++ b/src/request/pairs.rs
@@ -4,11 +4,17 @@
 
 use crate::base::{Millis, Name};
 
-/// Time in which an observation loses half its weight. Load shifts change which pairs interfere.
-const HALF_LIFE: f32 = 600_000.0;
-/// Observations, in workers fully used by a class, that stand for "no interference" in each rate,
-/// so that a few coincidences do not steer placement.
-const PRIOR: f32 = 5.0;
+/// Time in which a weight halves without reports. Load shifts change which pairs interfere.
+const HALF_LIFE: f32 = 3_600_000.0;
+/// Log odds of a slow report before any report; about 5%.
+const PRIOR: f32 = -3.0;
+/// Step of the stochastic gradient descent.
+const RATE: f32 = 0.5;
+/// Weight of a report that is not slow. Between two bursts a class shows no harm, and its penalty has
+/// to last until the next burst, which is placed before the first report of it arrives.
+const UNLEARN: f32 = 0.1;
+/// Bounds a weight, so that a class that is always slow can be unlearned.
+const MAX_WEIGHT: f32 = 200.0;
 /// Bounds the memory of the pairs of one service.
 const MAX_CLASSES: usize = 1024;
 
@@ -30,9 +36,9 @@
 
 /// Penalties of (service, class) pairs that coincided with slow service.
 ///
-/// The penalty is the rate of slow reports of the service, weighted by the class's share of the
-/// worker, less the rate over all its reports. A class that is everywhere and a class that does no
-/// harm therefore get none, also while another class makes the service slow.
+/// A logistic regression per service: the log odds of a slow report are linear in the share of the
+/// worker that each class uses. A class that is present in slow and in other reports alike is thus
+/// told from the one that makes the service slow. Weights decay.
 #[derive(Debug, Default)]
 pub struct PairPenalties {
     services: HashMap<Name, ServicePairs>,
@@ -40,34 +46,39 @@
 
 #[derive(Debug, Default)]
 struct ServicePairs {
-    all: Rate,
-    classes: HashMap<ClassKey, Rate>,
+    /// Difference from the prior.
+    bias: Weight,
+    classes: HashMap<ClassKey, Weight>,
 }
 
-/// Weighted count of slow and of all reports; both decay.
 #[derive(Debug, Clone, Copy, Default)]
-struct Rate {
-    slow: f32,
-    total: f32,
+struct Weight {
+    value: f32,
     updated: Millis,
 }
 
-impl Rate {
-    fn observe(&mut self, now: Millis, weight: f32, slow: bool) {
-        let decay = self.decay(now);
-        self.slow = self.slow * decay + if slow { weight } else { 0.0 };
-        self.total = self.total * decay + weight;
-        self.updated = now;
+impl Weight {
+    fn at(&self, now: Millis) -> f32 {
+        if now <= self.updated {
+            return self.value;
+        }
+        self.value * (-(now.since(self.updated).0 as f32) / HALF_LIFE).exp2()
     }
 
-    fn value(&self, now: Millis) -> f32 {
-        let decay = self.decay(now);
-        self.slow * decay / (self.total * decay + PRIOR)
+    fn step(&mut self, now: Millis, gradient: f32) {
+        let value = self.at(now) + RATE * gradient;
+        self.value = value.clamp(-MAX_WEIGHT, MAX_WEIGHT);
+        self.updated = now;
     }
+}
 
-    fn decay(&self, now: Millis) -> f32 {
-        (-(now.since(self.updated).0 as f32) / HALF_LIFE).exp2()
-    }
+/// State of a service next to the classes on a worker.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Odds {
+    /// Log odds of slow service.
+    pub(crate) total: f32,
+    /// Part of `total` added by classes with a penalty.
+    pub(crate) noise: f32,
 }
 
 impl PairPenalties {
@@ -77,7 +88,7 @@
         now: Millis,
         service: &Name,
         slow: bool,
-        shares: impl IntoIterator<Item = (&'a ClassKey, f32)>,
+        shares: impl Iterator<Item = (&'a ClassKey, f32)> + Clone,
     ) {
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Default::default());
@@ -85,54 +96,88 @@
         let Some(pairs) = self.services.get_mut(service) else {
             return;
         };
-        let mut whole = 0.0;
+        let expected = probability(pairs.odds(now, shares.clone()).total);
+        let error = if slow {
+            1.0 - expected
+        } else {
+            -expected * UNLEARN
+        };
+        pairs.bias.step(now, error * 0.1);
         for (class, share) in shares {
-            whole += share;
-            pairs.observe(now, class, share, slow);
+            pairs.step(now, class, error * share);
         }
-        pairs.all.observe(now, whole, slow);
     }
 
-    /// Penalty of a pair, in 0..1.
+    /// Penalty of a pair: what a worker full of the class adds to the log odds of slow service;
+    /// zero for a class that does no harm.
     pub fn penalty(&self, now: Millis, service: &str, class: &ClassKey) -> f32 {
-        let Some(pairs) = self.services.get(service) else {
-            return 0.0;
-        };
-        pairs.penalty(now, class)
+        let pairs = self.services.get(service);
+        pairs.map_or(0.0, |pairs| pairs.weight(now, class).max(0.0))
     }
 
     /// The services with which `class` interferes.
     pub fn of_class(&self, now: Millis, class: &ClassKey) -> Vec<(&Name, f32)> {
         let penalties = self.services.iter();
         penalties
-            .map(|(service, pairs)| (service, pairs.penalty(now, class)))
+            .map(|(service, pairs)| (service, pairs.weight(now, class)))
             .filter(|(_, penalty)| *penalty > 0.0)
             .collect()
     }
+
+    pub(crate) fn odds<'a>(
+        &self,
+        now: Millis,
+        service: &str,
+        shares: impl Iterator<Item = (&'a ClassKey, f32)>,
+    ) -> Odds {
+        let none = Odds {
+            total: PRIOR,
+            noise: 0.0,
+        };
+        let pairs = self.services.get(service);
+        pairs.map_or(none, |pairs| pairs.odds(now, shares))
+    }
 }
 
 impl ServicePairs {
-    fn observe(&mut self, now: Millis, class: &ClassKey, share: f32, slow: bool) {
-        if let Some(rate) = self.classes.get_mut(class) {
-            return rate.observe(now, share, slow);
+    fn weight(&self, now: Millis, class: &ClassKey) -> f32 {
+        self.classes.get(class).map_or(0.0, |w| w.at(now))
+    }
+
+    fn odds<'a>(&self, now: Millis, shares: impl Iterator<Item = (&'a ClassKey, f32)>) -> Odds {
+        let mut odds = Odds {
+            total: PRIOR + self.bias.at(now),
+            noise: 0.0,
+        };
+        for (class, share) in shares {
+            let part = self.weight(now, class) * share;
+            odds.total += part;
+            odds.noise += part.max(0.0);
+        }
+        odds
+    }
+
+    fn step(&mut self, now: Millis, class: &ClassKey, gradient: f32) {
+        if let Some(weight) = self.classes.get_mut(class) {
+            return weight.step(now, gradient);
         }
         if self.classes.len() >= MAX_CLASSES {
             self.remove_oldest();
         }
-        let mut rate = Rate::default();
-        rate.observe(now, share, slow);
-        self.classes.insert(class.clone(), rate);
-    }
-
-    fn penalty(&self, now: Millis, class: &ClassKey) -> f32 {
-        let rate = self.classes.get(class).map_or(0.0, |r| r.value(now));
-        (rate - self.all.value(now)).max(0.0)
+        let mut weight = Weight::default();
+        weight.step(now, gradient);
+        self.classes.insert(class.clone(), weight);
     }
 
     fn remove_oldest(&mut self) {
-        let oldest = self.classes.iter().min_by_key(|(_, rate)| rate.updated);
+        let oldest = self.classes.iter().min_by_key(|(_, w)| w.updated);
         if let Some(class) = oldest.map(|(class, _)| class.clone()) {
             self.classes.remove(&class);
         }
     }
 }
+
+/// The probability that belongs to log odds.
+pub(crate) fn probability(odds: f32) -> f32 {
+    1.0 / (1.0 + (-odds).exp())
+}
--- a/src/request/placement.rs
+++ b/src/request/placement.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use crate::base::{Millis, Name, Size};
-use crate::request::pairs::{ClassKey, PairPenalties};
+use crate::request::pairs::{ClassKey, PairPenalties, probability};
 
 /// Share of a worker's processors and memory that batch tasks may reserve; the rest is kept for
 /// urgent tasks.
@@ -14,8 +14,12 @@
 /// Costs that differ by less than one step, 1/32 of a worker, count as equal when the tasks of a
 /// job are spread over racks.
 const STEPS: f32 = 32.0;
-/// Cost of interference relative to the unused share of a worker.
-const PENALTY_WEIGHT: f32 = 8.0;
+/// Cost of a certainly slow service relative to the unused share of a worker.
+const SLOW_WEIGHT: f32 = 20.0;
+/// Expected rate of slow reports up to which a worker takes more tasks that interfere.
+const MAX_SLOW: f32 = 0.05;
+/// Added log odds below which a task counts as harmless.
+const HARMLESS: f32 = 0.1;
 
 /// What a task needs. `size` is what is reserved from the choice to the end of the attempt; a
 /// later estimate does not change it.
@@ -68,8 +72,10 @@
     pub services: Vec<Name>,
     /// Reserved millicores of each class with a task on the worker.
     pub classes: Vec<(ClassKey, u32)>,
-    /// Interference of the present classes with the services; set by `Placer::refresh`.
+    /// Log odds that the present classes add to slow service; set by `Placer::refresh`.
     pub penalty: f32,
+    /// Log odds of slow service, `penalty` included; set by `Placer::refresh`.
+    pub odds: f32,
     /// Claims that wait for room on this worker.
     pub queued: u32,
     /// Whether tasks may be placed: the lease is held and usable, the worker is neither leaving
@@ -90,6 +96,7 @@
             services: Vec::new(),
             classes: Vec::new(),
             penalty: 0.0,
+            odds: f32::NEG_INFINITY,
             queued: 0,
             open: true,
         }
@@ -155,7 +162,7 @@
         self.capacity == Size::ZERO || size.fits(&self.limit(urgent))
     }
 
-    fn shares(&self) -> impl Iterator<Item = (&ClassKey, f32)> {
+    fn shares(&self) -> impl Iterator<Item = (&ClassKey, f32)> + Clone {
         let whole = self.capacity.processors;
         self.classes.iter().map(move |(c, n)| (c, share(*n, whole)))
     }
@@ -278,7 +285,11 @@
             if best.as_ref().is_some_and(|b| bound > b.step) {
                 continue;
             }
-            let cost = cost(demand, worker, unused, &pairs);
+            let added = added_odds(demand, worker, &pairs);
+            if is_too_noisy(worker, added) {
+                continue;
+            }
+            let cost = cost(demand, worker, unused, added);
             if best.as_ref().is_none_or(|b| cost.compare(b).is_lt()) {
                 best = Some(cost);
             }
@@ -337,35 +348,31 @@
 
     /// Sets the worker's penalty for its present classes; called when they change.
     pub fn refresh(&self, now: Millis, worker: &mut WorkerView) {
-        let mut penalty = 0.0;
+        worker.penalty = 0.0;
+        worker.odds = f32::NEG_INFINITY;
         for service in &worker.services {
-            for (class, share) in worker.shares() {
-                penalty += share * self.pairs.penalty(now, service, class);
-            }
+            let odds = self.pairs.odds(now, service, worker.shares());
+            worker.penalty = worker.penalty.max(odds.noise);
+            worker.odds = worker.odds.max(odds.total);
         }
-        worker.penalty = penalty;
     }
 
-    /// Interference of a class with the services of a worker, in 0..1 per service.
+    /// Interference of a class with the services of a worker: what a worker full of the class adds
+    /// to the log odds of slow service.
     pub fn penalty(&self, now: Millis, class: &ClassKey, services: &[Name]) -> f32 {
         let penalties = services.iter();
         penalties.map(|s| self.pairs.penalty(now, s, class)).sum()
     }
 }
 
-fn cost<'a>(
-    demand: &Demand,
-    worker: &'a WorkerView,
-    unused: f32,
-    pairs: &[(&Name, f32)],
-) -> Cost<'a> {
-    let penalty = if demand.urgent {
-        worker.penalty
+fn cost<'a>(demand: &Demand, worker: &'a WorkerView, unused: f32, added: f32) -> Cost<'a> {
+    let slow = if demand.urgent {
+        probability(worker.odds)
     } else {
-        added_penalty(demand, worker, pairs)
+        probability(worker.odds + added) - probability(worker.odds)
     };
     let avoided = demand.avoid.contains(&worker.name);
-    let exact = unused + PENALTY_WEIGHT * penalty + if avoided { AVOID_COST } else { 0.0 };
+    let exact = unused + SLOW_WEIGHT * slow + if avoided { AVOID_COST } else { 0.0 };
     let rack = demand.racks.iter().find(|(rack, _)| *rack == worker.rack);
     Cost {
         step: (exact * STEPS) as u32,
@@ -375,16 +382,20 @@
     }
 }
 
-/// Interference that the task adds. It grows with what is there already, so that tasks of harmful
-/// classes are spread where every worker has an instance of the service.
-fn added_penalty(demand: &Demand, worker: &WorkerView, pairs: &[(&Name, f32)]) -> f32 {
-    let present = pairs.iter().filter(|(s, _)| worker.services.contains(s));
-    let penalty: f32 = present.map(|(_, penalty)| penalty).sum();
-    if penalty == 0.0 {
+/// What the task adds to the log odds of slow service on the worker.
+fn added_odds(demand: &Demand, worker: &WorkerView, pairs: &[(&Name, f32)]) -> f32 {
+    if demand.urgent {
         return 0.0;
     }
-    let own = penalty * share(demand.size.processors, worker.capacity.processors);
-    own * (own + 2.0 * worker.penalty)
+    let present = pairs.iter().filter(|(s, _)| worker.services.contains(s));
+    let penalty = present.map(|(_, penalty)| *penalty).fold(0.0, f32::max);
+    penalty * share(demand.size.processors, worker.capacity.processors)
+}
+
+/// Whether the task waits rather than make a service slow. A worker with less interference than the
+/// task itself brings takes it in any case, so that no class waits for ever.
+fn is_too_noisy(worker: &WorkerView, added: f32) -> bool {
+    added > HARMLESS && worker.penalty >= added && probability(worker.odds + added) > MAX_SLOW
 }
 
 /// Share of the scarcest resource that stays unused after the task; `None` if it does not fit.
