--- a/benches/policy.rs
+++ b/benches/policy.rs
@@ -14,6 +14,8 @@
     TaskKind, WorkerView,
 };
 
+use TaskKind::{AtMostOnce, Restartable};
+
 const CUSTOMER: &str = "team";
 const SERVICE: &str = "service";
 const BASE_MS: f32 = 20.0;
@@ -26,17 +28,11 @@
 /// Speed of a throttled task.
 const THROTTLED: f32 = 0.5;
 
-struct Site {
-    name: &'static str,
-    workers: usize,
-    rack: usize,
-    capacity: Size,
-}
-
-#[rustfmt::skip]
+/// Name, workers, workers of a rack, capacity of a worker.
+type Site = (&'static str, usize, usize, Size);
 const SITES: [Site; 2] = [
-    Site { name: "vltava", workers: 50, rack: 8, capacity: Size::new(16_000, 61_440, 0) },
-    Site { name: "biometan", workers: 65, rack: 11, capacity: Size::new(32_000, 128_000, 0) },
+    ("vltava", 50, 8, Size::new(16_000, 61_440, 0)),
+    ("biometan", 65, 11, Size::new(32_000, 128_000, 0)),
 ];
 
 struct Class {
@@ -57,24 +53,17 @@
 
 #[rustfmt::skip]
 const CLASSES: [Class; 6] = [
-    Class { name: "merges", kind: TaskKind::AtMostOnce, size: Size::new(800, 2_500, 0),
-        declared: 100, noise: 0.5, run: 240.0, share: 0.25, bursts: false },
-    Class { name: "indexing", kind: TaskKind::Restartable, size: Size::new(1_500, 5_000, 0),
-        declared: 10, noise: 2.0, run: 300.0, share: 0.25, bursts: false },
-    Class { name: "previews", kind: TaskKind::Restartable, size: Size::new(500, 1_500, 0),
-        declared: 1_000, noise: 0.5, run: 120.0, share: 0.1, bursts: false },
-    Class { name: "scans", kind: TaskKind::Restartable, size: Size::new(2_000, 3_000, 0),
-        declared: 100, noise: 5.0, run: 200.0, share: 0.25, bursts: true },
-    Class { name: "reports", kind: TaskKind::Restartable, size: Size::new(1_000, 4_000, 0),
-        declared: 120, noise: 0.5, run: 900.0, share: 0.15, bursts: false },
+    Class { name: "merges", kind: AtMostOnce, size: Size::new(800, 2_500, 0), declared: 100, noise: 0.5, run: 240.0, share: 0.25, bursts: false },
+    Class { name: "indexing", kind: Restartable, size: Size::new(1_500, 5_000, 0), declared: 10, noise: 2.0, run: 300.0, share: 0.25, bursts: false },
+    Class { name: "previews", kind: Restartable, size: Size::new(500, 1_500, 0), declared: 1_000, noise: 0.5, run: 120.0, share: 0.1, bursts: false },
+    Class { name: "scans", kind: Restartable, size: Size::new(2_000, 3_000, 0), declared: 100, noise: 5.0, run: 200.0, share: 0.25, bursts: true },
+    Class { name: "reports", kind: Restartable, size: Size::new(1_000, 4_000, 0), declared: 120, noise: 0.5, run: 900.0, share: 0.15, bursts: false },
     // Never starts on any worker.
-    Class { name: "broken", kind: TaskKind::Restartable, size: Size::new(500, 500, 0),
-        declared: 100, noise: 0.0, run: 60.0, share: 0.005, bursts: false },
+    Class { name: "broken", kind: Restartable, size: Size::new(500, 500, 0), declared: 100, noise: 0.0, run: 60.0, share: 0.005, bursts: false },
 ];
 const BROKEN: usize = 5;
 /// Work offered, as a share of all processors: what fits beside the service, and an overload.
 const LOADS: [f32; 2] = [0.35, 0.5];
-
 /// Processors that an instance uses at mean load, as a share of a worker.
 const SERVICE_SHARE: f32 = 0.12;
 
@@ -115,41 +104,19 @@
         let seed = u64::from(self.id.index) * 1_000_003 + second / 30;
         let percent = 75 + fastrand::Rng::with_seed(seed).u32(0..50);
         let size = CLASSES[self.class].size.scale(percent);
-        let speed = if self.running.throttled {
-            THROTTLED
-        } else {
-            1.0
-        };
-        Size::new((size.processors as f32 * speed) as u32, size.memory, 0)
+        let processors = size.processors as f32 * self.speed();
+        Size::new(processors as u32, size.memory, 0)
     }
 
-    fn measured(&self) -> Option<Size> {
-        (self.running.usage.len() as u64 > LAG).then(|| self.running.usage[0])
+    fn speed(&self) -> f32 {
+        [1.0, THROTTLED][usize::from(self.running.throttled)]
     }
 
-    fn report(&self, second: u64, penalty: f32) -> RunningTask {
-        RunningTask {
-            task: self.id.clone(),
-            attempt: Attempt(self.attempt),
-            class: self.demand.class.class.clone(),
-            reserved: self.demand.size,
-            usage: self.measured(),
-            throttled: self.running.throttled,
-            unsaved: Millis((second - self.running.started) * 1_000),
-            penalty,
-            kind: CLASSES[self.class].kind,
-        }
+    fn measured(&self) -> Option<Size> {
+        (self.running.usage.len() as u64 > LAG).then(|| self.running.usage[0])
     }
 }
 
-#[derive(Default)]
-struct FakeWorker {
-    tasks: Vec<Task>,
-    /// Mean latency of the last seconds, newest last.
-    latency: VecDeque<f32>,
-    fails: bool,
-}
-
 struct Run {
     contender: Contender,
     capacity: Size,
@@ -161,50 +128,50 @@
     interference: Interference,
     quarantine: Quarantine,
     views: Vec<WorkerView>,
-    workers: Vec<FakeWorker>,
+    /// Tasks of each fake worker, and the mean latency of its last seconds, newest last.
+    tasks: Vec<Vec<Task>>,
+    means: Vec<VecDeque<f32>>,
     pending: VecDeque<Task>,
     debt: [f32; CLASSES.len()],
-    jobs: u32,
-    tasks: u32,
+    count: u32,
     latency: Histogram<u64>,
     finished: f32,
     interrupted: u32,
 }
 
-/// Latency in ms, useful work finished per second in cores, interruptions per hour.
-type Measures = [f32; 3];
-
 impl Run {
     fn new(site: &Site, contender: Contender, offered: f32, seed: u64) -> Self {
+        let &(_, workers, rack, capacity) = site;
         let view = |i: usize| {
-            let rack = format!("r{}", i / site.rack).into();
-            let mut view = WorkerView::new(format!("w{i:03}").into(), rack, site.capacity);
+            let rack = format!("r{}", i / rack).into();
+            let mut view = WorkerView::new(format!("w{i:03}").into(), rack, capacity);
             view.services.push(SERVICE.into());
             view
         };
-        let views: Vec<_> = (0..site.workers).map(view).collect();
+        let views: Vec<_> = (0..workers).map(view).collect();
         Run {
             contender,
-            capacity: site.capacity,
+            capacity,
             offered,
             rng: fastrand::Rng::with_seed(seed),
             placer: Placer::new(),
             sizes: SizeEstimator::new(),
             interference: Interference::new(),
             quarantine: Quarantine::new(),
-            workers: views.iter().map(|_| FakeWorker::default()).collect(),
+            tasks: views.iter().map(|_| Vec::new()).collect(),
+            means: vec![VecDeque::new(); workers],
             views,
             pending: VecDeque::new(),
             debt: [0.0; CLASSES.len()],
-            jobs: 0,
-            tasks: 0,
+            count: 0,
             latency: Histogram::new(3).expect("three digits are valid"),
             finished: 0.0,
             interrupted: 0,
         }
     }
 
-    fn run(mut self, seconds: u64) -> Measures {
+    /// Latency in ms, useful work finished per second in cores, interruptions per hour.
+    fn run(mut self, seconds: u64) -> [f32; 3] {
         // The first part only fills the workers and teaches the policy.
         let warm_up = 900;
         for second in 0..warm_up + seconds {
@@ -213,9 +180,7 @@
                 (self.finished, self.interrupted) = (0.0, 0);
             }
             self.arrive(second);
-            for worker in 0..self.workers.len() {
-                // Two workers fail every start in the middle half of each hour.
-                self.workers[worker].fails = worker % 25 == 3 && second % 3_600 / 900 % 3 > 0;
+            for worker in 0..self.views.len() {
                 self.work(worker, second);
                 self.report(worker, second);
             }
@@ -230,21 +195,30 @@
 
     /// Adds the jobs of this second, eight tasks each.
     fn arrive(&mut self, second: u64) {
-        let whole = self.capacity.processors as f32 * self.workers.len() as f32;
+        let whole = self.capacity.processors as f32 * self.views.len() as f32;
         for (class, spec) in CLASSES.iter().enumerate() {
             self.debt[class] += self.offered * spec.share * whole;
             let job = 8.0 * spec.run * spec.size.processors as f32;
+            let declared = spec.size.scale(spec.declared);
             if spec.bursts && second % 600 != 0 {
                 continue;
             }
             while self.debt[class] > job * self.rng.f32() * 2.0 {
                 self.debt[class] -= job;
-                self.jobs += 1;
-                let name: Name = format!("j{}", self.jobs).into();
+                let name: Name = format!("j{}", self.count).into();
                 for _ in 0..8 {
-                    self.tasks += 1;
-                    let id = TaskId::new(CUSTOMER, name.clone(), self.tasks);
-                    self.pending.push_back(task(id, class, self.rng.f32()));
+                    self.count += 1;
+                    let left = spec.run * (0.5 + self.rng.f32());
+                    self.pending.push_back(Task {
+                        id: TaskId::new(CUSTOMER, name.clone(), self.count),
+                        attempt: 0,
+                        class,
+                        key: SizeKey::new(CUSTOMER.into(), spec.name.into(), declared),
+                        demand: Demand::new(CUSTOMER, spec.name, declared, false),
+                        left,
+                        saved: left,
+                        running: Running::default(),
+                    });
                 }
             }
         }
@@ -252,21 +226,16 @@
 
     /// One second of work on a worker.
     fn work(&mut self, worker: usize, second: u64) {
-        let fake = &mut self.workers[worker];
+        let (tasks, means) = (&mut self.tasks[worker], &mut self.means[worker]);
         let whole = self.capacity.processors as f32;
         let wave = (second as f32 / 1_200.0).sin();
         let load = SERVICE_SHARE * (1.0 + 0.4 * wave);
-        let used: Vec<Size> = fake.tasks.iter().map(|t| t.used(second)).collect();
+        let used: Vec<Size> = tasks.iter().map(|t| t.used(second)).collect();
         let batch = used.iter().map(|u| u.processors as f32).sum::<f32>() / whole;
         let speed = ((1.0 - load) / batch.max(0.01)).min(1.0);
         let mut noise = 0.0;
-        for (task, used) in fake.tasks.iter_mut().zip(&used) {
-            let factor = if task.running.throttled {
-                THROTTLED
-            } else {
-                1.0
-            };
-            task.left -= speed * factor;
+        for (task, used) in tasks.iter_mut().zip(&used) {
+            task.left -= speed * task.speed();
             noise += CLASSES[task.class].noise * used.processors as f32 * speed / whole;
             task.running.usage.push_back(*used);
             if task.running.usage.len() as u64 > LAG + 1 {
@@ -279,19 +248,19 @@
             let sample = mean * (0.6 + 0.4 * -self.rng.f32().max(1e-3).ln());
             let _ = self.latency.record((sample * 1_000.0) as u64);
         }
-        fake.latency.push_back(mean);
-        if fake.latency.len() as u64 > LAG + 1 {
-            fake.latency.pop_front();
+        means.push_back(mean);
+        if means.len() as u64 > LAG + 1 {
+            means.pop_front();
         }
         self.end_finished(worker);
         self.end_beyond_memory(worker, second);
     }
 
     fn end_finished(&mut self, worker: usize) {
-        let tasks = std::mem::take(&mut self.workers[worker].tasks);
+        let tasks = std::mem::take(&mut self.tasks[worker]);
         for task in tasks {
             if task.left > 0.0 {
-                self.workers[worker].tasks.push(task);
+                self.tasks[worker].push(task);
                 continue;
             }
             let spec = &CLASSES[task.class];
@@ -305,7 +274,7 @@
     /// A worker out of memory ends the task with the largest use beyond its reservation.
     fn end_beyond_memory(&mut self, worker: usize, second: u64) {
         loop {
-            let tasks = &self.workers[worker].tasks;
+            let tasks = &self.tasks[worker];
             let used = |t: &Task| t.used(second).memory;
             if tasks.iter().map(used).sum::<u32>() <= self.capacity.memory {
                 return;
@@ -317,7 +286,7 @@
     }
 
     fn interrupt(&mut self, worker: usize, position: usize, checkpoint: bool) {
-        let mut task = self.workers[worker].tasks.swap_remove(position);
+        let mut task = self.tasks[worker].swap_remove(position);
         self.views[worker].release(&task.demand);
         self.interrupted += 1;
         if checkpoint {
@@ -334,43 +303,45 @@
             return;
         }
         let (now, measured) = (Millis(second * 1_000), Millis((second - LAG) * 1_000));
-        let is_slow = self.workers[worker].latency[0] > SLOW_MS;
+        let is_slow = self.means[worker][0] > SLOW_MS;
         let slow: Vec<Name> = is_slow.then(|| SERVICE.into()).into_iter().collect();
         let view = &mut self.views[worker];
         self.placer.observe(now, view, &slow);
         view.excess = Size::ZERO;
         let mut tasks = Vec::new();
-        for task in &mut self.workers[worker].tasks {
+        for task in &mut self.tasks[worker] {
             if let Some(usage) = task.measured() {
                 let usage = *task.running.before_throttle.as_ref().unwrap_or(&usage);
                 self.sizes.observe(now, &task.key, usage);
                 let excess = usage.saturating_sub(&task.demand.size);
                 view.excess = view.excess.saturating_add(&excess);
             }
-            let penalty = self.placer.penalty(now, &task.demand.class, &view.services);
-            tasks.push(task.report(second, penalty));
+            tasks.push(RunningTask {
+                task: task.id.clone(),
+                attempt: Attempt(task.attempt),
+                class: task.demand.class.class.clone(),
+                reserved: task.demand.size,
+                usage: task.measured(),
+                throttled: task.running.throttled,
+                unsaved: Millis((second - task.running.started) * 1_000),
+                penalty: self.placer.penalty(now, &task.demand.class, &view.services),
+                kind: CLASSES[task.class].kind,
+            });
         }
-        let name = view.name.clone();
-        let relief = if self.contender == EvictFirst {
-            evict_first(&tasks, is_slow)
-        } else {
-            self.interference
-                .report(now, &name, measured, self.capacity, &tasks, &slow)
+        let (policy, capacity) = (&mut self.interference, self.capacity);
+        let relief = match self.contender {
+            EvictFirst => evict_first(&tasks, is_slow),
+            _ => policy.report(now, &view.name, measured, capacity, &tasks, &slow),
         };
-        if let Some(relief) = relief {
-            self.relieve(worker, &relief);
-        }
-    }
-
-    fn relieve(&mut self, worker: usize, relief: &Relief) {
-        let tasks = &mut self.workers[worker].tasks;
-        let Some(position) = tasks.iter().position(|t| t.id == *relief.task()) else {
+        let mut tasks = self.tasks[worker].iter_mut().enumerate();
+        let victim = relief.and_then(|r| Some((tasks.find(|(_, t)| t.id == *r.task())?, r)));
+        let Some(((position, task), relief)) = victim else {
             return;
         };
         match relief {
             Relief::Throttle { .. } => {
-                tasks[position].running.before_throttle = tasks[position].measured();
-                tasks[position].running.throttled = true;
+                task.running.before_throttle = task.measured();
+                task.running.throttled = true;
             }
             Relief::Evict { .. } => self.interrupt(worker, position, true),
             Relief::Stop { .. } => self.interrupt(worker, position, false),
@@ -384,13 +355,9 @@
         }
         let mut blocked = HashSet::new();
         for mut task in std::mem::take(&mut self.pending) {
-            let blocks = blocked.contains(&task.class);
-            let chosen = if blocks {
-                None
-            } else {
-                self.choose(now, &mut task)
-            };
-            let Some(name) = chosen else {
+            let waits = blocked.contains(&task.class);
+            let chosen = (!waits).then(|| self.choose(now, &mut task));
+            let Some(name) = chosen.flatten() else {
                 blocked.insert(task.class);
                 self.pending.push_back(task);
                 continue;
@@ -403,7 +370,9 @@
         let worker: usize = name[1..].parse().expect("named by its index");
         self.quarantine.started(now, name);
         task.attempt += 1;
-        if self.workers[worker].fails || task.class == BROKEN {
+        // Two or three workers fail every start in the middle half of each hour.
+        let fails = worker % 25 == 3 && now.0 / 1_000 % 3_600 / 900 % 3 > 0;
+        if fails || task.class == BROKEN {
             self.quarantine.failed(now, name, &task.id);
             self.views[worker].open = self.quarantine.allows(now, name);
             task.demand.avoid.push(name.clone());
@@ -417,7 +386,7 @@
         self.placer.refresh(now, &mut self.views[worker]);
         task.running = Running::default();
         task.running.started = now.0 / 1_000;
-        self.workers[worker].tasks.push(task);
+        self.tasks[worker].push(task);
     }
 
     fn choose(&mut self, now: Millis, task: &mut Task) -> Option<Name> {
@@ -440,23 +409,7 @@
     }
 }
 
-fn task(id: TaskId, class: usize, random: f32) -> Task {
-    let spec = &CLASSES[class];
-    let left = spec.run * (0.5 + random);
-    let declared = spec.size.scale(spec.declared);
-    Task {
-        key: SizeKey::new(CUSTOMER.into(), spec.name.into(), declared),
-        demand: Demand::new(CUSTOMER, spec.name, declared, false),
-        id,
-        attempt: 0,
-        class,
-        left,
-        saved: left,
-        running: Running::default(),
-    }
-}
-
-/// Baseline: evicts the task with the largest use on every report that shows a slow service.
+/// Evicts the task with the largest use on every report that shows a slow service.
 fn evict_first(tasks: &[RunningTask], slow: bool) -> Option<Relief> {
     let used = |t: &&RunningTask| t.usage.unwrap_or(t.reserved).processors;
     let victim = tasks.iter().filter(|_| slow).max_by_key(used)?;
@@ -469,11 +422,11 @@
     let mut numbers = args.filter_map(|a| a.parse::<u64>().ok());
     let (seeds, hours) = (numbers.next().unwrap_or(5), numbers.next().unwrap_or(2));
     for (site, offered) in SITES.iter().flat_map(|s| LOADS.map(|l| (s, l))) {
-        let (name, percent) = (site.name, offered * 100.0);
+        let (name, percent) = (site.0, offered * 100.0);
         println!("{name}, {percent}% offered, {seeds} seeds, {hours} h each");
         for contender in [Policy, RandomPlacement, BestFitDeclared, EvictFirst] {
             let run = |seed| move || Run::new(site, contender, offered, seed).run(hours * 3_600);
-            let measures: Vec<Measures> = std::thread::scope(|scope| {
+            let measures: Vec<[f32; 3]> = std::thread::scope(|scope| {
                 let threads: Vec<_> = (1..=seeds).map(|s| scope.spawn(run(s))).collect();
                 let results = threads.into_iter().map(|t| t.join().expect("no panic"));
                 results.collect()
