--- a/src/request/placement.rs
+++ b/src/request/placement.rs
@@ -17,6 +17,8 @@
 /// Cost of a certainly slow service relative to the unused share of a worker.
 const SLOW_WEIGHT: f32 = 20.0;
 /// Expected rate of slow reports up to which a worker takes more tasks that interfere.
+/// Where more harmful work is offered than services tolerate, it trades throughput for latency: the
+/// excess waits.
 const MAX_SLOW: f32 = 0.05;
 /// Added log odds below which a task counts as harmless.
 const HARMLESS: f32 = 0.1;
