Answer the last callers of a stopping host, and test failing entry hosts

Fault 1: a host that was asked to stop under load did not exit. Causes: it accepted new callers without end; and the core's thread waited in ApiServer::close for up to 30 s while calls that were read before stood unanswered in the core's channel, which only that thread empties. Ruled out: lease releases (a host without load exits at once).

Fault 2: a host that had just started refused requests for up to 500 ms although it knew a live holder: loads in the first heartbeat of a peer were dropped since the peer counted as live only at the next poll.

--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -17,6 +17,10 @@
 use crate::request::{Dispatcher, UrgentLimits, UrgentRouter};
 use crate::version::{ContractTable, Journal, Ledger, LedgerTiming};
 
+/// Time after the request to stop for which new callers are still served, so that a load balancer
+/// sees `/ready` change first. Afterwards they are refused, or a steady load would prevent the end.
+const DRAIN_NOTICE: Millis = Millis(2_000);
+
 /// Who this host is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -263,6 +267,12 @@
         }
     }
 
+    /// Whether callers are refused because this host is stopping.
+    pub(super) fn refuses_callers(&self, now: Millis) -> bool {
+        let drained = self.tail.drained;
+        self.exited || drained.is_some_and(|drained| now.since(drained) >= DRAIN_NOTICE)
+    }
+
     /// Whether the task stream was read within `age`.
     pub(super) fn reads_log(&self, now: Millis, age: Millis) -> bool {
         self.tail.read.is_some_and(|read| now.since(read) <= age)
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -52,6 +52,8 @@
                 .cloned()
                 .collect();
             self.live = live;
+            // The first `Hello` of a host arrives before the host counts as live.
+            self.set_loads(now);
             self.hosts_changed(now, gone, out);
         }
     }
@@ -309,6 +311,7 @@
                 PeerReply::Contracts(self.relay_contracts(request.since))
             }
             PeerRequest::Tail(request) => self.tail(now, request.from),
+            PeerRequest::Forward(_) if self.exited => PeerReply::Unavailable,
             PeerRequest::Forward(forward) => return self.forwarded(now, ticket, forward, out),
             PeerRequest::Job(call) => return self.job_called(now, ticket, call, out),
         };
--- a/src/process/node/urgent.rs
+++ b/src/process/node/urgent.rs
@@ -59,6 +59,13 @@
         call: ApiCall,
         out: &mut Vec<Action>,
     ) {
+        if self.refuses_callers(now) {
+            let reason = "this host is stopping";
+            let ran = Some(Ran::NotRun);
+            let response = ApiResponse::error(503, "draining", None, reason, ran);
+            telemetry::refused("draining");
+            return out.push(Action::Respond { ticket, response });
+        }
         let request = match call.request {
             Some(id) => id,
             None => self.make_request_id(ticket),
--- a/src/process/runtime/adapters.rs
+++ b/src/process/runtime/adapters.rs
@@ -38,7 +38,9 @@
     appends: Pool<HttpCall>,
     sends: Pool<HttpCall>,
     peers: PeerLinks,
-    api: ApiServer,
+    api: Arc<ApiServer>,
+    /// Whether callers are refused and all answers are written.
+    closed: Arc<AtomicBool>,
     telemetry: Telemetry,
     _readers: [StreamReader; 2],
     _hosts: HostsReader,
@@ -79,7 +81,8 @@
             appends: Pool::spawn("append", APPEND_THREADS)?,
             sends: Pool::spawn("send", threads)?,
             peers: PeerLinks::bind(settings.listen.peer, sink.clone())?,
-            api: ApiServer::bind(settings.listen.api, limits, sink.clone())?,
+            api: Arc::new(ApiServer::bind(settings.listen.api, limits, sink.clone())?),
+            closed: Arc::default(),
             telemetry,
             _readers: [
                 follow(
@@ -219,9 +222,24 @@
         }
     }
 
-    /// Refuses new callers and waits until all answers are written.
+    /// Refuses new callers and waits on a thread until all answers are written, since the core
+    /// still has to answer the calls that were read before.
     pub fn close(&self) {
-        self.api.close(CLOSE_TIMEOUT);
+        let (api, closed) = (self.api.clone(), self.closed.clone());
+        let closing = thread::Builder::new().name("close".to_owned());
+        let spawned = closing.spawn(move || {
+            api.close(CLOSE_TIMEOUT);
+            closed.store(true, Ordering::Release);
+        });
+        if let Err(error) = spawned {
+            tracing::error!(%error, "cannot wait for the last answers");
+            self.closed.store(true, Ordering::Release);
+        }
+    }
+
+    /// Whether `close` has ended.
+    pub fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
     }
 
     /// Addresses of the API and of the peer links.
--- a/src/process/runtime/scheduler.rs
+++ b/src/process/runtime/scheduler.rs
@@ -50,12 +50,13 @@
         self.is_queued = false;
         self.node.poll(self.clock.now(), &mut self.actions);
         for action in std::mem::take(&mut self.actions) {
-            if matches!(action, Action::Exit) {
-                self.adapters.close();
-                stop!(cx);
-                return;
+            match action {
+                Action::Exit => self.adapters.close(),
+                action => self.adapters.perform(action),
             }
-            self.adapters.perform(action);
+        }
+        if self.adapters.is_closed() {
+            stop!(cx);
         }
     }
 }
--- a/tests/support/cluster.rs
+++ b/tests/support/cluster.rs
@@ -206,9 +206,10 @@
         reply.expect("the host runs").ok()
     }
 
-    /// Host that holds a worker or instance, as `host` knows it.
+    /// Host that holds a worker or instance, as `host` knows it; `None` if `host` does not serve.
     pub fn holder(&self, host: usize, backend: &str) -> Option<usize> {
-        let status = self.status(host);
+        let reply = Client::new().get(self.api(host), "/v1/status").ok()?;
+        let status: Status = reply.ok();
         let worker = status.workers.iter().find(|w| *w.name == *backend);
         let instance = status.instances.iter().find(|i| *i.name == *backend);
         let holder = worker
