Tell the truth about unconfirmed jobs, and test a failing log

Fault 1: a job was answered "not run" although an append that held it may have taken effect, so it could run later.

Fault 2: while the log was down, a job was at times told as unknown although it had certainly not run, because the time limit fell into the last retry. Change: a submission whose records are being appended waits for that outcome, for at most one more time limit.

Fault 3: a host that alone was cut off from the log took new jobs itself for as long as it read the stream through peers (each was answered 504), and kept its workers, whose finished tasks it could not record: a job did not finish within 60 s. Ruled out: run leases (they were renewed).

--- a/src/process/node/jobs.rs
+++ b/src/process/node/jobs.rs
@@ -27,6 +27,20 @@
     pub job: Name,
     pub tasks: u32,
     pub until: Millis,
+    /// Whether an append that may have held its records has an unknown outcome.
+    pub is_uncertain: bool,
+}
+
+impl Submission {
+    /// Whether a record accepts a task of the job.
+    fn is_for(&self, record: &Record) -> bool {
+        match record {
+            Record::Accepted(spec) => {
+                spec.task.customer == self.customer && spec.task.job == self.job
+            }
+            _ => false,
+        }
+    }
 }
 
 /// Who waits for a job call.
@@ -67,7 +81,7 @@
             Err(response) => return out.push(Action::Respond { ticket, response }),
         };
         let is_home = home == self.identity.data_centre;
-        if is_home && self.reads_log(now, LOG_TIMEOUT) {
+        if is_home && self.reaches_log(now, LOG_TIMEOUT) {
             return self.job_call(now, Origin::Api(ticket), call, out);
         }
         let Some(host) = self.home_host(now, &home, &call) else {
@@ -179,6 +193,7 @@
                         job,
                         tasks,
                         until,
+                        is_uncertain: false,
                     };
                     self.submissions.push(open);
                     self.answer_accepted(out);
@@ -319,23 +334,36 @@
 
     /// Ends submissions that the log did not confirm in time.
     pub(super) fn poll_jobs(&mut self, now: Millis, out: &mut Vec<Action>) {
-        while let Some(index) = self.submissions.iter().position(|open| open.until <= now) {
+        while let Some(index) = self
+            .submissions
+            .iter()
+            .position(|open| self.is_late(now, open))
+        {
             let open = self.submissions.swap_remove(index);
             let response = self.give_up(&open);
             answer(open.origin, response, out);
         }
     }
 
-    /// "Not run" is told only if no record of the job was ever part of an append.
+    /// Whether the time of a submission is up. One whose records are being appended waits for the
+    /// outcome, for as long as an append may take.
+    fn is_late(&self, now: Millis, open: &Submission) -> bool {
+        let is_appending = || self.journal.is_sent(|record| open.is_for(record));
+        let last = open.until + self.timing.append_timeout;
+        open.until <= now && (last <= now || !is_appending())
+    }
+
+    /// The outcome of an append is unknown; its records are queued again.
+    pub(super) fn doubt_submissions(&mut self) {
+        for open in &mut self.submissions {
+            open.is_uncertain = true;
+        }
+    }
+
+    /// "Not run" is told only if no append that may have taken effect held a record of the job.
     fn give_up(&mut self, open: &Submission) -> ApiResponse {
-        let is_of_job = |record: &Record| match record {
-            Record::Accepted(spec) => {
-                spec.task.customer == open.customer && spec.task.job == open.job
-            }
-            _ => false,
-        };
-        let withdrawn = self.journal.withdraw(is_of_job);
-        if withdrawn == open.tasks as usize {
+        let withdrawn = self.journal.withdraw(|record| open.is_for(record));
+        if withdrawn == open.tasks as usize && !open.is_uncertain {
             let reason = "the log does not accept records; the job was not accepted";
             return refuse(503, "log_unavailable", None, reason);
         }
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -278,6 +278,12 @@
         self.tail.read.is_some_and(|read| now.since(read) <= age)
     }
 
+    /// Whether this host itself read the task stream within `age` and its last append succeeded.
+    pub(super) fn reaches_log(&self, now: Millis, age: Millis) -> bool {
+        let direct = self.tail.direct;
+        direct.is_some_and(|read| now.since(read) <= age) && self.journal.is_healthy()
+    }
+
     /// Offset of the task stream that this host will read next.
     pub(super) fn log_offset(&self) -> Offset {
         self.ledger.next()
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -17,6 +17,10 @@
 /// A host that has not read the log for this long asks a peer for records.
 const TAIL_AGE: Millis = Millis(1_500);
 
+/// Age of the last direct read of the log after which a host gives its workers to hosts that read
+/// it, since it cannot record how their tasks end. `Membership` judges peers by the same age.
+const HANDS_OVER: Millis = Millis(10_000);
+
 /// Why this host called a peer.
 #[derive(Debug)]
 pub(super) enum PeerPurpose {
@@ -42,7 +46,10 @@
     /// Follows who is live in this data centre.
     pub(super) fn poll_members(&mut self, now: Millis, out: &mut Vec<Action>) {
         let live = self.membership.live(now);
-        let informed = self.membership.informed(now);
+        let mut informed = self.membership.informed(now);
+        if informed.len() > 1 && self.direct_age(now) >= HANDS_OVER {
+            informed.retain(|host| *host != self.identity.host);
+        }
         self.leases.set_hosts(now, &live, &informed);
         if live != self.live {
             let gone = self
@@ -76,6 +83,12 @@
         self.ask_for_tail(now, out);
     }
 
+    /// Age of the last read of the log without a peer.
+    fn direct_age(&self, now: Millis) -> Millis {
+        let direct = self.tail.direct;
+        direct.map_or(Millis(u64::MAX), |read| now.since(read))
+    }
+
     fn hello(&self, now: Millis) -> Hello {
         Hello {
             host: self.identity.host.clone(),
@@ -83,7 +96,8 @@
             incarnation: self.identity.incarnation,
             held: self.leases.held(now),
             log_offset: self.log_offset(),
-            log_age: self.membership.log_age(now),
+            // A host that reads through a peer cannot append, so its workers go to others.
+            log_age: self.membership.log_age(now).max(self.direct_age(now).0),
             contracts_offset: self.contracts.offset(),
             draining: self.draining,
             leaving: self.leases.leaving(),
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -20,6 +20,8 @@
 pub(super) struct Tail {
     /// Time of the last successful read, direct or through a peer.
     pub read: Option<Millis>,
+    /// Time before the last successful read without a peer was sent.
+    pub direct: Option<Millis>,
     /// End of the stream when this process first read it.
     pub target: Option<Offset>,
     /// Whether everything below `target` was read.
@@ -94,6 +96,7 @@
             );
         }
         self.tail.read = Some(now);
+        self.tail.direct = Some(sent);
         if self.ledger.next() >= reply.next {
             self.membership.log_read(now, sent, self.ledger.next());
         }
@@ -185,7 +188,12 @@
             tracing::warn!(?stream, %error, label, "append failed");
         }
         match stream {
-            Stream::Tasks => self.journal.appended(now, sequence, outcome),
+            Stream::Tasks => {
+                if outcome == Append::Unknown {
+                    self.doubt_submissions();
+                }
+                self.journal.appended(now, sequence, outcome);
+            }
             Stream::Contracts => self.contract_appended(now, sequence, outcome, out),
         }
     }
--- /dev/null
+++ b/tests/process_log.rs
@@ -0,0 +1,221 @@
+//! The platform's log down, slow, losing answers, or out of reach of some hosts.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::{Cluster, Reply, SOON, Shape, until};
+
+const WORKERS: &[&str] = &[
+    "--data-centre",
+    "karlin",
+    "--count",
+    "2",
+    "--processors",
+    "2000",
+    "--memory",
+    "8192",
+];
+/// One instance for each of many hosts, so that most hosts hold one.
+const INSTANCES: &[&str] = &[
+    "--data-centre",
+    "karlin",
+    "--service",
+    "issue-assembly",
+    "--count",
+    "8",
+];
+const ONE_CENTRE: Shape = Shape {
+    entries: &[("karlin", 3)],
+    workers: &[WORKERS],
+    instances: &[INSTANCES],
+    log: &[],
+    list: &[],
+    timing: &[],
+};
+const DONE: Duration = Duration::from_secs(60);
+
+fn assert_succeeded(cluster: &Cluster, host: usize, job: &str) {
+    let state = cluster.until_done(host, job, DONE);
+    for task in &state.tasks {
+        assert_eq!((&*task.state, task.attempt.0), ("succeeded", 0), "{task:?}");
+    }
+    let starts = cluster.platform.records().starts(&format!("vltava/{job}/"));
+    assert_eq!(starts, state.tasks.len(), "{job}");
+}
+
+fn assert_not_run(reply: &Reply) {
+    assert_eq!(reply.status, 503, "{}", reply.text());
+    assert_eq!(reply.json::<Value>()["ran"], "not_run", "{}", reply.text());
+}
+
+/// Sends urgent requests to every host; each has to be answered by some host.
+fn assert_urgent_work(cluster: &Cluster, round: &str) {
+    for first in 0..cluster.hosts.len() {
+        let id = format!("{round}-{first}");
+        let mut host = first;
+        until("answer to an urgent request", SOON, || {
+            let reply = cluster.request(host, "proof", &id, b"x");
+            assert!(reply.status == 200 || reply.json::<Value>()["ran"] == "not_run");
+            host = (host + 1) % cluster.hosts.len();
+            reply.status == 200
+        });
+    }
+}
+
+/// Guards against work that stops with the log, and against a job that runs after "not run".
+#[test]
+fn claimed_tasks_and_urgent_requests_go_on_while_the_log_is_down() {
+    let cluster = Cluster::start("down", &ONE_CENTRE);
+    assert_eq!(cluster.submit(0, "merge", "run", 14, 1500).status, 202);
+    let claimed = support::eventually("claims ahead on both workers", SOON, || {
+        let tasks = cluster.job(0, "run")?.tasks;
+        let claimed = tasks.iter().filter(|task| task.worker.is_some()).count();
+        (claimed >= 10).then_some(claimed)
+    });
+    cluster.platform.log.set(json!({ "down": true }));
+    let reply = cluster.submit(1, "merge", "refused", 3, 10);
+    assert_not_run(&reply);
+    let reply = cluster.publish(2, 1, &cluster.contract(1));
+    assert_not_run(&reply);
+    // The claims made before are started without the log.
+    cluster.until_started("run", claimed);
+    assert_urgent_work(&cluster, "down");
+    cluster.platform.log.set(json!({ "down": false }));
+    assert_succeeded(&cluster, 0, "run");
+    assert_eq!(cluster.submit(0, "merge", "later", 3, 10).status, 202);
+    assert_succeeded(&cluster, 0, "later");
+    assert_eq!(cluster.version(0), 1, "a refused contract came into force");
+    let records = cluster.platform.records();
+    assert_eq!(records.starts("vltava/refused/"), 0);
+    assert!(cluster.job(0, "refused").is_none());
+    cluster.check(&records);
+}
+
+/// Guards against a second run, or a false answer, after an append whose answer was lost.
+#[test]
+fn lost_append_answers_repeat_nothing() {
+    let cluster = Cluster::start("lost", &ONE_CENTRE);
+    let lose = json!({ "lose_answers": { "probability": 0.5, "seed": 7 } });
+    cluster.platform.log.set(lose);
+    for round in 0..6_u32 {
+        let host = round as usize % 3;
+        let job = format!("run-{round}");
+        assert_eq!(cluster.submit(host, "merge", &job, 3, 50).status, 202);
+        assert_succeeded(&cluster, (host + 1) % 3, &job);
+    }
+    for version in 1..5 {
+        let host = version as usize % 3;
+        let reply = cluster.publish(host, version, &cluster.contract(version as u32));
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!(reply.json::<Value>()["version"], version + 1);
+        cluster.until_version(version + 1);
+    }
+    cluster.check(&cluster.platform.records());
+}
+
+/// Guards against lost work and false refusals when the log takes a second for each call.
+#[test]
+fn a_slow_log_delays_jobs_but_loses_none() {
+    let cluster = Cluster::start("slow", &ONE_CENTRE);
+    cluster.platform.log.set(json!({ "delay_ms": 700 }));
+    let jobs = [(0, "first"), (1, "second")];
+    for (host, job) in jobs {
+        let reply = cluster.submit(host, "merge", job, 4, 100);
+        assert_eq!(reply.status, 202, "{}", reply.text());
+    }
+    assert_urgent_work(&cluster, "slow");
+    for (host, job) in jobs {
+        assert_succeeded(&cluster, host, job);
+    }
+    cluster.check(&cluster.platform.records());
+}
+
+/// Guards against tasks that stop or run twice because one host cannot reach the log, and against
+/// a refusal by that host although others can accept the job.
+#[test]
+fn a_host_cut_off_from_the_log_keeps_its_work() {
+    let cluster = Cluster::start("cut", &ONE_CENTRE);
+    assert_eq!(cluster.submit(0, "merge", "run", 12, 3000).status, 202);
+    cluster.until_started("run", 2);
+    let name = &cluster.hosts[0].name;
+    cluster.platform.log.set(json!({ "cuts": [name] }));
+    assert_urgent_work(&cluster, "cut");
+    // Until the host has noticed, it cannot tell whether the job was accepted.
+    until("acceptance of a job through the cut host", SOON, || {
+        let reply = cluster.submit(0, "merge", "through", 2, 50);
+        assert!(reply.status == 202 || reply.json::<Value>()["ran"] == "unknown");
+        reply.status == 202
+    });
+    assert_succeeded(&cluster, 1, "run");
+    assert_succeeded(&cluster, 1, "through");
+    cluster.platform.log.set(json!({ "cuts": [] }));
+    assert_eq!(cluster.submit(0, "merge", "later", 2, 50).status, 202);
+    assert_succeeded(&cluster, 0, "later");
+    cluster.check(&cluster.platform.records());
+}
+
+/// Guards against a data centre that stops, or stays on an old contract, without the platform.
+#[test]
+fn a_data_centre_cut_off_from_the_platform_serves_and_follows_contracts() {
+    let shape = Shape {
+        entries: &[("karlin", 2), ("brno", 2)],
+        workers: &[WORKERS, &["--data-centre", "brno"]],
+        instances: &[
+            INSTANCES,
+            &[
+                "--data-centre",
+                "brno",
+                "--service",
+                "issue-assembly",
+                "--count",
+                "8",
+            ],
+        ],
+        ..ONE_CENTRE
+    };
+    let cluster = Cluster::start("island", &shape);
+    let cut = json!({ "cuts": ["brno-1", "brno-2"] });
+    cluster.platform.log.set(cut.clone());
+    cluster.platform.list.set(cut);
+    // A read that was under way could still deliver the next contract.
+    until("end of the last reads", SOON, || {
+        let age = |host| cluster.status(host).contracts.age;
+        [2, 3]
+            .map(age)
+            .iter()
+            .all(|age| age.is_some_and(|age| age > 1500))
+    });
+    let reply = cluster.publish(0, 1, &cluster.contract(2));
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    for host in [2, 3] {
+        until("contract through a peer", SOON, || {
+            cluster.version(host) == 2
+        });
+        let id = format!("island-{host}");
+        until("answer to an urgent request", SOON, || {
+            let reply = cluster.request(host, "proof", &id, b"x");
+            assert!(reply.status == 200 || reply.json::<Value>()["ran"] == "not_run");
+            reply.status == 200
+        });
+        // The connection ends without an answer, so the host cannot tell that nothing took effect.
+        let reply = cluster.publish(host, 2, &cluster.contract(3));
+        let ran = &reply.json::<Value>()["ran"];
+        assert!(ran == "not_run" || ran == "unknown", "{}", reply.text());
+    }
+    assert_eq!(cluster.version(0), 2, "a refused contract came into force");
+    let restored = json!({ "cuts": [] });
+    cluster.platform.log.set(restored.clone());
+    cluster.platform.list.set(restored);
+    until("catching up", SOON, || {
+        let reply = cluster.publish(2, 2, &cluster.contract(4));
+        let version = cluster.version(2);
+        assert!(reply.status == 200 || version == 2, "{}", reply.text());
+        reply.status == 200
+    });
+    cluster.until_version(3);
+    assert_eq!(cluster.submit(3, "merge", "later", 4, 50).status, 202);
+    assert_succeeded(&cluster, 3, "later");
+    cluster.check(&cluster.platform.records());
+}
