--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -17,6 +17,10 @@
 use crate::request::{Dispatch, Dispatcher, Latencies, UrgentLimits, UrgentRouter};
 use crate::version::{ContractTable, Journal, Ledger, LedgerTiming, Retain};
 
+/// Time after the request to stop for which new callers are still served, so that a load balancer
+/// sees `/ready` change first. Afterwards they are refused, or a steady load would prevent the end.
+const DRAIN_NOTICE: Millis = Millis(2_000);
+
 /// Who this host is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -275,11 +279,23 @@
         }
     }
 
+    /// Whether callers are refused because this host is stopping.
+    pub(super) fn refuses_callers(&self, now: Millis) -> bool {
+        let drained = self.tail.drained;
+        self.exited || drained.is_some_and(|drained| now.since(drained) >= DRAIN_NOTICE)
+    }
+
     /// Whether the task stream was read within `age`.
     pub(super) fn reads_log(&self, now: Millis, age: Millis) -> bool {
         self.tail.read.is_some_and(|read| now.since(read) <= age)
     }
 
+    /// Whether this host itself read the task stream within `age` and its last append succeeded.
+    pub(super) fn reaches_log(&self, now: Millis, age: Millis) -> bool {
+        let direct = self.tail.direct;
+        direct.is_some_and(|read| now.since(read) <= age) && self.journal.is_healthy()
+    }
+
     /// Offset of the task stream that this host will read next.
     pub(super) fn log_offset(&self) -> Offset {
         self.ledger.next()
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -18,6 +18,10 @@
 /// A host that has not read the log for this long asks a peer for records.
 const TAIL_AGE: Millis = Millis(1_500);
 
+/// Age of the last direct read of the log after which a host gives its workers to hosts that read
+/// it, since it cannot record how their tasks end. `Membership` judges peers by the same age.
+const HANDS_OVER: Millis = Millis(10_000);
+
 /// Why this host called a peer.
 #[derive(Debug)]
 pub(super) enum PeerPurpose {
@@ -46,7 +50,10 @@
     /// Follows who is live in this data centre.
     pub(super) fn poll_members(&mut self, now: Millis, out: &mut Vec<Action>) {
         let live = self.membership.live(now);
-        let informed = self.membership.informed(now);
+        let mut informed = self.membership.informed(now);
+        if informed.len() > 1 && self.direct_age(now) >= HANDS_OVER {
+            informed.retain(|host| *host != self.identity.host);
+        }
         self.leases.set_hosts(now, &live, &informed);
         self.follow_majority(now);
         if live != self.live {
@@ -54,6 +61,8 @@
                 tracing::info!(%host, "entry host is no longer live");
             }
             self.live = live;
+            // The first `Hello` of a host arrives before the host counts as live.
+            self.set_loads(now);
             self.hosts_changed(now, out);
         }
     }
@@ -95,6 +104,12 @@
         self.ask_for_tail(now, out);
     }
 
+    /// Age of the last read of the log without a peer.
+    fn direct_age(&self, now: Millis) -> Millis {
+        let direct = self.tail.direct;
+        direct.map_or(Millis(u64::MAX), |read| now.since(read))
+    }
+
     fn hello(&self, now: Millis) -> Hello {
         Hello {
             host: self.identity.host.clone(),
@@ -102,7 +117,8 @@
             incarnation: self.identity.incarnation,
             held: self.leases.held(now),
             log_offset: self.log_offset(),
-            log_age: self.membership.log_age(now),
+            // A host that reads through a peer cannot append, so its workers go to others.
+            log_age: self.membership.log_age(now).max(self.direct_age(now).0),
             contracts_offset: self.contracts.offset(),
             draining: self.draining,
             leaving: self.leases.leaving(),
@@ -313,6 +329,7 @@
                 PeerReply::Contracts(self.relay_contracts(request.since))
             }
             PeerRequest::Tail(request) => self.tail(now, request.from),
+            PeerRequest::Forward(_) if self.exited => PeerReply::Unavailable,
             PeerRequest::Forward(forward) => return self.forwarded(now, ticket, forward, out),
             PeerRequest::Job(call) => return self.job_called(now, ticket, call, out),
         };
