--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -16,7 +16,7 @@
     Applied, ContractKind, ContractRecord, ContractTable, Error as ContractRecordError, Versioned,
 };
 pub use journal::{Append, Journal};
-pub use ledger::{Change, Ledger, LedgerTiming, Requeue, Task};
+pub use ledger::{Change, Ledger, LedgerTiming, QueuePlace, Requeue, Task};
 pub use quota_check::QuotaCheck;
 pub use record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
 pub use retain::Retain;
