Do not ask a peer that waits for this run

Cause: an interleaving left callers without an answer. A peer, home of the id, had sent it here to be run and waited; the attempt broke, and before the retry this host asked the same peer whether it was running the id. Each then waited for the other.

Change: a peer that sent an id here to be run counts as one that does not run it itself, and is not asked.

--- a/src/request/urgent/ask.rs
+++ b/src/request/urgent/ask.rs
@@ -36,6 +36,7 @@
         run.waiters.push(Waiter {
             ticket,
             asking: Some(peer),
+            sender: None,
         });
         if asks_back {
             self.advance(now, key, out);
--- a/src/request/urgent/run.rs
+++ b/src/request/urgent/run.rs
@@ -15,6 +15,8 @@
     pub ticket: Ticket,
     /// The peer that asked with `attach`; such a waiter does not cause an attempt.
     pub asking: Option<Name>,
+    /// The peer that sent the id here to be run, and so is not running it itself.
+    pub sender: Option<Name>,
 }
 
 #[derive(Debug, PartialEq, Eq)]
@@ -91,10 +93,12 @@
         }
     }
 
+    /// Whether `peer` waits for this run, so that it must not be asked in turn.
     fn is_asked_by(&self, peer: &Name) -> bool {
-        self.waiters
-            .iter()
-            .any(|waiter| waiter.asking.as_ref() == Some(peer))
+        let waits = |waiter: &Waiter| {
+            waiter.asking.as_ref() == Some(peer) || waiter.sender.as_ref() == Some(peer)
+        };
+        self.waiters.iter().any(waits)
     }
 
     pub fn is_wanted(&self) -> bool {
@@ -127,6 +131,7 @@
             waiters: vec![Waiter {
                 ticket: request.ticket,
                 asking: None,
+                sender: sender(&request),
             }],
             phase: Phase::Paused,
             executor: request.hops >= 2,
@@ -161,6 +166,7 @@
         run.waiters.push(Waiter {
             ticket: request.ticket,
             asking: None,
+            sender: sender(&request),
         });
         if matches!(run.phase, Phase::Queued(_)) {
             return;
@@ -447,6 +453,11 @@
     }
 }
 
+/// The peer that sent a request here to be run.
+fn sender(request: &UrgentRequest) -> Option<Name> {
+    request.from.clone().filter(|_| request.hops >= 2)
+}
+
 /// The message that asks a peer to run a request, or whether it is running it.
 pub(super) fn message(
     now: Millis,
--- a/tests/urgent.rs
+++ b/tests/urgent.rs
@@ -736,6 +736,29 @@
     assert_eq!(f.answers(), [(ticket, 421, Some(Ran::NotRun))]);
 }
 
+/// Guards against two hosts that wait for each other: `b` waits for this run.
+#[test]
+fn a_peer_that_waits_for_the_run_is_not_asked() {
+    let mut f = Fixture::with_instance(&["a"]);
+    let id = ids_of(&["b", "a"]).next().unwrap();
+    f.submit(&id, IDEMPOTENT);
+    let (dispatch, ..) = f.sent();
+    f.set_hosts(&["a", "b"]);
+    let options = Options {
+        hops: 2,
+        from: Some("b"),
+        ..IDEMPOTENT
+    };
+    f.submit(&id, options);
+    f.answered(dispatch, InstanceResult::Broken);
+    f.pass(50);
+    f.report("i1", &[]);
+    let (dispatch, ..) = f.sent();
+    f.answered(dispatch, ok());
+    assert_eq!(f.answers().len(), 2);
+    f.assert_idle();
+}
+
 /// Guards I6: the lost home may have run the id, and nobody remembers.
 #[test]
 fn at_most_once_ids_of_a_lost_home_end_as_unknown() {
