Keep workers where they are while the log is out of reach

Cause: a worker that was given back to its preferred host just as the log went down kept its claims from starting, since the new holder records the takeover first. Change: workers are offered only while reads and appends succeed.

--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -23,6 +23,8 @@
     /// Whether a host list that names any resource was read.
     listed: bool,
     draining: bool,
+    /// Whether workers may be offered to preferred hosts.
+    offers: bool,
 }
 
 impl LeaseTable {
@@ -36,6 +38,7 @@
             informed: Group::default(),
             listed: false,
             draining: false,
+            offers: true,
         }
     }
 
@@ -287,6 +290,14 @@
         entry.leaving |= now >= entry.notice;
     }
 
+    /// Sets whether workers may be offered to preferred hosts.
+    ///
+    /// A new holder records on the log that it takes over claims before it starts them, so workers
+    /// stay where they are while the log is out of reach.
+    pub fn set_offers(&mut self, offers: bool) {
+        self.offers = offers;
+    }
+
     /// Releases the leases on resources of this kind and lets other hosts try first.
     ///
     /// A host that is cut off from its peers does so: the others can't know what runs on an
@@ -507,7 +518,8 @@
         let Some(preferred) = &entry.preferred else {
             return false;
         };
-        if *preferred == self.host || now < entry.keep {
+        let stays = entry.resource.kind == HostKind::Worker && !self.offers;
+        if *preferred == self.host || now < entry.keep || stays {
             return false;
         }
         let group = match entry.resource.kind {
--- a/src/process/node/backends.rs
+++ b/src/process/node/backends.rs
@@ -60,6 +60,8 @@
     /// Collects the lease calls that are due.
     pub(super) fn poll_leases(&mut self, now: Millis, out: &mut Vec<Action>) {
         let mut calls = Vec::new();
+        self.leases
+            .set_offers(!self.tail.failing && self.journal.is_healthy());
         let (membership, ledger) = (&self.membership, &self.ledger);
         self.leases.poll(
             now,
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -28,6 +28,8 @@
     pub target: Option<Offset>,
     /// Whether everything below `target` was read.
     pub caught_up: bool,
+    /// Whether the last read failed.
+    pub failing: bool,
     /// Offsets that expired before this process read them.
     pub skipped: u64,
     /// Batches that could not be decoded.
@@ -70,6 +72,7 @@
             Ok(reply) => reply,
             Err(error) => {
                 tracing::debug!(?stream, %error, "cannot read the log");
+                self.tail.failing = true;
                 return;
             }
         };
@@ -80,6 +83,7 @@
     }
 
     fn tasks_read(&mut self, now: Millis, sent: Millis, reply: ReadReply, out: &mut Vec<Action>) {
+        self.tail.failing = false;
         let target = *self.tail.target.get_or_insert(reply.next);
         if reply.first > self.ledger.next() {
             self.tail.skipped += reply.first.0 - self.ledger.next().0;
