Tell a first start from a restart; give reasons on every host; start the clock at 1 h

Change: a Started record tells later processes of the same name that one ran before; Hello carries up to 16 reasons; workers move to a host that reads the log; core time starts at 1 h.

--- a/src/connection/wire/peer.rs
+++ b/src/connection/wire/peer.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::base::{Name, Offset, Ran, Token};
+use crate::base::{Name, Offset, Ran, TaskId, Token};
 use crate::request::Epoch;
 
 use super::request::JobSubmission;
@@ -49,6 +49,8 @@
     pub loads: Vec<ServiceLoad>,
     /// Instances that are slow in comparison with others of their service.
     pub slow: Vec<Name>,
+    /// Some pending tasks that the sender judged unable to run, with the reason.
+    pub misfits: Vec<(TaskId, Name)>,
     /// Instances whose reports the sender needs.
     pub awaited: Vec<Name>,
     /// Reports of instances that the receiver awaits and the sender holds.
--- a/src/process/node/backends.rs
+++ b/src/process/node/backends.rs
@@ -60,8 +60,9 @@
     /// Collects the lease calls that are due.
     pub(super) fn poll_leases(&mut self, now: Millis, out: &mut Vec<Action>) {
         let mut calls = Vec::new();
+        let appends = !self.tail.failing && self.journal.is_healthy();
         self.leases
-            .set_offers(!self.tail.failing && self.journal.is_healthy());
+            .set_offers(appends || self.is_worse_informed(now));
         let (membership, ledger) = (&self.membership, &self.ledger);
         self.leases.poll(
             now,
--- a/src/process/node/jobs.rs
+++ b/src/process/node/jobs.rs
@@ -196,12 +196,12 @@
                         is_uncertain: false,
                     };
                     self.submissions.push(open);
-                    self.answer_accepted(out);
+                    self.answer_accepted(now, out);
                 }
                 Err(response) => answer(origin, response, out),
             },
             JobCall::State { customer, job } => {
-                let response = self.job_response(200, &customer, &job);
+                let response = self.job_response(now, 200, &customer, &job);
                 answer(origin, response, out);
             }
             JobCall::Cancel { customer, job } => {
@@ -209,7 +209,7 @@
                 answer(origin, response, out);
             }
             JobCall::List { customer } => {
-                let response = ApiResponse::json(200, &self.job_list(&customer));
+                let response = ApiResponse::json(200, &self.job_list(now, &customer));
                 answer(origin, response, out);
             }
         }
@@ -305,18 +305,18 @@
         Ok(found.clone())
     }
 
-    pub(super) fn task_accepted(&mut self, _now: Millis, task: &TaskId, out: &mut Vec<Action>) {
+    pub(super) fn task_accepted(&mut self, now: Millis, task: &TaskId, out: &mut Vec<Action>) {
         let is_awaited = self
             .submissions
             .iter()
             .any(|open| open.customer == task.customer && open.job == task.job);
         if is_awaited {
-            self.answer_accepted(out);
+            self.answer_accepted(now, out);
         }
     }
 
     /// Answers the submissions all of whose tasks are read back.
-    fn answer_accepted(&mut self, out: &mut Vec<Action>) {
+    fn answer_accepted(&mut self, now: Millis, out: &mut Vec<Action>) {
         let ledger = &self.ledger;
         let (done, open) =
             std::mem::take(&mut self.submissions)
@@ -327,7 +327,7 @@
         self.submissions = open;
         let done: Vec<Submission> = done;
         for submission in done {
-            let response = self.job_response(202, &submission.customer, &submission.job);
+            let response = self.job_response(now, 202, &submission.customer, &submission.job);
             answer(submission.origin, response, out);
         }
     }
@@ -385,11 +385,11 @@
         for task in tasks {
             self.journal.push(Record::CancelRequested { task });
         }
-        self.job_response(202, customer, job)
+        self.job_response(now, 202, customer, job)
     }
 
-    fn job_response(&self, status: u16, customer: &Name, job: &Name) -> ApiResponse {
-        match self.job_state(customer, job) {
+    fn job_response(&self, now: Millis, status: u16, customer: &Name, job: &Name) -> ApiResponse {
+        match self.job_state(now, customer, job) {
             Some(state) => ApiResponse::json(status, &state),
             None => {
                 let reason = format!("customer {customer:?} has no job {job:?}");
@@ -398,7 +398,7 @@
         }
     }
 
-    fn job_list(&self, customer: &Name) -> Vec<JobState> {
+    fn job_list(&self, now: Millis, customer: &Name) -> Vec<JobState> {
         let mut jobs: Vec<Name> = Vec::new();
         for (id, _) in self
             .ledger
@@ -410,16 +410,16 @@
             }
         }
         jobs.iter()
-            .filter_map(|job| self.job_state(customer, job))
+            .filter_map(|job| self.job_state(now, customer, job))
             .collect()
     }
 
-    fn job_state(&self, customer: &Name, job: &Name) -> Option<JobState> {
+    fn job_state(&self, now: Millis, customer: &Name, job: &Name) -> Option<JobState> {
         let tasks: Vec<(&TaskId, &Task)> = self.ledger.job(customer, job).collect();
         let class = tasks.first()?.1.spec.class.clone();
         let tasks = tasks
             .into_iter()
-            .map(|(id, task)| self.summary(id, task))
+            .map(|(id, task)| self.summary(now, id, task))
             .collect();
         Some(JobState {
             customer: customer.clone(),
@@ -429,7 +429,7 @@
         })
     }
 
-    fn summary(&self, id: &TaskId, task: &Task) -> TaskSummary {
+    fn summary(&self, now: Millis, id: &TaskId, task: &Task) -> TaskSummary {
         let (attempt, state, worker) = match &task.phase {
             Phase::Pending { next } => (*next, "pending", None),
             Phase::Claimed {
@@ -437,7 +437,7 @@
             } => (*attempt, "claimed", Some(worker.clone())),
             Phase::Done { attempt, result } => (*attempt, result_name(*result), None),
         };
-        let reason = self.dispatcher.misfit(id).cloned();
+        let reason = self.misfit(now, id);
         TaskSummary {
             index: id.index,
             attempt,
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -70,6 +70,8 @@
     pub(super) peers: HashMap<Name, Peer>,
     pub(super) timing: Timing,
     pub(super) limits: Limits,
+    /// Time that the log keeps a record.
+    pub(super) retention: Millis,
     pub(super) membership: Membership,
     pub(super) suspicions: Suspicions,
     pub(super) leases: LeaseTable,
@@ -185,6 +187,7 @@
             identity,
             timing,
             limits,
+            retention,
         }
     }
 
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -4,7 +4,7 @@
 
 use super::action::Action;
 use super::node::Node;
-use crate::base::{Millis, Name, Offset};
+use crate::base::{Millis, Name, Offset, TaskId};
 use crate::connection::Error;
 use crate::connection::wire::{
     Answer, ContractsRequest, Hello, HostKind, PeerReply, PeerRequest, RunningReport, TailReply,
@@ -16,6 +16,8 @@
 
 /// Time limit of heartbeats and relays.
 const CONTROL_TIMEOUT: Millis = Millis(1_000);
+/// Reasons of tasks that can't run that one heartbeat carries.
+const MAX_MISFITS: usize = 16;
 /// A host that has not read the log for this long asks a peer for records.
 const TAIL_AGE: Millis = Millis(1_500);
 
@@ -52,7 +54,7 @@
     pub(super) fn poll_members(&mut self, now: Millis, out: &mut Vec<Action>) {
         let live = self.membership.live(now);
         let mut informed = self.membership.informed(now);
-        if self.direct_age(now) >= HANDS_OVER && self.has_reader(now) {
+        if self.is_worse_informed(now) {
             informed.retain(|host| *host != self.identity.host);
         }
         self.leases.set_hosts(now, &live, &informed);
@@ -68,6 +70,11 @@
         }
     }
 
+    /// Whether this host can't read the log while a peer can.
+    pub(super) fn is_worse_informed(&self, now: Millis) -> bool {
+        self.direct_age(now) >= HANDS_OVER && self.has_reader(now)
+    }
+
     /// Whether a live peer of the data centre reads the log itself. If the log is down for all,
     /// nobody is better placed to hold the workers, and moving them stops starts.
     fn has_reader(&self, now: Millis) -> bool {
@@ -156,6 +163,7 @@
             leaving: self.leases.leaving(),
             loads: self.urgent.loads(now),
             slow: self.latencies.slow(now),
+            misfits: self.dispatcher.misfits(MAX_MISFITS),
             awaited: self.urgent.awaited_instances(),
             reports: Vec::new(),
         }
@@ -379,6 +387,21 @@
         }
     }
 
+    /// Why a pending task can't run, as judged here or by a live peer.
+    pub(super) fn misfit(&self, now: Millis, id: &TaskId) -> Option<Name> {
+        let own = self.dispatcher.misfit(id).cloned();
+        own.or_else(|| {
+            let hellos = self
+                .live
+                .iter()
+                .filter_map(|host| self.live_hello(now, host));
+            let mut misfits = hellos.flat_map(|hello| &hello.misfits);
+            misfits
+                .find(|(task, _)| task == id)
+                .map(|(_, reason)| reason.clone())
+        })
+    }
+
     /// Last heartbeat of a peer that is live.
     pub(super) fn live_hello(&self, now: Millis, host: &str) -> Option<&Hello> {
         self.hellos
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -1,7 +1,7 @@
 //! The task stream: reading, appending, claiming and restating.
 
 use super::action::{Action, Stream};
-use super::node::Node;
+use super::node::{Identity, Node};
 use crate::base::{Millis, Name, Offset};
 use crate::connection::Error;
 use crate::connection::wire::{LogRecord, ReadReply, RelayedRecord};
@@ -28,6 +28,10 @@
     pub target: Option<Offset>,
     /// Whether everything below `target` was read.
     pub caught_up: bool,
+    /// Whether the stream names a former process of this host.
+    pub had_former: bool,
+    /// When the journal last took a `Started` record.
+    pub told: Option<Millis>,
     /// Whether the last read failed.
     pub failing: bool,
     /// Offsets that expired before this process read them.
@@ -109,6 +113,9 @@
         if !self.tail.caught_up && self.ledger.next() >= target {
             tracing::info!(tasks = self.ledger.len(), "read the task stream to its end");
             self.tail.caught_up = true;
+            if !self.tail.had_former {
+                self.urgent.set_first();
+            }
         }
     }
 
@@ -123,6 +130,7 @@
         ) {
             Ok((batch, _)) => {
                 self.journal.read(&batch);
+                self.note_former(&batch);
                 self.retain_tasks(now, record.time, &batch);
                 let changes = self.ledger.apply(record.offset, record.time, now, &batch);
                 for change in changes {
@@ -206,6 +214,26 @@
         }
     }
 
+    /// Takes note of a former process under this host's name.
+    fn note_former(&mut self, batch: &Batch) {
+        let Identity {
+            host, incarnation, ..
+        } = &self.identity;
+        self.tail.had_former |= batch.host == *host && batch.incarnation != *incarnation;
+    }
+
+    /// Tells on the log that this process runs, at half the retention again.
+    fn tell_started(&mut self, now: Millis) {
+        if self
+            .tail
+            .told
+            .is_none_or(|told| now.since(told) >= Millis(self.retention.0 / 2))
+        {
+            self.tail.told = Some(now);
+            self.journal.push(Record::Started);
+        }
+    }
+
     /// Takes note of when the whole state of a task was last written.
     fn retain_tasks(&mut self, now: Millis, time: u64, batch: &Batch) {
         let age = Millis(self.wall(now).saturating_sub(time));
@@ -243,6 +271,7 @@
         self.poll_suspicions(now);
         if can_claim {
             self.restate_tasks(now);
+            self.tell_started(now);
         }
         if let Some(batch) = self.journal.poll(now) {
             match bincode::serde::encode_to_vec(&batch, bincode::config::standard()) {
--- a/src/process/runtime/clock.rs
+++ b/src/process/runtime/clock.rs
@@ -4,7 +4,11 @@
 
 use crate::base::Millis;
 
-/// Monotonic clock that starts at zero with the process; copies agree.
+/// Core time at the start of the process. Times before the start, such as that of a peer's read
+/// that was told as an age, would be cut off at zero and count as too young.
+const ORIGIN: Millis = Millis(3_600_000);
+
+/// Monotonic clock of the process, from `ORIGIN` on; copies agree.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: Instant,
@@ -19,11 +23,11 @@
 
     /// Core time of an instant of this process.
     pub fn at(&self, instant: Instant) -> Millis {
-        Millis(instant.duration_since(self.start).as_millis() as u64)
+        ORIGIN + Millis(instant.duration_since(self.start).as_millis() as u64)
     }
 
     pub fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        self.at(Instant::now())
     }
 }
 
--- a/src/process/runtime/run.rs
+++ b/src/process/runtime/run.rs
@@ -46,8 +46,9 @@
     let (sender, receiver) = channel();
     let sink = Sink::new(sender);
     watch_signals(sink.clone())?;
-    let epoch = wall();
-    let node = Node::new(NodeSettings::new(&settings, epoch, epoch));
+    let started = wall();
+    let epoch = started - clock.now().0;
+    let node = Node::new(NodeSettings::new(&settings, started, epoch));
     let adapters = Adapters::open(&settings, clock, sink, telemetry)?;
     let (api, peer) = adapters.addresses();
     tracing::info!(host = %settings.host.name, %api, %peer, "entry host listening");
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -132,6 +132,14 @@
         self.books.values()
     }
 
+    /// At most `limit` pending tasks that can't run, with the reason.
+    pub fn misfits(&self, limit: usize) -> Vec<(TaskId, Name)> {
+        let misfits = self.misfits.iter().take(limit);
+        misfits
+            .map(|(id, reason)| (id.clone(), reason.clone()))
+            .collect()
+    }
+
     /// Why a pending task can never run, in words for an operator.
     pub fn misfit(&self, task: &TaskId) -> Option<&Name> {
         self.misfits.get(task)
--- a/src/request/urgent.rs
+++ b/src/request/urgent.rs
@@ -152,6 +152,11 @@
         self.handover.unsettle(now, host, instances);
     }
 
+    /// No process ran under this host's name before, so that no memory of ids was lost.
+    pub fn set_first(&mut self) {
+        self.handover.set_first();
+    }
+
     /// Hosts that `unsettle` is to be called for.
     pub fn lost_hosts(&self) -> Vec<Name> {
         self.handover.lost_hosts()
--- a/src/request/urgent/handover.rs
+++ b/src/request/urgent/handover.rs
@@ -33,6 +33,8 @@
 #[derive(Debug)]
 pub(super) struct Handover {
     host: Name,
+    /// Whether no former process of this host can have run ids.
+    is_first: bool,
     /// Silence after which a peer is lost.
     silence: Millis,
     /// Live hosts and the time since when they have been continuously live; ordered by name.
@@ -58,6 +60,7 @@
             number: 0,
         };
         Handover {
+            is_first: false,
             silence,
             sending: HashMap::new(),
             first,
@@ -92,6 +95,11 @@
         changed.then_some(gone)
     }
 
+    /// No process ran under this host's name before, so that no memory of ids was lost.
+    pub fn set_first(&mut self) {
+        self.is_first = true;
+    }
+
     /// Treats every peer as newly met, since this process was stopped.
     pub fn forget_contact(&mut self, now: Millis) {
         for (name, since) in &mut self.live {
@@ -165,9 +173,8 @@
             if !lost.is_settled() && (outranks || !is_present) {
                 return Hold::Unsettled;
             }
-            // Its own former process may have answered ids that it does not remember. Refusing all
-            // at-most-once ids after each restart would cost more than it protects.
-            if outranks && *host != self.host && now.since(lost.since) < window {
+            let is_forgotten = !self.is_first || *host != self.host;
+            if outranks && is_forgotten && now.since(lost.since) < window {
                 hold = Hold::Forgotten;
             }
         }
--- a/src/version/ledger.rs
+++ b/src/version/ledger.rs
@@ -305,6 +305,8 @@
         match record {
             Record::Accepted(spec) => self.accept(spec, changes),
             Record::Restated(restated) => self.restated(restated, changes),
+            // Read by the node; it says nothing about tasks.
+            Record::Started => {}
             Record::Suspected { worker, .. } => self.suspect(offset, now, host, worker),
             Record::Held { worker, .. } => self.answer(worker),
             Record::WorkerLost { worker, suspected } => {
--- a/src/version/record.rs
+++ b/src/version/record.rs
@@ -71,6 +71,9 @@
     },
     /// State of a task whose earlier records are about to expire.
     Restated(Box<Restated>),
+    /// The writer's process runs. It tells the next process under the same name that one ran
+    /// before it.
+    Started,
     /// The writer holds `worker` under a newer lease than the claim's; it executes the claim after
     /// it has read this record.
     Adopted {
--- a/tests/model/parts.rs
+++ b/tests/model/parts.rs
@@ -249,6 +249,7 @@
         leaving: Vec::new(),
         loads: Vec::new(),
         slow: Vec::new(),
+        misfits: Vec::new(),
         awaited: Vec::new(),
         reports: Vec::new(),
     }
--- a/tests/node_answers.rs
+++ b/tests/node_answers.rs
@@ -180,6 +180,7 @@
         draining: false,
         leaving: Vec::new(),
         slow: Vec::new(),
+        misfits: Vec::new(),
         loads: Vec::new(),
         awaited: Vec::new(),
         reports: Vec::new(),
