--- a/src/connection/api.rs
+++ b/src/connection/api.rs
@@ -26,7 +26,7 @@
 use super::error::{Error, Result};
 
 /// Time to admit and refuse the connections that were under way when the last answer was written.
-const STOP_TIME: Duration = Duration::from_millis(150);
+const STOP_TIME: Duration = Duration::from_millis(450);
 /// Connections that the kernel keeps until they are accepted. A burst beyond this waits for the
 /// kernel's repetition after 1 s.
 const BACKLOG: u32 = 1_024;
--- a/src/connection/api/connection.rs
+++ b/src/connection/api/connection.rs
@@ -29,7 +29,7 @@
 /// Connections beyond the limit that are told so; further ones are closed without an answer.
 const REFUSED: usize = 64;
 /// Interval at which the acceptor looks whether to stop.
-const STOP_CHECK: Duration = Duration::from_millis(20);
+const STOP_CHECK: Duration = Duration::from_millis(200);
 /// Pause after a failed accept, for example when the process has no free file descriptor.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
