--- a/src/connection/lease.rs
+++ b/src/connection/lease.rs
@@ -14,17 +14,17 @@
 /// At most one call is in flight per resource, and `poll` visits only resources that are due.
 #[derive(Debug)]
 pub struct LeaseTable {
-    host: Name,
-    timing: LeaseTiming,
-    entries: HashMap<Name, Entry>,
-    due: BTreeSet<(Millis, Name)>,
-    live: Group,
-    informed: Group,
+    pub(super) host: Name,
+    pub(super) timing: LeaseTiming,
+    pub(super) entries: HashMap<Name, Entry>,
+    pub(super) due: BTreeSet<(Millis, Name)>,
+    pub(super) live: Group,
+    pub(super) informed: Group,
     /// Whether a host list that names any resource was read.
     listed: bool,
-    draining: bool,
+    pub(super) draining: bool,
     /// Whether workers may be offered to preferred hosts.
-    offers: bool,
+    pub(super) offers: bool,
 }
 
 impl LeaseTable {
@@ -290,51 +290,6 @@
         entry.leaving |= now >= entry.notice;
     }
 
-    /// Sets whether workers may be offered to preferred hosts.
-    ///
-    /// A new holder records on the log that it takes over claims before it starts them, so workers
-    /// stay where they are while the log is out of reach.
-    pub fn set_offers(&mut self, offers: bool) {
-        self.offers = offers;
-    }
-
-    /// Releases the leases on resources of this kind and lets other hosts try first.
-    ///
-    /// A host that is cut off from its peers does so: the others can't know what runs on an
-    /// instance until one of them holds it.
-    pub fn relinquish(&mut self, now: Millis, kind: HostKind) {
-        let mut names = Vec::new();
-        for entry in self
-            .entries
-            .values_mut()
-            .filter(|entry| entry.resource.kind == kind)
-        {
-            entry.defer = now + self.timing.relinquish;
-            if let Some(lease) = &mut entry.lease {
-                lease.releasing = true;
-                names.push(entry.resource.name.clone());
-            }
-        }
-        for name in names {
-            self.schedule(&name, now);
-        }
-    }
-
-    /// Stops taking leases and releases those held.
-    pub fn drain(&mut self, now: Millis) {
-        self.draining = true;
-        let names: Vec<Name> = self.entries.keys().cloned().collect();
-        for name in names {
-            self.schedule(&name, now);
-        }
-    }
-
-    /// Whether a draining table has neither a lease nor a call in flight.
-    pub fn is_drained(&self) -> bool {
-        let idle = |entry: &Entry| entry.lease.is_none() && entry.call.is_none();
-        self.draining && self.entries.values().all(idle)
-    }
-
     /// How long calls to the resource have had no answer; `None` if the last one had.
     pub fn silence(&self, now: Millis, name: &str) -> Option<Millis> {
         let unanswered = self.entries.get(name)?.unanswered?;
@@ -385,7 +340,7 @@
     }
 
     /// Visits the resource at `at`, unless a call is in flight; its answer schedules the next.
-    fn schedule(&mut self, name: &Name, at: Millis) {
+    pub(super) fn schedule(&mut self, name: &Name, at: Millis) {
         let Some(entry) = self.entries.get_mut(name) else {
             return;
         };
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -7,6 +7,7 @@
 mod lease;
 mod lease_action;
 mod lease_entry;
+mod lease_handover;
 mod lease_timing;
 mod log;
 mod peer;
--- a/src/process/settings/timing.rs
+++ b/src/process/settings/timing.rs
@@ -20,7 +20,7 @@
         /// Time that a preferred peer must be live before a lease is given up to it.
         handback_delay: Millis = Millis(5_000), Millis(500) => Millis(600_000);
         /// Time to live of a run lease.
-        run_ttl: Millis = Millis(20_000), Millis(1_000) => Millis(600_000);
+        run_ttl: Millis = Millis(20_000), Millis(1_000) => Millis(20_000);
         /// Shortest time between two appends to a stream.
         append_interval: Millis = Millis(100), Millis(10) => Millis(10_000);
         /// Time limit of an append.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 //! time against fakes of the platform.
 
 mod backend;
+mod delivery;
 mod world;
 
 use jayfork::base::TaskId;
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -6,29 +6,28 @@
 use bytes::Bytes;
 use jayfork::base::{Name, Offset, Size, TaskId};
 use jayfork::connection::wire::{
-    HostEntry, HostKind, HostList, HostState, LeaseReply, LogRecord, PeerReply, PeerRequest,
-    ReadReply,
+    HostEntry, HostKind, HostList, HostState, LogRecord, PeerRequest, ReadReply,
 };
-use jayfork::connection::{ApiCall, ApiMethod, ApiResponse, Error, InstanceOutcome};
-use jayfork::process::node::{Action, Event, LeaseCall, Node, NodeSettings, Stream};
+use jayfork::connection::{ApiCall, ApiMethod, ApiResponse, Error};
+use jayfork::process::node::{Action, Event, Node, NodeSettings, Stream};
 use jayfork::process::settings::{Limits, Peer, Timing};
 use jayfork::{base::Millis, process::node::Identity};
 
 use super::backend::{FakeInstance, FakeWorker};
 
 /// One-way delay of every message in ms.
-const DELAY: u64 = 1;
+pub const DELAY: u64 = 1;
 const POLL: u64 = 50;
 const READ: u64 = 100;
 const LIST: u64 = 1_000;
 /// Time after which a call without an answer fails.
-const TIMEOUT: u64 = 1_000;
+pub const TIMEOUT: u64 = 1_000;
 /// Wall clock at core time zero.
-const EPOCH: u64 = 1_800_000_000_000;
+pub const EPOCH: u64 = 1_800_000_000_000;
 
 pub type NodeId = usize;
 
-enum Delivery {
+pub enum Delivery {
     Event(NodeId, u64, Box<Event>),
     Poll(NodeId, u64),
     Read(NodeId, u64),
@@ -55,17 +54,17 @@
     },
 }
 
-struct Host {
+pub struct Host {
     name: Name,
     data_centre: Name,
-    node: Option<Node>,
+    pub node: Option<Node>,
     /// Counts starts; messages of an earlier life are dropped.
-    life: u64,
+    pub life: u64,
     frozen: bool,
     held: Vec<Delivery>,
     reads: HashMap<Stream, Offset>,
     /// Calls of peers that wait for an answer, by ticket.
-    calls: HashMap<u64, (NodeId, u64, u64)>,
+    pub calls: HashMap<u64, (NodeId, u64, u64)>,
 }
 
 /// Faults that are switched on.
@@ -83,15 +82,15 @@
 pub struct World {
     pub now: u64,
     pub faults: Faults,
-    hosts: Vec<Host>,
-    streams: BTreeMap<Name, Vec<(u64, Vec<u8>)>>,
+    pub hosts: Vec<Host>,
+    pub streams: BTreeMap<Name, Vec<(u64, Vec<u8>)>>,
     pub workers: BTreeMap<Name, FakeWorker>,
     pub instances: BTreeMap<Name, FakeInstance>,
     list: Vec<HostEntry>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     deliveries: HashMap<u64, Delivery>,
     sequence: u64,
-    ticket: u64,
+    pub ticket: u64,
     pub responses: HashMap<u64, (u64, ApiResponse)>,
     /// Moments at which a worker was seen beyond its capacity or a task in two places.
     pub violations: Vec<String>,
@@ -283,7 +282,7 @@
         starts.filter(|(started, ..)| *started == id).count()
     }
 
-    fn push(&mut self, at: u64, delivery: Delivery) {
+    pub fn push(&mut self, at: u64, delivery: Delivery) {
         self.sequence += 1;
         self.queue.push(Reverse((at, self.sequence)));
         self.deliveries.insert(self.sequence, delivery);
@@ -313,7 +312,7 @@
         }
     }
 
-    fn deliver(&mut self, delivery: Delivery) {
+    pub fn deliver(&mut self, delivery: Delivery) {
         let (node, life) = match &delivery {
             Delivery::Event(node, life, _)
             | Delivery::Poll(node, life)
@@ -370,11 +369,11 @@
         self.perform(node, out);
     }
 
-    fn reaches_log(&self, node: NodeId) -> bool {
+    pub fn reaches_log(&self, node: NodeId) -> bool {
         !self.faults.log_down && !self.faults.cut_from_log.contains(&node)
     }
 
-    fn stream_name(&self, node: NodeId, stream: Stream) -> Name {
+    pub fn stream_name(&self, node: NodeId, stream: Stream) -> Name {
         match stream {
             Stream::Contracts => "contracts".into(),
             Stream::Tasks => format!("tasks.{}", self.hosts[node].data_centre).into(),
@@ -421,312 +420,6 @@
             );
         }
     }
-
-    fn perform(&mut self, node: NodeId, actions: Vec<Action>) {
-        let life = self.hosts[node].life;
-        for action in actions {
-            match action {
-                Action::Append {
-                    stream,
-                    sequence,
-                    data,
-                } => {
-                    let sent = self.now;
-                    let append = Delivery::Append {
-                        node,
-                        life,
-                        stream,
-                        sequence,
-                        sent,
-                        data,
-                    };
-                    self.push(self.now + DELAY, append);
-                }
-                Action::Respond { ticket, response } => {
-                    self.responses.insert(ticket, (self.now, response));
-                }
-                Action::CallPeer {
-                    call,
-                    address,
-                    request,
-                    ..
-                } => {
-                    let to = address.port() as usize - 1;
-                    let request = Box::new(request);
-                    let call = Delivery::PeerCall {
-                        from: node,
-                        life,
-                        to,
-                        call,
-                        request,
-                    };
-                    self.push(self.now + DELAY, call);
-                }
-                Action::ReplyPeer { ticket, reply } => self.reply(node, ticket, reply),
-                Action::RespondMetrics { .. } | Action::Exit => {}
-                action => {
-                    let action = Box::new(action);
-                    self.push(self.now + DELAY, Delivery::Backend { node, life, action });
-                }
-            }
-        }
-    }
-
-    fn reply(&mut self, node: NodeId, ticket: u64, reply: PeerReply) {
-        if let Some((from, life, call)) = self.hosts[node].calls.remove(&ticket) {
-            if self.links(node, from) {
-                let event = Event::PeerAnswered {
-                    call,
-                    result: Ok(reply),
-                    bytes: 0,
-                };
-                self.push(
-                    self.now + DELAY,
-                    Delivery::Event(from, life, Box::new(event)),
-                );
-            }
-        }
-    }
-
-    fn links(&self, a: NodeId, b: NodeId) -> bool {
-        let cut = &self.faults.cut_from_peers;
-        !cut.contains(&a) && !cut.contains(&b)
-    }
-
-    /// Carries a message to its target.
-    fn carry(&mut self, delivery: Delivery) {
-        match delivery {
-            Delivery::Append {
-                node,
-                life,
-                stream,
-                sequence,
-                sent,
-                data,
-            } => {
-                let name = self.stream_name(node, stream);
-                let mut after = DELAY;
-                let result = if !self.reaches_log(node) {
-                    Err(Error::Status {
-                        address: "log".into(),
-                        status: 503,
-                        body: Vec::new(),
-                    })
-                } else {
-                    let records = self.streams.entry(name).or_default();
-                    records.push((EPOCH + self.now, data));
-                    let offset = Offset(records.len() as u64 - 1);
-                    if self.faults.lose_answers {
-                        after = TIMEOUT;
-                        Err(broken())
-                    } else {
-                        Ok(offset)
-                    }
-                };
-                let sent = Millis(sent);
-                let event = Event::Appended {
-                    stream,
-                    sequence,
-                    sent,
-                    result,
-                };
-                self.push(
-                    self.now + after,
-                    Delivery::Event(node, life, Box::new(event)),
-                );
-            }
-            Delivery::Backend { node, life, action } => {
-                let (after, event) = self.backend(*action);
-                self.push(
-                    self.now + after,
-                    Delivery::Event(node, life, Box::new(event)),
-                );
-            }
-            Delivery::PeerCall {
-                from,
-                life,
-                to,
-                call,
-                request,
-            } => {
-                // An unanswered call fails later; the answer removes its purpose first.
-                let event = Event::PeerAnswered {
-                    call,
-                    result: Err(broken()),
-                    bytes: 0,
-                };
-                self.push(
-                    self.now + TIMEOUT,
-                    Delivery::Event(from, life, Box::new(event)),
-                );
-                if !self.links(from, to) || self.hosts[to].node.is_none() {
-                    return;
-                }
-                self.ticket += 1;
-                let ticket = self.ticket;
-                self.hosts[to].calls.insert(ticket, (from, life, call));
-                let event = Event::PeerCalled {
-                    ticket,
-                    request: *request,
-                };
-                let target = self.hosts[to].life;
-                self.deliver(Delivery::Event(to, target, Box::new(event)));
-            }
-            _ => {}
-        }
-    }
-
-    /// Runs a call on a worker or an instance; returns the delay of the answer.
-    fn backend(&mut self, action: Action) -> (u64, Event) {
-        let now = self.now;
-        let sent = Millis(now - DELAY);
-        match action {
-            Action::WorkerLease { worker, call, .. } => {
-                let fake = self.workers.get_mut(&worker).expect("a known worker");
-                match call {
-                    _ if fake.is_down => {
-                        let result = Err(broken());
-                        (
-                            TIMEOUT,
-                            Event::WorkerLease {
-                                worker,
-                                sent,
-                                result,
-                            },
-                        )
-                    }
-                    LeaseCall::Grant(request) => {
-                        let token = fake.renew(now, &request);
-                        let result = token.map_err(Error::Refused).map(|token| LeaseReply {
-                            token,
-                            incarnation: fake.incarnation,
-                            leaving: false,
-                            report: fake.report(),
-                        });
-                        (
-                            DELAY,
-                            Event::WorkerLease {
-                                worker,
-                                sent,
-                                result,
-                            },
-                        )
-                    }
-                    LeaseCall::Release(request) => {
-                        let result = fake.lease.release(now, request.token);
-                        let result = result.map_err(Error::Refused);
-                        (
-                            DELAY,
-                            Event::Released {
-                                resource: worker,
-                                result,
-                            },
-                        )
-                    }
-                }
-            }
-            Action::InstanceLease { instance, call, .. } => {
-                let fake = self.instances.get_mut(&instance).expect("a known instance");
-                fake.settle(now);
-                match call {
-                    LeaseCall::Grant(request) => {
-                        let token = fake.lease.grant(now, &request);
-                        let result = token.map_err(Error::Refused).map(|token| LeaseReply {
-                            token,
-                            incarnation: 1,
-                            leaving: false,
-                            report: fake.report(),
-                        });
-                        (
-                            DELAY,
-                            Event::InstanceLease {
-                                instance,
-                                sent,
-                                result,
-                            },
-                        )
-                    }
-                    LeaseCall::Release(request) => {
-                        let result = fake.lease.release(now, request.token);
-                        let result = result.map_err(Error::Refused);
-                        (
-                            DELAY,
-                            Event::Released {
-                                resource: instance,
-                                result,
-                            },
-                        )
-                    }
-                }
-            }
-            Action::Start {
-                worker,
-                task,
-                request,
-                ..
-            } => {
-                let attempt = request.attempt;
-                let fake = self.workers.get_mut(&worker).expect("a known worker");
-                if fake.is_down {
-                    let result = Err(jayfork::connection::StartError::Unknown(broken()));
-                    return (
-                        TIMEOUT,
-                        Event::Started {
-                            worker,
-                            task,
-                            attempt,
-                            result,
-                        },
-                    );
-                }
-                let result = fake.start(now, &request);
-                (
-                    DELAY,
-                    Event::Started {
-                        worker,
-                        task,
-                        attempt,
-                        result,
-                    },
-                )
-            }
-            Action::Command {
-                worker,
-                command,
-                request,
-                ..
-            } => {
-                let fake = self.workers.get_mut(&worker).expect("a known worker");
-                fake.command(now, command, &request);
-                (DELAY, Event::CommandDone { worker })
-            }
-            Action::Send {
-                dispatch,
-                address,
-                call,
-                ..
-            } => {
-                let fake = self.instances.get_mut(&address).expect("a known instance");
-                match fake.send(now, call.token, &call.request) {
-                    Some(ends) => {
-                        let outcome = InstanceOutcome::Answer {
-                            status: 200,
-                            body: call.body,
-                        };
-                        (
-                            ends - now + DELAY,
-                            Event::InstanceAnswered { dispatch, outcome },
-                        )
-                    }
-                    None => {
-                        let outcome = InstanceOutcome::Refused;
-                        (DELAY, Event::InstanceAnswered { dispatch, outcome })
-                    }
-                }
-            }
-            other => unreachable!("not a call to a backend: {other:?}"),
-        }
-    }
 }
 
 fn unreachable_host() -> Error {
@@ -736,7 +429,7 @@
     }
 }
 
-fn broken() -> Error {
+pub fn broken() -> Error {
     Error::Broken {
         address: "fake".into(),
         reason: "no answer".into(),
