--- a/src/process/cli/contract.rs
+++ b/src/process/cli/contract.rs
@@ -161,8 +161,7 @@
         path: path.to_owned(),
         reason,
     };
-    let contract: Contract =
-        serde_json::from_slice(&bytes).map_err(|error| fault(error.to_string()))?;
+    let contract = Contract::parse(&bytes).map_err(|error| fault(error.to_string()))?;
     if parse_name(&contract.customer).is_none() {
         return Err(fault(format!(
             "customer: {:?} is not a name of 1 to 63 letters, digits, '.', '_' or '-'",
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -77,13 +77,16 @@
 #[parameterized(
     empty = { "", "EOF" },
     not_json = { "customer: vltava", "expected value at line 1 column 1" },
-    no_customer = { r#"{"data_centres":[],"quota":{},"classes":[]}"#, "missing field `customer`" },
-    no_classes = { r#"{"customer":"a","data_centres":["x"],"quota":{}}"#, "missing field `classes`" },
-    unknown_field = { r#"{"customer":"a","quotas":{}}"#, "unknown field `quotas`" },
+    no_customer = { r#"{"data_centres":[],"quota":{},"classes":[]}"#, "customer is missing" },
+    no_classes = { r#"{"customer":"a","data_centres":["x"],"quota":{}}"#, "classes is missing" },
+    unknown_field = { r#"{"customer":"a","data_centres":["x"],"quota":{"processors":1},"quotas":{},"classes":[{"name":"k","urgency":"background"}]}"#, "quotas is unknown" },
+    no_deadline = { r#"{"customer":"a","data_centres":["x"],"quota":{"processors":1},"classes":[{"name":"k","urgency":"urgent","service":"s"}]}"#, "classes[0].deadline is missing" },
+    objective_above_one = { r#"{"customer":"a","data_centres":["x"],"quota":{"processors":1},"classes":[{"name":"k","urgency":"background","objective":1.5}]}"#, "classes[0].objective is 1.5; allowed is at least 0.5 and below 1" },
+    no_data_centre = { r#"{"customer":"a","data_centres":[],"quota":{"processors":1},"classes":[{"name":"k","urgency":"background"}]}"#, "data_centres is 0; allowed is 1 to 64 entries" },
     bad_urgency = { r#"{"customer":"a","data_centres":["x"],"quota":{},"classes":[{"name":"k","urgency":"now"}]}"#, "unknown variant `now`" },
     negative_quota = { r#"{"customer":"a","data_centres":["x"],"quota":{"memory":-1},"classes":[]}"#, "-1" },
-    customer_with_slash = { r#"{"customer":"a/b","data_centres":["x"],"quota":{},"classes":[]}"#, "customer: \"a/b\" is not a name" },
-    customer_empty = { r#"{"customer":"","data_centres":["x"],"quota":{},"classes":[]}"#, "customer: \"\" is not a name" },
+    customer_with_slash = { r#"{"customer":"a/b","data_centres":["x"],"quota":{},"classes":[]}"#, "customer is \"a/b\"; allowed is 1 to 64 of the characters" },
+    customer_empty = { r#"{"customer":"","data_centres":["x"],"quota":{},"classes":[]}"#, "customer is \"\"; allowed is 1 to 64 of the characters" },
 )]
 fn bad_contracts(text: &str, message: &str) {
     for arguments in [
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -25,7 +25,7 @@
 fn contracts(organisation: &str) -> Vec<Contract> {
     files(organisation, "json")
         .iter()
-        .map(|path| serde_json::from_slice(&fs::read(path).unwrap()).unwrap())
+        .map(|path| Contract::parse(&fs::read(path).unwrap()).unwrap())
         .collect()
 }
 
