Count the age of a peer's instance report from when it was asked

Cause: found on reading the change. A report that a peer passes on in a heartbeat was dated back from its arrival, so it counted as younger than it was; a request that started between the report and the arrival could be taken for ended (I2). The relayed log tail already counted from the question, with 10% for drift. Change: both use one function. No test showed the fault; tests/node (16) and node_answers (3) pass as before.

--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -192,7 +192,9 @@
         }
         self.membership.heard(now, asked, &hello);
         if is_local {
-            self.settle_held(now, &hello, out);
+            if let Some(asked) = asked {
+                self.settle_held(now, asked, &hello, out);
+            }
         }
         self.hellos.insert(hello.host.clone(), hello.clone());
         if is_local {
@@ -269,8 +271,7 @@
             self.apply(now, record, out);
         }
         self.ledger.skip_to(reply.next);
-        // The age is by the peer's clock, which may run 10% slower.
-        let sent = Millis(asked.0.saturating_sub(reply.age + reply.age / 10));
+        let sent = before(asked, reply.age);
         self.tail.read = self.tail.read.max(Some(sent));
         self.membership.log_read(now, sent, reply.next);
     }
@@ -377,9 +378,9 @@
     }
 
     /// Settles instances of lost hosts that the sender of a heartbeat now holds.
-    fn settle_held(&mut self, now: Millis, hello: &Hello, out: &mut Vec<Action>) {
+    fn settle_held(&mut self, now: Millis, asked: Millis, hello: &Hello, out: &mut Vec<Action>) {
         for report in &hello.reports {
-            let sent = Millis(now.0.saturating_sub(report.age));
+            let sent = before(asked, report.age);
             let mut actions = Vec::new();
             self.urgent
                 .settle(now, &report.instance, sent, &report.running, &mut actions);
@@ -445,6 +446,13 @@
     }
 }
 
+/// A time by this host's clock before an event that a peer told as an age in ms.
+///
+/// The peer's answer may be as old as the question, and its clock may run 10% slower.
+fn before(asked: Millis, age: u64) -> Millis {
+    asked - Millis(age + age / 10)
+}
+
 /// What the router may conclude from the end of a forward; `None` leaves the outcome unknown.
 fn forward_answer(attach: bool, result: Result<PeerReply, Error>) -> Option<UrgentAnswer> {
     let is_without_effect = match result {
