--- a/src/bin/jayforkd.rs
+++ b/src/bin/jayforkd.rs
@@ -1,10 +1,10 @@
 //! Entry host daemon.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::{Arg, ArgAction, Command, value_parser};
-use jayfork::process::{self, Settings};
+use jayfork::process::{self, EntrySettings, Settings};
 
 const USAGE: u8 = 2;
 
@@ -13,6 +13,9 @@
     let path: &PathBuf = arguments
         .get_one("settings")
         .expect("clap requires --settings");
+    if arguments.get_flag("on-platform") {
+        return run_entry(path, arguments.get_flag("check"));
+    }
     let settings = match Settings::open(path) {
         Ok(settings) => settings,
         Err(error) => {
@@ -32,6 +35,27 @@
     }
 }
 
+/// Runs an entry host on the platform.
+fn run_entry(path: &Path, only_check: bool) -> ExitCode {
+    let settings = match EntrySettings::open(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("jayforkd: {error}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    if only_check {
+        return ExitCode::SUCCESS;
+    }
+    match process::host::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("jayforkd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn command() -> Command {
     Command::new("jayforkd")
         .version(env!("CARGO_PKG_VERSION"))
@@ -44,6 +68,12 @@
                 .required(true)
                 .help("Settings file of this entry host"),
         )
+        .arg(
+            Arg::new("on-platform")
+                .long("on-platform")
+                .action(ArgAction::SetTrue)
+                .help("Run on the users' platform, with settings of that kind"),
+        )
         .arg(
             Arg::new("check")
                 .long("check")
--- /dev/null
+++ b/src/connection/mesh.rs
@@ -0,0 +1,230 @@
+//! Calls between hosts: h2 streams that carry one bincode message each way, on the caller's thread.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::SendRequest;
+use h2::{RecvStream, SendStream};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use super::error::{Error, Result};
+use super::orders::CallError;
+
+/// Longest time to open a connection to a peer, over the slowest link between regions.
+const CONNECT_TIME: Duration = Duration::from_millis(500);
+/// Largest message in bytes: a configuration with many queues.
+const MAX_MESSAGE: usize = 4 << 20;
+const BACKLOG: u32 = 256;
+
+/// Serves the calls of peers.
+pub trait MeshHandler: Clone + 'static {
+    type Call: Serialize + DeserializeOwned + 'static;
+    type Reply: Serialize + DeserializeOwned + 'static;
+
+    fn serve(&self, call: Self::Call) -> impl Future<Output = Self::Reply> + 'static;
+}
+
+/// Kept connections to peers; clones share them.
+pub struct Mesh<H> {
+    connections: Rc<RefCell<HashMap<SocketAddr, SendRequest<Bytes>>>>,
+    handler: PhantomData<H>,
+}
+
+impl<H> Clone for Mesh<H> {
+    fn clone(&self) -> Self {
+        Mesh {
+            connections: self.connections.clone(),
+            handler: PhantomData,
+        }
+    }
+}
+
+impl<H: MeshHandler> Mesh<H> {
+    /// Listens on `address` and serves the calls of peers.
+    ///
+    /// # Errors
+    ///
+    /// `Bind` if the address is in use.
+    pub fn bind(address: SocketAddr, handler: H) -> Result<Self> {
+        let listener = listen(address).map_err(|error| Error::Bind {
+            address: address.to_string(),
+            reason: error.to_string(),
+        })?;
+        spawn_local(accept(listener, handler));
+        Ok(Mesh {
+            connections: Rc::default(),
+            handler: PhantomData,
+        })
+    }
+
+    /// Calls a peer and waits for its reply.
+    ///
+    /// # Errors
+    ///
+    /// `NotSent` if no connection could be opened, else `NoAnswer` or `Malformed`.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        call: &H::Call,
+        time: Duration,
+    ) -> std::result::Result<H::Reply, CallError> {
+        let answer = match timeout(time, self.exchange(address, call)).await {
+            Ok(answer) => answer,
+            Err(_) => Err(CallError::NoAnswer),
+        };
+        if answer.is_err() {
+            self.connections.borrow_mut().remove(&address);
+        }
+        answer
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        call: &H::Call,
+    ) -> std::result::Result<H::Reply, CallError> {
+        let message = encode(call)?;
+        let mut sender = self.connect(address).await?;
+        let head = http::Request::post("http://peer/")
+            .body(())
+            .map_err(|_| CallError::Malformed)?;
+        sender = sender.ready().await.map_err(|_| CallError::NotSent)?;
+        let sent = sender.send_request(head, false);
+        let (response, mut stream) = sent.map_err(|_| CallError::NotSent)?;
+        send(&mut stream, message)?;
+        let response = response.await.map_err(|_| CallError::NoAnswer)?;
+        decode(&receive(response.into_body()).await?)
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> std::result::Result<SendRequest<Bytes>, CallError> {
+        if let Some(sender) = self.connections.borrow().get(&address) {
+            return Ok(sender.clone());
+        }
+        let opened = timeout(CONNECT_TIME, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = opened else {
+            return Err(CallError::NotSent);
+        };
+        set_nodelay(&stream);
+        let (sender, connection) = h2::client::handshake(stream)
+            .await
+            .map_err(|_| CallError::NotSent)?;
+        let connections = self.connections.clone();
+        spawn_local(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(%address, %error, "a connection to a peer ended");
+            }
+            connections.borrow_mut().remove(&address);
+        });
+        let mut connections = self.connections.borrow_mut();
+        connections.insert(address, sender.clone());
+        Ok(sender)
+    }
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept<H: MeshHandler>(listener: TcpListener, handler: H) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve(stream, handler.clone()));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "cannot accept a connection of a peer");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn serve<H: MeshHandler>(stream: TcpStream, handler: H) {
+    set_nodelay(&stream);
+    let mut connection = match h2::server::handshake(stream).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            tracing::debug!(%error, "a peer's connection failed its handshake");
+            return;
+        }
+    };
+    while let Some(Ok((request, respond))) = connection.accept().await {
+        let handler = handler.clone();
+        spawn_local(async move {
+            if let Err(error) = answer(handler, request.into_body(), respond).await {
+                tracing::debug!(%error, "a peer's call was not answered");
+            }
+        });
+    }
+}
+
+async fn answer<H: MeshHandler>(
+    handler: H,
+    body: RecvStream,
+    mut respond: h2::server::SendResponse<Bytes>,
+) -> std::result::Result<(), CallError> {
+    let call: H::Call = decode(&receive(body).await?)?;
+    let reply = handler.serve(call).await;
+    let message = encode(&reply)?;
+    let response = http::Response::new(());
+    let mut stream = respond
+        .send_response(response, false)
+        .map_err(|_| CallError::NoAnswer)?;
+    send(&mut stream, message)
+}
+
+fn set_nodelay(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "a peer's connection keeps its delay");
+    }
+}
+
+fn send(stream: &mut SendStream<Bytes>, message: Bytes) -> std::result::Result<(), CallError> {
+    stream
+        .send_data(message, true)
+        .map_err(|_| CallError::NoAnswer)
+}
+
+async fn receive(mut body: RecvStream) -> std::result::Result<Vec<u8>, CallError> {
+    let mut message = Vec::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.map_err(|_| CallError::NoAnswer)?;
+        if message.len() + chunk.len() > MAX_MESSAGE {
+            return Err(CallError::Malformed);
+        }
+        message.extend_from_slice(&chunk);
+        body.flow_control()
+            .release_capacity(chunk.len())
+            .map_err(|_| CallError::NoAnswer)?;
+    }
+    Ok(message)
+}
+
+fn encode<T: Serialize>(message: &T) -> std::result::Result<Bytes, CallError> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .map(Bytes::from)
+        .map_err(|_| CallError::Malformed)
+}
+
+fn decode<T: DeserializeOwned>(message: &[u8]) -> std::result::Result<T, CallError> {
+    let config = bincode::config::standard().with_limit::<MAX_MESSAGE>();
+    bincode::serde::decode_from_slice(message, config)
+        .map(|(decoded, _)| decoded)
+        .map_err(|_| CallError::Malformed)
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,6 +2,8 @@
 
 mod api;
 mod error;
+mod exchange;
+mod front;
 mod http;
 mod instance;
 mod lease;
@@ -10,19 +12,29 @@
 mod lease_handover;
 mod lease_timing;
 mod log;
+mod mesh;
+mod orders;
 mod peer;
 mod pool;
+mod stream_store;
 pub mod wire;
 mod worker;
 
 pub use api::{ApiCall, ApiHandler, ApiLimits, ApiMethod, ApiResponse, ApiServer, ContentKind};
 pub use error::{Error, Result};
+pub use exchange::{Exchange, HttpReply, HttpRequest};
+pub use front::{Front, FrontReply, FrontRequest};
 pub use http::HttpClient;
 pub use instance::{HttpInstances, InstanceCall, InstanceClient, InstanceOutcome};
 pub use lease::LeaseTable;
 pub use lease_action::{Grant, Lease, LeaseAction, Resource};
 pub use lease_timing::LeaseTiming;
 pub use log::{HttpLog, LogClient, StreamReader};
+pub use mesh::{Mesh, MeshHandler};
+pub use orders::{
+    CallError, EndReport, Order, Refusal, RunReport, StartOrder, WorkerAnswer, WorkerCall, WorkerReport,
+};
 pub use peer::{PeerCall, PeerHandler, PeerLinks};
 pub use pool::{Job, Pool};
+pub use stream_store::{Fence, KeyedRecord, Page, Partition, StoreAnswer, StoreCall, StoreRequest};
 pub use worker::{Command, HttpWorkers, StartError, WorkerClient};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod base;
 pub mod connection;
+pub mod platform;
 pub mod process;
 pub mod request;
 pub mod version;
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,162 @@
+//! Requests of client accounts.
+
+use bytes::Bytes;
+use hyper::Method;
+use serde::Deserialize;
+
+use super::Result;
+use crate::base::{Name, Size};
+use crate::connection::FrontRequest;
+use crate::request::job::{JobId, JobSpec, Outcome, StepSpec};
+
+/// Header with the time in milliseconds that the client waits for its answer.
+const WAIT_HEADER: &str = "X-Request-Timeout-Ms";
+
+/// What a client asks of a queue.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ClientCall {
+    Submit(JobId, JobSpec),
+    State(JobId),
+    Cancel(JobId),
+    /// How many jobs of the queue have not begun.
+    Backlog,
+    /// Not a call that a queue takes.
+    Unknown,
+}
+
+/// A decoded call with the client's own limit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ClientRequest {
+    pub call: ClientCall,
+    /// Milliseconds; `None` if the client names no limit.
+    pub wait: Option<u64>,
+}
+
+#[derive(Deserialize)]
+struct JobBody {
+    #[serde(default)]
+    spec: String,
+    steps: Vec<StepBody>,
+    #[serde(default)]
+    times: u32,
+    #[serde(default, rename = "firstRunMs")]
+    first_run_ms: f64,
+    #[serde(default, rename = "intervalMs")]
+    interval_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct StepBody {
+    count: u16,
+    #[serde(default)]
+    cpu: f64,
+    #[serde(default)]
+    mem_mb: f64,
+    #[serde(default)]
+    gpu: u32,
+    #[serde(default)]
+    est_runtime_ms: f64,
+    #[serde(default)]
+    depends_on: Vec<u16>,
+    #[serde(default)]
+    checkpointing: bool,
+    #[serde(default)]
+    gang: bool,
+    #[serde(default)]
+    same_rack: bool,
+    #[serde(default)]
+    required_label: String,
+    #[serde(default)]
+    affinity: String,
+    #[serde(default)]
+    anti_affinity: u16,
+    #[serde(default)]
+    speculative: bool,
+    #[serde(default)]
+    long_running: bool,
+    #[serde(default)]
+    image: String,
+    #[serde(default)]
+    target_ms: f64,
+    #[serde(default)]
+    fills: bool,
+    may_miss: Option<u16>,
+}
+
+/// Decodes a request whose path has `rest` after the prefix of its queue.
+///
+/// # Errors
+///
+/// A body or an id that is not a valid job.
+pub fn decode_client(request: &FrontRequest, rest: &str) -> Result<ClientRequest> {
+    let wait = request
+        .headers
+        .get(WAIT_HEADER)
+        .and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let call = match (&request.method, rest) {
+        (&Method::GET, "") => ClientCall::Backlog,
+        (_, "") => ClientCall::Unknown,
+        (&Method::POST, id) => ClientCall::Submit(id.parse()?, decode_job(&request.body)?),
+        (&Method::GET, id) => ClientCall::State(id.parse()?),
+        (&Method::DELETE, id) => ClientCall::Cancel(id.parse()?),
+        _ => ClientCall::Unknown,
+    };
+    Ok(ClientRequest { call, wait })
+}
+
+fn decode_job(body: &[u8]) -> Result<JobSpec> {
+    let body: JobBody = serde_json::from_slice(body)?;
+    let spec = JobSpec {
+        payload: body.spec.into(),
+        steps: body.steps.into_iter().map(StepSpec::from).collect(),
+        first_run: body.first_run_ms as u64,
+        interval: body.interval_ms as u64,
+        turns: body.times,
+    };
+    spec.check()?;
+    Ok(spec)
+}
+
+impl From<StepBody> for StepSpec {
+    fn from(body: StepBody) -> Self {
+        StepSpec {
+            count: body.count,
+            size: Size::new(body.cpu.ceil() as u32, body.mem_mb.ceil() as u32, body.gpu),
+            runtime: body.est_runtime_ms as u32,
+            after: body.depends_on,
+            gang: body.gang,
+            same_rack: body.same_rack,
+            label: name(body.required_label),
+            rack: name(body.affinity),
+            spread: body.anti_affinity,
+            copies: body.speculative,
+            lasts: body.long_running,
+            saves: body.checkpointing,
+            image: name(body.image),
+            tail_bound: body.target_ms as u32,
+            fills: body.fills,
+            absent: body.may_miss,
+        }
+    }
+}
+
+fn name(text: String) -> Option<Name> {
+    (!text.is_empty()).then(|| text.into())
+}
+
+/// Body of an answer about a job's state; `outcome` is `None` for an open job.
+pub fn encode_state(outcome: Option<Outcome>, has_started: bool) -> Bytes {
+    Bytes::from_static(match (outcome, has_started) {
+        (Some(Outcome::Completed), _) => br#"{"state":"completed"}"#,
+        (Some(Outcome::Failed), _) => br#"{"state":"failed"}"#,
+        (Some(Outcome::Cancelled), _) => br#"{"state":"cancelled"}"#,
+        (None, true) => br#"{"state":"running"}"#,
+        (None, false) => br#"{"state":"pending"}"#,
+    })
+}
+
+/// Body of an answer about a queue's jobs that have not begun.
+pub fn encode_backlog(waiting: u64) -> Bytes {
+    Bytes::from(format!(r#"{{"waiting":{waiting}}}"#))
+}
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,107 @@
+//! The operator's configuration.
+
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::Result;
+use crate::version::{Queue, QueueTable, Service};
+
+/// Stream that holds what the operator writes.
+pub const CONFIG_STREAM: &str = "keyed.op";
+/// Key of the newest configuration in that stream.
+pub const CONFIG_KEY: &str = "config";
+
+const DEFAULT_MAX_BODY: u64 = 256 << 10;
+
+#[derive(Deserialize)]
+struct ConfigBody {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RouteBody>,
+    #[serde(default)]
+    services: Vec<ServiceBody>,
+    #[serde(default)]
+    limits: LimitsBody,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RouteBody {
+    name: String,
+    host: String,
+    path_prefix: String,
+    service: String,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default = "one")]
+    attempts: u16,
+    #[serde(default = "unstretched")]
+    stretch: f64,
+    /// Present if a policy service decides which workers may run the queue's steps.
+    advice: Option<Value>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ServiceBody {
+    name: String,
+    #[serde(default)]
+    max_conns: u32,
+    #[serde(default)]
+    spare: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase")]
+struct LimitsBody {
+    max_body_bytes: Option<u64>,
+}
+
+fn one() -> u16 {
+    1
+}
+
+fn unstretched() -> f64 {
+    1.0
+}
+
+/// # Errors
+///
+/// Bytes that are not a configuration.
+pub fn decode_config(value: &[u8]) -> Result<QueueTable> {
+    let body: ConfigBody = serde_json::from_slice(value)?;
+    Ok(QueueTable {
+        version: body.version,
+        queues: body.routes.into_iter().map(Queue::from).collect(),
+        services: body.services.into_iter().map(Service::from).collect(),
+        max_body: body.limits.max_body_bytes.unwrap_or(DEFAULT_MAX_BODY),
+    })
+}
+
+impl From<RouteBody> for Queue {
+    fn from(body: RouteBody) -> Self {
+        Queue {
+            name: body.name.into(),
+            host: body.host.into(),
+            prefix: body.path_prefix.into(),
+            service: body.service.into(),
+            priority: body.priority,
+            objective: body.target_latency_ms as u64,
+            stretch: body.stretch,
+            attempts: body.attempts.max(1),
+            has_advice: body.advice.is_some_and(|advice| !advice.is_null()),
+        }
+    }
+}
+
+impl From<ServiceBody> for Service {
+    fn from(body: ServiceBody) -> Self {
+        Service {
+            name: body.name.into(),
+            is_spare: body.spare,
+            connections: body.max_conns,
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,29 @@
+//! Translation between the platform's wire and the project's own types. It decodes, encodes and
+//! names calls; it decides nothing and keeps no state.
+
+mod client;
+mod config;
+mod registry;
+mod store;
+mod worker;
+
+pub use client::{ClientCall, ClientRequest, decode_client, encode_backlog, encode_state};
+pub use config::{CONFIG_KEY, CONFIG_STREAM, decode_config};
+pub use registry::{REGISTRY_STREAM, WorkerEntry, WorkerState, decode_worker};
+pub use store::{decode_store, encode_store};
+pub use worker::{decode_worker_answer, encode_order};
+
+/// Why a message of the platform could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("not valid JSON for this message: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("field {field}: {value:?} is not allowed")]
+    Field { field: &'static str, value: String },
+    #[error(transparent)]
+    Job(#[from] crate::request::job::Error),
+    #[error("a binary answer is cut short")]
+    Truncated,
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/src/platform/worker.rs
@@ -0,0 +1,255 @@
+//! Orders to workers and their answers.
+
+use std::borrow::Cow;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Error, Result};
+use crate::connection::{
+    CallError, EndReport, HttpReply, HttpRequest, Order, Refusal, RunReport, WorkerAnswer,
+    WorkerCall, WorkerReport,
+};
+use crate::request::job::Ending;
+
+/// Header that names the worker which the caller means.
+const WORKER_HEADER: &str = "X-Expected-Instance";
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct StartBody<'a> {
+    task: String,
+    run: u64,
+    spec: &'a str,
+    until_ms: u64,
+    fencing_token: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    checkpoint: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    ticket: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct StopBody {
+    task: String,
+    run: u64,
+    fencing_token: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct HoldBody {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    until_ms: Option<u64>,
+    fencing_token: u64,
+    last_seen: u64,
+    wait_ms: u64,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "camelCase")]
+struct PaceBody {
+    task: String,
+    run: u64,
+    percent: u8,
+    fencing_token: u64,
+}
+
+pub fn encode_order(call: &WorkerCall) -> HttpRequest {
+    let fencing_token = call.epoch;
+    let (path, body) = match &call.order {
+        Order::Start(start) => {
+            let body = StartBody {
+                task: start.task.to_string(),
+                run: start.run,
+                spec: &start.payload,
+                until_ms: start.until,
+                fencing_token,
+                checkpoint: start.checkpoint.as_deref(),
+                ticket: start.permit.as_deref(),
+            };
+            ("/run-start", serde_json::to_vec(&body))
+        }
+        Order::Stop { task, run } => {
+            let body = StopBody {
+                task: task.to_string(),
+                run: *run,
+                fencing_token,
+            };
+            ("/run-stop", serde_json::to_vec(&body))
+        }
+        Order::Renew { until, noted, wait } => {
+            let body = HoldBody {
+                until_ms: *until,
+                fencing_token,
+                last_seen: *noted,
+                wait_ms: wait.0,
+            };
+            ("/hold", serde_json::to_vec(&body))
+        }
+        Order::Pace { task, run, percent } => {
+            let body = PaceBody {
+                task: task.to_string(),
+                run: *run,
+                percent: *percent,
+                fencing_token,
+            };
+            ("/pace", serde_json::to_vec(&body))
+        }
+    };
+    let body = body.unwrap_or_else(|error| unreachable!("an order does not encode: {error}"));
+    HttpRequest {
+        method: "POST",
+        path: path.to_owned(),
+        headers: vec![(WORKER_HEADER, call.worker.to_string())],
+        body: body.into(),
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct AnswerBody<'a> {
+    #[serde(default)]
+    clock_ms: Option<u64>,
+    #[serde(default)]
+    reason: Option<String>,
+    #[serde(default)]
+    born: u64,
+    #[serde(default, borrow)]
+    running: Vec<RunRow<'a>>,
+    #[serde(default, borrow)]
+    ended: Vec<EndRow<'a>>,
+}
+
+/// A row of task, run, saved checkpoint, percent and, where it is given, a figure of the load.
+#[derive(Deserialize)]
+struct RunRow<'a>(
+    #[serde(borrow)] Cow<'a, str>,
+    u64,
+    #[serde(borrow)] Cow<'a, str>,
+    f64,
+    #[serde(default)] Option<f64>,
+);
+
+/// A row of number, task, run, how it ended and the saved checkpoint.
+#[derive(Deserialize)]
+struct EndRow<'a>(
+    u64,
+    #[serde(borrow)] Cow<'a, str>,
+    u64,
+    #[serde(borrow)] Cow<'a, str>,
+    #[serde(borrow)] Cow<'a, str>,
+);
+
+/// Decodes the answer to an order.
+///
+/// # Errors
+///
+/// `Malformed` for an answer that is not understood; the order may have been carried out.
+pub fn decode_worker_answer(
+    call: &WorkerCall,
+    reply: &HttpReply,
+) -> std::result::Result<WorkerAnswer, CallError> {
+    decode(call, reply).map_err(|error| {
+        let body = String::from_utf8_lossy(&reply.body[..reply.body.len().min(200)]).into_owned();
+        let worker = &call.worker;
+        tracing::warn!(%worker, %error, status = reply.status, body, "unreadable answer of a worker");
+        CallError::Malformed
+    })
+}
+
+fn decode(call: &WorkerCall, reply: &HttpReply) -> Result<WorkerAnswer> {
+    match reply.status {
+        421 => return Ok(WorkerAnswer::WrongWorker),
+        429 | 500..=599 => return Ok(WorkerAnswer::Unhealthy),
+        _ => {}
+    }
+    let body: AnswerBody<'_> = match reply.body.is_empty() {
+        true => serde_json::from_slice(b"{}")?,
+        false => serde_json::from_slice(&reply.body)?,
+    };
+    if reply.status != 200 {
+        let reason = decode_refusal(body.reason.as_deref());
+        return Ok(WorkerAnswer::Refused {
+            clock: body.clock_ms,
+            reason,
+        });
+    }
+    let clock = body.clock_ms.ok_or(Error::Field {
+        field: "clockMs",
+        value: String::new(),
+    })?;
+    if !matches!(call.order, Order::Renew { .. }) {
+        return Ok(WorkerAnswer::Accepted { clock });
+    }
+    let mut report = WorkerReport {
+        clock,
+        born: body.born,
+        ..WorkerReport::default()
+    };
+    for row in body.running {
+        report.running.push(RunReport::try_from(row)?);
+    }
+    for row in body.ended {
+        report.ended.push(EndReport::try_from(row)?);
+    }
+    Ok(WorkerAnswer::Report(report))
+}
+
+fn decode_refusal(reason: Option<&str>) -> Refusal {
+    match reason {
+        Some("fence") => Refusal::Fenced,
+        Some("old") => Refusal::OldRun,
+        Some("late") => Refusal::Late,
+        Some("room") => Refusal::NoRoom,
+        Some("ticket") => Refusal::NoPermit,
+        _ => Refusal::Malformed,
+    }
+}
+
+impl TryFrom<RunRow<'_>> for RunReport {
+    type Error = Error;
+
+    fn try_from(row: RunRow<'_>) -> Result<Self> {
+        Ok(RunReport {
+            task: row.0.parse()?,
+            run: row.1,
+            checkpoint: checkpoint(&row.2),
+            percent: row.3.clamp(0.0, 100.0) as u8,
+            figure: row.4.map(|figure| figure.max(0.0) as u64),
+        })
+    }
+}
+
+impl TryFrom<EndRow<'_>> for EndReport {
+    type Error = Error;
+
+    fn try_from(row: EndRow<'_>) -> Result<Self> {
+        let ending = match &*row.3 {
+            "done" => Ending::Done,
+            "failed" => Ending::Failed,
+            "stopped" => Ending::Stopped,
+            "lapsed" => Ending::Lapsed,
+            "broken" => Ending::Broken,
+            "alone" => Ending::Alone,
+            other => {
+                return Err(Error::Field {
+                    field: "how",
+                    value: other.to_owned(),
+                });
+            }
+        };
+        Ok(EndReport {
+            number: row.0,
+            task: row.1.parse()?,
+            run: row.2,
+            ending,
+            checkpoint: checkpoint(&row.4),
+        })
+    }
+}
+
+fn checkpoint(saved: &str) -> Option<Arc<str>> {
+    (!saved.is_empty()).then(|| saved.into())
+}
--- /dev/null
+++ b/src/process/host/io.rs
@@ -0,0 +1,260 @@
+//! Carries out what the core wants and brings it what happens.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use metrics::{counter, histogram};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+
+use super::host::{HostAction, HostEvent, StoreUse};
+use super::message::{PeerCall, PeerReply};
+use crate::base::Millis;
+use crate::connection::{
+    Exchange, Front, FrontReply, FrontRequest, Mesh, MeshHandler, Order, StoreCall, WorkerCall,
+};
+use crate::platform::{decode_store, decode_worker_answer, encode_order, encode_store};
+use crate::process::runtime::Clock;
+use crate::process::shard::WorkerTag;
+
+pub const ANSWERS: &str = "jayfork_client_answers_total";
+pub const ORDERS: &str = "jayfork_worker_orders_total";
+pub const STORE_CALLS: &str = "jayfork_store_calls_total";
+pub const STORE_TIME: &str = "jayfork_store_call_seconds";
+
+/// Calls of others that wait for the core, by ticket.
+struct Waiting<T> {
+    senders: RefCell<HashMap<u64, oneshot::Sender<T>>>,
+    next: Cell<u64>,
+}
+
+impl<T> Default for Waiting<T> {
+    fn default() -> Self {
+        Waiting {
+            senders: RefCell::default(),
+            next: Cell::new(0),
+        }
+    }
+}
+
+impl<T> Waiting<T> {
+    fn register(&self) -> (u64, oneshot::Receiver<T>) {
+        let ticket = self.next.get() + 1;
+        self.next.set(ticket);
+        let (sender, receiver) = oneshot::channel();
+        self.senders.borrow_mut().insert(ticket, sender);
+        (ticket, receiver)
+    }
+
+    fn answer(&self, ticket: u64, answer: T) {
+        if let Some(sender) = self.senders.borrow_mut().remove(&ticket) {
+            // The receiver is gone if its connection has ended.
+            let _ = sender.send(answer);
+        }
+    }
+}
+
+/// Passes the calls of peers to the core.
+#[derive(Clone)]
+pub(super) struct PeerHandler {
+    events: mpsc::UnboundedSender<HostEvent>,
+    waiting: Rc<Waiting<PeerReply>>,
+}
+
+impl MeshHandler for PeerHandler {
+    type Call = PeerCall;
+    type Reply = PeerReply;
+
+    fn serve(&self, call: PeerCall) -> impl Future<Output = PeerReply> + 'static {
+        let (ticket, receiver) = self.waiting.register();
+        let sent = self.events.send(HostEvent::Peer(ticket, call));
+        async move {
+            match sent {
+                Ok(()) => receiver.await.unwrap_or(PeerReply::Unknown),
+                Err(_) => PeerReply::Unknown,
+            }
+        }
+    }
+}
+
+/// Connections of the process.
+pub(super) struct Io {
+    events: mpsc::UnboundedSender<HostEvent>,
+    exchange: Exchange,
+    store: SocketAddr,
+    mesh: Mesh<PeerHandler>,
+    front: Front,
+    clients: Rc<Waiting<FrontReply>>,
+    peers: Rc<Waiting<PeerReply>>,
+    is_ready: Rc<Cell<bool>>,
+    clock: Clock,
+}
+
+/// Addresses that the process listens on, and the store's.
+pub(super) struct Addresses {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub peer: SocketAddr,
+    pub store: SocketAddr,
+}
+
+impl Io {
+    /// Listens for clients, peers and the balancer.
+    ///
+    /// # Errors
+    ///
+    /// `Bind` if an address is in use.
+    pub fn open(
+        addresses: &Addresses,
+        events: mpsc::UnboundedSender<HostEvent>,
+        clock: Clock,
+    ) -> crate::connection::Result<Io> {
+        let clients: Rc<Waiting<FrontReply>> = Rc::default();
+        let peers: Rc<Waiting<PeerReply>> = Rc::default();
+        let is_ready = Rc::new(Cell::new(false));
+        let handler = {
+            let (clients, events) = (clients.clone(), events.clone());
+            move |request: FrontRequest| serve_client(clients.clone(), events.clone(), request)
+        };
+        let front = Front::bind(addresses.front, handler)?;
+        let ready = is_ready.clone();
+        Front::bind(addresses.ready, move |_| {
+            let status = if ready.get() { 200 } else { 503 };
+            async move { FrontReply::status(status) }
+        })?;
+        let handler = PeerHandler {
+            events: events.clone(),
+            waiting: peers.clone(),
+        };
+        let mesh = Mesh::bind(addresses.peer, handler)?;
+        Ok(Io {
+            events,
+            exchange: Exchange::new(),
+            store: addresses.store,
+            mesh,
+            front,
+            clients,
+            peers,
+            is_ready,
+            clock,
+        })
+    }
+
+    /// Requests of clients that are not answered in full.
+    pub fn open_requests(&self) -> usize {
+        self.front.open()
+    }
+
+    /// Carries out one action; returns whether the process is to end.
+    pub fn perform(&self, action: HostAction) -> bool {
+        match action {
+            HostAction::Answer(ticket, reply) => {
+                counter!(ANSWERS, "status" => reply.status.to_string()).increment(1);
+                self.clients.answer(ticket, reply);
+            }
+            HostAction::PeerReply(ticket, reply) => self.peers.answer(ticket, reply),
+            HostAction::PeerCall {
+                call,
+                address,
+                message,
+                timeout,
+            } => self.call_peer(call, address, message, timeout),
+            HostAction::Store(purpose, call) => self.call_store(purpose, call),
+            HostAction::Worker { epoch, tag, call } => self.call_worker(epoch, tag, call),
+            HostAction::Ready(is_ready) => self.is_ready.set(is_ready),
+            HostAction::Drain => self.front.drain(),
+            HostAction::Exit => return true,
+        }
+        false
+    }
+
+    fn call_peer(&self, call: u64, address: SocketAddr, message: PeerCall, timeout: Millis) {
+        let (mesh, events) = (self.mesh.clone(), self.events.clone());
+        spawn_local(async move {
+            let answer = mesh.call(address, &message, duration(timeout)).await;
+            send(&events, HostEvent::PeerAnswer(call, answer));
+        });
+    }
+
+    fn call_store(&self, purpose: StoreUse, call: StoreCall) {
+        let (exchange, events, store) = (self.exchange.clone(), self.events.clone(), self.store);
+        let clock = self.clock;
+        spawn_local(async move {
+            let sent = clock.now();
+            let request = encode_store(&call.request);
+            let reply = exchange.call(store, request, duration(call.timeout)).await;
+            let answer = reply.and_then(|reply| decode_store(&call.request, &reply));
+            let took = clock.now().since(sent);
+            let result = if answer.is_ok() { "ok" } else { "failed" };
+            counter!(STORE_CALLS, "purpose" => purpose.text(), "result" => result).increment(1);
+            histogram!(STORE_TIME).record(took.0 as f64 / 1_000.0);
+            let event = HostEvent::Store {
+                purpose,
+                answer,
+                took,
+            };
+            send(&events, event);
+        });
+    }
+
+    fn call_worker(&self, epoch: u64, tag: WorkerTag, call: WorkerCall) {
+        let (exchange, events) = (self.exchange.clone(), self.events.clone());
+        counter!(ORDERS, "order" => order_text(&call.order)).increment(1);
+        spawn_local(async move {
+            let request = encode_order(&call);
+            let time = duration(call.timeout);
+            let reply = exchange.call(call.address, request, time).await;
+            let answer = reply.and_then(|reply| decode_worker_answer(&call, &reply));
+            send(&events, HostEvent::Worker { epoch, tag, answer });
+        });
+    }
+}
+
+async fn serve_client(
+    clients: Rc<Waiting<FrontReply>>,
+    events: mpsc::UnboundedSender<HostEvent>,
+    request: FrontRequest,
+) -> FrontReply {
+    let (ticket, receiver) = clients.register();
+    if events.send(HostEvent::Client(ticket, request)).is_err() {
+        return FrontReply::status(503);
+    }
+    receiver.await.unwrap_or_else(|_| FrontReply::status(504))
+}
+
+fn send(events: &mpsc::UnboundedSender<HostEvent>, event: HostEvent) {
+    if events.send(event).is_err() {
+        tracing::debug!("an event came after the core has ended");
+    }
+}
+
+fn duration(time: Millis) -> Duration {
+    Duration::from_millis(time.0)
+}
+
+fn order_text(order: &Order) -> &'static str {
+    match order {
+        Order::Start(_) => "start",
+        Order::Stop { .. } => "stop",
+        Order::Renew { .. } => "renew",
+        Order::Pace { .. } => "pace",
+    }
+}
+
+impl StoreUse {
+    fn text(&self) -> &'static str {
+        match self {
+            StoreUse::Shard { .. } => "shard",
+            StoreUse::Config => "config",
+            StoreUse::Hosts => "hosts",
+            StoreUse::Registry { .. } => "registry",
+            StoreUse::Register => "register",
+            StoreUse::Announce => "announce",
+            StoreUse::Journal => "journal",
+        }
+    }
+}
--- /dev/null
+++ b/src/process/host/runtime.rs
@@ -0,0 +1,220 @@
+//! The life of an entry host's process: one thread, an actor that owns the core, and its I/O.
+
+use std::time::{Duration, Instant};
+
+use stakker::{ActorOwn, CX, Stakker, actor, after, call, ret_shutdown, stop};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+
+use super::host::{Host, HostAction, HostEvent, HostSettings};
+use super::io::{Addresses, Io};
+use super::log_writer::LogWriter;
+use super::message::HostRecord;
+use crate::base::Millis;
+use crate::connection::{Front, FrontReply};
+use crate::process::runtime::{Clock, wall};
+use crate::process::settings::EntrySettings;
+use crate::process::shard::{Now, ShardSettings};
+use crate::process::{logging, telemetry};
+
+/// Longest time between two polls of the core.
+const TICK: Duration = Duration::from_millis(50);
+/// Events handled between two turns of the actor loop.
+const MAX_EVENTS: usize = 256;
+/// Time for the last answers to reach their clients before the process exits.
+const LINGER: Duration = Duration::from_millis(150);
+/// How long the outcome of a job is told beyond the promised time, in milliseconds.
+const STATUS_MARGIN: Millis = Millis(10_000);
+
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    #[error("cannot start logging: {0}")]
+    Logging(#[from] logging::Error),
+    #[error("cannot start the metrics: {0}")]
+    Telemetry(#[from] telemetry::Error),
+    #[error("cannot listen: {0}")]
+    Listen(#[from] crate::connection::Error),
+    #[error("cannot start the runtime: {0}")]
+    Runtime(#[from] std::io::Error),
+}
+
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Runs an entry host until SIGTERM or SIGINT has stopped it.
+///
+/// # Errors
+///
+/// An address in use, or a process without the means to start.
+pub fn run(settings: EntrySettings) -> Result<()> {
+    let writer = LogWriter::spawn(std::io::stdout())?;
+    let subscriber = logging::subscriber(&settings.log, writer)?;
+    tracing_subscriber::util::SubscriberInitExt::try_init(subscriber)
+        .map_err(logging::Error::from)?;
+    let telemetry = telemetry::Telemetry::install()?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let local = LocalSet::new();
+    let done = runtime.block_on(local.run_until(serve(settings, telemetry)));
+    tracing::info!("entry host stopped");
+    // Lets the thread of the log write the last lines.
+    std::thread::sleep(LINGER);
+    done
+}
+
+async fn serve(settings: EntrySettings, telemetry: telemetry::Telemetry) -> Result<()> {
+    let clock = Clock::start();
+    let (events, mut receiver) = mpsc::unbounded_channel();
+    let addresses = Addresses {
+        front: settings.front,
+        ready: settings.ready,
+        peer: settings.peer,
+        store: settings.store,
+    };
+    let io = Io::open(&addresses, events.clone(), clock)?;
+    serve_metrics(&settings, telemetry)?;
+    watch_signals(events)?;
+    let host = Host::new(host_settings(&settings), now(clock));
+    tracing::info!(host = %settings.name, data_centre = %settings.data_centre, front = %settings.front, "entry host starts");
+    let mut stakker = Stakker::new(Instant::now());
+    let stakker = &mut stakker;
+    let actor: ActorOwn<HostActor> = actor!(
+        stakker,
+        HostActor::init(host, io, clock),
+        ret_shutdown!(stakker)
+    );
+    stakker.run(Instant::now(), false);
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), TICK, false);
+        let first = tokio::time::timeout(wait, receiver.recv()).await;
+        if let Ok(Some(event)) = first {
+            call!([actor], event(event));
+            for _ in 0..MAX_EVENTS {
+                match receiver.try_recv() {
+                    Ok(event) => call!([actor], event(event)),
+                    Err(_) => break,
+                }
+            }
+        }
+        stakker.run(Instant::now(), false);
+    }
+    tokio::time::sleep(LINGER).await;
+    Ok(())
+}
+
+fn host_settings(settings: &EntrySettings) -> HostSettings {
+    // Differs between two lives of one host, and between hosts that start together.
+    let boot = wall().wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ u64::from(settings.peer.port());
+    let hashed = settings
+        .name
+        .bytes()
+        .fold(boot, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01B3));
+    HostSettings {
+        record: HostRecord {
+            name: settings.name.clone(),
+            boot: hashed ^ (hashed >> 32),
+            control: settings.peer,
+            data_centre: settings.data_centre.clone(),
+            region: settings.region.clone(),
+            processor: (settings.processor * 1_000.0) as u32,
+        },
+        seeds: settings.seeds.clone(),
+        shard: ShardSettings {
+            lease: settings.lease,
+            status_keep: settings.status_keep + STATUS_MARGIN,
+        },
+    }
+}
+
+fn now(clock: Clock) -> Now {
+    Now {
+        steady: clock.now(),
+        wall: wall(),
+    }
+}
+
+fn serve_metrics(settings: &EntrySettings, telemetry: telemetry::Telemetry) -> Result<()> {
+    Front::bind(settings.metrics, move |_| {
+        let body = telemetry.render().into();
+        async move {
+            FrontReply {
+                status: 200,
+                body,
+                retry_after: None,
+            }
+        }
+    })?;
+    Ok(())
+}
+
+fn watch_signals(events: mpsc::UnboundedSender<HostEvent>) -> Result<()> {
+    for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
+        let mut signals = signal(kind)?;
+        let events = events.clone();
+        spawn_local(async move {
+            while signals.recv().await.is_some() {
+                if events.send(HostEvent::Terminate).is_err() {
+                    return;
+                }
+            }
+        });
+    }
+    let mut reloads = signal(SignalKind::hangup())?;
+    spawn_local(async move {
+        while reloads.recv().await.is_some() {
+            tracing::info!("settings file may have changed; its values apply at the next start");
+        }
+    });
+    Ok(())
+}
+
+/// Owns the core.
+struct HostActor {
+    host: Host,
+    io: Io,
+    clock: Clock,
+    actions: Vec<HostAction>,
+    /// Whether a poll is queued behind the events of this round.
+    is_queued: bool,
+}
+
+impl HostActor {
+    fn init(cx: CX![], host: Host, io: Io, clock: Clock) -> Option<Self> {
+        call!([cx], tick());
+        Some(HostActor {
+            host,
+            io,
+            clock,
+            actions: Vec::new(),
+            is_queued: false,
+        })
+    }
+
+    fn event(&mut self, cx: CX![], event: HostEvent) {
+        self.host.handle(now(self.clock), event, &mut self.actions);
+        if !self.is_queued {
+            self.is_queued = true;
+            call!([cx], poll());
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        self.poll(cx);
+        after!(TICK, [cx], tick());
+    }
+
+    /// Lets the core do what is due and carries out its actions.
+    fn poll(&mut self, cx: CX![]) {
+        self.is_queued = false;
+        self.host.poll(now(self.clock), &mut self.actions);
+        let mut is_over = false;
+        for action in std::mem::take(&mut self.actions) {
+            is_over |= self.io.perform(action);
+        }
+        if is_over {
+            tracing::info!(open = self.io.open_requests(), "stops serving");
+            stop!(cx);
+        }
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,10 +2,12 @@
 
 pub mod burn;
 pub mod cli;
+pub mod host;
 pub mod logging;
 mod membership;
 pub mod node;
 mod runtime;
+pub mod shard;
 pub mod settings;
 mod suspicions;
 mod table;
@@ -14,5 +16,5 @@
 pub use burn::Burn;
 pub use membership::{EntryHost, Membership, RUN_TTL, Word};
 pub use runtime::{Error, Result, run};
-pub use settings::Settings;
+pub use settings::{EntrySettings, Settings};
 pub use suspicions::{OpenSuspicion, Suspicions, UNANSWERED};
--- a/src/process/runtime/mod.rs
+++ b/src/process/runtime/mod.rs
@@ -7,4 +7,5 @@
 mod scheduler;
 mod sink;
 
+pub(super) use clock::{Clock, wall};
 pub use run::{Error, Result, run};
--- a/src/process/settings/mod.rs
+++ b/src/process/settings/mod.rs
@@ -1,6 +1,7 @@
 //! Settings of `jayforkd`, read from an INI file at start.
 
 mod address;
+mod entry;
 mod error;
 mod limits;
 mod numbers;
@@ -11,6 +12,7 @@
 mod timing;
 mod value;
 
+pub use entry::EntrySettings;
 pub use error::{Error, Fault, Result};
 pub use limits::Limits;
 pub use peers::Peer;
--- a/src/process/settings/settings.rs
+++ b/src/process/settings/settings.rs
@@ -99,21 +99,7 @@
     /// `Invalid` lists every fault of the file, not only the first.
     pub fn open(path: impl AsRef<Path>) -> Result<Settings> {
         let path = path.as_ref();
-        let text = fs::read_to_string(path).map_err(|source| Error::Read {
-            path: path.to_owned(),
-            source,
-        })?;
-        // Backslashes and quotes have no special meaning in any value.
-        let option = ParseOption {
-            enabled_quote: false,
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
-        let ini = Ini::load_from_str_opt(&text, option).map_err(|error| Error::Syntax {
-            path: path.to_owned(),
-            line: error.line,
-            reason: error.msg.into_owned(),
-        })?;
+        let ini = load(path)?;
         read(ini).map_err(|faults| Error::Invalid {
             path: path.to_owned(),
             faults,
@@ -137,6 +123,24 @@
     }
 }
 
+/// Parses a file; backslashes and quotes have no special meaning in any value.
+pub(super) fn load(path: &Path) -> Result<Ini> {
+    let text = fs::read_to_string(path).map_err(|source| Error::Read {
+        path: path.to_owned(),
+        source,
+    })?;
+    let option = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        ..ParseOption::default()
+    };
+    Ini::load_from_str_opt(&text, option).map_err(|error| Error::Syntax {
+        path: path.to_owned(),
+        line: error.line,
+        reason: error.msg.into_owned(),
+    })
+}
+
 fn read(ini: Ini) -> std::result::Result<Settings, Vec<Fault>> {
     let mut reader = Reader::new(ini, KNOWN);
     let host = read_host(&mut reader);
@@ -229,7 +233,7 @@
     })
 }
 
-fn read_log(reader: &mut Reader) -> Log {
+pub(super) fn read_log(reader: &mut Reader) -> Log {
     let filter = "a filter such as info or jayfork=debug,warn";
     let level = reader.optional("log", "level", filter, |text| {
         let valid = !text.is_empty() && EnvFilter::try_new(text).is_ok();
--- /dev/null
+++ b/src/process/shard/backlog.rs
@@ -0,0 +1,196 @@
+//! Requests of clients: submission, state, cancellation, and how many jobs wait.
+
+use super::journal::Commit;
+use super::shard::{Now, Phase, Reply, Request, Shard, ShardAction};
+use crate::base::Name;
+use crate::request::job::{Job, JobId, Outcome};
+use crate::version::{JobRecord, ShardRecord, StateRecord};
+
+/// Seconds after which a client may try again while the store cannot be written to. Its shorter
+/// outages end within a few seconds.
+const OUTAGE_RETRY: u32 = 1;
+/// Requests held while the records are read.
+const MAX_HELD: usize = 4_096;
+
+/// An ended job whose outcome is still told.
+#[derive(Debug, Clone)]
+pub(super) struct Ended {
+    pub queue: Name,
+    pub outcome: Outcome,
+    /// Unix milliseconds.
+    pub at: u64,
+}
+
+impl Shard {
+    pub(super) fn request(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        request: Request,
+        out: &mut Vec<ShardAction>,
+    ) {
+        if self.phase < Phase::Settling {
+            match self.held.len() < MAX_HELD {
+                true => self.held.push((ticket, request)),
+                false => out.push(ShardAction::Reply(ticket, Reply::Unavailable)),
+            }
+            return;
+        }
+        match request {
+            Request::Submit { job, queue, spec } => {
+                if self.jobs.contains_key(&job) && !self.accepted.contains(&job) {
+                    self.tickets.entry(job).or_default().push(ticket);
+                    return;
+                }
+                if self.jobs.contains_key(&job) || self.ended.contains_key(&job) {
+                    out.push(ShardAction::Reply(ticket, Reply::Accepted));
+                    return;
+                }
+                if self.journal.is_failing(now.steady) {
+                    let retry_after = OUTAGE_RETRY;
+                    out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
+                    return;
+                }
+                let record = JobRecord {
+                    queue: queue.clone(),
+                    accepted: now.wall,
+                    spec: (*spec).clone(),
+                };
+                let record = ShardRecord::Job(job, Some(record));
+                self.journal.push(&record, Some(Commit::Accepted(job)));
+                self.jobs.insert(job, Job::new(job, queue, spec, now.wall));
+                self.tickets.entry(job).or_default().push(ticket);
+            }
+            Request::State { job, queue } => {
+                let reply = self.state(job, &queue);
+                out.push(ShardAction::Reply(ticket, reply));
+            }
+            Request::Cancel { job, queue } => self.cancel(now, ticket, job, &queue, out),
+            Request::Backlog { queue } => {
+                let waiting = self
+                    .accepted
+                    .iter()
+                    .filter_map(|id| self.jobs.get(id))
+                    .filter(|job| job.queue == queue && !job.has_started)
+                    .count();
+                out.push(ShardAction::Reply(ticket, Reply::Backlog(waiting as u64)));
+            }
+        }
+    }
+
+    fn state(&self, id: JobId, queue: &Name) -> Reply {
+        if let Some(ended) = self.ended.get(&id).filter(|ended| ended.queue == *queue) {
+            return Reply::State {
+                outcome: Some(ended.outcome),
+                has_started: true,
+            };
+        }
+        match self.jobs.get(&id).filter(|job| job.queue == *queue) {
+            Some(job) => Reply::State {
+                outcome: None,
+                has_started: job.has_started,
+            },
+            None => Reply::Gone,
+        }
+    }
+
+    fn cancel(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        id: JobId,
+        queue: &Name,
+        out: &mut Vec<ShardAction>,
+    ) {
+        if self.ended.get(&id).is_some_and(|ended| ended.queue == *queue) {
+            out.push(ShardAction::Reply(ticket, Reply::Cancelled));
+            return;
+        }
+        let open = self.jobs.get(&id).is_some_and(|job| job.queue == *queue);
+        if !open {
+            out.push(ShardAction::Reply(ticket, Reply::Gone));
+            return;
+        }
+        if self.journal.is_failing(now.steady) {
+            out.push(ShardAction::Reply(ticket, Reply::Unavailable));
+            return;
+        }
+        self.tickets.entry(id).or_default().push(ticket);
+        self.end_job(now, id, Outcome::Cancelled);
+    }
+
+    /// Records the end of a job; it is told once the record is stored.
+    pub(super) fn end_job(&mut self, now: Now, id: JobId, outcome: Outcome) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        // A cancellation that comes while another end is being stored changes nothing.
+        if self.ending.contains_key(&id) {
+            return;
+        }
+        let state = StateRecord::Ended {
+            queue: job.queue.clone(),
+            outcome,
+            at: now.wall,
+        };
+        self.ending.insert(id, outcome);
+        self.journal.unmark(id);
+        self.journal
+            .push(&ShardRecord::State(id, Some(state)), Some(Commit::Ended(id)));
+        self.journal.push(&ShardRecord::Job(id, None), None);
+        tracing::info!(job = %id, ?outcome, "job ends");
+    }
+
+    /// A job's acceptance is stored.
+    pub(super) fn commit_accepted(&mut self, now: Now, id: JobId, out: &mut Vec<ShardAction>) {
+        self.accepted.insert(id);
+        // A cancellation that came meanwhile answers with its own commit.
+        if !self.ending.contains_key(&id) {
+            for ticket in self.tickets.remove(&id).unwrap_or_default() {
+                out.push(ShardAction::Reply(ticket, Reply::Accepted));
+            }
+        }
+        self.open_turns(now, id);
+    }
+
+    /// A job's end is stored.
+    pub(super) fn commit_ended(&mut self, now: Now, id: JobId, out: &mut Vec<ShardAction>) {
+        let Some(outcome) = self.ending.remove(&id) else {
+            return;
+        };
+        for ticket in self.tickets.remove(&id).unwrap_or_default() {
+            out.push(ShardAction::Reply(ticket, Reply::Cancelled));
+        }
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.forget_job(id);
+        let ended = Ended {
+            queue: job.queue,
+            outcome,
+            at: now.wall,
+        };
+        self.ended.insert(id, ended);
+        self.stop_job(now, id, out);
+    }
+
+    /// Removes a job from every index.
+    pub(super) fn forget_job(&mut self, id: JobId) {
+        self.accepted.remove(&id);
+        self.inherited.remove(&id);
+        self.journal.unmark(id);
+        self.ready.retain(|key| key.step.job != id);
+        self.timed.retain(|(_, job)| *job != id);
+    }
+
+    /// Refuses the submissions that are certainly not stored.
+    pub(super) fn withdraw(&mut self, out: &mut Vec<ShardAction>) {
+        for id in self.journal.withdraw() {
+            self.jobs.remove(&id);
+            for ticket in self.tickets.remove(&id).unwrap_or_default() {
+                let retry_after = OUTAGE_RETRY;
+                out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/process/shard/mod.rs
@@ -0,0 +1,20 @@
+//! One shard: the jobs and workers that one owner schedules, and the journal of what must last.
+
+mod backlog;
+mod journal;
+mod jobs;
+mod recovery;
+mod reports;
+mod runs;
+mod shard;
+mod starts;
+mod watch;
+mod worker;
+
+pub use recovery::ISOLATION_TIME;
+pub use journal::{Commit, Journal};
+pub use shard::{
+    Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings, ShardView,
+    StoreTag, WorkerTag,
+};
+pub use worker::{Run, RunState, Worker};
--- /dev/null
+++ b/src/process/shard/recovery.rs
@@ -0,0 +1,228 @@
+//! From the claim to the first order: reads the records of earlier owners and learns what runs.
+
+use super::backlog::Ended;
+use super::journal::{Appended, Commit};
+use super::shard::{Now, Phase, RegistryChange, Shard, ShardAction, StoreTag, store_call};
+use super::worker::Worker;
+use crate::base::Millis;
+use crate::connection::{CallError, Page, StoreAnswer, StoreRequest};
+use crate::platform::WorkerState;
+use crate::request::job::{Job, JobId};
+use crate::version::{ShardRecord, StateRecord};
+
+/// Pause before a page is asked for again, in milliseconds.
+const LOAD_RETRY: Millis = Millis(100);
+/// How long an owner that reaches neither the store nor a peer goes on renewing leases, in
+/// milliseconds. A new owner waits this much longer before it gives up a worker that it cannot
+/// reach.
+pub const ISOLATION_TIME: Millis = Millis(2_500);
+/// Longest time for an order that was under way when its sender stopped, in milliseconds.
+const FLIGHT_TIME: Millis = Millis(500);
+
+impl Shard {
+    pub(super) fn appended(
+        &mut self,
+        now: Now,
+        answer: Result<StoreAnswer, CallError>,
+        out: &mut Vec<ShardAction>,
+    ) {
+        match self.journal.answered(now.steady, answer) {
+            Appended::Committed(commits) => {
+                for commit in commits {
+                    self.committed(now, commit, out);
+                }
+            }
+            Appended::Superseded => self.step_down(out, "the store has seen a newer owner"),
+            Appended::Failed => {
+                if self.journal.is_failing(now.steady) {
+                    self.withdraw(out);
+                }
+            }
+        }
+    }
+
+    pub(super) fn step_down(&mut self, out: &mut Vec<ShardAction>, reason: &'static str) {
+        if self.is_superseded {
+            return;
+        }
+        self.is_superseded = true;
+        tracing::warn!(epoch = self.owner.epoch, reason, "gives the shard up");
+        out.push(ShardAction::StepDown);
+    }
+
+    fn committed(&mut self, now: Now, commit: Commit, out: &mut Vec<ShardAction>) {
+        match commit {
+            Commit::Owner => {
+                // Nobody else can append now, so the pages cannot change while they are read.
+                if self.phase == Phase::Claiming {
+                    self.phase = Phase::Loading;
+                    self.load(out);
+                }
+            }
+            Commit::Worker(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.is_recorded = true;
+                    self.is_changed = true;
+                }
+            }
+            Commit::Accepted(id) => self.commit_accepted(now, id, out),
+            Commit::Ended(id) => self.commit_ended(now, id, out),
+            noted @ Commit::Noted { .. } => self.commit_noted(noted),
+        }
+    }
+
+    pub(super) fn load(&mut self, out: &mut Vec<ShardAction>) {
+        self.load_at = None;
+        let request = StoreRequest::Newest {
+            of: self.partition.clone(),
+            after: self.load_key.clone(),
+        };
+        out.push(ShardAction::Store(StoreTag::Load, store_call(request)));
+    }
+
+    pub(super) fn loaded(
+        &mut self,
+        now: Now,
+        answer: Result<StoreAnswer, CallError>,
+        out: &mut Vec<ShardAction>,
+    ) {
+        let page = match answer {
+            Ok(StoreAnswer::Page(page)) => page,
+            answer => {
+                tracing::debug!(?answer, "a page of records was not read");
+                self.load_at = Some(now.steady + LOAD_RETRY);
+                return;
+            }
+        };
+        let has_more = page.has_more;
+        self.collect(page);
+        if has_more {
+            self.load(out);
+            return;
+        }
+        self.restore(now);
+        for (ticket, request) in std::mem::take(&mut self.held) {
+            self.request(now, ticket, request, out);
+        }
+    }
+
+    fn collect(&mut self, page: Page) {
+        for record in page.records {
+            match ShardRecord::decode(&record.key, &record.value) {
+                Ok(decoded) => self.loaded.push(decoded),
+                Err(error) => tracing::error!(%error, "a record was not read"),
+            }
+            self.load_key = Some(record.key);
+        }
+    }
+
+    fn restore(&mut self, now: Now) {
+        let records = std::mem::take(&mut self.loaded);
+        let mut states: Vec<(JobId, StateRecord)> = Vec::new();
+        for record in records {
+            match record {
+                ShardRecord::Job(id, Some(job)) => {
+                    let job = Job::new(id, job.queue, job.spec.into(), job.accepted);
+                    self.jobs.insert(id, job);
+                    self.accepted.insert(id);
+                }
+                ShardRecord::State(id, Some(state)) => states.push((id, state)),
+                ShardRecord::Worker(id, Some(record)) => {
+                    let worker = self.workers.entry(id.clone()).or_insert_with(|| {
+                        Worker::new(id, record.address, record.service, now.steady)
+                    });
+                    worker.is_recorded = true;
+                }
+                ShardRecord::Owner(_)
+                | ShardRecord::Job(_, None)
+                | ShardRecord::State(_, None)
+                | ShardRecord::Worker(_, None) => {}
+            }
+        }
+        for (id, state) in states {
+            match state {
+                StateRecord::Open(progress) => {
+                    if let Some(job) = self.jobs.get_mut(&id) {
+                        job.restore(&progress);
+                    }
+                }
+                StateRecord::Ended { queue, outcome, at } => {
+                    self.jobs.remove(&id);
+                    self.accepted.remove(&id);
+                    self.ended.insert(id, Ended { queue, outcome, at });
+                }
+            }
+        }
+        self.inherited = self.jobs.keys().copied().collect();
+        self.phase = Phase::Settling;
+        for id in self.inherited.clone() {
+            self.open_turns(now, id);
+        }
+        tracing::info!(
+            epoch = self.owner.epoch,
+            jobs = self.jobs.len(),
+            ended = self.ended.len(),
+            workers = self.workers.len(),
+            took = now.steady.since(self.claimed).0,
+            "records of the shard are read"
+        );
+        self.is_changed = true;
+    }
+
+    /// Ends the settling once every worker of an earlier owner has reported or its leases have run
+    /// out.
+    pub(super) fn settle(&mut self, now: Now) {
+        if self.phase != Phase::Settling {
+            return;
+        }
+        let lease = Millis(self.settings.lease.0 * 100 / 98);
+        let limit = self.claimed + ISOLATION_TIME + lease + FLIGHT_TIME;
+        let missing = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_recorded && worker.known_since <= self.claimed + FLIGHT_TIME)
+            .filter(|worker| worker.last_report.is_none())
+            .count();
+        if missing > 0 && now.steady < limit {
+            return;
+        }
+        tracing::info!(
+            epoch = self.owner.epoch,
+            missing,
+            inherited = self.inherited.len(),
+            took = now.steady.since(self.claimed).0,
+            "runs of earlier owners are known"
+        );
+        self.phase = Phase::Active;
+        self.inherited.clear();
+        self.is_changed = true;
+    }
+
+    pub(super) fn registry(&mut self, now: Now, change: RegistryChange) {
+        match change {
+            RegistryChange::Set(id, entry) => {
+                let worker = self.workers.entry(id.clone()).or_insert_with(|| {
+                    Worker::new(id, entry.address, entry.service.clone(), now.steady)
+                });
+                worker.address = entry.address;
+                worker.service = entry.service;
+                worker.capacity = entry.capacity;
+                worker.labels = entry.labels;
+                worker.is_listed = true;
+                let was_ready = worker.is_ready;
+                worker.is_ready = entry.state == WorkerState::Ready;
+                if was_ready != worker.is_ready {
+                    let (worker, is_ready) = (&worker.id, worker.is_ready);
+                    tracing::info!(%worker, is_ready, "worker changes its state");
+                }
+            }
+            RegistryChange::Removed(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    tracing::info!(worker = %id, runs = worker.runs.len(), "worker leaves the registry");
+                    worker.is_listed = false;
+                    worker.is_ready = false;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/process/shard/runs.rs
@@ -0,0 +1,287 @@
+//! Runs of tasks: how they are adopted, end, are lost and are stopped.
+
+use super::shard::{Now, Shard, ShardAction, WorkerTag};
+use super::worker::{Run, RunState};
+use crate::base::{Millis, Name, Size};
+use crate::connection::{EndReport, Order, RunReport, WorkerCall};
+use crate::request::job::{Ending, JobId, Outcome, TaskKey, TaskState};
+
+/// Failed runs in a row after which a worker gets no tasks for a while.
+const SUSPECT_RUNS: u32 = 2;
+/// How long a suspect worker gets no tasks, in milliseconds, times its failed runs in a row.
+const SUSPECT_TIME: Millis = Millis(1_500);
+const MAX_SUSPECT: u32 = 6;
+/// Longest time for an order of pace, in milliseconds.
+const PACE_TIME: Millis = Millis(800);
+
+impl Shard {
+    /// A run that this owner did not order: it belongs to an earlier owner, or it was given up.
+    pub(super) fn adopt(&mut self, now: Now, worker_id: &Name, listed: &RunReport) {
+        let key = listed.task;
+        let is_open = self.accepted.contains(&key.step.job)
+            && !self.ending.contains_key(&key.step.job);
+        let job = self.jobs.get_mut(&key.step.job);
+        let mut is_current = false;
+        let mut run = Run {
+            run: listed.run,
+            state: RunState::Active { since: now.steady },
+            reserved: Size::ZERO,
+            demand: 0,
+            fills: false,
+            lasts: false,
+            tail_bound: 0,
+            started: now.steady,
+            percent: listed.percent,
+            progressed: now.steady,
+            figure: listed.figure,
+            checkpoint: listed.checkpoint.clone(),
+            pace: 100,
+            is_stray: false,
+        };
+        if let Some(job) = job {
+            if let Some(spec) = job.spec.steps.get(usize::from(key.step.step)) {
+                run.reserved = spec.reserved();
+                run.demand = spec.size.processors;
+                run.fills = spec.fills;
+                run.lasts = spec.lasts;
+                run.tail_bound = spec.tail_bound;
+            }
+            let is_waiting = job
+                .task(key)
+                .is_some_and(|task| task.state == TaskState::Waiting);
+            if is_open && is_waiting && !self.strays.contains(&key) {
+                is_current = true;
+                job.has_started = true;
+                job.set_state(key, TaskState::Placed);
+            }
+        }
+        if !is_current {
+            tracing::info!(task = %key, run = listed.run, worker = %worker_id, "stops a run that is not current");
+            run.state = RunState::Stopping {
+                sent: None,
+                confirmed: None,
+            };
+            run.is_stray = true;
+            self.strays.insert(key);
+        }
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            if let Some(other) = worker.runs.get_mut(&key) {
+                // An older run of the same task; the current one stays known.
+                other.is_stray = other.is_stray && run.is_stray;
+                return;
+            }
+            worker.add_run(key, run);
+        }
+    }
+
+    /// Takes one end that a worker reports.
+    pub(super) fn end_run(&mut self, now: Now, worker_id: &Name, end: &EndReport) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.processed = end.number;
+        match end.ending {
+            Ending::Done => {
+                worker.failed_runs = 0;
+            }
+            Ending::Failed => {
+                worker.failed_runs += 1;
+                let failed = worker.failed_runs;
+                if failed >= SUSPECT_RUNS {
+                    let pause = SUSPECT_TIME.0 * u64::from(failed.min(MAX_SUSPECT));
+                    worker.suspect_until = now.steady + Millis(pause);
+                    tracing::warn!(worker = %worker_id, failed, pause, "runs fail on a worker; avoids it");
+                }
+            }
+            Ending::Stopped | Ending::Lapsed | Ending::Broken | Ending::Alone => {}
+        }
+        let is_known = worker
+            .runs
+            .get(&end.task)
+            .is_some_and(|run| run.run == end.run);
+        let removed = is_known.then(|| worker.remove_run(end.task)).flatten();
+        let was_stray = removed.as_ref().is_some_and(|run| run.is_stray);
+        if was_stray {
+            self.strays.remove(&end.task);
+        }
+        let is_current = removed.is_some() && !was_stray;
+        self.apply_end(now, worker_id, end, is_current);
+        if was_stray {
+            self.enqueue(end.task.step.job);
+        }
+    }
+
+    fn apply_end(&mut self, now: Now, worker_id: &Name, end: &EndReport, is_current: bool) {
+        let id = end.task.step.job;
+        if self.ending.contains_key(&id) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(usize::from(end.task.step.step)) else {
+            return;
+        };
+        let Some(task) = job.task_mut(end.task) else {
+            return;
+        };
+        if task.state == TaskState::Done {
+            return;
+        }
+        if end.checkpoint.is_some() {
+            task.checkpoint = end.checkpoint.clone();
+        }
+        let was_waiting = task.state == TaskState::Waiting;
+        if end.ending == Ending::Done && !step.lasts {
+            let tasks: Vec<TaskKey> = match step.gang {
+                true => (0..step.count)
+                    .map(|index| TaskKey { index, ..end.task })
+                    .collect(),
+                false => vec![end.task],
+            };
+            for task in tasks {
+                job.set_state(task, TaskState::Done);
+            }
+            self.journal.mark(id);
+            let is_step_done = job.step(end.task.step).is_some_and(|step| step.is_done());
+            let is_job_done = is_step_done && job.close_turn(end.task.step.turn);
+            if !is_current && !was_waiting {
+                self.stop_task(end.task);
+            }
+            if is_job_done {
+                self.end_job(now, id, Outcome::Completed);
+            } else if is_step_done {
+                self.enqueue(id);
+            }
+            return;
+        }
+        if end.ending == Ending::Failed {
+            task.failures = task.failures.saturating_add(1);
+            let failures = task.failures;
+            self.journal.mark(id);
+            let attempts = self.queues.queue(&job.queue).map_or(1, |queue| queue.attempts);
+            tracing::info!(task = %end.task, run = end.run, worker = %worker_id, failures, attempts, "run failed");
+            if !step.lasts && failures >= attempts {
+                self.end_job(now, id, Outcome::Failed);
+                return;
+            }
+        }
+        if is_current || was_waiting {
+            self.requeue(end.task);
+        }
+    }
+
+    /// A run has ended without a listed end.
+    pub(super) fn lose_run(
+        &mut self,
+        now: Now,
+        worker_id: &Name,
+        task: TaskKey,
+        ending: Ending,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let Some(run) = worker.remove_run(task) else {
+            return;
+        };
+        if run.is_stray {
+            self.strays.remove(&task);
+            self.enqueue(task.step.job);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            if let Some(entry) = job.task_mut(task).filter(|_| run.checkpoint.is_some()) {
+                entry.checkpoint = run.checkpoint;
+            }
+        }
+        let age = now.steady.since(run.started).0;
+        tracing::info!(%task, run = run.run, worker = %worker_id, ?ending, age, "run is lost");
+        self.requeue(task);
+    }
+
+    /// Lets a task whose run has ended wait for another one.
+    pub(super) fn requeue(&mut self, task: TaskKey) {
+        let Some(job) = self.jobs.get_mut(&task.step.job) else {
+            return;
+        };
+        let is_placed = job
+            .task(task)
+            .is_some_and(|task| task.state == TaskState::Placed);
+        if is_placed {
+            job.set_state(task, TaskState::Waiting);
+        }
+        self.enqueue(task.step.job);
+    }
+
+    /// Stops all runs of a task.
+    fn stop_task(&mut self, task: TaskKey) {
+        for worker in self.workers.values_mut() {
+            if let Some(run) = worker.runs.get_mut(&task) {
+                begin_stop(run);
+            }
+        }
+    }
+
+    /// Stops all runs of a job.
+    pub(super) fn stop_job(&mut self, now: Now, id: JobId, out: &mut Vec<ShardAction>) {
+        for worker in self.workers.values_mut() {
+            for (task, run) in &mut worker.runs {
+                if task.step.job == id {
+                    begin_stop(run);
+                }
+            }
+        }
+        self.send_stops(now, out);
+    }
+
+    /// Orders the pace of the tasks that fill a worker.
+    pub(super) fn pace(&mut self, now: Now, worker_id: &Name, out: &mut Vec<ShardAction>) {
+        let epoch = self.owner.epoch;
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if !worker.runs.values().any(|run| run.fills) {
+            return;
+        }
+        let worst = worker.worst_tail();
+        if let Some(decision) = worker.pacer.observe(now.steady, worst) {
+            tracing::debug!(worker = %worker_id, worst, percent = decision.percent, "paces the filling tasks");
+        }
+        let percent = worker.pacer.percent();
+        for (task, run) in &mut worker.runs {
+            let is_active = matches!(run.state, RunState::Active { .. });
+            if !run.fills || !is_active || run.pace == percent {
+                continue;
+            }
+            run.pace = percent;
+            let tag = WorkerTag::Pace {
+                worker: worker.id.clone(),
+                task: *task,
+                percent,
+            };
+            let call = WorkerCall {
+                worker: worker.id.clone(),
+                address: worker.address,
+                epoch,
+                order: Order::Pace {
+                    task: *task,
+                    run: run.run,
+                    percent,
+                },
+                timeout: PACE_TIME,
+            };
+            out.push(ShardAction::Worker(tag, call));
+        }
+    }
+}
+
+pub(super) fn begin_stop(run: &mut Run) {
+    if !matches!(run.state, RunState::Stopping { .. }) {
+        run.state = RunState::Stopping {
+            sent: None,
+            confirmed: None,
+        };
+    }
+}
--- /dev/null
+++ b/src/process/shard/shard.rs
@@ -0,0 +1,347 @@
+//! The core of a shard: takes events, keeps its state and says what to do. It has no I/O and no
+//! clock.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::backlog::Ended;
+use super::journal::Journal;
+use super::worker::Worker;
+use crate::base::{Millis, Name};
+use crate::connection::{
+    CallError, Partition, StoreAnswer, StoreCall, StoreRequest, WorkerAnswer, WorkerCall,
+};
+use crate::platform::WorkerEntry;
+use crate::request::job::{Job, JobId, JobSpec, OrderKey, Outcome, TaskKey};
+use crate::version::{OwnerRecord, QueueTable, ShardRecord};
+
+use super::journal::Commit;
+
+/// Longest time for a call to the store in milliseconds; it answers in a few, and in some hundred
+/// when it is slow.
+const STORE_TIME: Millis = Millis(1_500);
+
+/// The time of an event.
+#[derive(Debug, Clone, Copy)]
+pub struct Now {
+    pub steady: Millis,
+    /// Unix milliseconds.
+    pub wall: u64,
+}
+
+#[derive(Debug, Clone)]
+pub struct ShardSettings {
+    /// Longest lease that a worker grants.
+    pub lease: Millis,
+    /// How long the outcome of an ended job is kept.
+    pub status_keep: Millis,
+}
+
+/// What a client asks of the shard.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Request {
+    Submit {
+        job: JobId,
+        queue: Name,
+        spec: Arc<JobSpec>,
+    },
+    State {
+        job: JobId,
+        queue: Name,
+    },
+    Cancel {
+        job: JobId,
+        queue: Name,
+    },
+    Backlog {
+        queue: Name,
+    },
+}
+
+/// Answer to a request; clients of every host get the same.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    Accepted,
+    /// Not accepted, and it never runs unless it is submitted again.
+    Refused { retry_after: u32 },
+    State { outcome: Option<Outcome>, has_started: bool },
+    Cancelled,
+    /// No such job.
+    Gone,
+    Backlog(u64),
+    /// The call was not carried out, since the store cannot be reached.
+    Unavailable,
+}
+
+/// Names a call to a worker.
+#[derive(Debug, Clone)]
+pub enum WorkerTag {
+    Start { worker: Name, task: TaskKey, run: u64 },
+    Stop { worker: Name, task: TaskKey, run: u64 },
+    Poll { worker: Name, sent: Millis, is_quick: bool },
+    Pace { worker: Name, task: TaskKey, percent: u8 },
+}
+
+/// Names a call to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreTag {
+    Append,
+    Load,
+}
+
+#[derive(Debug, Clone)]
+pub enum RegistryChange {
+    Set(Name, WorkerEntry),
+    Removed(Name),
+}
+
+#[derive(Debug)]
+pub enum ShardEvent {
+    Request(u64, Request),
+    Registry(Vec<RegistryChange>),
+    /// Also sent for each new version.
+    Queues(Arc<QueueTable>),
+    Store(StoreTag, Result<StoreAnswer, CallError>),
+    Worker(WorkerTag, Result<WorkerAnswer, CallError>),
+}
+
+#[derive(Debug)]
+pub enum ShardAction {
+    Reply(u64, Reply),
+    Store(StoreTag, StoreCall),
+    Worker(WorkerTag, WorkerCall),
+    /// Another owner has taken the shard.
+    StepDown,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Phase {
+    Claiming,
+    Loading,
+    /// All records are read; runs of an earlier owner may not be known yet.
+    Settling,
+    Active,
+}
+
+/// What the host shows of a shard.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ShardView {
+    pub epoch: u64,
+    pub jobs: usize,
+    pub workers: usize,
+    pub runs: usize,
+    pub waiting_steps: usize,
+    pub is_serving: bool,
+    /// How long the store has refused or lost appends.
+    pub failing_for: Option<Millis>,
+    pub last_stored: Millis,
+}
+
+/// The owner's state of one shard.
+pub struct Shard {
+    pub(super) settings: ShardSettings,
+    pub(super) partition: Partition,
+    pub(super) owner: OwnerRecord,
+    pub(super) phase: Phase,
+    pub(super) claimed: Millis,
+    pub(super) queues: Arc<QueueTable>,
+    pub(super) journal: Journal,
+    pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) ended: HashMap<JobId, Ended>,
+    /// Jobs that an earlier owner accepted and whose runs may not be known yet.
+    pub(super) inherited: BTreeSet<JobId>,
+    /// Jobs whose acceptance is stored.
+    pub(super) accepted: BTreeSet<JobId>,
+    /// Jobs whose end waits for the store.
+    pub(super) ending: HashMap<JobId, Outcome>,
+    /// Steps with tasks to place.
+    pub(super) ready: BTreeSet<OrderKey>,
+    /// Jobs with turns that come due later, by Unix milliseconds.
+    pub(super) timed: BTreeSet<(u64, JobId)>,
+    pub(super) workers: HashMap<Name, Worker>,
+    /// Tasks with a run that only has to end before another may start.
+    pub(super) strays: HashSet<TaskKey>,
+    /// Calls that wait for the outcome of a job's append.
+    pub(super) tickets: HashMap<JobId, Vec<u64>>,
+    /// Records read so far while loading, and when to ask for the next page.
+    pub(super) loaded: Vec<ShardRecord>,
+    pub(super) load_key: Option<String>,
+    pub(super) load_at: Option<Millis>,
+    /// Requests that came before the records were read.
+    pub(super) held: Vec<(u64, Request)>,
+    pub(super) is_changed: bool,
+    pub(super) last_sweep: Millis,
+    pub(super) is_superseded: bool,
+}
+
+impl Shard {
+    /// Claims the shard with an epoch that must be higher than every earlier one.
+    pub fn claim(
+        settings: ShardSettings,
+        partition: Partition,
+        owner: OwnerRecord,
+        queues: Arc<QueueTable>,
+        now: Now,
+        out: &mut Vec<ShardAction>,
+    ) -> Shard {
+        let mut journal = Journal::new(partition.clone(), owner.epoch, now.steady);
+        journal.push(&ShardRecord::Owner(owner.clone()), Some(Commit::Owner));
+        let mut shard = Shard {
+            settings,
+            partition,
+            owner,
+            phase: Phase::Claiming,
+            claimed: now.steady,
+            queues,
+            journal,
+            jobs: HashMap::new(),
+            ended: HashMap::new(),
+            inherited: BTreeSet::new(),
+            accepted: BTreeSet::new(),
+            ending: HashMap::new(),
+            ready: BTreeSet::new(),
+            timed: BTreeSet::new(),
+            workers: HashMap::new(),
+            strays: HashSet::new(),
+            tickets: HashMap::new(),
+            loaded: Vec::new(),
+            load_key: None,
+            load_at: None,
+            held: Vec::new(),
+            is_changed: false,
+            last_sweep: now.steady,
+            is_superseded: false,
+        };
+        shard.write(now, out);
+        shard
+    }
+
+    pub fn handle(&mut self, now: Now, event: ShardEvent, out: &mut Vec<ShardAction>) {
+        match event {
+            ShardEvent::Request(ticket, request) => self.request(now, ticket, request, out),
+            ShardEvent::Registry(changes) => {
+                for change in changes {
+                    self.registry(now, change);
+                }
+                self.is_changed = true;
+            }
+            ShardEvent::Queues(queues) => {
+                self.queues = queues;
+                self.reorder();
+            }
+            ShardEvent::Store(StoreTag::Append, answer) => self.appended(now, answer, out),
+            ShardEvent::Store(StoreTag::Load, answer) => self.loaded(now, answer, out),
+            ShardEvent::Worker(tag, answer) => self.answered(now, tag, answer, out),
+        }
+    }
+
+    /// Does what is due. Call it after each round of events and at least every 50 ms.
+    pub fn poll(&mut self, now: Now, out: &mut Vec<ShardAction>) {
+        if self.is_superseded {
+            return;
+        }
+        self.sweep(now, out);
+        if self.phase >= Phase::Settling {
+            self.poll_workers(now, out);
+            if self.is_changed {
+                self.is_changed = false;
+                self.place(now, out);
+            }
+        }
+        self.write(now, out);
+    }
+
+    pub fn view(&self, now: Millis) -> ShardView {
+        ShardView {
+            epoch: self.owner.epoch,
+            jobs: self.jobs.len(),
+            workers: self.workers.len(),
+            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
+            waiting_steps: self.ready.len(),
+            is_serving: self.phase >= Phase::Settling && !self.is_superseded,
+            failing_for: self.journal.failing_for(now),
+            last_stored: self.journal.last_stored(),
+        }
+    }
+
+    /// Whether the store has accepted the claim.
+    pub fn is_claimed(&self) -> bool {
+        self.phase > Phase::Claiming && !self.is_superseded
+    }
+
+    /// Workers that the registry lists.
+    pub fn listed_workers(&self) -> impl Iterator<Item = &Name> {
+        self.workers
+            .values()
+            .filter(|worker| worker.is_listed)
+            .map(|worker| &worker.id)
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.owner.epoch
+    }
+
+    /// Sends the next append, or repeats the one under way.
+    pub(super) fn write(&mut self, now: Now, out: &mut Vec<ShardAction>) {
+        let request = match self.journal.retry(now.steady) {
+            Some(request) => Some(request),
+            None if self.journal.is_idle(now.steady) => self.next_batch(now),
+            None => None,
+        };
+        if let Some(request) = request {
+            out.push(ShardAction::Store(StoreTag::Append, store_call(request)));
+        }
+    }
+
+    fn next_batch(&mut self, now: Now) -> Option<StoreRequest> {
+        for id in self.journal.take_dirty() {
+            if let Some(record) = self.progress_record(id) {
+                self.journal.push(&record, None);
+            }
+        }
+        let mut noted = Vec::new();
+        for worker in self.workers.values() {
+            let Some(born) = worker.born.filter(|_| worker.processed > worker.noted) else {
+                continue;
+            };
+            noted.push(Commit::Noted {
+                worker: worker.id.clone(),
+                born,
+                number: worker.processed,
+            });
+        }
+        if !noted.is_empty() && !self.journal.has_pending() {
+            // These ends changed nothing, so there is nothing to wait for.
+            for commit in noted {
+                self.commit_noted(commit);
+            }
+            return None;
+        }
+        self.journal.build(now.steady, noted)
+    }
+
+    pub(super) fn commit_noted(&mut self, commit: Commit) {
+        let Commit::Noted {
+            worker,
+            born,
+            number,
+        } = commit
+        else {
+            return;
+        };
+        if let Some(worker) = self.workers.get_mut(&worker) {
+            if worker.born == Some(born) && number > worker.noted {
+                worker.noted = number;
+            }
+        }
+    }
+}
+
+pub(super) fn store_call(request: StoreRequest) -> StoreCall {
+    StoreCall {
+        request,
+        timeout: STORE_TIME,
+    }
+}
--- /dev/null
+++ b/src/process/shard/starts.rs
@@ -0,0 +1,306 @@
+//! Places waiting tasks on workers and orders their starts.
+
+use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
+use super::worker::{Run, RunState, Worker};
+use crate::base::{Millis, Name, Size};
+use crate::connection::{Order, StartOrder, WorkerCall};
+use crate::request::job::{
+    Need, OrderKey, Room, StepId, StepSpec, TaskKey, TaskState, choose,
+};
+
+/// Longest time for a start to be confirmed, in milliseconds. A worker answers in a few plus the
+/// distance; later orders are stopped before the task starts elsewhere.
+const START_TIME: Millis = Millis(700);
+/// A worker without a report for longer gets no tasks, in milliseconds.
+const REPORT_AGE: Millis = Millis(2_600);
+/// Runs of one task under one epoch; the epoch's ordinal is above.
+const RUN_BITS: u32 = 12;
+/// Random low bits of an epoch, below its ordinal.
+const EPOCH_BITS: u32 = 16;
+/// Share of its tail bound at which a worker gets no more filling tasks, in percent.
+const PRESSED: u64 = 70;
+
+/// What of a step did not fit in this pass; the same or more does not fit either.
+struct Misfit {
+    reserved: Size,
+    fills: bool,
+    service: Name,
+}
+
+impl Shard {
+    /// Places what has room, in order.
+    pub(super) fn place(&mut self, now: Now, out: &mut Vec<ShardAction>) {
+        let keys: Vec<OrderKey> = self.ready.iter().copied().collect();
+        let mut misfits: Vec<Misfit> = Vec::new();
+        for key in keys {
+            if self.phase != Phase::Active && self.inherited.contains(&key.step.job) {
+                continue;
+            }
+            match self.place_step(now, key, &mut misfits, out) {
+                Some(()) => {}
+                None => {
+                    self.ready.remove(&key);
+                }
+            }
+        }
+    }
+
+    /// Places tasks of one step; `None` if it has none left to place.
+    fn place_step(
+        &mut self,
+        now: Now,
+        key: OrderKey,
+        misfits: &mut Vec<Misfit>,
+        out: &mut Vec<ShardAction>,
+    ) -> Option<()> {
+        let job = self.jobs.get(&key.step.job)?;
+        let step = job.step(key.step)?;
+        if step.waiting() == 0 || !job.is_ready(key.step.turn, key.step.step) {
+            return None;
+        }
+        let Some(queue) = self.queues.queue(&job.queue) else {
+            return Some(());
+        };
+        let service = queue.service.clone();
+        let spec = job.spec.clone();
+        let spec = &spec.steps[usize::from(key.step.step)];
+        let reserved = spec.reserved();
+        let is_misfit = |misfit: &Misfit| {
+            misfit.service == service
+                && misfit.fills == spec.fills
+                && misfit.reserved.fits(&reserved)
+        };
+        if misfits.iter().any(is_misfit) {
+            return Some(());
+        }
+        let waiting: Vec<TaskKey> = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.state == TaskState::Waiting)
+            .map(|(index, _)| TaskKey {
+                step: key.step,
+                index: index as u16,
+            })
+            .filter(|task| !self.strays.contains(task))
+            .collect();
+        if spec.gang {
+            if waiting.len() == usize::from(spec.count) {
+                self.place_gang(now, &service, spec, &waiting, out);
+            }
+            return Some(());
+        }
+        for task in waiting {
+            let Some(worker) = self.find_worker(now, &service, spec, key.step, None) else {
+                if spec.label.is_none() && spec.spread == 0 {
+                    misfits.push(Misfit {
+                        reserved,
+                        fills: spec.fills,
+                        service,
+                    });
+                }
+                return Some(());
+            };
+            self.start(now, &worker, spec, task, None, out);
+        }
+        None
+    }
+
+    /// Places all members of a gang, or none.
+    fn place_gang(
+        &mut self,
+        now: Now,
+        service: &Name,
+        spec: &StepSpec,
+        tasks: &[TaskKey],
+        out: &mut Vec<ShardAction>,
+    ) {
+        let Some(step) = tasks.first().map(|task| task.step) else {
+            return;
+        };
+        let racks = match spec.same_rack {
+            true => self.racks(service, spec),
+            false => vec![None],
+        };
+        for rack in racks {
+            let mut chosen: Vec<Name> = Vec::new();
+            for task in tasks {
+                let Some(id) = self.find_worker(now, service, spec, step, rack.as_ref()) else {
+                    break;
+                };
+                // Holds the room until the whole gang is known to fit.
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.add_run(*task, new_run(spec, 0, now.steady));
+                }
+                chosen.push(id);
+            }
+            for (task, id) in tasks.iter().zip(&chosen) {
+                if let Some(worker) = self.workers.get_mut(id) {
+                    worker.remove_run(*task);
+                }
+            }
+            if chosen.len() < tasks.len() {
+                continue;
+            }
+            let job = self.jobs.get(&step.job);
+            let runs = tasks.iter().filter_map(|task| Some(job?.task(*task)?.runs));
+            let ordinal = runs.max().unwrap_or(0) + 1;
+            for (task, id) in tasks.iter().zip(&chosen) {
+                self.start(now, id, spec, *task, Some(ordinal), out);
+            }
+            return;
+        }
+    }
+
+    /// Racks of a service, the one with the data first; any rack comes last.
+    fn racks(&self, service: &Name, spec: &StepSpec) -> Vec<Option<Name>> {
+        let mut racks: Vec<Name> = self
+            .workers
+            .values()
+            .filter(|worker| worker.service == *service && worker.is_ready)
+            .filter_map(|worker| worker.rack().cloned())
+            .collect();
+        racks.sort();
+        racks.dedup();
+        racks.sort_by_key(|rack| spec.rack.as_ref() != Some(rack));
+        racks.into_iter().map(Some).chain([None]).collect()
+    }
+
+    fn find_worker(
+        &self,
+        now: Now,
+        service: &Name,
+        spec: &StepSpec,
+        step: StepId,
+        rack: Option<&Name>,
+    ) -> Option<Name> {
+        let usable: Vec<&Worker> = self
+            .workers
+            .values()
+            .filter(|worker| worker.service == *service && worker.is_usable(now.steady))
+            .filter(|worker| rack.is_none() || worker.rack() == rack)
+            .filter(|worker| spec.spread == 0 || worker.count(step) < usize::from(spec.spread))
+            .collect();
+        let need = Need {
+            reserved: spec.reserved(),
+            demand: spec.size.processors,
+            fills: spec.fills,
+            label: spec.label.as_ref(),
+            rack: spec.rack.as_ref(),
+        };
+        let rooms = usable.iter().enumerate().map(|(index, worker)| {
+            let room = Room {
+                free: worker.free(),
+                capacity: worker.capacity,
+                idle: worker.idle(),
+                labels: &worker.labels,
+                is_pressed: worker.worst_tail().is_some_and(|worst| worst >= PRESSED)
+                    || worker.pacer.percent() < 100,
+                is_suspect: worker.suspect_until > now.steady,
+            };
+            (index, room)
+        });
+        choose(&need, rooms).map(|index| usable[index].id.clone())
+    }
+
+    fn start(
+        &mut self,
+        now: Now,
+        worker_id: &Name,
+        spec: &StepSpec,
+        task: TaskKey,
+        ordinal: Option<u32>,
+        out: &mut Vec<ShardAction>,
+    ) {
+        let epoch = self.owner.epoch;
+        let (Some(worker), Some(job)) = (
+            self.workers.get_mut(worker_id),
+            self.jobs.get_mut(&task.step.job),
+        ) else {
+            return;
+        };
+        let Some(until) = worker.lease_end(now.steady, self.settings.lease) else {
+            return;
+        };
+        let payload = job.spec.payload.clone();
+        job.has_started = true;
+        job.set_state(task, TaskState::Placed);
+        let Some(entry) = job.task_mut(task) else {
+            return;
+        };
+        entry.runs = ordinal.unwrap_or(entry.runs + 1);
+        let run = run_number(epoch, entry.runs);
+        let checkpoint = entry.checkpoint.clone();
+        let mut placed = new_run(spec, run, now.steady);
+        placed.checkpoint.clone_from(&checkpoint);
+        worker.add_run(task, placed);
+        worker.until = worker.until.max(until);
+        let tag = WorkerTag::Start {
+            worker: worker.id.clone(),
+            task,
+            run,
+        };
+        let order = StartOrder {
+            task,
+            run,
+            payload,
+            until,
+            checkpoint,
+            permit: None,
+        };
+        let call = WorkerCall {
+            worker: worker.id.clone(),
+            address: worker.address,
+            epoch,
+            order: Order::Start(order),
+            timeout: START_TIME,
+        };
+        tracing::debug!(%task, run, worker = %worker_id, "starts a task");
+        out.push(ShardAction::Worker(tag, call));
+    }
+}
+
+impl Worker {
+    fn is_usable(&self, now: Millis) -> bool {
+        self.is_ready
+            && self.is_recorded
+            && self.misses < 2
+            && self
+                .last_report
+                .is_some_and(|at| now.since(at) <= REPORT_AGE)
+    }
+
+    /// The second label names the rack.
+    fn rack(&self) -> Option<&Name> {
+        self.labels.get(1)
+    }
+
+    fn count(&self, step: StepId) -> usize {
+        self.runs.keys().filter(|task| task.step == step).count()
+    }
+}
+
+fn new_run(spec: &StepSpec, run: u64, now: Millis) -> Run {
+    Run {
+        run,
+        state: RunState::Starting,
+        reserved: spec.reserved(),
+        demand: spec.size.processors,
+        fills: spec.fills,
+        lasts: spec.lasts,
+        tail_bound: spec.tail_bound,
+        started: now,
+        percent: 0,
+        progressed: now,
+        figure: None,
+        checkpoint: None,
+        pace: 100,
+        is_stray: false,
+    }
+}
+
+/// Run numbers rise across owners without a record each: the ordinal of the epoch comes first.
+pub(super) fn run_number(epoch: u64, runs: u32) -> u64 {
+    let ordinal = (epoch >> EPOCH_BITS).saturating_sub(1);
+    (ordinal << RUN_BITS) + u64::from(runs)
+}
--- /dev/null
+++ b/src/process/shard/worker.rs
@@ -0,0 +1,207 @@
+//! What the owner knows of one worker.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::base::{Millis, Name, Size};
+use crate::request::job::{Pacer, TaskKey};
+
+/// Slowest allowed clock of a worker, in percent of true time.
+const SLOWEST_CLOCK: u64 = 98;
+/// Allowance for rounding between the two clocks, in milliseconds.
+const LAPSE_MARGIN: u64 = 150;
+
+/// State of one run of a task on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunState {
+    /// The order is under way.
+    Starting,
+    /// The worker has confirmed the start or lists the run.
+    Active { since: Millis },
+    /// A stop is due or under way; `confirmed` is when the worker answered it.
+    Stopping {
+        sent: Option<Millis>,
+        confirmed: Option<Millis>,
+    },
+}
+
+#[derive(Debug, Clone)]
+pub struct Run {
+    pub run: u64,
+    pub state: RunState,
+    /// Set aside on the worker.
+    pub reserved: Size,
+    /// Millicores that the task is expected to use.
+    pub demand: u32,
+    pub fills: bool,
+    pub lasts: bool,
+    /// Tail bound of a serving task in milliseconds; 0 for none.
+    pub tail_bound: u32,
+    pub started: Millis,
+    pub percent: u8,
+    /// When the percentage last rose.
+    pub progressed: Millis,
+    pub figure: Option<u64>,
+    pub checkpoint: Option<Arc<str>>,
+    /// Pace that was last ordered, in percent.
+    pub pace: u8,
+    /// Whether the run is not the current one of its task and only has to end.
+    pub is_stray: bool,
+}
+
+/// One worker, over its lives.
+#[derive(Debug)]
+pub struct Worker {
+    pub id: Name,
+    pub address: SocketAddr,
+    pub service: Name,
+    pub capacity: Size,
+    pub labels: Vec<Name>,
+    /// Whether the registry lists it as ready.
+    pub is_ready: bool,
+    pub is_listed: bool,
+    /// Whether its record is stored, so that a later owner asks it for its runs.
+    pub is_recorded: bool,
+    /// Whether its record is on its way.
+    pub is_recording: bool,
+    /// Start of the life that answered last.
+    pub born: Option<u64>,
+    /// The worker's clock and when it was read.
+    clock: Option<(u64, Millis)>,
+    /// Latest lease end that any order carried, on the worker's clock.
+    pub until: u64,
+    /// Highest end that has been taken into the jobs' state.
+    pub processed: u64,
+    /// Highest end that is recorded.
+    pub noted: u64,
+    pub runs: HashMap<TaskKey, Run>,
+    pub committed: Size,
+    /// Reports under way: when the waiting one and the immediate one were sent.
+    pub waiting_poll: Option<Millis>,
+    pub quick_poll: Option<Millis>,
+    /// When the next report is due.
+    pub poll_at: Millis,
+    pub last_report: Option<Millis>,
+    /// Calls without an answer since the last one with.
+    pub misses: u32,
+    /// Runs that failed here since the last that was done.
+    pub failed_runs: u32,
+    pub suspect_until: Millis,
+    pub pacer: Pacer,
+    /// When this owner first knew the worker.
+    pub known_since: Millis,
+}
+
+impl Worker {
+    pub fn new(id: Name, address: SocketAddr, service: Name, now: Millis) -> Self {
+        Worker {
+            id,
+            address,
+            service,
+            capacity: Size::ZERO,
+            labels: Vec::new(),
+            is_ready: false,
+            is_listed: false,
+            is_recorded: false,
+            is_recording: false,
+            born: None,
+            clock: None,
+            until: 0,
+            processed: 0,
+            noted: 0,
+            runs: HashMap::new(),
+            committed: Size::ZERO,
+            waiting_poll: None,
+            quick_poll: None,
+            poll_at: now,
+            last_report: None,
+            misses: 0,
+            failed_runs: 0,
+            suspect_until: Millis(0),
+            pacer: Pacer::default(),
+            known_since: now,
+        }
+    }
+
+    /// Whether a clock reading is older than one that was seen.
+    pub fn is_stale(&self, clock: u64) -> bool {
+        self.clock.is_some_and(|(seen, _)| clock < seen)
+    }
+
+    pub fn set_clock(&mut self, clock: u64, now: Millis) {
+        if !self.is_stale(clock) {
+            self.clock = Some((clock, now));
+        }
+    }
+
+    /// Forgets all that belongs to an earlier life.
+    pub fn begin_life(&mut self, born: u64) {
+        self.born = Some(born);
+        self.clock = None;
+        self.until = 0;
+        self.processed = 0;
+        self.noted = 0;
+        self.failed_runs = 0;
+        self.suspect_until = Millis(0);
+    }
+
+    /// End of a lease of `length` from now on the worker's clock; `None` before its first answer.
+    pub fn lease_end(&self, now: Millis, length: Millis) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        Some(clock + now.since(at).0 + length.0)
+    }
+
+    /// Whether every lease that this owner gave has run out by the slowest allowed clock.
+    pub fn has_lapsed(&self, now: Millis) -> bool {
+        let Some((clock, at)) = self.clock else {
+            return false;
+        };
+        let passed = now.since(at).0 * SLOWEST_CLOCK / 100;
+        clock + passed > self.until + LAPSE_MARGIN
+    }
+
+    pub fn free(&self) -> Size {
+        self.capacity.saturating_sub(&self.committed)
+    }
+
+    pub fn add_run(&mut self, task: TaskKey, run: Run) {
+        self.committed = self.committed.saturating_add(&run.reserved);
+        if let Some(replaced) = self.runs.insert(task, run) {
+            self.committed = self.committed.saturating_sub(&replaced.reserved);
+        }
+    }
+
+    pub fn remove_run(&mut self, task: TaskKey) -> Option<Run> {
+        let run = self.runs.remove(&task)?;
+        self.committed = self.committed.saturating_sub(&run.reserved);
+        Some(run)
+    }
+
+    /// Millicores that nothing here is expected to use.
+    pub fn idle(&self) -> i64 {
+        let used: i64 = self.runs.values().map(expected_use).sum();
+        i64::from(self.capacity.processors) - used
+    }
+
+    /// Worst tail of the serving tasks, as a share of its bound in percent.
+    pub fn worst_tail(&self) -> Option<u64> {
+        self.runs
+            .values()
+            .filter(|run| run.tail_bound > 0)
+            .map(|run| run.figure.unwrap_or(0) * 100 / u64::from(run.tail_bound))
+            .max()
+    }
+}
+
+/// Serving tasks use some 0.42 of what they declare and swing by half of that; the share counted
+/// here lies a little above the mean.
+const SERVING_USE: i64 = 55;
+
+fn expected_use(run: &Run) -> i64 {
+    let demand = i64::from(run.demand);
+    match run.lasts {
+        true => demand * SERVING_USE / 100,
+        false => demand,
+    }
+}
--- /dev/null
+++ b/src/request/job/fit.rs
@@ -0,0 +1,80 @@
+//! Which worker a task goes to.
+
+use crate::base::{Name, Size};
+
+/// What one task needs of a worker.
+#[derive(Debug, Clone)]
+pub struct Need<'a> {
+    /// Set aside on the worker while the task is there.
+    pub reserved: Size,
+    /// Millicores that the task uses when it gets them.
+    pub demand: u32,
+    pub fills: bool,
+    pub label: Option<&'a Name>,
+    pub rack: Option<&'a Name>,
+}
+
+/// One worker as the placement sees it.
+#[derive(Debug, Clone)]
+pub struct Room<'a> {
+    /// Not yet committed.
+    pub free: Size,
+    pub capacity: Size,
+    /// Millicores that nothing on the worker is expected to use; negative if it is oversubscribed.
+    pub idle: i64,
+    pub labels: &'a [Name],
+    /// Whether a serving task on the worker is close to its tail bound.
+    pub is_pressed: bool,
+    /// Whether recent runs failed there or made no progress.
+    pub is_suspect: bool,
+}
+
+/// Share of a worker's processors that filling tasks may ask for beyond what is idle, in percent.
+/// Serving tasks swing below their declared size, so a little more than the estimate is used.
+const FILL_OVERDRAFT: i64 = 10;
+/// What data on another rack costs against a free processor share, in thousandths.
+const FAR_PENALTY: i64 = 2_000;
+
+/// Index of the best room for `need`; `None` if no worker has room.
+///
+/// Filling tasks go where most processors are idle, others to the worker with the largest free
+/// share, so that neither piles up on one worker.
+pub fn choose<'a>(
+    need: &Need<'_>,
+    rooms: impl Iterator<Item = (usize, Room<'a>)>,
+) -> Option<usize> {
+    let mut best: Option<(i64, usize)> = None;
+    for (index, room) in rooms {
+        let Some(score) = score(need, &room) else {
+            continue;
+        };
+        if best.is_none_or(|(top, _)| score > top) {
+            best = Some((score, index));
+        }
+    }
+    best.map(|(_, index)| index)
+}
+
+fn score(need: &Need<'_>, room: &Room<'_>) -> Option<i64> {
+    if room.is_suspect || !need.reserved.fits(&room.free) {
+        return None;
+    }
+    if need.label.is_some_and(|label| !room.labels.contains(label)) {
+        return None;
+    }
+    let capacity = i64::from(room.capacity.processors.max(1));
+    let idle = room.idle - i64::from(need.demand);
+    if need.fills && (room.is_pressed || idle < -capacity * FILL_OVERDRAFT / 100) {
+        return None;
+    }
+    let far = need.rack.is_some_and(|rack| !room.labels.contains(rack));
+    let penalty = if far { FAR_PENALTY } else { 0 };
+    let share = match need.fills {
+        true => idle * 1_000 / capacity,
+        false => {
+            let free = i64::from(room.free.processors) - i64::from(need.reserved.processors);
+            free * 1_000 / capacity
+        }
+    };
+    Some(share - penalty)
+}
--- /dev/null
+++ b/src/request/job/job.rs
@@ -0,0 +1,280 @@
+//! State of one job: its turns, their steps and tasks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::progress::{JobProgress, StepProgress, TurnProgress};
+use super::spec::{JobId, JobSpec, StepId, TaskKey};
+use crate::base::Name;
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    Completed,
+    Failed,
+    Cancelled,
+}
+
+/// How a run of a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    Done,
+    /// By the fault of the task or of its worker.
+    Failed,
+    Stopped,
+    /// Its lease lapsed.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited for its gang in vain.
+    Alone,
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum TaskState {
+    #[default]
+    Waiting,
+    /// A run of it is ordered, runs, or may run.
+    Placed,
+    Done,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Task {
+    pub state: TaskState,
+    /// Runs that ended as failed.
+    pub failures: u16,
+    /// Ordinal of the newest run that this owner ordered.
+    pub runs: u32,
+    /// Saved progress that the next run resumes from.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Step {
+    pub tasks: Vec<Task>,
+    pub done: u16,
+    pub placed: u16,
+}
+
+impl Step {
+    fn new(count: u16) -> Self {
+        Step {
+            tasks: vec![Task::default(); usize::from(count)],
+            done: 0,
+            placed: 0,
+        }
+    }
+
+    pub fn is_done(&self) -> bool {
+        usize::from(self.done) == self.tasks.len()
+    }
+
+    pub fn waiting(&self) -> usize {
+        self.tasks.len() - usize::from(self.done) - usize::from(self.placed)
+    }
+}
+
+/// One run through all steps.
+#[derive(Debug, Clone)]
+pub struct Turn {
+    pub steps: Vec<Step>,
+}
+
+/// One accepted job.
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub id: JobId,
+    pub queue: Name,
+    pub spec: Arc<JobSpec>,
+    /// Unix milliseconds.
+    pub accepted: u64,
+    /// Turns that are due and not finished.
+    pub turns: BTreeMap<u32, Turn>,
+    /// Number of the next turn that comes due.
+    pub next_turn: u32,
+    pub outcome: Option<Outcome>,
+    /// Whether a task has been ordered, by this owner or an earlier one.
+    pub has_started: bool,
+}
+
+impl Job {
+    pub fn new(id: JobId, queue: Name, spec: Arc<JobSpec>, accepted: u64) -> Self {
+        Job {
+            id,
+            queue,
+            spec,
+            accepted,
+            turns: BTreeMap::new(),
+            next_turn: 0,
+            outcome: None,
+            has_started: false,
+        }
+    }
+
+    fn turn_count(&self) -> u32 {
+        self.spec.turns.max(1)
+    }
+
+    /// Due time of a turn in Unix milliseconds; 0 if it is due at once.
+    pub fn due(&self, turn: u32) -> u64 {
+        match self.spec.turns {
+            0 => 0,
+            _ => self.spec.first_run + u64::from(turn) * self.spec.interval,
+        }
+    }
+
+    /// Opens the turns that are due at `now` (Unix milliseconds) and returns their numbers.
+    pub fn open_due(&mut self, now: u64) -> Vec<u32> {
+        let mut opened = Vec::new();
+        while self.outcome.is_none()
+            && self.next_turn < self.turn_count()
+            && self.due(self.next_turn) <= now
+        {
+            let steps = self.spec.steps.iter().map(|step| Step::new(step.count));
+            let turn = Turn {
+                steps: steps.collect(),
+            };
+            self.turns.insert(self.next_turn, turn);
+            opened.push(self.next_turn);
+            self.next_turn += 1;
+        }
+        opened
+    }
+
+    /// When the next turn comes due, in Unix milliseconds.
+    pub fn next_due(&self) -> Option<u64> {
+        let open = self.outcome.is_none() && self.next_turn < self.turn_count();
+        open.then(|| self.due(self.next_turn))
+    }
+
+    /// Whether all steps that `step` depends on are done.
+    pub fn is_ready(&self, turn: u32, step: u16) -> bool {
+        let Some(open) = self.turns.get(&turn) else {
+            return false;
+        };
+        let spec = &self.spec.steps[usize::from(step)];
+        spec.after
+            .iter()
+            .all(|after| open.steps[usize::from(*after)].is_done())
+    }
+
+    pub fn step(&self, id: StepId) -> Option<&Step> {
+        self.turns.get(&id.turn)?.steps.get(usize::from(id.step))
+    }
+
+    pub fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.step(key.step)?.tasks.get(usize::from(key.index))
+    }
+
+    pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
+        self.step_mut(key.step)?.tasks.get_mut(usize::from(key.index))
+    }
+
+    fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
+        let turn = self.turns.get_mut(&id.turn)?;
+        turn.steps.get_mut(usize::from(id.step))
+    }
+
+    /// Moves a task to `state` and keeps the counts of its step.
+    pub fn set_state(&mut self, key: TaskKey, state: TaskState) {
+        let Some(step) = self.step_mut(key.step) else {
+            return;
+        };
+        let Some(task) = step.tasks.get_mut(usize::from(key.index)) else {
+            return;
+        };
+        match task.state {
+            TaskState::Waiting => {}
+            TaskState::Placed => step.placed -= 1,
+            TaskState::Done => step.done -= 1,
+        }
+        match state {
+            TaskState::Waiting => {}
+            TaskState::Placed => step.placed += 1,
+            TaskState::Done => step.done += 1,
+        }
+        task.state = state;
+    }
+
+    /// Closes the turn if all its steps are done; returns whether the whole job is done.
+    pub fn close_turn(&mut self, turn: u32) -> bool {
+        let finished = self
+            .turns
+            .get(&turn)
+            .is_some_and(|open| open.steps.iter().all(Step::is_done));
+        if finished {
+            self.turns.remove(&turn);
+        }
+        self.turns.is_empty() && self.next_turn >= self.turn_count()
+    }
+
+    /// What has to last of the job's progress.
+    pub fn progress(&self) -> JobProgress {
+        let turns = self.turns.iter().map(|(number, turn)| TurnProgress {
+            turn: *number,
+            steps: turn.steps.iter().map(step_progress).collect(),
+        });
+        JobProgress {
+            next_turn: self.next_turn,
+            turns: turns.collect(),
+        }
+    }
+
+    /// Restores progress that an earlier owner recorded.
+    pub fn restore(&mut self, progress: &JobProgress) {
+        self.has_started = true;
+        self.next_turn = progress.next_turn;
+        self.turns.clear();
+        for saved in &progress.turns {
+            let mut steps: Vec<Step> = self
+                .spec
+                .steps
+                .iter()
+                .map(|step| Step::new(step.count))
+                .collect();
+            for (step, saved) in steps.iter_mut().zip(&saved.steps) {
+                restore_step(step, saved);
+            }
+            self.turns.insert(saved.turn, Turn { steps });
+        }
+    }
+}
+
+fn step_progress(step: &Step) -> StepProgress {
+    let mut progress = StepProgress::default();
+    for (index, task) in step.tasks.iter().enumerate() {
+        if task.state == TaskState::Done {
+            progress.mark_done(index);
+            continue;
+        }
+        if task.failures > 0 {
+            progress.failures.push((index as u16, task.failures));
+        }
+        if let Some(checkpoint) = &task.checkpoint {
+            progress.checkpoints.push((index as u16, checkpoint.clone()));
+        }
+    }
+    progress
+}
+
+fn restore_step(step: &mut Step, saved: &StepProgress) {
+    for (index, task) in step.tasks.iter_mut().enumerate() {
+        if saved.is_done(index) {
+            task.state = TaskState::Done;
+            step.done += 1;
+        }
+    }
+    for (index, failures) in &saved.failures {
+        if let Some(task) = step.tasks.get_mut(usize::from(*index)) {
+            task.failures = *failures;
+        }
+    }
+    for (index, checkpoint) in &saved.checkpoints {
+        if let Some(task) = step.tasks.get_mut(usize::from(*index)) {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,6 +9,7 @@
 mod dispatch_start;
 mod estimate;
 mod interference;
+pub mod job;
 mod latency;
 mod pairs;
 mod placement;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -4,10 +4,12 @@
 mod contracts;
 mod journal;
 mod ledger;
+mod queues;
 mod quota_check;
 mod record;
 mod restate;
 mod retain;
+mod shard_record;
 mod suspicion;
 mod transition;
 
@@ -17,7 +19,11 @@
 };
 pub use journal::{Append, Journal};
 pub use ledger::{Change, Ledger, LedgerTiming, QueuePlace, Requeue, Task};
+pub use queues::{Queue, QueueTable, Service};
 pub use quota_check::QuotaCheck;
 pub use record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
 pub use retain::Retain;
+pub use shard_record::{
+    Error as ShardRecordError, JobRecord, OwnerRecord, ShardRecord, StateRecord, WorkerRecord,
+};
 pub use suspicion::Suspicion;
