Learn the contention of image pairs; place and pace filling tasks by it

Change: Contention learns, per pair of serving and filling image, the rise of the logarithm of the tail; placement keeps a slack, pace follows from the slopes; lasting tasks are packed.

--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod journal;
 mod jobs;
+mod paces;
 mod recovery;
 mod reports;
 mod runs;
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -1,9 +1,9 @@
 //! Runs of tasks: how they are adopted, end, are lost and are stopped.
 
-use super::shard::{Now, Shard, ShardAction, WorkerTag};
+use super::shard::{Now, Shard, ShardAction};
 use super::worker::{Run, RunState};
 use crate::base::{Millis, Name, Size};
-use crate::connection::{EndReport, Order, RunReport, WorkerCall};
+use crate::connection::{EndReport, RunReport};
 use crate::request::job::{Ending, JobId, Outcome, TaskKey, TaskState};
 
 /// Failed runs in a row after which a worker gets no tasks for a while.
@@ -11,8 +11,6 @@
 /// How long a suspect worker gets no tasks, in milliseconds, times its failed runs in a row.
 const SUSPECT_TIME: Millis = Millis(1_500);
 const MAX_SUSPECT: u32 = 6;
-/// Longest time for an order of pace, in milliseconds.
-const PACE_TIME: Millis = Millis(800);
 
 impl Shard {
     /// A run that this owner did not order: it belongs to an earlier owner, or it was given up.
@@ -29,6 +27,7 @@
             demand: 0,
             fills: false,
             lasts: false,
+            image: None,
             tail_bound: 0,
             started: now.steady,
             percent: listed.percent,
@@ -44,6 +43,7 @@
                 run.demand = spec.size.processors;
                 run.fills = spec.fills;
                 run.lasts = spec.lasts;
+                run.image.clone_from(&spec.image);
                 run.tail_bound = spec.tail_bound;
             }
             let is_waiting = job
@@ -235,46 +235,6 @@
         }
         self.send_stops(now, out);
     }
-
-    /// Orders the pace of the tasks that fill a worker.
-    pub(super) fn pace(&mut self, now: Now, worker_id: &Name, out: &mut Vec<ShardAction>) {
-        let epoch = self.owner.epoch;
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return;
-        };
-        if !worker.runs.values().any(|run| run.fills) {
-            return;
-        }
-        let worst = worker.worst_tail();
-        if let Some(decision) = worker.pacer.observe(now.steady, worst) {
-            tracing::debug!(worker = %worker_id, worst, percent = decision.percent, "paces the filling tasks");
-        }
-        let percent = worker.pacer.percent();
-        for (task, run) in &mut worker.runs {
-            let is_active = matches!(run.state, RunState::Active { .. });
-            if !run.fills || !is_active || run.pace == percent {
-                continue;
-            }
-            run.pace = percent;
-            let tag = WorkerTag::Pace {
-                worker: worker.id.clone(),
-                task: *task,
-                percent,
-            };
-            let call = WorkerCall {
-                worker: worker.id.clone(),
-                address: worker.address,
-                epoch,
-                order: Order::Pace {
-                    task: *task,
-                    run: run.run,
-                    percent,
-                },
-                timeout: PACE_TIME,
-            };
-            out.push(ShardAction::Worker(tag, call));
-        }
-    }
 }
 
 pub(super) fn begin_stop(run: &mut Run) {
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -14,7 +14,7 @@
     CallError, Partition, StoreAnswer, StoreCall, StoreRequest, WorkerAnswer, WorkerCall,
 };
 use crate::platform::WorkerEntry;
-use crate::request::job::{Job, JobId, JobSpec, OrderKey, Outcome, TaskKey};
+use crate::request::job::{Contention, Job, JobId, JobSpec, OrderKey, Outcome, TaskKey};
 use crate::version::{OwnerRecord, QueueTable, ShardRecord};
 
 use super::journal::Commit;
@@ -171,6 +171,7 @@
     pub(super) load_at: Option<Millis>,
     /// Requests that came before the records were read.
     pub(super) held: Vec<(u64, Request)>,
+    pub(super) contention: Contention,
     pub(super) is_changed: bool,
     pub(super) last_sweep: Millis,
     pub(super) is_superseded: bool,
@@ -210,6 +211,7 @@
             load_key: None,
             load_at: None,
             held: Vec::new(),
+            contention: Contention::default(),
             is_changed: false,
             last_sweep: now.steady,
             is_superseded: false,
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -17,13 +17,13 @@
 const RUN_BITS: u32 = 12;
 /// Random low bits of an epoch, below its ordinal.
 const EPOCH_BITS: u32 = 16;
-/// Share of its tail bound at which a worker gets no more filling tasks, in percent.
-const PRESSED: u64 = 70;
 
 /// What of a step did not fit in this pass; the same or more does not fit either.
 struct Misfit {
     reserved: Size,
+    demand: u32,
     fills: bool,
+    image: Option<Name>,
     service: Name,
 }
 
@@ -68,6 +68,8 @@
         let is_misfit = |misfit: &Misfit| {
             misfit.service == service
                 && misfit.fills == spec.fills
+                && misfit.demand <= spec.size.processors
+                && (!spec.fills || misfit.image == spec.image)
                 && misfit.reserved.fits(&reserved)
         };
         if misfits.iter().any(is_misfit) {
@@ -95,7 +97,9 @@
                 if spec.label.is_none() && spec.spread == 0 {
                     misfits.push(Misfit {
                         reserved,
+                        demand: spec.size.processors,
                         fills: spec.fills,
+                        image: spec.image.clone(),
                         service,
                     });
                 }
@@ -185,6 +189,7 @@
             reserved: spec.reserved(),
             demand: spec.size.processors,
             fills: spec.fills,
+            lasts: spec.lasts,
             label: spec.label.as_ref(),
             rack: spec.rack.as_ref(),
         };
@@ -194,8 +199,7 @@
                 capacity: worker.capacity,
                 idle: worker.idle(),
                 labels: &worker.labels,
-                is_pressed: worker.worst_tail().is_some_and(|worst| worst >= PRESSED)
-                    || worker.pacer.percent() < 100,
+                slack: self.slack(worker, spec),
                 is_suspect: worker.suspect_until > now.steady,
             };
             (index, room)
@@ -203,6 +207,19 @@
         choose(&need, rooms).map(|index| usable[index].id.clone())
     }
 
+    /// What one more filling task may add to the tails on a worker.
+    fn slack(&self, worker: &Worker, spec: &StepSpec) -> f64 {
+        if !spec.fills {
+            return f64::INFINITY;
+        }
+        let capacity = f64::from(worker.capacity.processors.max(1));
+        let share = f64::from(spec.size.processors) / capacity;
+        let (serving, filling) = (worker.serving(), worker.filling());
+        let image = spec.image.as_ref();
+        self.contention
+            .slack_with(&serving, &filling, image, share)
+    }
+
     fn start(
         &mut self,
         now: Now,
@@ -288,6 +305,7 @@
         demand: spec.size.processors,
         fills: spec.fills,
         lasts: spec.lasts,
+        image: spec.image.clone(),
         tail_bound: spec.tail_bound,
         started: now,
         percent: 0,
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::base::{Millis, Name, Size};
-use crate::request::job::{Pacer, TaskKey};
+use crate::request::job::{Filling, Serving, TaskKey};
 
 /// Slowest allowed clock of a worker, in percent of true time.
 const SLOWEST_CLOCK: u64 = 98;
@@ -36,6 +36,8 @@
     pub demand: u32,
     pub fills: bool,
     pub lasts: bool,
+    /// What the task runs; tasks of one image behave alike.
+    pub image: Option<Name>,
     /// Tail bound of a serving task in milliseconds; 0 for none.
     pub tail_bound: u32,
     pub started: Millis,
@@ -88,7 +90,10 @@
     /// Runs that failed here since the last that was done.
     pub failed_runs: u32,
     pub suspect_until: Millis,
-    pub pacer: Pacer,
+    /// Since when a serving task is over its bound beside filling tasks.
+    pub harmed: Option<Millis>,
+    /// When the contention of its tasks was last learned.
+    pub learned: Millis,
     /// When this owner first knew the worker.
     pub known_since: Millis,
 }
@@ -119,7 +124,8 @@
             misses: 0,
             failed_runs: 0,
             suspect_until: Millis(0),
-            pacer: Pacer::default(),
+            harmed: None,
+            learned: Millis(0),
             known_since: now,
         }
     }
@@ -184,13 +190,41 @@
         i64::from(self.capacity.processors) - used
     }
 
-    /// Worst tail of the serving tasks, as a share of its bound in percent.
-    pub fn worst_tail(&self) -> Option<u64> {
+    /// Serving tasks at work, with their tails.
+    pub fn serving(&self) -> Vec<Serving<'_>> {
         self.runs
             .values()
-            .filter(|run| run.tail_bound > 0)
-            .map(|run| run.figure.unwrap_or(0) * 100 / u64::from(run.tail_bound))
-            .max()
+            .filter(|run| run.tail_bound > 0 && run.percent >= 100)
+            .filter_map(|run| {
+                Some(Serving {
+                    image: run.image.as_ref(),
+                    tail: run.figure? as f64 / f64::from(run.tail_bound),
+                })
+            })
+            .collect()
+    }
+
+    /// Filling tasks by image.
+    pub fn filling(&self) -> Vec<Filling<'_>> {
+        let capacity = f64::from(self.capacity.processors.max(1));
+        let mut filling: Vec<Filling<'_>> = Vec::new();
+        for run in self.runs.values().filter(|run| run.fills) {
+            let image = run.image.as_ref();
+            let used = run.figure.unwrap_or(0) as f64 / capacity;
+            let wanted = f64::from(run.demand) / capacity;
+            match filling.iter_mut().find(|other| other.image == image) {
+                Some(other) => {
+                    other.used += used;
+                    other.wanted += wanted;
+                }
+                None => filling.push(Filling {
+                    image,
+                    used,
+                    wanted,
+                }),
+            }
+        }
+        filling
     }
 }
 
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -10,6 +10,7 @@
     /// Millicores that the task uses when it gets them.
     pub demand: u32,
     pub fills: bool,
+    pub lasts: bool,
     pub label: Option<&'a Name>,
     pub rack: Option<&'a Name>,
 }
@@ -23,8 +24,9 @@
     /// Millicores that nothing on the worker is expected to use; negative if it is oversubscribed.
     pub idle: i64,
     pub labels: &'a [Name],
-    /// Whether a serving task on the worker is close to its tail bound.
-    pub is_pressed: bool,
+    /// Logarithm of what filling tasks may still add to the tail of a serving task here; negative
+    /// if one more is expected to push it over the aim.
+    pub slack: f64,
     /// Whether recent runs failed there or made no progress.
     pub is_suspect: bool,
 }
@@ -37,8 +39,9 @@
 
 /// Index of the best room for `need`; `None` if no worker has room.
 ///
-/// Filling tasks go where most processors are idle, others to the worker with the largest free
-/// share, so that neither piles up on one worker.
+/// Filling tasks go where most processors are idle and no serving task suffers. Lasting tasks are
+/// packed, so that some workers stay free of them for the images that disturb them. Others go to
+/// the worker with the largest free share.
 pub fn choose<'a>(
     need: &Need<'_>,
     rooms: impl Iterator<Item = (usize, Room<'a>)>,
@@ -64,17 +67,16 @@
     }
     let capacity = i64::from(room.capacity.processors.max(1));
     let idle = room.idle - i64::from(need.demand);
-    if need.fills && (room.is_pressed || idle < -capacity * FILL_OVERDRAFT / 100) {
+    if need.fills && (room.slack < 0.0 || idle < -capacity * FILL_OVERDRAFT / 100) {
         return None;
     }
     let far = need.rack.is_some_and(|rack| !room.labels.contains(rack));
     let penalty = if far { FAR_PENALTY } else { 0 };
-    let share = match need.fills {
-        true => idle * 1_000 / capacity,
-        false => {
-            let free = i64::from(room.free.processors) - i64::from(need.reserved.processors);
-            free * 1_000 / capacity
-        }
+    let free = i64::from(room.free.processors) - i64::from(need.reserved.processors);
+    let share = match (need.fills, need.lasts) {
+        (true, _) => idle * 1_000 / capacity,
+        (false, true) => -(free * 1_000 / capacity),
+        (false, false) => free * 1_000 / capacity,
     };
     Some(share - penalty)
 }
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -1,15 +1,15 @@
 //! The job model: steps with dependencies, their tasks, and where these may run.
 
+mod contention;
 mod fit;
 mod job;
 mod order;
-mod pace;
 mod progress;
 mod spec;
 
+pub use contention::{Contention, Filling, Serving};
 pub use fit::{Need, Room, choose};
 pub use job::{Ending, Job, Outcome, Step, Task, TaskState, Turn};
 pub use order::{OrderKey, order_key};
-pub use pace::{PaceDecision, Pacer};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
