Pack lasting tasks by image, learn contention by ridge regression, move tasks off leaving workers

Change: lasting tasks go beside their own image; the slopes come from a ridge regression with forgetting; a worker that misses reports gets no renewal until it answers; lasting tasks leave a draining worker; a drained worker that refuses connections counts as gone.

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -64,7 +65,7 @@
     ///
     /// # Errors
     ///
-    /// `NotSent` if no connection could be opened, `NoAnswer` if the answer did not come in `time`
+    /// `NotSent` if no connection could be opened, `Refused` if nothing listens there, `NoAnswer` if the answer did not come in `time`
     /// or the connection ended before it.
     pub async fn call(
         &self,
@@ -134,8 +135,13 @@
 
 async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
     let opened = timeout(CONNECT_TIME, TcpStream::connect(address)).await;
-    let Ok(Ok(stream)) = opened else {
-        return Err(CallError::NotSent);
+    let stream = match opened {
+        Ok(Ok(stream)) => stream,
+        // The host is there, and nothing listens at the address.
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            return Err(CallError::Refused);
+        }
+        Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
     };
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%address, %error, "a connection keeps its delay");
--- a/src/process/shard/paces.rs
+++ b/src/process/shard/paces.rs
@@ -4,7 +4,7 @@
 use super::worker::{RunState, Worker};
 use crate::base::{Millis, Name};
 use crate::connection::{Order, WorkerCall};
-use crate::request::job::TaskKey;
+use crate::request::job::{OVER, TaskKey};
 
 /// Longest time for an order of pace, in milliseconds.
 const PACE_TIME: Millis = Millis(800);
@@ -14,8 +14,6 @@
 /// Time after which all filling tasks beside a serving task that stays over its bound are halted,
 /// in milliseconds; well below the shortest time that counts as harm, 4 s.
 const HALT_TIME: Millis = Millis(1_500);
-/// Share of its bound at which a serving task counts as over it.
-const OVER: f64 = 0.97;
 /// Paces are ordered in steps of this many percent, so that small changes cause no orders.
 const PACE_STEP: u8 = 10;
 
@@ -34,6 +32,9 @@
                 self.contention.observe(task, &filling);
             }
         }
+        let rows: Vec<String> = worker.runs.values().map(|run| format!("{}:{}:{}:f{:?}:d{}:p{}:pc{}:age{}", if run.fills {"F"} else if run.lasts {"S"} else {"C"}, run.image.as_deref().unwrap_or("-"), run.tail_bound, run.figure, run.demand, run.pace, run.percent, now.steady.since(run.started).0)).collect();
+        let ks: Vec<String> = serving.iter().filter(|s| s.tail > 0.9).flat_map(|s| { let c = &self.contention; filling.iter().map(move |f| format!("{}<{}:k{:.1}:u{:.2}:w{:.2}:t{:.2}", s.image.map_or("-", |n| n), f.image.map_or("-", |n| n), c.slope(s.image, f.image), f.used, f.wanted, s.tail)) }).collect();
+        tracing::info!(worker = %worker_id, cap = worker.capacity.processors, rows = rows.join(" "), ks = ks.join(" "), "FIG");
         let is_over = !filling.is_empty() && serving.iter().any(|task| task.tail >= OVER);
         let paces = self.contention.paces(&serving, &filling);
         let paces: Vec<(Option<Name>, u8)> = filling
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -209,6 +209,8 @@
                 worker.capacity = entry.capacity;
                 worker.labels = entry.labels;
                 worker.is_listed = true;
+                worker.is_draining = entry.state == WorkerState::Draining;
+                worker.has_left = false;
                 let was_ready = worker.is_ready;
                 worker.is_ready = entry.state == WorkerState::Ready;
                 if was_ready != worker.is_ready {
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -169,6 +169,8 @@
             Ok(WorkerAnswer::Report(report)) => self.report(now, worker_id, sent, report, out),
             answer => {
                 worker.misses += 1;
+                let is_refused = matches!(answer, Err(CallError::Refused));
+                worker.has_left = is_refused && worker.is_draining && !worker.is_listed;
                 let pause = Millis(POLL_RETRY.0 * u64::from(worker.misses.min(10)));
                 worker.poll_at = now.steady + pause.min(MAX_POLL_RETRY);
                 if worker.misses == 3 {
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -170,6 +170,21 @@
         racks.into_iter().map(Some).chain([None]).collect()
     }
 
+    /// Whether another worker has room for a task that runs.
+    pub(super) fn has_room_elsewhere(&self, now: Now, task: TaskKey) -> bool {
+        let Some(job) = self.jobs.get(&task.step.job) else {
+            return false;
+        };
+        let Some(queue) = self.queues.queue(&job.queue) else {
+            return false;
+        };
+        let Some(spec) = job.spec.steps.get(usize::from(task.step.step)) else {
+            return false;
+        };
+        self.find_worker(now, &queue.service, spec, task.step, None)
+            .is_some()
+    }
+
     fn find_worker(
         &self,
         now: Now,
@@ -190,6 +205,7 @@
             demand: spec.size.processors,
             fills: spec.fills,
             lasts: spec.lasts,
+            image: spec.image.as_ref(),
             label: spec.label.as_ref(),
             rack: spec.rack.as_ref(),
         };
@@ -200,6 +216,11 @@
                 idle: worker.idle(),
                 labels: &worker.labels,
                 slack: self.slack(worker, spec),
+                has_kin: worker.has_lasting(|image| image == need.image),
+                strangers: match spec.lasts {
+                    true => worker.strangers(need.image),
+                    false => 0,
+                },
                 is_suspect: worker.suspect_until > now.steady,
             };
             (index, room)
@@ -292,6 +313,23 @@
         self.labels.get(1)
     }
 
+    fn has_lasting(&self, is_it: impl Fn(Option<&Name>) -> bool) -> bool {
+        let mut lasting = self.runs.values().filter(|run| run.lasts);
+        lasting.any(|run| is_it(run.image.as_ref()))
+    }
+
+    /// Images of lasting tasks here besides `image`.
+    fn strangers(&self, image: Option<&Name>) -> u32 {
+        let mut others: Vec<Option<&Name>> = Vec::new();
+        for run in self.runs.values().filter(|run| run.lasts) {
+            let other = run.image.as_ref();
+            if other != image && !others.contains(&other) {
+                others.push(other);
+            }
+        }
+        others.len() as u32
+    }
+
     fn count(&self, step: StepId) -> usize {
         self.runs.keys().filter(|task| task.step == step).count()
     }
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -14,6 +14,8 @@
 const SWEEP_TIME: Millis = Millis(100);
 /// Longest wait of a report, in milliseconds; it renews the leases, so it is well below them.
 const POLL_WAIT: Millis = Millis(1_000);
+/// The same where filling tasks may disturb serving ones: the figures are means over half a second.
+const FILLING_WAIT: Millis = Millis(500);
 /// Longest wait of a report on a worker without runs, in milliseconds; the most that is allowed.
 const IDLE_WAIT: Millis = Millis(2_000);
 /// Longest time for an answer beyond the wait, in milliseconds.
@@ -41,8 +43,10 @@
         if self.phase < Phase::Settling {
             return;
         }
+        self.contention.learn();
         self.settle(now);
         self.lapse(now);
+        self.evacuate(now);
         self.open_due(now);
         self.expire(now);
         self.record_workers();
@@ -58,10 +62,13 @@
 
     /// Gives up runs whose leases have certainly run out.
     fn lapse(&mut self, now: Now) {
+        let is_over = |worker: &&Worker| {
+            worker.misses > 0 && (worker.has_lapsed(now.steady) || worker.has_left)
+        };
         let lapsed: Vec<(Name, TaskKey)> = self
             .workers
             .values()
-            .filter(|worker| worker.misses > 0 && worker.has_lapsed(now.steady))
+            .filter(is_over)
             .flat_map(|worker| worker.runs.keys().map(|task| (worker.id.clone(), *task)))
             .collect();
         for (worker, task) in lapsed {
@@ -69,6 +76,31 @@
         }
     }
 
+    /// Moves lasting tasks off workers that are leaving, as far as others have room.
+    fn evacuate(&mut self, now: Now) {
+        let leaving: Vec<(Name, TaskKey)> = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_listed && !worker.is_ready)
+            .flat_map(|worker| {
+                let lasting = worker.runs.iter().filter(|(_, run)| {
+                    run.lasts && matches!(run.state, RunState::Active { .. })
+                });
+                lasting.map(|(task, _)| (worker.id.clone(), *task))
+            })
+            .collect();
+        for (worker_id, task) in leaving {
+            if !self.has_room_elsewhere(now, task) {
+                continue;
+            }
+            tracing::info!(%task, worker = %worker_id, "moves a lasting task off a leaving worker");
+            let worker = self.workers.get_mut(&worker_id);
+            if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&task)) {
+                begin_stop(run);
+            }
+        }
+    }
+
     fn open_due(&mut self, now: Now) {
         while let Some((due, id)) = self.timed.first().copied() {
             if due > now.wall {
@@ -191,8 +223,10 @@
     if worker.last_report.is_none() || worker.processed > worker.noted {
         return Millis(0);
     }
+    let has_filling = worker.runs.values().any(|run| run.fills);
     match worker.runs.is_empty() {
         true => IDLE_WAIT,
+        false if has_filling => FILLING_WAIT,
         false => POLL_WAIT,
     }
 }
@@ -206,7 +240,10 @@
     is_quick: bool,
     out: &mut Vec<ShardAction>,
 ) {
-    let until = worker.lease_end(now, lease);
+    // A renewal that may arrive late would keep the runs of a silent worker from ever lapsing.
+    let until = worker
+        .lease_end(now, lease)
+        .filter(|_| worker.misses == 0);
     if let Some(until) = until {
         worker.until = worker.until.max(until);
     }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -63,6 +63,10 @@
     /// Whether the registry lists it as ready.
     pub is_ready: bool,
     pub is_listed: bool,
+    /// Whether its last entry in the registry says that it is leaving.
+    pub is_draining: bool,
+    /// Whether it announced that it leaves, left the registry and refuses connections.
+    pub has_left: bool,
     /// Whether its record is stored, so that a later owner asks it for its runs.
     pub is_recorded: bool,
     /// Whether its record is on its way.
@@ -108,6 +112,8 @@
             labels: Vec::new(),
             is_ready: false,
             is_listed: false,
+            is_draining: false,
+            has_left: false,
             is_recorded: false,
             is_recording: false,
             born: None,
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -3,34 +3,36 @@
 
 use std::collections::HashMap;
 
+use super::regression::Regression;
 use crate::base::Name;
 
 /// Tail latency as a share of its bound before anything is known of an image.
 const PRIOR_TAIL: f64 = 0.4;
 /// Rise of the logarithm of the tail by a filling image that takes the whole worker, before
-/// anything is known of the pair. Small enough to try a pair with one task, large enough not to
-/// start many at once.
-const PRIOR_SLOPE: f64 = 2.0;
+/// anything is known of the pair: about the mean of the pairs that disturb each other.
+const PRIOR_SLOPE: f64 = 4.0;
 const MAX_SLOPE: f64 = 12.0;
-/// Steps of the normalised least mean squares: of the slopes and of the undisturbed tail.
-const SLOPE_RATE: f64 = 0.3;
-const TAIL_RATE: f64 = 0.03;
-/// Keeps a step finite when the filling tasks take almost nothing.
-const REGULARIZATION: f64 = 0.004;
 /// Tails above this share of the bound count as this; beyond it the tail says little about the
 /// size of the disturbance.
 const MAX_TAIL: f64 = 6.0;
 const MIN_TAIL: f64 = 0.1;
 /// Images of one kind that are kept apart; further ones count as unknown.
 const MAX_IMAGES: usize = 256;
+/// The same for the filling images beside one serving image, whose cost grows with the cube.
+const MAX_FILLERS: usize = 48;
 /// Tail that placement and pace aim at, as a share of the bound; the rest is for swings of the load
 /// within the half second that the figures lag.
-const AIM: f64 = 0.85;
-/// Lowest tail that is assumed for the next seconds, as a share of the bound: the load of a serving
-/// task swings by half.
-const EXPECTED_TAIL: f64 = 0.45;
+const AIM: f64 = 0.9;
+/// Factor by which a tail may rise with the load before the next report changes the pace.
+const SWING: f64 = 1.1;
+/// Lowest tail that is assumed for the next seconds, as a share of the bound: what an undisturbed
+/// task reaches at the top of its load's swing.
+const EXPECTED_TAIL: f64 = 0.72;
+/// Share of its bound at which a serving task counts as over it; then even harmless images are slowed
+/// down.
+pub const OVER: f64 = 0.97;
 /// Slope below which a pair counts as harmless.
-const HARMLESS: f64 = 0.7;
+const HARMLESS: f64 = 0.4;
 
 /// A serving task as the latest report shows it.
 #[derive(Debug, Clone)]
@@ -50,11 +52,12 @@
     pub wanted: f64,
 }
 
-#[derive(Debug, Default)]
+/// What disturbs the serving tasks of one image.
+#[derive(Debug)]
 struct Image {
-    /// Logarithm of the undisturbed tail as a share of its bound.
-    tail: Option<f64>,
-    slopes: HashMap<Name, f64>,
+    /// Logarithm of the tail as a share of its bound, over the shares that filling images use.
+    tail: Regression,
+    indices: HashMap<Name, usize>,
 }
 
 /// What has been learned of all pairs of images.
@@ -73,35 +76,30 @@
             if self.images.len() >= MAX_IMAGES {
                 return;
             }
-            self.images.insert(name.clone(), Image::default());
+            let image = Image {
+                tail: Regression::new(PRIOR_TAIL.ln()),
+                indices: HashMap::new(),
+            };
+            self.images.insert(name.clone(), image);
         }
         let Some(image) = self.images.get_mut(name) else {
             return;
         };
         let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
-        let tail = image.tail.unwrap_or(PRIOR_TAIL.ln());
-        let pressure: f64 = filling
-            .iter()
-            .map(|other| image.slope(other.image) * other.used)
-            .sum();
-        let error = seen - tail - pressure;
-        let power: f64 = filling.iter().map(|other| other.used * other.used).sum();
-        if power < REGULARIZATION {
-            image.tail = Some(tail + TAIL_RATE * error);
-        }
-        for other in filling {
-            let Some(filler) = other.image else {
-                continue;
-            };
-            let slope = image.slope(Some(filler));
-            let step = SLOPE_RATE * error * other.used / (power + REGULARIZATION);
-            let learned = (slope + step).clamp(0.0, MAX_SLOPE);
-            if let Some(known) = image.slopes.get_mut(filler) {
-                *known = learned;
-            } else if image.slopes.len() < MAX_IMAGES {
-                image.slopes.insert(filler.clone(), learned);
+        let mut values = Vec::with_capacity(filling.len());
+        for other in filling.iter().filter(|other| other.used > 0.0) {
+            if let Some(index) = other.image.and_then(|filler| image.index(filler)) {
+                values.push((index, other.used));
             }
         }
+        image.tail.observe(&values, seen);
+    }
+
+    /// Brings what was observed since the last call into force.
+    pub fn learn(&mut self) {
+        for image in self.images.values_mut() {
+            image.tail.solve();
+        }
     }
 
     /// Rise of the logarithm of the tail by a filling image that takes a whole worker.
@@ -118,7 +116,7 @@
             .map(|other| self.slope(serving.image, other.image) * other.used)
             .sum();
         let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
-        let undisturbed = (seen - pressure).max(EXPECTED_TAIL.ln());
+        let undisturbed = (seen - pressure + SWING.ln()).max(EXPECTED_TAIL.ln());
         AIM.ln() - undisturbed
     }
 
@@ -150,15 +148,16 @@
                 .iter()
                 .map(|other| self.slope(task.image, other.image))
                 .collect();
-            let harmless: f64 = parts(filling, &slopes, |slope| slope < HARMLESS);
-            let harmful: f64 = parts(filling, &slopes, |slope| slope >= HARMLESS);
+            let limit = if task.tail >= OVER { 0.0 } else { HARMLESS };
+            let harmless: f64 = parts(filling, &slopes, |slope| slope < limit);
+            let harmful: f64 = parts(filling, &slopes, |slope| slope >= limit);
             if harmful <= 0.0 {
                 continue;
             }
             let slack = self.slack(task, filling) - harmless;
             let share = (slack / harmful).clamp(0.0, 1.0);
             for (pace, slope) in paces.iter_mut().zip(&slopes) {
-                if *slope >= HARMLESS {
+                if *slope >= limit {
                     *pace = pace.min(share);
                 }
             }
@@ -168,9 +167,23 @@
 }
 
 impl Image {
+    fn index(&mut self, filling: &Name) -> Option<usize> {
+        if let Some(index) = self.indices.get(filling) {
+            return Some(*index);
+        }
+        if self.tail.len() >= MAX_FILLERS {
+            return None;
+        }
+        let index = self.tail.add(PRIOR_SLOPE);
+        self.indices.insert(filling.clone(), index);
+        Some(index)
+    }
+
     fn slope(&self, filling: Option<&Name>) -> f64 {
-        let known = filling.and_then(|name| self.slopes.get(name));
-        known.copied().unwrap_or(PRIOR_SLOPE)
+        let index = filling.and_then(|name| self.indices.get(name));
+        index.map_or(PRIOR_SLOPE, |index| {
+            self.tail.coefficient(*index).clamp(0.0, MAX_SLOPE)
+        })
     }
 }
 
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -11,6 +11,7 @@
     pub demand: u32,
     pub fills: bool,
     pub lasts: bool,
+    pub image: Option<&'a Name>,
     pub label: Option<&'a Name>,
     pub rack: Option<&'a Name>,
 }
@@ -27,6 +28,10 @@
     /// Logarithm of what filling tasks may still add to the tail of a serving task here; negative
     /// if one more is expected to push it over the aim.
     pub slack: f64,
+    /// Whether a lasting task of the same image is there.
+    pub has_kin: bool,
+    /// Other images of lasting tasks there.
+    pub strangers: u32,
     /// Whether recent runs failed there or made no progress.
     pub is_suspect: bool,
 }
@@ -34,13 +39,23 @@
 /// Share of a worker's processors that filling tasks may ask for beyond what is idle, in percent.
 /// Serving tasks swing below their declared size, so a little more than the estimate is used.
 const FILL_OVERDRAFT: i64 = 10;
+/// Slack beyond this makes a worker no better for filling tasks.
+const MAX_SLACK: f64 = 2.0;
+/// What one unit of slack is worth against idle processors, in thousandths.
+const SLACK_WEIGHT: f64 = 1_000.0;
+/// What a whole idle worker is worth to filling tasks, in thousandths of one unit of slack.
+const IDLE_WEIGHT: i64 = 100;
+/// What a lasting task of the same image is worth, and what another image costs, in thousandths of a
+/// worker: a filling image that disturbs one of them is kept off the worker for all.
+const KIN_BONUS: i64 = 3_000;
+const STRANGER_PENALTY: i64 = 1_500;
 /// What data on another rack costs against a free processor share, in thousandths.
 const FAR_PENALTY: i64 = 2_000;
 
 /// Index of the best room for `need`; `None` if no worker has room.
 ///
 /// Filling tasks go where most processors are idle and no serving task suffers. Lasting tasks are
-/// packed, so that some workers stay free of them for the images that disturb them. Others go to
+/// packed by image, so that each filling image finds workers where it disturbs nobody. Others go to
 /// the worker with the largest free share.
 pub fn choose<'a>(
     need: &Need<'_>,
@@ -74,8 +89,14 @@
     let penalty = if far { FAR_PENALTY } else { 0 };
     let free = i64::from(room.free.processors) - i64::from(need.reserved.processors);
     let share = match (need.fills, need.lasts) {
-        (true, _) => idle * 1_000 / capacity,
-        (false, true) => -(free * 1_000 / capacity),
+        (true, _) => {
+            let slack = (room.slack.min(MAX_SLACK) * SLACK_WEIGHT) as i64;
+            slack + idle * IDLE_WEIGHT / capacity
+        }
+        (false, true) => {
+            let kin = if room.has_kin { KIN_BONUS } else { 0 };
+            kin - STRANGER_PENALTY * i64::from(room.strangers) - free * 1_000 / capacity
+        }
         (false, false) => free * 1_000 / capacity,
     };
     Some(share - penalty)
