Keep the room of what is being stopped; fail no job while its queue is unknown

Change: absence counts only after the stop time; an unknown size fills its worker; a host without a configuration does not claim, and a job of an unknown queue does not fail.

--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -162,13 +162,19 @@
 fn decode(call: &WorkerCall, reply: &HttpReply) -> Result<WorkerAnswer> {
     match reply.status {
         421 => return Ok(WorkerAnswer::WrongWorker),
-        429 | 500..=599 => return Ok(WorkerAnswer::Unhealthy),
+        429 | 503 => return Ok(WorkerAnswer::Unhealthy),
         _ => {}
     }
     let body: AnswerBody<'_> = match reply.body.is_empty() {
         true => serde_json::from_slice(b"{}")?,
         false => serde_json::from_slice(&reply.body)?,
     };
+    if !matches!(reply.status, 200 | 400 | 409) {
+        return Err(Error::Field {
+            field: "status",
+            value: reply.status.to_string(),
+        });
+    }
     if reply.status != 200 {
         let reason = decode_refusal(body.reason.as_deref());
         return Ok(WorkerAnswer::Refused {
--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -177,7 +177,8 @@
         let has_store = self
             .store_heard
             .is_some_and(|at| now.steady.since(at) <= STORE_AGE);
-        if !has_store || now.steady.since(self.started) < FIRST_CLAIM {
+        let is_new = now.steady.since(self.started) < FIRST_CLAIM;
+        if !has_store || is_new || self.config.version == 0 {
             return false;
         }
         let own = self.own_rank();
@@ -356,7 +357,7 @@
             .store_heard
             .is_some_and(|at| now.steady.since(at) <= STORE_AGE);
         self.claim.floor = self.claim.floor.max(epoch);
-        if !has_store || self.stopping.is_some() {
+        if !has_store || self.config.version == 0 || self.stopping.is_some() {
             return false;
         }
         if self.shard.is_none() {
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -122,6 +122,7 @@
         seeds: settings.seeds.clone(),
         shard: ShardSettings {
             lease: settings.lease,
+            stop_time: settings.stop_time,
             status_keep: settings.status_keep + STATUS_MARGIN,
         },
     }
--- a/src/process/settings/entry.rs
+++ b/src/process/settings/entry.rs
@@ -14,6 +14,8 @@
 
 /// Longest lease that a worker may grant by these settings, in ms.
 const LEASE: (Millis, Millis, Millis) = (Millis(6_000), Millis(1_000), Millis(600_000));
+/// Longest time that a worker takes to stop a run, in ms.
+const STOP: (Millis, Millis, Millis) = (Millis(1_000), Millis(1), Millis(60_000));
 /// How long the outcome of a job is told, in ms.
 const STATUS: (Millis, Millis, Millis) = (Millis(120_000), Millis(1_000), Millis(86_400_000));
 
@@ -22,7 +24,7 @@
     ("listen", Some(&["front", "ready", "peer", "metrics"])),
     ("peers", Some(&["seeds"])),
     ("store", Some(&["address"])),
-    ("workers", Some(&["lease"])),
+    ("workers", Some(&["lease", "stop_time"])),
     ("jobs", Some(&["status_keep"])),
     ("log", Some(&["level", "format"])),
 ];
@@ -48,6 +50,8 @@
     pub store: SocketAddr,
     /// Longest lease that a worker grants.
     pub lease: Millis,
+    /// Longest time that a worker takes to stop a run.
+    pub stop_time: Millis,
     /// How long the outcome of an ended job is told.
     pub status_keep: Millis,
     pub log: Log,
@@ -96,6 +100,7 @@
         parts.map(address::socket).collect()
     });
     let lease = reader.number("workers", "lease", LEASE.0, LEASE.1, LEASE.2);
+    let stop_time = reader.number("workers", "stop_time", STOP.0, STOP.1, STOP.2);
     let status_keep = reader.optional("jobs", "status_keep", "1 s to 24 h", |text| {
         Millis::parse(text).filter(|keep| (STATUS.1..=STATUS.2).contains(keep))
     });
@@ -112,6 +117,7 @@
         seeds: seeds.unwrap_or_default(),
         store: store?,
         lease,
+        stop_time,
         status_keep: status_keep.unwrap_or(STATUS.0),
         log,
     })
--- a/src/process/shard/paces.rs
+++ b/src/process/shard/paces.rs
@@ -32,9 +32,6 @@
                 self.contention.observe(task, &filling);
             }
         }
-        let rows: Vec<String> = worker.runs.values().map(|run| format!("{}:{}:{}:f{:?}:d{}:p{}:pc{}:age{}", if run.fills {"F"} else if run.lasts {"S"} else {"C"}, run.image.as_deref().unwrap_or("-"), run.tail_bound, run.figure, run.demand, run.pace, run.percent, now.steady.since(run.started).0)).collect();
-        let ks: Vec<String> = serving.iter().filter(|s| s.tail > 0.9).flat_map(|s| { let c = &self.contention; filling.iter().map(move |f| format!("{}<{}:k{:.1}:u{:.2}:w{:.2}:t{:.2}", s.image.map_or("-", |n| n), f.image.map_or("-", |n| n), c.slope(s.image, f.image), f.used, f.wanted, s.tail)) }).collect();
-        tracing::info!(worker = %worker_id, cap = worker.capacity.processors, rows = rows.join(" "), ks = ks.join(" "), "FIG");
         let is_over = !filling.is_empty() && serving.iter().any(|task| task.tail >= OVER);
         let paces = self.contention.paces(&serving, &filling);
         let paces: Vec<(Option<Name>, u8)> = filling
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -11,6 +11,8 @@
 const MAX_POLL_RETRY: Millis = Millis(600);
 /// How long a worker that refused an order or was unhealthy gets none, in milliseconds.
 const AVOID_TIME: Millis = Millis(1_000);
+/// Allowance for the worker's clock beyond the time that a stop takes, in milliseconds.
+pub(super) const STOP_MARGIN: Millis = Millis(100);
 /// How long to wait for the record of new ends before the next report, in milliseconds. The report
 /// would otherwise come at once with the same ends.
 const NOTE_WAIT: Millis = Millis(250);
@@ -284,6 +286,7 @@
 
     /// Runs that should be in the report and are not have ended without a trace.
     fn missing(&mut self, now: Now, worker_id: &Name, sent: Millis, report: &WorkerReport) {
+        let stop_time = self.settings.stop_time + STOP_MARGIN;
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
@@ -293,7 +296,10 @@
             .filter(|(_, run)| match run.state {
                 RunState::Starting => false,
                 RunState::Active { since } => since < sent,
-                RunState::Stopping { confirmed, .. } => confirmed.is_some_and(|at| at < sent),
+                // What is being stopped may be in neither list for a while.
+                RunState::Stopping { confirmed, .. } => {
+                    confirmed.is_some_and(|at| at + stop_time < sent)
+                }
             })
             .filter(|(task, run)| {
                 let is_listed = |other: &RunReport| other.task == **task && other.run == run.run;
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -65,6 +65,10 @@
             self.strays.insert(key);
         }
         if let Some(worker) = self.workers.get_mut(worker_id) {
+            if run.reserved == Size::ZERO {
+                // The job has ended and its sizes are gone, so nothing else fits until the run ends.
+                run.reserved = worker.capacity;
+            }
             if let Some(other) = worker.runs.get_mut(&key) {
                 // An older run of the same task; the current one stays known.
                 other.is_stray = other.is_stray && run.is_stray;
@@ -160,7 +164,9 @@
             task.failures = task.failures.saturating_add(1);
             let failures = task.failures;
             self.journal.mark(id);
-            let attempts = self.queues.queue(&job.queue).map_or(1, |queue| queue.attempts);
+            // Without its queue a job's attempts are not known, so it goes on.
+            let queue = self.queues.queue(&job.queue);
+            let attempts = queue.map_or(u16::MAX, |queue| queue.attempts);
             tracing::info!(task = %end.task, run = end.run, worker = %worker_id, failures, attempts, "run failed");
             if !step.lasts && failures >= attempts {
                 self.end_job(now, id, Outcome::Failed);
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -35,6 +35,8 @@
 pub struct ShardSettings {
     /// Longest lease that a worker grants.
     pub lease: Millis,
+    /// Longest time from a confirmed stop to the end of the run.
+    pub stop_time: Millis,
     /// How long the outcome of an ended job is kept.
     pub status_keep: Millis,
 }
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -1,5 +1,6 @@
 //! What time brings: renewals, repeated stops, lapsed leases, due turns and outdated records.
 
+use super::reports::STOP_MARGIN;
 use super::runs::begin_stop;
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
 use super::worker::{RunState, Worker};
@@ -155,13 +156,14 @@
     pub(super) fn poll_workers(&mut self, now: Now, out: &mut Vec<ShardAction>) {
         let epoch = self.owner.epoch;
         let lease = self.settings.lease;
+        let stop_time = self.settings.stop_time + STOP_MARGIN;
         for worker in self.workers.values_mut() {
             stall(worker, now.steady);
             if worker.waiting_poll.is_none() && worker.poll_at <= now.steady {
                 let wait = poll_wait(worker);
                 worker.waiting_poll = Some(now.steady);
                 poll(worker, now.steady, epoch, lease, wait, false, out);
-            } else if worker.quick_poll.is_none() && worker.wants_look() {
+            } else if worker.quick_poll.is_none() && worker.wants_look(now.steady, stop_time) {
                 worker.quick_poll = Some(now.steady);
                 poll(worker, now.steady, epoch, lease, Millis(0), true, out);
             }
@@ -204,7 +206,7 @@
 
 impl Worker {
     /// Whether a confirmed stop waits for a report that was asked for after it.
-    fn wants_look(&self) -> bool {
+    fn wants_look(&self, now: Millis, stop_time: Millis) -> bool {
         let Some(waiting) = self.waiting_poll else {
             return false;
         };
@@ -212,7 +214,7 @@
             RunState::Stopping {
                 confirmed: Some(at),
                 ..
-            } => at >= waiting,
+            } => at + stop_time >= waiting && now > at + stop_time,
             _ => false,
         })
     }
