--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -161,8 +161,7 @@
             return;
         }
         if end.ending == Ending::Failed {
-            task.failures = task.failures.saturating_add(1);
-            let failures = task.failures;
+            let failures = job.count_failure(end.task, end.run);
             self.journal.mark(id);
             // Without its queue a job's attempts are not known, so it goes on.
             let queue = self.queues.queue(&job.queue);
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -44,8 +44,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Task {
     pub state: TaskState,
-    /// Runs that ended as failed.
+    /// Runs that ended as failed, and the newest of them. A later owner may see the end of a run
+    /// again that an earlier one has counted.
     pub failures: u16,
+    pub failed_run: u64,
     /// Ordinal of the newest run that this owner ordered.
     pub runs: u32,
     /// Saved progress that the next run resumes from.
@@ -161,6 +163,18 @@
             .all(|after| open.steps[usize::from(*after)].is_done())
     }
 
+    /// Counts a failed run of a task unless it was counted before; returns the failures so far.
+    pub fn count_failure(&mut self, key: TaskKey, run: u64) -> u16 {
+        let Some(task) = self.task_mut(key) else {
+            return 0;
+        };
+        if run > task.failed_run {
+            task.failed_run = run;
+            task.failures = task.failures.saturating_add(1);
+        }
+        task.failures
+    }
+
     pub fn step(&self, id: StepId) -> Option<&Step> {
         self.turns.get(&id.turn)?.steps.get(usize::from(id.step))
     }
@@ -251,7 +265,8 @@
             continue;
         }
         if task.failures > 0 {
-            progress.failures.push((index as u16, task.failures));
+            let index = index as u16;
+            progress.failures.push((index, task.failures, task.failed_run));
         }
         if let Some(checkpoint) = &task.checkpoint {
             progress.checkpoints.push((index as u16, checkpoint.clone()));
@@ -267,9 +282,10 @@
             step.done += 1;
         }
     }
-    for (index, failures) in &saved.failures {
+    for (index, failures, run) in &saved.failures {
         if let Some(task) = step.tasks.get_mut(usize::from(*index)) {
             task.failures = *failures;
+            task.failed_run = *run;
         }
     }
     for (index, checkpoint) in &saved.checkpoints {
