--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -215,7 +215,7 @@
                 capacity: worker.capacity,
                 idle: worker.idle(),
                 labels: &worker.labels,
-                slack: self.slack(worker, spec),
+                slack: self.slack(now, worker, spec),
                 has_kin: worker.has_lasting(|image| image == need.image),
                 strangers: match spec.lasts {
                     true => worker.strangers(need.image),
@@ -229,7 +229,7 @@
     }
 
     /// What one more filling task may add to the tails on a worker.
-    fn slack(&self, worker: &Worker, spec: &StepSpec) -> f64 {
+    fn slack(&self, now: Now, worker: &Worker, spec: &StepSpec) -> f64 {
         if !spec.fills {
             return f64::INFINITY;
         }
@@ -237,6 +237,9 @@
         let share = f64::from(spec.size.processors) / capacity;
         let (serving, filling) = (worker.serving(), worker.filling());
         let image = spec.image.as_ref();
+        if !self.contention.may_try(now.steady, &serving, image) {
+            return f64::NEG_INFINITY;
+        }
         self.contention
             .slack_with(&serving, &filling, image, share)
     }
@@ -260,6 +263,11 @@
         let Some(until) = worker.lease_end(now.steady, self.settings.lease) else {
             return;
         };
+        if let Some(image) = spec.image.as_ref().filter(|_| spec.fills) {
+            let lasting = worker.runs.values().filter(|run| run.lasts);
+            let images = lasting.filter_map(|run| run.image.as_ref());
+            self.contention.begin_trial(now.steady, images, image);
+        }
         let payload = job.spec.payload.clone();
         job.has_started = true;
         job.set_state(task, TaskState::Placed);
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -4,13 +4,19 @@
 use std::collections::HashMap;
 
 use super::regression::Regression;
-use crate::base::Name;
+use crate::base::{Millis, Name};
 
 /// Tail latency as a share of its bound before anything is known of an image.
 const PRIOR_TAIL: f64 = 0.4;
 /// Rise of the logarithm of the tail by a filling image that takes the whole worker, before
-/// anything is known of the pair: about the mean of the pairs that disturb each other.
-const PRIOR_SLOPE: f64 = 4.0;
+/// anything is known of the pair: most pairs disturb little, some raise the tail fast.
+const PRIOR_SLOPE: f64 = 2.0;
+/// Information from which on a pair counts as known: three reports of a task that takes a tenth of
+/// a worker.
+const KNOWN: f64 = 0.03;
+/// Shortest time between two trials of an unknown pair, in milliseconds: a start, the half second
+/// that the figures lag, and a report.
+const TRIAL_TIME: Millis = Millis(1_500);
 const MAX_SLOPE: f64 = 12.0;
 /// Tails above this share of the bound count as this; beyond it the tail says little about the
 /// size of the disturbance.
@@ -58,6 +64,8 @@
     /// Logarithm of the tail as a share of its bound, over the shares that filling images use.
     tail: Regression,
     indices: HashMap<Name, usize>,
+    /// When each unknown pair was last tried.
+    trials: HashMap<Name, Millis>,
 }
 
 /// What has been learned of all pairs of images.
@@ -79,6 +87,7 @@
             let image = Image {
                 tail: Regression::new(PRIOR_TAIL.ln()),
                 indices: HashMap::new(),
+                trials: HashMap::new(),
             };
             self.images.insert(name.clone(), image);
         }
@@ -120,6 +129,31 @@
         AIM.ln() - undisturbed
     }
 
+    /// Whether a filling task may start beside these serving tasks as a trial of pairs of which too
+    /// little is known.
+    pub fn may_try(&self, now: Millis, serving: &[Serving<'_>], filling: Option<&Name>) -> bool {
+        serving.iter().all(|task| {
+            let image = task.image.and_then(|name| self.images.get(name));
+            image.is_none_or(|image| image.is_known(filling) || image.may_try(now, filling))
+        })
+    }
+
+    /// Notes that a filling task starts beside these images.
+    pub fn begin_trial<'a>(
+        &mut self,
+        now: Millis,
+        serving: impl Iterator<Item = &'a Name>,
+        filling: &Name,
+    ) {
+        for name in serving {
+            if let Some(image) = self.images.get_mut(name) {
+                if !image.is_known(Some(filling)) && image.trials.len() < MAX_IMAGES {
+                    image.trials.insert(filling.clone(), now);
+                }
+            }
+        }
+    }
+
     /// Least slack that is left if one more filling task takes `share` of the worker, all at full
     /// pace; negative if a serving task is expected to miss the aim.
     pub fn slack_with(
@@ -179,6 +213,16 @@
         Some(index)
     }
 
+    fn is_known(&self, filling: Option<&Name>) -> bool {
+        let index = filling.and_then(|name| self.indices.get(name));
+        index.is_some_and(|index| self.tail.information(*index) >= KNOWN)
+    }
+
+    fn may_try(&self, now: Millis, filling: Option<&Name>) -> bool {
+        let last = filling.and_then(|name| self.trials.get(name));
+        last.is_none_or(|at| now.since(*at) >= TRIAL_TIME)
+    }
+
     fn slope(&self, filling: Option<&Name>) -> f64 {
         let index = filling.and_then(|name| self.indices.get(name));
         index.map_or(PRIOR_SLOPE, |index| {
--- a/src/request/job/regression.rs
+++ b/src/request/job/regression.rs
@@ -5,8 +5,9 @@
 const PRIOR_WEIGHT: f64 = 0.05;
 /// Weight of the prior of the constant term, in samples.
 const CONSTANT_WEIGHT: f64 = 2.0;
-/// Share of the old samples' weight that stays with each new one; some 700 samples count.
-const KEEP: f64 = 0.9985;
+/// Share of the old samples' weight that stays with each new one; some 3,000 samples count, which is
+/// half a minute of an image with a few dozen tasks.
+const KEEP: f64 = 0.9997;
 
 /// Samples and coefficients of one dependent variable. Index 0 is the constant term.
 #[derive(Debug, Clone)]
@@ -72,6 +73,11 @@
         self.solved[index]
     }
 
+    /// Weight of the samples that tell something of the coefficient at `index`.
+    pub fn information(&self, index: usize) -> f64 {
+        self.products[index * self.targets.len() + index]
+    }
+
     /// Computes the coefficients if there are new samples.
     pub fn solve(&mut self) {
         if self.is_solved {
