Settle only after the workers of earlier owners answer; read nothing in the last moment of a stop

Change: workers from records are marked as inherited; the process leaves as soon as two polls find no open request.

--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -93,6 +93,7 @@
     Ready(bool),
     /// Ends the connections of clients after their next answers.
     Drain,
+    /// Ends the process once no request of a client is open.
     Exit,
 }
 
@@ -159,7 +160,6 @@
     turn: usize,
     is_ready: bool,
     pub(super) stopping: Option<Millis>,
-    has_exited: bool,
 }
 
 impl Host {
@@ -184,7 +184,6 @@
             turn: 0,
             is_ready: false,
             stopping: None,
-            has_exited: false,
         }
     }
 
@@ -544,8 +543,7 @@
         };
         let passed = now.steady.since(since);
         let is_idle = self.forwards.is_empty() && self.origins.is_empty() && self.shard.is_none();
-        if !self.has_exited && ((passed >= STOP_TIME && is_idle) || passed >= STOP_LIMIT) {
-            self.has_exited = true;
+        if (passed >= STOP_TIME && is_idle) || passed >= STOP_LIMIT {
             out.push(HostAction::Exit);
         }
     }
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -22,7 +22,7 @@
 const TICK: Duration = Duration::from_millis(50);
 /// Events handled between two turns of the actor loop.
 const MAX_EVENTS: usize = 256;
-/// Time for the last answers to reach their clients before the process exits.
+/// Time for the thread of the log to write the last lines.
 const LINGER: Duration = Duration::from_millis(150);
 /// How long the outcome of a job is told beyond the promised time, in milliseconds.
 const STATUS_MARGIN: Millis = Millis(10_000);
@@ -58,7 +58,6 @@
     let local = LocalSet::new();
     let done = runtime.block_on(local.run_until(serve(settings, telemetry)));
     tracing::info!("entry host stopped");
-    // Lets the thread of the log write the last lines.
     std::thread::sleep(LINGER);
     done
 }
@@ -99,7 +98,7 @@
         }
         stakker.run(Instant::now(), false);
     }
-    tokio::time::sleep(LINGER).await;
+    // Returning closes all connections at once: nothing is read that would not be answered.
     Ok(())
 }
 
@@ -178,6 +177,8 @@
     actions: Vec<HostAction>,
     /// Whether a poll is queued behind the events of this round.
     is_queued: bool,
+    /// Whether no request of a client was open at the previous tick.
+    was_idle: bool,
 }
 
 impl HostActor {
@@ -189,6 +190,7 @@
             clock,
             actions: Vec::new(),
             is_queued: false,
+            was_idle: false,
         })
     }
 
@@ -213,9 +215,12 @@
         for action in std::mem::take(&mut self.actions) {
             is_over |= self.io.perform(action);
         }
-        if is_over {
-            tracing::info!(open = self.io.open_requests(), "stops serving");
+        // Two polls without an open request: the last answers are written by then.
+        let is_idle = self.io.open_requests() == 0;
+        if is_over && is_idle && self.was_idle {
+            tracing::info!("stops serving");
             stop!(cx);
         }
+        self.was_idle = is_idle;
     }
 }
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -132,6 +132,7 @@
                         Worker::new(id, record.address, record.service, now.steady)
                     });
                     worker.is_recorded = true;
+                    worker.is_inherited = true;
                 }
                 ShardRecord::Owner(_)
                 | ShardRecord::Job(_, None)
@@ -180,8 +181,7 @@
         let missing = self
             .workers
             .values()
-            .filter(|worker| worker.is_recorded && worker.known_since <= self.claimed + FLIGHT_TIME)
-            .filter(|worker| worker.last_report.is_none())
+            .filter(|worker| worker.is_inherited && worker.last_report.is_none())
             .count();
         if missing > 0 && now.steady < limit {
             return;
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -69,6 +69,8 @@
     pub has_left: bool,
     /// Whether its record is stored, so that a later owner asks it for its runs.
     pub is_recorded: bool,
+    /// Whether an earlier owner used it.
+    pub is_inherited: bool,
     /// Whether its record is on its way.
     pub is_recording: bool,
     /// Start of the life that answered last.
@@ -98,8 +100,6 @@
     pub harmed: Option<Millis>,
     /// When the contention of its tasks was last learned.
     pub learned: Millis,
-    /// When this owner first knew the worker.
-    pub known_since: Millis,
 }
 
 impl Worker {
@@ -115,6 +115,7 @@
             is_draining: false,
             has_left: false,
             is_recorded: false,
+            is_inherited: false,
             is_recording: false,
             born: None,
             clock: None,
@@ -132,7 +133,6 @@
             suspect_until: Millis(0),
             harmed: None,
             learned: Millis(0),
-            known_since: now,
         }
     }
 
