--- a/src/process/shard/paces.rs
+++ b/src/process/shard/paces.rs
@@ -37,7 +37,7 @@
         let paces: Vec<(Option<Name>, u8)> = filling
             .iter()
             .zip(paces)
-            .map(|(other, pace)| (other.image.cloned(), percent(pace)))
+            .map(|(other, pace)| (other.image.clone(), percent(pace)))
             .collect();
         if is_due {
             worker.learned = now.steady;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -23,6 +23,9 @@
 /// when it is slow.
 const STORE_TIME: Millis = Millis(1_500);
 
+/// Shortest time between two passes of the placement, in milliseconds; one pass looks at all workers.
+const PLACE_TIME: Millis = Millis(15);
+
 /// The time of an event.
 #[derive(Debug, Clone, Copy)]
 pub struct Now {
@@ -175,6 +178,7 @@
     pub(super) held: Vec<(u64, Request)>,
     pub(super) contention: Contention,
     pub(super) is_changed: bool,
+    last_place: Millis,
     pub(super) last_sweep: Millis,
     pub(super) is_superseded: bool,
 }
@@ -215,6 +219,7 @@
             held: Vec::new(),
             contention: Contention::default(),
             is_changed: false,
+            last_place: Millis(0),
             last_sweep: now.steady,
             is_superseded: false,
         };
@@ -249,8 +254,9 @@
         self.sweep(now, out);
         if self.phase >= Phase::Settling {
             self.poll_workers(now, out);
-            if self.is_changed {
+            if self.is_changed && now.steady.since(self.last_place) >= PLACE_TIME {
                 self.is_changed = false;
+                self.last_place = now.steady;
                 self.place(now, out);
             }
         }
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -1,11 +1,11 @@
 //! Places waiting tasks on workers and orders their starts.
 
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
-use super::worker::{Run, RunState, Worker};
+use super::worker::{Run, RunState, Worker, expected_use};
 use crate::base::{Millis, Name, Size};
 use crate::connection::{Order, StartOrder, WorkerCall};
 use crate::request::job::{
-    Need, OrderKey, Room, StepId, StepSpec, TaskKey, TaskState, choose,
+    Margin, Need, OrderKey, Room, StepId, StepSpec, TaskKey, TaskState, choose,
 };
 
 /// Longest time for a start to be confirmed, in milliseconds. A worker answers in a few plus the
@@ -27,16 +27,30 @@
     service: Name,
 }
 
+/// A worker as one pass of the placement sees it; what the pass starts is taken off.
+struct Candidate {
+    id: Name,
+    service: Name,
+    free: Size,
+    idle: i64,
+    /// Only kept up to date where filling tasks are placed.
+    margins: Vec<Margin>,
+}
+
 impl Shard {
     /// Places what has room, in order.
     pub(super) fn place(&mut self, now: Now, out: &mut Vec<ShardAction>) {
+        if self.ready.is_empty() {
+            return;
+        }
         let keys: Vec<OrderKey> = self.ready.iter().copied().collect();
+        let mut candidates = self.candidates(now);
         let mut misfits: Vec<Misfit> = Vec::new();
         for key in keys {
             if self.phase != Phase::Active && self.inherited.contains(&key.step.job) {
                 continue;
             }
-            match self.place_step(now, key, &mut misfits, out) {
+            match self.place_step(now, key, &mut candidates, &mut misfits, out) {
                 Some(()) => {}
                 None => {
                     self.ready.remove(&key);
@@ -45,11 +59,29 @@
         }
     }
 
+    fn candidates(&self, now: Now) -> Vec<Candidate> {
+        let usable = self.workers.values().filter(|worker| {
+            worker.is_usable(now.steady) && worker.suspect_until <= now.steady
+        });
+        usable
+            .map(|worker| Candidate {
+                id: worker.id.clone(),
+                service: worker.service.clone(),
+                free: worker.free(),
+                idle: worker.idle(),
+                margins: self
+                    .contention
+                    .margins(&worker.serving(), &worker.filling()),
+            })
+            .collect()
+    }
+
     /// Places tasks of one step; `None` if it has none left to place.
     fn place_step(
         &mut self,
         now: Now,
         key: OrderKey,
+        candidates: &mut [Candidate],
         misfits: &mut Vec<Misfit>,
         out: &mut Vec<ShardAction>,
     ) -> Option<()> {
@@ -86,14 +118,18 @@
             })
             .filter(|task| !self.strays.contains(task))
             .collect();
+        if waiting.is_empty() {
+            return Some(());
+        }
         if spec.gang {
             if waiting.len() == usize::from(spec.count) {
-                self.place_gang(now, &service, spec, &waiting, out);
+                self.place_gang(now, &service, spec, &waiting, candidates, out);
             }
             return Some(());
         }
         for task in waiting {
-            let Some(worker) = self.find_worker(now, &service, spec, key.step, None) else {
+            let found = self.find_worker(now, &service, spec, key.step, None, candidates);
+            let Some(index) = found else {
                 if spec.label.is_none() && spec.spread == 0 {
                     misfits.push(Misfit {
                         reserved,
@@ -105,7 +141,7 @@
                 }
                 return Some(());
             };
-            self.start(now, &worker, spec, task, None, out);
+            self.start(now, &mut candidates[index], spec, task, None, out);
         }
         None
     }
@@ -117,6 +153,7 @@
         service: &Name,
         spec: &StepSpec,
         tasks: &[TaskKey],
+        candidates: &mut [Candidate],
         out: &mut Vec<ShardAction>,
     ) {
         let Some(step) = tasks.first().map(|task| task.step) else {
@@ -126,20 +163,27 @@
             true => self.racks(service, spec),
             false => vec![None],
         };
+        let reserved = spec.reserved();
         for rack in racks {
-            let mut chosen: Vec<Name> = Vec::new();
+            let mut chosen: Vec<usize> = Vec::new();
             for task in tasks {
-                let Some(id) = self.find_worker(now, service, spec, step, rack.as_ref()) else {
+                let rack = rack.as_ref();
+                let found = self.find_worker(now, service, spec, step, rack, candidates);
+                let Some(index) = found else {
                     break;
                 };
                 // Holds the room until the whole gang is known to fit.
-                if let Some(worker) = self.workers.get_mut(&id) {
+                let candidate = &mut candidates[index];
+                candidate.free = candidate.free.saturating_sub(&reserved);
+                if let Some(worker) = self.workers.get_mut(&candidate.id) {
                     worker.add_run(*task, new_run(spec, 0, now.steady));
                 }
-                chosen.push(id);
+                chosen.push(index);
             }
-            for (task, id) in tasks.iter().zip(&chosen) {
-                if let Some(worker) = self.workers.get_mut(id) {
+            for (task, index) in tasks.iter().zip(&chosen) {
+                let candidate = &mut candidates[*index];
+                candidate.free = candidate.free.saturating_add(&reserved);
+                if let Some(worker) = self.workers.get_mut(&candidate.id) {
                     worker.remove_run(*task);
                 }
             }
@@ -149,8 +193,9 @@
             let job = self.jobs.get(&step.job);
             let runs = tasks.iter().filter_map(|task| Some(job?.task(*task)?.runs));
             let ordinal = runs.max().unwrap_or(0) + 1;
-            for (task, id) in tasks.iter().zip(&chosen) {
-                self.start(now, id, spec, *task, Some(ordinal), out);
+            for (task, index) in tasks.iter().zip(chosen) {
+                let candidate = &mut candidates[index];
+                self.start(now, candidate, spec, *task, Some(ordinal), out);
             }
             return;
         }
@@ -181,10 +226,12 @@
         let Some(spec) = job.spec.steps.get(usize::from(task.step.step)) else {
             return false;
         };
-        self.find_worker(now, &queue.service, spec, task.step, None)
+        let candidates = self.candidates(now);
+        self.find_worker(now, &queue.service, spec, task.step, None, &candidates)
             .is_some()
     }
 
+    /// Index of the best candidate for a task of a step.
     fn find_worker(
         &self,
         now: Now,
@@ -192,14 +239,8 @@
         spec: &StepSpec,
         step: StepId,
         rack: Option<&Name>,
-    ) -> Option<Name> {
-        let usable: Vec<&Worker> = self
-            .workers
-            .values()
-            .filter(|worker| worker.service == *service && worker.is_usable(now.steady))
-            .filter(|worker| rack.is_none() || worker.rack() == rack)
-            .filter(|worker| spec.spread == 0 || worker.count(step) < usize::from(spec.spread))
-            .collect();
+        candidates: &[Candidate],
+    ) -> Option<usize> {
         let need = Need {
             reserved: spec.reserved(),
             demand: spec.size.processors,
@@ -209,45 +250,56 @@
             label: spec.label.as_ref(),
             rack: spec.rack.as_ref(),
         };
-        let rooms = usable.iter().enumerate().map(|(index, worker)| {
-            let room = Room {
-                free: worker.free(),
-                capacity: worker.capacity,
-                idle: worker.idle(),
-                labels: &worker.labels,
-                slack: self.slack(now, worker, spec),
-                has_kin: worker.has_lasting(|image| image == need.image),
-                strangers: match spec.lasts {
-                    true => worker.strangers(need.image),
-                    false => 0,
-                },
-                is_suspect: worker.suspect_until > now.steady,
-            };
-            (index, room)
+        let rooms = candidates.iter().enumerate().filter_map(|(index, candidate)| {
+            if candidate.service != *service || !need.reserved.fits(&candidate.free) {
+                return None;
+            }
+            let worker = self.workers.get(&candidate.id)?;
+            if rack.is_some() && worker.rack() != rack {
+                return None;
+            }
+            if spec.spread > 0 && worker.count(step) >= usize::from(spec.spread) {
+                return None;
+            }
+            let room = self.room(now, &need, worker, candidate);
+            Some((index, room))
         });
-        choose(&need, rooms).map(|index| usable[index].id.clone())
+        choose(&need, rooms)
     }
 
-    /// What one more filling task may add to the tails on a worker.
-    fn slack(&self, now: Now, worker: &Worker, spec: &StepSpec) -> f64 {
-        if !spec.fills {
-            return f64::INFINITY;
-        }
-        let capacity = f64::from(worker.capacity.processors.max(1));
-        let share = f64::from(spec.size.processors) / capacity;
-        let (serving, filling) = (worker.serving(), worker.filling());
-        let image = spec.image.as_ref();
-        if !self.contention.may_try(now.steady, &serving, image) {
-            return f64::NEG_INFINITY;
+    fn room<'a>(
+        &self,
+        now: Now,
+        need: &Need<'_>,
+        worker: &'a Worker,
+        candidate: &Candidate,
+    ) -> Room<'a> {
+        let share = worker.share(need.demand);
+        let slack = match need.fills {
+            true => {
+                self.contention
+                    .left_with(now.steady, &candidate.margins, need.image, share)
+            }
+            false => f64::INFINITY,
+        };
+        Room {
+            free: candidate.free,
+            capacity: worker.capacity,
+            idle: candidate.idle,
+            labels: &worker.labels,
+            slack,
+            has_kin: need.lasts && worker.has_lasting(|image| image == need.image),
+            strangers: match need.lasts {
+                true => worker.strangers(need.image),
+                false => 0,
+            },
         }
-        self.contention
-            .slack_with(&serving, &filling, image, share)
     }
 
     fn start(
         &mut self,
         now: Now,
-        worker_id: &Name,
+        candidate: &mut Candidate,
         spec: &StepSpec,
         task: TaskKey,
         ordinal: Option<u32>,
@@ -255,7 +307,7 @@
     ) {
         let epoch = self.owner.epoch;
         let (Some(worker), Some(job)) = (
-            self.workers.get_mut(worker_id),
+            self.workers.get_mut(&candidate.id),
             self.jobs.get_mut(&task.step.job),
         ) else {
             return;
@@ -263,10 +315,13 @@
         let Some(until) = worker.lease_end(now.steady, self.settings.lease) else {
             return;
         };
-        if let Some(image) = spec.image.as_ref().filter(|_| spec.fills) {
-            let lasting = worker.runs.values().filter(|run| run.lasts);
-            let images = lasting.filter_map(|run| run.image.as_ref());
-            self.contention.begin_trial(now.steady, images, image);
+        candidate.free = candidate.free.saturating_sub(&spec.reserved());
+        candidate.idle -= expected_use(spec.size.processors, spec.lasts);
+        if spec.fills {
+            let share = worker.share(spec.size.processors);
+            let image = spec.image.as_ref();
+            self.contention
+                .start(now.steady, &mut candidate.margins, image, share);
         }
         let payload = job.spec.payload.clone();
         job.has_started = true;
@@ -301,7 +356,7 @@
             order: Order::Start(order),
             timeout: START_TIME,
         };
-        tracing::debug!(%task, run, worker = %worker_id, "starts a task");
+        tracing::debug!(%task, run, worker = %call.worker, "starts a task");
         out.push(ShardAction::Worker(tag, call));
     }
 }
@@ -316,6 +371,11 @@
                 .is_some_and(|at| now.since(at) <= REPORT_AGE)
     }
 
+    /// Share of its processors.
+    fn share(&self, demand: u32) -> f64 {
+        f64::from(demand) / f64::from(self.capacity.processors.max(1))
+    }
+
     /// The second label names the rack.
     fn rack(&self) -> Option<&Name> {
         self.labels.get(1)
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -192,18 +192,22 @@
 
     /// Millicores that nothing here is expected to use.
     pub fn idle(&self) -> i64 {
-        let used: i64 = self.runs.values().map(expected_use).sum();
+        let used: i64 = self
+            .runs
+            .values()
+            .map(|run| expected_use(run.demand, run.lasts))
+            .sum();
         i64::from(self.capacity.processors) - used
     }
 
     /// Serving tasks at work, with their tails.
-    pub fn serving(&self) -> Vec<Serving<'_>> {
+    pub fn serving(&self) -> Vec<Serving> {
         self.runs
             .values()
             .filter(|run| run.tail_bound > 0 && run.percent >= 100)
             .filter_map(|run| {
                 Some(Serving {
-                    image: run.image.as_ref(),
+                    image: run.image.clone(),
                     tail: run.figure? as f64 / f64::from(run.tail_bound),
                 })
             })
@@ -211,20 +215,19 @@
     }
 
     /// Filling tasks by image.
-    pub fn filling(&self) -> Vec<Filling<'_>> {
+    pub fn filling(&self) -> Vec<Filling> {
         let capacity = f64::from(self.capacity.processors.max(1));
-        let mut filling: Vec<Filling<'_>> = Vec::new();
+        let mut filling: Vec<Filling> = Vec::new();
         for run in self.runs.values().filter(|run| run.fills) {
-            let image = run.image.as_ref();
             let used = run.figure.unwrap_or(0) as f64 / capacity;
             let wanted = f64::from(run.demand) / capacity;
-            match filling.iter_mut().find(|other| other.image == image) {
+            match filling.iter_mut().find(|other| other.image == run.image) {
                 Some(other) => {
                     other.used += used;
                     other.wanted += wanted;
                 }
                 None => filling.push(Filling {
-                    image,
+                    image: run.image.clone(),
                     used,
                     wanted,
                 }),
@@ -238,9 +241,10 @@
 /// here lies a little above the mean.
 const SERVING_USE: i64 = 55;
 
-fn expected_use(run: &Run) -> i64 {
-    let demand = i64::from(run.demand);
-    match run.lasts {
+/// Millicores that a task is expected to use of those it declares.
+pub(super) fn expected_use(demand: u32, lasts: bool) -> i64 {
+    let demand = i64::from(demand);
+    match lasts {
         true => demand * SERVING_USE / 100,
         false => demand,
     }
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -42,16 +42,24 @@
 
 /// A serving task as the latest report shows it.
 #[derive(Debug, Clone)]
-pub struct Serving<'a> {
-    pub image: Option<&'a Name>,
+pub struct Serving {
+    pub image: Option<Name>,
     /// Tail latency as a share of its bound.
     pub tail: f64,
 }
 
+/// Room for more pressure on the serving tasks of one image on a worker.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Margin {
+    pub image: Option<Name>,
+    /// Logarithm from the expected tail to the aim.
+    pub left: f64,
+}
+
 /// Filling tasks of one image on a worker.
 #[derive(Debug, Clone)]
-pub struct Filling<'a> {
-    pub image: Option<&'a Name>,
+pub struct Filling {
+    pub image: Option<Name>,
     /// Share of the worker's processors in use.
     pub used: f64,
     /// Share of the worker's processors at full pace.
@@ -76,8 +84,8 @@
 
 impl Contention {
     /// Learns from one report of a worker.
-    pub fn observe(&mut self, serving: &Serving<'_>, filling: &[Filling<'_>]) {
-        let Some(name) = serving.image else {
+    pub fn observe(&mut self, serving: &Serving, filling: &[Filling]) {
+        let Some(name) = &serving.image else {
             return;
         };
         if !self.images.contains_key(name) {
@@ -97,7 +105,7 @@
         let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
         let mut values = Vec::with_capacity(filling.len());
         for other in filling.iter().filter(|other| other.used > 0.0) {
-            if let Some(index) = other.image.and_then(|filler| image.index(filler)) {
+            if let Some(index) = other.image.as_ref().and_then(|filler| image.index(filler)) {
                 values.push((index, other.used));
             }
         }
@@ -119,68 +127,86 @@
 
     /// How much room for pressure a serving task leaves: the logarithm from its undisturbed tail to
     /// the aim.
-    fn slack(&self, serving: &Serving<'_>, filling: &[Filling<'_>]) -> f64 {
+    fn slack(&self, serving: &Serving, filling: &[Filling]) -> f64 {
         let pressure: f64 = filling
             .iter()
-            .map(|other| self.slope(serving.image, other.image) * other.used)
+            .map(|other| self.slope(serving.image.as_ref(), other.image.as_ref()) * other.used)
             .sum();
         let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
         let undisturbed = (seen - pressure + SWING.ln()).max(EXPECTED_TAIL.ln());
         AIM.ln() - undisturbed
     }
 
-    /// Whether a filling task may start beside these serving tasks as a trial of pairs of which too
-    /// little is known.
-    pub fn may_try(&self, now: Millis, serving: &[Serving<'_>], filling: Option<&Name>) -> bool {
-        serving.iter().all(|task| {
-            let image = task.image.and_then(|name| self.images.get(name));
-            image.is_none_or(|image| image.is_known(filling) || image.may_try(now, filling))
-        })
-    }
-
-    /// Notes that a filling task starts beside these images.
-    pub fn begin_trial<'a>(
-        &mut self,
-        now: Millis,
-        serving: impl Iterator<Item = &'a Name>,
-        filling: &Name,
-    ) {
-        for name in serving {
-            if let Some(image) = self.images.get_mut(name) {
-                if !image.is_known(Some(filling)) && image.trials.len() < MAX_IMAGES {
-                    image.trials.insert(filling.clone(), now);
-                }
+    /// What every serving image on a worker leaves for more pressure if all filling tasks there run
+    /// at full pace.
+    pub fn margins(&self, serving: &[Serving], filling: &[Filling]) -> Vec<Margin> {
+        let mut margins: Vec<Margin> = Vec::new();
+        for task in serving {
+            let image = task.image.as_ref();
+            let wanted: f64 = filling
+                .iter()
+                .map(|other| self.slope(image, other.image.as_ref()) * other.wanted)
+                .sum();
+            let left = self.slack(task, filling) - wanted;
+            match margins.iter_mut().find(|margin| margin.image == task.image) {
+                Some(margin) => margin.left = margin.left.min(left),
+                None => margins.push(Margin {
+                    image: task.image.clone(),
+                    left,
+                }),
             }
         }
+        margins
     }
 
-    /// Least slack that is left if one more filling task takes `share` of the worker, all at full
-    /// pace; negative if a serving task is expected to miss the aim.
-    pub fn slack_with(
+    /// Least margin that is left if a filling task of `image` takes `share` of the worker; negative
+    /// infinity if a pair is unknown and was tried a moment ago.
+    pub fn left_with(
         &self,
-        serving: &[Serving<'_>],
-        filling: &[Filling<'_>],
+        now: Millis,
+        margins: &[Margin],
         image: Option<&Name>,
         share: f64,
     ) -> f64 {
-        let left = serving.iter().map(|task| {
-            let wanted: f64 = filling
-                .iter()
-                .map(|other| self.slope(task.image, other.image) * other.wanted)
-                .sum();
-            self.slack(task, filling) - wanted - self.slope(task.image, image) * share
-        });
-        left.fold(f64::INFINITY, f64::min)
+        let mut least = f64::INFINITY;
+        for margin in margins {
+            let serving = margin.image.as_ref().and_then(|name| self.images.get(name));
+            if serving.is_some_and(|serving| !serving.may_start(now, image)) {
+                return f64::NEG_INFINITY;
+            }
+            let slope = serving.map_or(PRIOR_SLOPE, |serving| serving.slope(image));
+            least = least.min(margin.left - slope * share);
+        }
+        least
+    }
+
+    /// Takes a filling task that starts into account.
+    pub fn start(
+        &mut self,
+        now: Millis,
+        margins: &mut [Margin],
+        filling: Option<&Name>,
+        share: f64,
+    ) {
+        for margin in margins {
+            margin.left -= self.slope(margin.image.as_ref(), filling) * share;
+            let serving = margin.image.as_ref().and_then(|name| self.images.get_mut(name));
+            if let (Some(serving), Some(filling)) = (serving, filling) {
+                if !serving.is_known(Some(filling)) && serving.trials.len() < MAX_IMAGES {
+                    serving.trials.insert(filling.clone(), now);
+                }
+            }
+        }
     }
 
     /// Pace for the filling tasks of each image, as a share of full pace, in the order of
     /// `filling`. Images that disturb no serving task here run at full pace.
-    pub fn paces(&self, serving: &[Serving<'_>], filling: &[Filling<'_>]) -> Vec<f64> {
+    pub fn paces(&self, serving: &[Serving], filling: &[Filling]) -> Vec<f64> {
         let mut paces: Vec<f64> = vec![1.0; filling.len()];
         for task in serving {
             let slopes: Vec<f64> = filling
                 .iter()
-                .map(|other| self.slope(task.image, other.image))
+                .map(|other| self.slope(task.image.as_ref(), other.image.as_ref()))
                 .collect();
             let limit = if task.tail >= OVER { 0.0 } else { HARMLESS };
             let harmless: f64 = parts(filling, &slopes, |slope| slope < limit);
@@ -218,9 +244,10 @@
         index.is_some_and(|index| self.tail.information(*index) >= KNOWN)
     }
 
-    fn may_try(&self, now: Millis, filling: Option<&Name>) -> bool {
+    /// Whether the pair is known, or was not tried for a while.
+    fn may_start(&self, now: Millis, filling: Option<&Name>) -> bool {
         let last = filling.and_then(|name| self.trials.get(name));
-        last.is_none_or(|at| now.since(*at) >= TRIAL_TIME)
+        last.is_none_or(|at| now.since(*at) >= TRIAL_TIME) || self.is_known(filling)
     }
 
     fn slope(&self, filling: Option<&Name>) -> f64 {
@@ -231,7 +258,7 @@
     }
 }
 
-fn parts(filling: &[Filling<'_>], slopes: &[f64], counts: impl Fn(f64) -> bool) -> f64 {
+fn parts(filling: &[Filling], slopes: &[f64], counts: impl Fn(f64) -> bool) -> f64 {
     filling
         .iter()
         .zip(slopes)
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -32,8 +32,6 @@
     pub has_kin: bool,
     /// Other images of lasting tasks there.
     pub strangers: u32,
-    /// Whether recent runs failed there or made no progress.
-    pub is_suspect: bool,
 }
 
 /// Share of a worker's processors that filling tasks may ask for beyond what is idle, in percent.
@@ -74,7 +72,7 @@
 }
 
 fn score(need: &Need<'_>, room: &Room<'_>) -> Option<i64> {
-    if room.is_suspect || !need.reserved.fits(&room.free) {
+    if !need.reserved.fits(&room.free) {
         return None;
     }
     if need.label.is_some_and(|label| !room.labels.contains(label)) {
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -8,7 +8,7 @@
 mod regression;
 mod spec;
 
-pub use contention::{Contention, Filling, OVER, Serving};
+pub use contention::{Contention, Filling, Margin, OVER, Serving};
 pub use fit::{Need, Room, choose};
 pub use job::{Ending, Job, Outcome, Step, Task, TaskState, Turn};
 pub use order::{OrderKey, order_key};
