--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -16,7 +16,7 @@
 /// Longest wait of a report, in milliseconds; it renews the leases, so it is well below them.
 const POLL_WAIT: Millis = Millis(1_000);
 /// The same where filling tasks may disturb serving ones: the figures are means over half a second.
-const FILLING_WAIT: Millis = Millis(500);
+const FILLING_WAIT: Millis = Millis(300);
 /// Longest wait of a report on a worker without runs, in milliseconds; the most that is allowed.
 const IDLE_WAIT: Millis = Millis(2_000);
 /// Longest time for an answer beyond the wait, in milliseconds.
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -8,6 +8,8 @@
 pub struct OrderKey {
     /// Priority of the queue, 0 first.
     priority: u8,
+    /// Lasting tasks come after those that end: they would keep the room for good.
+    lasts: bool,
     /// Unix milliseconds at which the objective of the job ends.
     due: u64,
     pub step: StepId,
@@ -19,6 +21,7 @@
     let Some(queue) = queue else {
         return OrderKey {
             priority: u8::MAX,
+            lasts: false,
             due: start,
             step,
         };
@@ -26,6 +29,7 @@
     let chain = (spec.chain() as f64 * queue.stretch) as u64;
     OrderKey {
         priority: queue.priority,
+        lasts: spec.steps.get(usize::from(step.step)).is_some_and(|step| step.lasts),
         due: start + chain + queue.objective,
         step,
     }
