--- a/src/process/shard/paces.rs
+++ b/src/process/shard/paces.rs
@@ -61,6 +61,10 @@
                     .find(|(image, _)| *image == run.image)
                     .map_or(100, |(_, pace)| *pace),
             };
+            run.halted = match wanted {
+                0 => run.halted.or(Some(now.steady)),
+                _ => None,
+            };
             if run.pace != wanted {
                 run.pace = wanted;
                 orders.push((*task, run.run, wanted));
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -34,7 +34,9 @@
             progressed: now.steady,
             figure: listed.figure,
             checkpoint: listed.checkpoint.clone(),
+            saves: false,
             pace: 100,
+            halted: None,
             is_stray: false,
         };
         if let Some(job) = job {
@@ -43,6 +45,7 @@
                 run.demand = spec.size.processors;
                 run.fills = spec.fills;
                 run.lasts = spec.lasts;
+                run.saves = spec.saves;
                 run.image.clone_from(&spec.image);
                 run.tail_bound = spec.tail_bound;
             }
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -418,7 +418,9 @@
         progressed: now,
         figure: None,
         checkpoint: None,
+        saves: spec.saves,
         pace: 100,
+        halted: None,
         is_stray: false,
     }
 }
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -26,6 +26,9 @@
 const STOP_REPEAT: Millis = Millis(700);
 /// A run without progress for longer is stopped and started elsewhere, in milliseconds.
 const STALL_TIME: Millis = Millis(2_500);
+/// A run that saves its progress and was halted for longer is moved, in milliseconds: it waits about
+/// as long for its stop and its restart.
+const MOVE_TIME: Millis = Millis(1_000);
 /// How long a worker with stalled runs gets no tasks, in milliseconds.
 const STALL_AVOID: Millis = Millis(3_000);
 /// Longest time without an append in milliseconds: other hosts take a still journal as a sign that
@@ -276,6 +279,12 @@
     let mut stalled = 0;
     for (task, run) in &mut worker.runs {
         let is_active = matches!(run.state, RunState::Active { .. });
+        let halted = run.halted.map(|since| now.since(since));
+        if is_active && run.saves && halted.is_some_and(|time| time >= MOVE_TIME) {
+            tracing::info!(%task, run = run.run, worker = %worker.id, percent = run.percent, "moves a halted run");
+            begin_stop(run);
+            continue;
+        }
         let is_at_work = run.lasts && run.percent >= 100;
         if !is_active || is_at_work || run.pace == 0 || now.since(run.progressed) < STALL_TIME {
             continue;
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -46,8 +46,12 @@
     pub progressed: Millis,
     pub figure: Option<u64>,
     pub checkpoint: Option<Arc<str>>,
+    /// Whether a stop saves the progress.
+    pub saves: bool,
     /// Pace that was last ordered, in percent.
     pub pace: u8,
+    /// Since when the pace is 0.
+    pub halted: Option<Millis>,
     /// Whether the run is not the current one of its task and only has to end.
     pub is_stray: bool,
 }
