--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -32,7 +32,8 @@
 pub use log::{HttpLog, LogClient, StreamReader};
 pub use mesh::{Mesh, MeshHandler};
 pub use orders::{
-    CallError, EndReport, Order, Refusal, RunReport, StartOrder, WorkerAnswer, WorkerCall, WorkerReport,
+    CallError, EndReport, Order, Refusal, RunReport, StartOrder, WorkerAnswer, WorkerCall,
+    WorkerReport,
 };
 pub use peer::{PeerCall, PeerHandler, PeerLinks};
 pub use pool::{Job, Pool};
--- a/src/connection/orders.rs
+++ b/src/connection/orders.rs
@@ -55,9 +55,14 @@
 /// Answer of a worker that is alive.
 #[derive(Debug, Clone, PartialEq)]
 pub enum WorkerAnswer {
-    Accepted { clock: u64 },
+    Accepted {
+        clock: u64,
+    },
     Report(WorkerReport),
-    Refused { clock: Option<u64>, reason: Refusal },
+    Refused {
+        clock: Option<u64>,
+        reason: Refusal,
+    },
     /// Nothing was done; the worker is not healthy.
     Unhealthy,
     /// Another worker has this address now.
--- a/src/connection/stream_store.rs
+++ b/src/connection/stream_store.rs
@@ -55,7 +55,9 @@
     /// An owner with a higher epoch has appended.
     Fenced,
     /// The sequence number does not follow the last one.
-    OutOfSequence { expected: u64 },
+    OutOfSequence {
+        expected: u64,
+    },
     Records {
         records: Vec<KeyedRecord>,
         /// Offset from which to continue.
--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -77,7 +77,11 @@
         if seen.host == self.settings.record.name {
             return;
         }
-        if self.shard.as_ref().is_some_and(|shard| shard.epoch() < seen.epoch) {
+        if self
+            .shard
+            .as_ref()
+            .is_some_and(|shard| shard.epoch() < seen.epoch)
+        {
             tracing::warn!(owner = %seen.host, epoch = seen.epoch, "a newer owner is known");
             self.drop_shard(now, out);
         }
@@ -105,12 +109,7 @@
         }
     }
 
-    pub(super) fn hello_failed(
-        &mut self,
-        now: Now,
-        to: std::net::SocketAddr,
-        is_owner: bool,
-    ) {
+    pub(super) fn hello_failed(&mut self, now: Now, to: std::net::SocketAddr, is_owner: bool) {
         if !is_owner || self.owner_address() != Some(to) {
             return;
         }
@@ -135,7 +134,10 @@
         if self.claim.searching.is_none() {
             self.claim.searching = Some(now.steady);
             self.claim.journal = None;
-            tracing::info!(epoch = self.owner.as_ref().map(|owner| owner.epoch), "no owner is heard; asks all hosts");
+            tracing::info!(
+                epoch = self.owner.as_ref().map(|owner| owner.epoch),
+                "no owner is heard; asks all hosts"
+            );
         }
         match self.claim.round {
             Some(at) if now.steady.since(at) < ANSWER_TIME => {}
@@ -260,7 +262,11 @@
             boot: self.settings.record.boot,
             epoch,
         };
-        tracing::info!(epoch, answered = self.claim.answered.len(), "claims the shard");
+        tracing::info!(
+            epoch,
+            answered = self.claim.answered.len(),
+            "claims the shard"
+        );
         let value = ShardRecord::Owner(owner.clone()).value();
         let mut actions = Vec::new();
         let shard = Shard::claim(
@@ -324,7 +330,10 @@
         let best = self
             .peers
             .values()
-            .filter(|peer| peer.heard.is_some_and(|at| now.steady.since(at) <= OWNER_AGE))
+            .filter(|peer| {
+                peer.heard
+                    .is_some_and(|at| now.steady.since(at) <= OWNER_AGE)
+            })
             .filter(|peer| is_candidate(peer, now.steady))
             .min_by_key(|peer| rank(peer));
         let Some(peer) = best else {
@@ -334,7 +343,13 @@
         let address = peer.record.control;
         self.claim.is_handing = true;
         let message = PeerCall::TakeOver { epoch };
-        self.call_peer(PeerUse::TakeOver { epoch }, address, message, HANDOVER_CALL, out);
+        self.call_peer(
+            PeerUse::TakeOver { epoch },
+            address,
+            message,
+            HANDOVER_CALL,
+            out,
+        );
     }
 
     pub(super) fn take_over_answer(
@@ -345,7 +360,10 @@
         out: &mut Vec<HostAction>,
     ) {
         self.claim.is_handing = false;
-        let is_same = self.shard.as_ref().is_some_and(|shard| shard.epoch() == epoch);
+        let is_same = self
+            .shard
+            .as_ref()
+            .is_some_and(|shard| shard.epoch() == epoch);
         if accepted && is_same {
             self.drop_shard(now, out);
         }
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -44,10 +44,15 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreUse {
     /// A call of the shard with this epoch.
-    Shard { epoch: u64, tag: StoreTag },
+    Shard {
+        epoch: u64,
+        tag: StoreTag,
+    },
     Config,
     Hosts,
-    Registry { epoch: u64 },
+    Registry {
+        epoch: u64,
+    },
     Register,
     /// Tells hosts that start later about the owner.
     Announce,
@@ -362,7 +367,13 @@
             presence: self.presence(now.steady),
             config,
         };
-        self.call_peer(PeerUse::Hello { to, is_owner }, to, message, HELLO_TIME, out);
+        self.call_peer(
+            PeerUse::Hello { to, is_owner },
+            to,
+            message,
+            HELLO_TIME,
+            out,
+        );
     }
 
     pub(super) fn call_peer(
--- a/src/process/host/log_writer.rs
+++ b/src/process/host/log_writer.rs
@@ -1,9 +1,9 @@
 //! Log lines on standard output, written by a thread of its own so that nothing waits for a reader.
 
 use std::io::{self, Write};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -48,7 +48,9 @@
         }
         let count = dropped.swap(0, Ordering::Relaxed);
         if count > 0 {
-            let note = format!("{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{count}}}\n");
+            let note = format!(
+                "{{\"level\":\"WARN\",\"message\":\"log lines dropped\",\"count\":{count}}}\n"
+            );
             buffer.extend_from_slice(note.as_bytes());
         }
         // Nothing can be done if the reader is gone; the process goes on without its log.
--- a/src/process/host/message.rs
+++ b/src/process/host/message.rs
@@ -54,7 +54,9 @@
     },
     Request(Request),
     /// Asks the peer to claim the shard after the owner with this epoch.
-    TakeOver { epoch: u64 },
+    TakeOver {
+        epoch: u64,
+    },
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -65,7 +67,9 @@
         hosts: Vec<HostRecord>,
     },
     Shard(Reply),
-    NotOwner { owner: Option<OwnerSeen> },
+    NotOwner {
+        owner: Option<OwnerSeen>,
+    },
     /// The host gave the shard up while the request was under way.
     Unknown,
     /// Whether the peer takes over.
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -105,10 +105,9 @@
 fn host_settings(settings: &EntrySettings) -> HostSettings {
     // Differs between two lives of one host, and between hosts that start together.
     let boot = wall().wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ u64::from(settings.peer.port());
-    let hashed = settings
-        .name
-        .bytes()
-        .fold(boot, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01B3));
+    let hashed = settings.name.bytes().fold(boot, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01B3)
+    });
     HostSettings {
         record: HostRecord {
             name: settings.name.clone(),
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -6,12 +6,8 @@
 use super::host::{Host, HostAction, StoreUse};
 use super::message::HostRecord;
 use crate::base::{Millis, Name};
-use crate::connection::{
-    CallError, KeyedRecord, Partition, StoreAnswer, StoreCall, StoreRequest,
-};
-use crate::platform::{
-    CONFIG_KEY, CONFIG_STREAM, REGISTRY_STREAM, decode_config, decode_worker,
-};
+use crate::connection::{CallError, KeyedRecord, Partition, StoreAnswer, StoreCall, StoreRequest};
+use crate::platform::{CONFIG_KEY, CONFIG_STREAM, REGISTRY_STREAM, decode_config, decode_worker};
 use crate::process::shard::{Now, RegistryChange, ShardEvent};
 use crate::version::ShardRecord;
 
@@ -123,7 +119,10 @@
                 }
             }
             Ok(StoreAnswer::Expired) => {
-                tracing::info!(stream = self.stream, "records have expired; reads the newest");
+                tracing::info!(
+                    stream = self.stream,
+                    "records have expired; reads the newest"
+                );
                 self.next = None;
                 self.due = now;
                 Progress::Nothing
--- a/src/process/settings/entry.rs
+++ b/src/process/settings/entry.rs
@@ -20,7 +20,10 @@
 const STATUS: (Millis, Millis, Millis) = (Millis(120_000), Millis(1_000), Millis(86_400_000));
 
 const KNOWN: &[(&str, Option<&[&str]>)] = &[
-    ("host", Some(&["name", "data_centre", "region", "processor"])),
+    (
+        "host",
+        Some(&["name", "data_centre", "region", "processor"]),
+    ),
     ("listen", Some(&["front", "ready", "peer", "metrics"])),
     ("peers", Some(&["seeds"])),
     ("store", Some(&["address"])),
@@ -87,16 +90,18 @@
     let data_centre = reader.mandatory("host", "data_centre", NAME, reader::name);
     let region = reader.mandatory("host", "region", NAME, reader::name);
     let processor = reader.number("host", "processor", 1.0, 0.01, 1_024.0);
-    let mut address = |section, key| {
-        reader.mandatory(section, key, address::SOCKET, address::socket)
-    };
+    let mut address =
+        |section, key| reader.mandatory(section, key, address::SOCKET, address::socket);
     let front = address("listen", "front");
     let ready = address("listen", "ready");
     let peer = address("listen", "peer");
     let metrics = address("listen", "metrics");
     let store = address("store", "address");
     let seeds = reader.optional("peers", "seeds", "addresses, with commas between", |text| {
-        let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
+        let parts = text
+            .split(',')
+            .map(str::trim)
+            .filter(|part| !part.is_empty());
         parts.map(address::socket).collect()
     });
     let lease = reader.number("workers", "lease", LEASE.0, LEASE.1, LEASE.2);
--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -102,7 +102,11 @@
         queue: &Name,
         out: &mut Vec<ShardAction>,
     ) {
-        if self.ended.get(&id).is_some_and(|ended| ended.queue == *queue) {
+        if self
+            .ended
+            .get(&id)
+            .is_some_and(|ended| ended.queue == *queue)
+        {
             out.push(ShardAction::Reply(ticket, Reply::Cancelled));
             return;
         }
@@ -135,8 +139,10 @@
         };
         self.ending.insert(id, outcome);
         self.journal.unmark(id);
-        self.journal
-            .push(&ShardRecord::State(id, Some(state)), Some(Commit::Ended(id)));
+        self.journal.push(
+            &ShardRecord::State(id, Some(state)),
+            Some(Commit::Ended(id)),
+        );
         self.journal.push(&ShardRecord::Job(id, None), None);
         tracing::info!(job = %id, ?outcome, "job ends");
     }
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -34,8 +34,7 @@
                 0 => job.accepted,
                 _ => job.due(step.turn),
             };
-            self.ready
-                .insert(order_key(queue, &job.spec, start, step));
+            self.ready.insert(order_key(queue, &job.spec, start, step));
         }
         self.is_changed = true;
     }
--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -230,9 +230,10 @@
 
     /// Takes back the submissions that are certainly not stored.
     pub fn withdraw(&mut self) -> Vec<JobId> {
-        if let Some(batch) = self.batch.take_if(|batch| {
-            !batch.is_uncertain && batch.retry_at.is_some()
-        }) {
+        if let Some(batch) = self
+            .batch
+            .take_if(|batch| !batch.is_uncertain && batch.retry_at.is_some())
+        {
             // Its noted ends are found again when the next batch is built.
             let mut entries = batch.entries;
             entries.append(&mut self.pending);
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -1,8 +1,8 @@
 //! One shard: the jobs and workers that one owner schedules, and the journal of what must last.
 
 mod backlog;
-mod journal;
 mod jobs;
+mod journal;
 mod paces;
 mod recovery;
 mod reports;
@@ -12,8 +12,8 @@
 mod watch;
 mod worker;
 
-pub use recovery::ISOLATION_TIME;
 pub use journal::{Commit, Journal};
+pub use recovery::ISOLATION_TIME;
 pub use shard::{
     Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings, ShardView,
     StoreTag, WorkerTag,
--- a/src/process/shard/paces.rs
+++ b/src/process/shard/paces.rs
@@ -81,13 +81,7 @@
     steps * PACE_STEP
 }
 
-fn pace_order(
-    worker: &Worker,
-    epoch: u64,
-    task: TaskKey,
-    run: u64,
-    percent: u8,
-) -> ShardAction {
+fn pace_order(worker: &Worker, epoch: u64, task: TaskKey, run: u64, percent: u8) -> ShardAction {
     let tag = WorkerTag::Pace {
         worker: worker.id.clone(),
         task,
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -81,7 +81,11 @@
             Ok(_) => {}
             Err(_) => worker.misses += 1,
         }
-        let Some(run) = worker.runs.get_mut(&task).filter(|run| run.run == run_number) else {
+        let Some(run) = worker
+            .runs
+            .get_mut(&task)
+            .filter(|run| run.run == run_number)
+        else {
             return;
         };
         let is_starting = run.state == RunState::Starting;
@@ -139,7 +143,11 @@
                 false
             }
         };
-        let Some(run) = worker.runs.get_mut(&task).filter(|run| run.run == run_number) else {
+        let Some(run) = worker
+            .runs
+            .get_mut(&task)
+            .filter(|run| run.run == run_number)
+        else {
             return;
         };
         if let RunState::Stopping { confirmed: at, .. } = &mut run.state {
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -16,8 +16,8 @@
     /// A run that this owner did not order: it belongs to an earlier owner, or it was given up.
     pub(super) fn adopt(&mut self, now: Now, worker_id: &Name, listed: &RunReport) {
         let key = listed.task;
-        let is_open = self.accepted.contains(&key.step.job)
-            && !self.ending.contains_key(&key.step.job);
+        let is_open =
+            self.accepted.contains(&key.step.job) && !self.ending.contains_key(&key.step.job);
         let job = self.jobs.get_mut(&key.step.job);
         let mut is_current = false;
         let mut run = Run {
@@ -181,13 +181,7 @@
     }
 
     /// A run has ended without a listed end.
-    pub(super) fn lose_run(
-        &mut self,
-        now: Now,
-        worker_id: &Name,
-        task: TaskKey,
-        ending: Ending,
-    ) {
+    pub(super) fn lose_run(&mut self, now: Now, worker_id: &Name, task: TaskKey, ending: Ending) {
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -70,8 +70,13 @@
 pub enum Reply {
     Accepted,
     /// Not accepted, and it never runs unless it is submitted again.
-    Refused { retry_after: u32 },
-    State { outcome: Option<Outcome>, has_started: bool },
+    Refused {
+        retry_after: u32,
+    },
+    State {
+        outcome: Option<Outcome>,
+        has_started: bool,
+    },
     Cancelled,
     /// No such job.
     Gone,
@@ -83,10 +88,26 @@
 /// Names a call to a worker.
 #[derive(Debug, Clone)]
 pub enum WorkerTag {
-    Start { worker: Name, task: TaskKey, run: u64 },
-    Stop { worker: Name, task: TaskKey, run: u64 },
-    Poll { worker: Name, sent: Millis, is_quick: bool },
-    Pace { worker: Name, task: TaskKey, percent: u8 },
+    Start {
+        worker: Name,
+        task: TaskKey,
+        run: u64,
+    },
+    Stop {
+        worker: Name,
+        task: TaskKey,
+        run: u64,
+    },
+    Poll {
+        worker: Name,
+        sent: Millis,
+        is_quick: bool,
+    },
+    Pace {
+        worker: Name,
+        task: TaskKey,
+        percent: u8,
+    },
 }
 
 /// Names a call to the store.
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -60,9 +60,10 @@
     }
 
     fn candidates(&self, now: Now) -> Vec<Candidate> {
-        let usable = self.workers.values().filter(|worker| {
-            worker.is_usable(now.steady) && worker.suspect_until <= now.steady
-        });
+        let usable = self
+            .workers
+            .values()
+            .filter(|worker| worker.is_usable(now.steady) && worker.suspect_until <= now.steady);
         usable
             .map(|worker| Candidate {
                 id: worker.id.clone(),
@@ -250,20 +251,23 @@
             label: spec.label.as_ref(),
             rack: spec.rack.as_ref(),
         };
-        let rooms = candidates.iter().enumerate().filter_map(|(index, candidate)| {
-            if candidate.service != *service || !need.reserved.fits(&candidate.free) {
-                return None;
-            }
-            let worker = self.workers.get(&candidate.id)?;
-            if rack.is_some() && worker.rack() != rack {
-                return None;
-            }
-            if spec.spread > 0 && worker.count(step) >= usize::from(spec.spread) {
-                return None;
-            }
-            let room = self.room(now, &need, worker, candidate);
-            Some((index, room))
-        });
+        let rooms = candidates
+            .iter()
+            .enumerate()
+            .filter_map(|(index, candidate)| {
+                if candidate.service != *service || !need.reserved.fits(&candidate.free) {
+                    return None;
+                }
+                let worker = self.workers.get(&candidate.id)?;
+                if rack.is_some() && worker.rack() != rack {
+                    return None;
+                }
+                if spec.spread > 0 && worker.count(step) >= usize::from(spec.spread) {
+                    return None;
+                }
+                let room = self.room(now, &need, worker, candidate);
+                Some((index, room))
+            });
         choose(&need, rooms)
     }
 
@@ -276,10 +280,9 @@
     ) -> Room<'a> {
         let share = worker.share(need.demand);
         let slack = match need.fills {
-            true => {
-                self.contention
-                    .left_with(now.steady, &candidate.margins, need.image, share)
-            }
+            true => self
+                .contention
+                .left_with(now.steady, &candidate.margins, need.image, share),
             false => f64::INFINITY,
         };
         Room {
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -82,17 +82,17 @@
 
     /// Moves lasting tasks off workers that are leaving, as far as others have room.
     fn evacuate(&mut self, now: Now) {
-        let leaving: Vec<(Name, TaskKey)> = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_listed && !worker.is_ready)
-            .flat_map(|worker| {
-                let lasting = worker.runs.iter().filter(|(_, run)| {
-                    run.lasts && matches!(run.state, RunState::Active { .. })
-                });
-                lasting.map(|(task, _)| (worker.id.clone(), *task))
-            })
-            .collect();
+        let leaving: Vec<(Name, TaskKey)> =
+            self.workers
+                .values()
+                .filter(|worker| worker.is_listed && !worker.is_ready)
+                .flat_map(|worker| {
+                    let lasting = worker.runs.iter().filter(|(_, run)| {
+                        run.lasts && matches!(run.state, RunState::Active { .. })
+                    });
+                    lasting.map(|(task, _)| (worker.id.clone(), *task))
+                })
+                .collect();
         for (worker_id, task) in leaving {
             if !self.has_room_elsewhere(now, task) {
                 continue;
@@ -246,9 +246,7 @@
     out: &mut Vec<ShardAction>,
 ) {
     // A renewal that may arrive late would keep the runs of a silent worker from ever lapsing.
-    let until = worker
-        .lease_end(now, lease)
-        .filter(|_| worker.misses == 0);
+    let until = worker.lease_end(now, lease).filter(|_| worker.misses == 0);
     if let Some(until) = until {
         worker.until = worker.until.max(until);
     }
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -190,7 +190,10 @@
     ) {
         for margin in margins {
             margin.left -= self.slope(margin.image.as_ref(), filling) * share;
-            let serving = margin.image.as_ref().and_then(|name| self.images.get_mut(name));
+            let serving = margin
+                .image
+                .as_ref()
+                .and_then(|name| self.images.get_mut(name));
             if let (Some(serving), Some(filling)) = (serving, filling) {
                 if !serving.is_known(Some(filling)) && serving.trials.len() < MAX_IMAGES {
                     serving.trials.insert(filling.clone(), now);
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -184,7 +184,9 @@
     }
 
     pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
-        self.step_mut(key.step)?.tasks.get_mut(usize::from(key.index))
+        self.step_mut(key.step)?
+            .tasks
+            .get_mut(usize::from(key.index))
     }
 
     fn step_mut(&mut self, id: StepId) -> Option<&mut Step> {
@@ -266,10 +268,14 @@
         }
         if task.failures > 0 {
             let index = index as u16;
-            progress.failures.push((index, task.failures, task.failed_run));
+            progress
+                .failures
+                .push((index, task.failures, task.failed_run));
         }
         if let Some(checkpoint) = &task.checkpoint {
-            progress.checkpoints.push((index as u16, checkpoint.clone()));
+            progress
+                .checkpoints
+                .push((index as u16, checkpoint.clone()));
         }
     }
     progress
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -29,7 +29,10 @@
     let chain = (spec.chain() as f64 * queue.stretch) as u64;
     OrderKey {
         priority: queue.priority,
-        lasts: spec.steps.get(usize::from(step.step)).is_some_and(|step| step.lasts),
+        lasts: spec
+            .steps
+            .get(usize::from(step.step))
+            .is_some_and(|step| step.lasts),
         due: start + chain + queue.objective,
         step,
     }
--- a/src/request/job/regression.rs
+++ b/src/request/job/regression.rs
@@ -88,7 +88,11 @@
         let mut matrix = self.products.clone();
         let mut right = self.targets.clone();
         for index in 0..size {
-            let weight = if index == 0 { CONSTANT_WEIGHT } else { PRIOR_WEIGHT };
+            let weight = if index == 0 {
+                CONSTANT_WEIGHT
+            } else {
+                PRIOR_WEIGHT
+            };
             matrix[index * size + index] += weight;
             right[index] += weight * self.priors[index];
         }
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -179,7 +179,10 @@
             if step.count == 0 {
                 return Err(Error::NoTasks(index));
             }
-            let late = step.after.iter().find(|after| usize::from(**after) >= index);
+            let late = step
+                .after
+                .iter()
+                .find(|after| usize::from(**after) >= index);
             if let Some(&after) = late {
                 return Err(Error::Dependency { step: index, after });
             }
--- /dev/null
+++ b/tests/shard/random.rs
@@ -0,0 +1,172 @@
+//! Random histories: the promises hold after every step, and every accepted job ends.
+
+use jayfork::process::shard::Reply;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+use super::world::{Weather, World, chain, lasting};
+
+#[derive(Debug, Clone)]
+enum Change {
+    Submit {
+        steps: Vec<u16>,
+        processors: u32,
+    },
+    Lasting {
+        count: u16,
+    },
+    Cancel {
+        back: u64,
+    },
+    /// A new owner claims; the old one is killed first, or not.
+    Claim {
+        kills: bool,
+    },
+    Outage,
+    Cut {
+        worker: usize,
+    },
+    Restart {
+        worker: usize,
+    },
+    Pause {
+        millis: u64,
+    },
+}
+
+const WORKERS: usize = 4;
+
+fn change() -> impl Strategy<Value = Change> {
+    prop_oneof![
+        6 => (prop::collection::vec(1u16..6, 1..4), 500u32..3_000)
+            .prop_map(|(steps, processors)| Change::Submit { steps, processors }),
+        2 => (1u16..6).prop_map(|count| Change::Lasting { count }),
+        2 => (1u64..6).prop_map(|back| Change::Cancel { back }),
+        1 => any::<bool>().prop_map(|kills| Change::Claim { kills }),
+        1 => Just(Change::Outage),
+        1 => (0..WORKERS).prop_map(|worker| Change::Cut { worker }),
+        1 => (0..WORKERS).prop_map(|worker| Change::Restart { worker }),
+        6 => (20u64..900).prop_map(|millis| Change::Pause { millis }),
+    ]
+}
+
+fn weather() -> impl Strategy<Value = Weather> {
+    (0.0..0.15f64, 0.0..0.1f64, 0.0..0.2f64, 0.0..0.2f64).prop_map(
+        |(lost, late, store_lost, fails)| Weather {
+            lost,
+            late,
+            store_lost,
+            fails,
+        },
+    )
+}
+
+fn play(seed: u64, weather: Weather, changes: &[Change]) {
+    if std::env::var("SHARD_TRACE").is_ok() {
+        let _ = tracing_subscriber::fmt().with_max_level(tracing::Level::DEBUG).without_time().try_init();
+        tracing::info!("NEW CASE");
+    }
+    let mut world = World::new(seed, WORKERS, 8_000);
+    world.claim();
+    world.run(600);
+    world.weather = weather;
+    let mut tickets = Vec::new();
+    let mut cancelled = Vec::new();
+    let mut id = 0;
+    for change in changes {
+        match change {
+            Change::Submit { steps, processors } => {
+                id += 1;
+                tickets.push((id, world.submit(id, &chain(steps, *processors)), false));
+            }
+            Change::Lasting { count } => {
+                id += 1;
+                tickets.push((id, world.submit(id, &lasting(*count, 1_000)), true));
+            }
+            Change::Cancel { back } if *back <= id => {
+                let job = id + 1 - back;
+                cancelled.push((job, world.cancel(job)));
+            }
+            Change::Cancel { .. } => {}
+            Change::Claim { kills } => {
+                if let Some(owner) = world.owner().filter(|_| *kills) {
+                    world.kill(owner);
+                }
+                world.claim();
+            }
+            Change::Outage => world.store.is_down = !world.store.is_down,
+            Change::Cut { worker } => {
+                let cut = &mut world.fleet.workers[*worker].is_cut;
+                *cut = !*cut;
+            }
+            Change::Restart { worker } => world.fleet.restart(world.now, *worker),
+            Change::Pause { millis } => world.run(*millis),
+        }
+        world.run(10);
+        world.assert_kept();
+    }
+    world.weather = Weather::default();
+    world.store.is_down = false;
+    world
+        .fleet
+        .workers
+        .iter_mut()
+        .for_each(|worker| worker.is_cut = false);
+    world.claim();
+    world.run(60_000);
+    world.assert_kept();
+    for (id, ticket, lasts) in tickets {
+        check_job(&mut world, id, ticket, lasts, &cancelled);
+    }
+}
+
+/// An accepted job has ended or, if it lasts, runs; a refused one never ran.
+fn check_job(world: &mut World, id: u64, ticket: u64, lasts: bool, cancelled: &[(u64, u64)]) {
+    let is_cancelled = cancelled.iter().any(|(job, _)| *job == id);
+    match world.replies.get(&ticket).copied() {
+        Some(Reply::Accepted) => {
+            let Some(Reply::State { outcome, .. }) = world.state(id) else {
+                panic!("accepted job {id} is unknown");
+            };
+            if !lasts && !is_cancelled {
+                assert!(outcome.is_some(), "job {id} has not ended");
+            }
+        }
+        Some(Reply::Refused { .. }) => {
+            let ran = world.fleet.done.iter().any(|task| task.step.job.0 == id);
+            assert!(!ran, "job {id} was refused and ran");
+        }
+        _ => {}
+    }
+    for (job, ticket) in cancelled.iter().filter(|(job, _)| *job == id) {
+        if world.replies.get(ticket) == Some(&Reply::Cancelled) {
+            assert_eq!(world.running(*job), 0, "cancelled job {job} runs on");
+        }
+    }
+}
+
+/// A number from the environment, for longer runs by hand.
+fn number(name: &str, default: u64) -> u64 {
+    let text = std::env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: number("SHARD_CASES", 64) as u32,
+        rng_seed: RngSeed::Fixed(number("SHARD_SEED", 1)),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against overcommitted workers, second runs, steps out of order, attempts beyond the
+    /// limit, lost jobs and cancelled jobs that run on, at any interleaving.
+    #[test]
+    fn promises_hold_in_random_histories(
+        seed in any::<u64>(),
+        weather in weather(),
+        changes in prop::collection::vec(change(), 10..60),
+    ) {
+        play(seed, weather, &changes);
+    }
+}
--- /dev/null
+++ b/tests/shard/world.rs
@@ -0,0 +1,404 @@
+//! Owners, store and workers on one clock, with messages between them that take time, get lost or
+//! come late.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use jayfork::base::{Millis, Name, Size};
+use jayfork::connection::{
+    CallError, Order, Partition, StoreAnswer, StoreRequest, WorkerAnswer, WorkerCall,
+};
+use jayfork::platform::{WorkerEntry, WorkerState};
+use jayfork::process::shard::{
+    Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag,
+    WorkerTag,
+};
+use jayfork::request::job::{JobId, JobSpec, StepId, TaskKey};
+use jayfork::version::{OwnerRecord, Queue, QueueTable};
+
+use super::fleet::Fleet;
+use super::store::Store;
+
+pub const STEP: u64 = 5;
+pub const QUEUE: &str = "proofs";
+const SERVICE: &str = "assembly";
+const START: u64 = 1_000_000;
+
+/// How messages fare.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Weather {
+    /// Share of the answers of workers that are lost.
+    pub lost: f64,
+    /// Share of the orders that are carried out seconds later, without an answer.
+    pub late: f64,
+    /// Share of the answers of the store that are lost.
+    pub store_lost: f64,
+    /// Share of the runs that fail.
+    pub fails: f64,
+}
+
+enum Message {
+    StoreRequest(usize, StoreTag, StoreRequest, bool),
+    StoreAnswer(usize, StoreTag, Result<StoreAnswer, CallError>),
+    /// With the life of the worker that the order was sent to: its connection ends with that life.
+    Order(usize, WorkerTag, WorkerCall, Delivery, u64),
+    Answer(usize, WorkerTag, Result<WorkerAnswer, CallError>),
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Delivery {
+    Answered,
+    Unanswered,
+}
+
+pub struct World {
+    pub now: u64,
+    pub store: Store,
+    pub fleet: Fleet,
+    pub weather: Weather,
+    pub replies: HashMap<u64, Reply>,
+    /// Owners by their order; `None` once killed or superseded.
+    pub owners: Vec<Option<Shard>>,
+    messages: BTreeMap<(u64, u64), Message>,
+    rng: fastrand::Rng,
+    serial: u64,
+    pub attempts: u16,
+}
+
+impl World {
+    pub fn new(seed: u64, workers: usize, processors: u32) -> Self {
+        World {
+            now: START,
+            store: Store::default(),
+            fleet: Fleet::new(workers, processors),
+            weather: Weather::default(),
+            replies: HashMap::new(),
+            owners: Vec::new(),
+            messages: BTreeMap::new(),
+            rng: fastrand::Rng::with_seed(seed),
+            serial: 0,
+            attempts: 3,
+        }
+    }
+
+    fn time(&self) -> Now {
+        Now {
+            steady: Millis(self.now),
+            wall: self.now,
+        }
+    }
+
+    fn queues(&self) -> Arc<QueueTable> {
+        Arc::new(QueueTable {
+            version: 1,
+            queues: vec![Queue {
+                name: QUEUE.into(),
+                host: "example".into(),
+                prefix: "/proofs/".into(),
+                service: SERVICE.into(),
+                priority: 0,
+                objective: 400,
+                stretch: 1.5,
+                attempts: self.attempts,
+                has_advice: false,
+            }],
+            services: Vec::new(),
+            max_body: 1 << 20,
+        })
+    }
+
+    /// A new owner claims the shard; earlier ones are not told.
+    pub fn claim(&mut self) -> usize {
+        let index = self.owners.len();
+        let owner = OwnerRecord {
+            host: format!("host-{index}").into(),
+            boot: index as u64,
+            epoch: (index as u64 + 1) << 16,
+        };
+        let partition = Partition {
+            stream: "shard".into(),
+            part: 0,
+        };
+        let settings = ShardSettings {
+            lease: Millis(6_000),
+            stop_time: Millis(400),
+            status_keep: Millis(120_000),
+        };
+        let mut out = Vec::new();
+        let queues = self.queues();
+        let shard = Shard::claim(settings, partition, owner, queues, self.time(), &mut out);
+        self.owners.push(Some(shard));
+        self.perform(index, out);
+        let changes = (0..self.fleet.workers.len()).map(|worker| self.entry(worker));
+        let event = ShardEvent::Registry(changes.collect());
+        self.event(index, event);
+        index
+    }
+
+    fn entry(&self, worker: usize) -> RegistryChange {
+        let entry = WorkerEntry {
+            service: SERVICE.into(),
+            address: format!("10.0.0.{}:80", worker + 1)
+                .parse()
+                .expect("an address"),
+            data_centre: "east".into(),
+            state: WorkerState::Ready,
+            capacity: self.fleet.workers[worker].capacity,
+            labels: vec!["a".into(), format!("r{}", worker / 4).into()],
+            born: None,
+            remaining: None,
+        };
+        RegistryChange::Set(worker_name(worker), entry)
+    }
+
+    pub fn kill(&mut self, owner: usize) {
+        self.owners[owner] = None;
+    }
+
+    /// The owner that was claimed last and is not killed.
+    pub fn owner(&self) -> Option<usize> {
+        (0..self.owners.len())
+            .rev()
+            .find(|index| self.owners[*index].is_some())
+    }
+
+    pub fn ask(&mut self, request: Request) -> u64 {
+        self.serial += 1;
+        let ticket = self.serial;
+        if let Some(owner) = self.owner() {
+            self.event(owner, ShardEvent::Request(ticket, request));
+        }
+        ticket
+    }
+
+    pub fn submit(&mut self, id: u64, spec: &JobSpec) -> u64 {
+        for (step, shape) in spec.steps.iter().enumerate() {
+            for index in 0..shape.count {
+                let step = StepId {
+                    job: JobId(id),
+                    turn: 0,
+                    step: step as u16,
+                };
+                let attempts = u64::from(self.attempts);
+                let key = TaskKey { step, index };
+                self.fleet.specs.insert(key, (spec.clone(), attempts));
+            }
+        }
+        self.ask(Request::Submit {
+            job: JobId(id),
+            queue: QUEUE.into(),
+            spec: Arc::new(spec.clone()),
+        })
+    }
+
+    /// State of a job as the current owner tells it.
+    pub fn state(&mut self, id: u64) -> Option<Reply> {
+        let ticket = self.ask(Request::State {
+            job: JobId(id),
+            queue: QUEUE.into(),
+        });
+        self.replies.get(&ticket).copied()
+    }
+
+    pub fn cancel(&mut self, id: u64) -> u64 {
+        self.ask(Request::Cancel {
+            job: JobId(id),
+            queue: QUEUE.into(),
+        })
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        if self.now % 100 == 0 { tracing::debug!("T {}", self.now); }
+        self.fleet.advance(self.now);
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let message = entry.remove();
+            self.deliver(message);
+        }
+        for index in 0..self.owners.len() {
+            let time = self.time();
+            let mut out = Vec::new();
+            if let Some(shard) = &mut self.owners[index] {
+                shard.poll(time, &mut out);
+            }
+            self.perform(index, out);
+        }
+    }
+
+    fn event(&mut self, owner: usize, event: ShardEvent) {
+        let time = self.time();
+        let mut out = Vec::new();
+        if let Some(shard) = &mut self.owners[owner] {
+            shard.handle(time, event, &mut out);
+        }
+        self.perform(owner, out);
+    }
+
+    fn perform(&mut self, owner: usize, actions: Vec<ShardAction>) {
+        for action in actions {
+            match action {
+                ShardAction::Reply(ticket, reply) => {
+                    self.replies.insert(ticket, reply);
+                }
+                ShardAction::Store(tag, call) => {
+                    let is_lost = self.chance(self.weather.store_lost);
+                    let message = Message::StoreRequest(owner, tag, call.request, is_lost);
+                    let after = self.rng.u64(4..12);
+                    self.send(after, message);
+                    if is_lost {
+                        let answer = Err(CallError::NoAnswer);
+                        let after = call.timeout.0;
+                        self.send(after, Message::StoreAnswer(owner, tag, answer));
+                    }
+                }
+                ShardAction::Worker(tag, call) => self.order(owner, tag, call),
+                ShardAction::StepDown => self.owners[owner] = None,
+            }
+        }
+    }
+
+    fn order(&mut self, owner: usize, tag: WorkerTag, call: WorkerCall) {
+        let is_poll = matches!(call.order, Order::Renew { .. });
+        let (late, lost) = match is_poll {
+            true => (false, self.chance(self.weather.lost / 4.0)),
+            false => (
+                self.chance(self.weather.late),
+                self.chance(self.weather.lost),
+            ),
+        };
+        let timeout = call.timeout.0;
+        if late || lost {
+            let answer = Err(CallError::NoAnswer);
+            self.send(timeout, Message::Answer(owner, tag.clone(), answer));
+        }
+        let after = match late {
+            true => self.rng.u64(2_000..9_000),
+            false => self.rng.u64(1..25),
+        };
+        let delivery = match late || lost {
+            true => Delivery::Unanswered,
+            false => Delivery::Answered,
+        };
+        let born = self.fleet.workers[worker_index(&call.worker)].born;
+        self.send(after, Message::Order(owner, tag, call, delivery, born));
+    }
+
+    fn send(&mut self, after: u64, message: Message) {
+        self.serial += 1;
+        let at = self.now + after;
+        self.messages.insert((at, self.serial), message);
+    }
+
+    fn deliver(&mut self, message: Message) {
+        match message {
+            Message::StoreRequest(owner, tag, request, is_lost) => {
+                let answer = self.store.serve(&request);
+                if !is_lost {
+                    let after = self.rng.u64(1..8);
+                    self.send(after, Message::StoreAnswer(owner, tag, answer));
+                }
+            }
+            Message::StoreAnswer(owner, tag, answer) => {
+                self.event(owner, ShardEvent::Store(tag, answer));
+            }
+            Message::Order(owner, tag, call, delivery, born) => {
+                let worker = worker_index(&call.worker);
+                let target = &self.fleet.workers[worker];
+                let (is_cut, is_restarted) = (target.is_cut, target.born != born);
+                if is_cut || is_restarted {
+                    if delivery == Delivery::Answered {
+                        let error = match is_restarted {
+                            true => CallError::NoAnswer,
+                            false => CallError::NotSent,
+                        };
+                        let answer = Err(error);
+                        self.send(500, Message::Answer(owner, tag, answer));
+                    }
+                    return;
+                }
+                let fails = self.chance(self.weather.fails);
+                let runtime = self.rng.u64(50..900);
+                let (now, epoch) = (self.now, call.epoch);
+                let answer = self
+                    .fleet
+                    .serve(now, worker, epoch, &call.order, fails, runtime);
+                if delivery == Delivery::Answered {
+                    let after = self.rng.u64(1..25);
+                    self.send(after, Message::Answer(owner, tag, Ok(answer)));
+                }
+            }
+            Message::Answer(owner, tag, answer) => {
+                self.event(owner, ShardEvent::Worker(tag, answer));
+            }
+        }
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.rng.f64() < share
+    }
+
+    pub fn assert_kept(&self) {
+        let violations = &self.fleet.violations;
+        assert!(violations.is_empty(), "{violations:#?}");
+    }
+
+    /// Tasks of a job that run anywhere.
+    pub fn running(&self, id: u64) -> usize {
+        let workers = self.fleet.workers.iter();
+        workers
+            .flat_map(|worker| worker.runs.keys())
+            .filter(|task| task.step.job == JobId(id))
+            .count()
+    }
+}
+
+pub fn worker_name(index: usize) -> Name {
+    format!("worker-{index}").into()
+}
+
+fn worker_index(name: &str) -> usize {
+    name.rsplit('-')
+        .next()
+        .and_then(|index| index.parse().ok())
+        .expect("a worker's name")
+}
+
+/// A job with one step for each count, each after the one before it.
+pub fn chain(counts: &[u16], processors: u32) -> JobSpec {
+    let steps = counts.iter().enumerate().map(|(index, count)| {
+        let mut step = jayfork::request::job::StepSpec {
+            count: *count,
+            size: Size::new(processors, 100, 0),
+            runtime: 500,
+            ..Default::default()
+        };
+        if index > 0 {
+            step.after = vec![index as u16 - 1];
+        }
+        step
+    });
+    JobSpec {
+        payload: "text".into(),
+        steps: steps.collect(),
+        first_run: 0,
+        interval: 0,
+        turns: 0,
+    }
+}
+
+/// A job whose tasks last.
+pub fn lasting(count: u16, processors: u32) -> JobSpec {
+    let mut spec = chain(&[count], processors);
+    spec.steps[0].lasts = true;
+    spec
+}
