Test the shard core against a model of store and workers; mend four faults that it found

Cause, each found by tests/shard/random.rs: the lease end of a worker's new life, and of runs that a new owner adopts, counted as 0, so one missed report made them lapse and start twice; a report asked of a restarted worker forgot ends by the numbers of its old life; failed runs were counted by the newest only, so ends of several workers in another order were lost or counted twice; tasks of a job whose end was being stored were still placed. Change: a life begins with the greatest lease; a worker that missed a report is asked to forget nothing; progress keeps the failed runs; placement passes over jobs that end. The model's restart takes 500 ms, longer than an owner pauses between two reports.

--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -209,14 +209,13 @@
             return;
         }
         if worker.born != Some(report.born) {
-            let lost = self.begin_life(worker_id, report.born, sent);
-            for task in lost {
-                self.requeue(task);
+            if worker.born.is_some() {
+                let (born, runs) = (report.born, worker.runs.len());
+                tracing::warn!(worker = %worker_id, born, runs, "worker has started anew");
             }
+            // Runs that this life lists may hold a lease of the greatest length.
+            worker.begin_life(report.born, report.clock + self.settings.lease.0);
         }
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return;
-        };
         if worker.is_stale(report.clock) {
             return;
         }
@@ -242,33 +241,6 @@
         self.is_changed = true;
     }
 
-    /// Starts a new life of a worker; returns the tasks whose runs ended with the old one.
-    fn begin_life(&mut self, worker_id: &Name, born: u64, sent: Millis) -> Vec<TaskKey> {
-        let Some(worker) = self.workers.get_mut(worker_id) else {
-            return Vec::new();
-        };
-        let is_new_life = worker.born.is_some();
-        worker.begin_life(born);
-        if !is_new_life {
-            return Vec::new();
-        }
-        // An order sent before the report may have reached the new life.
-        let lost: Vec<TaskKey> = worker
-            .runs
-            .iter()
-            .filter(|(_, run)| match run.state {
-                RunState::Active { .. } => run.started < sent,
-                RunState::Starting | RunState::Stopping { .. } => false,
-            })
-            .map(|(task, _)| *task)
-            .collect();
-        for task in &lost {
-            worker.remove_run(*task);
-        }
-        tracing::warn!(worker = %worker_id, born, lost = lost.len(), "worker has started anew");
-        lost
-    }
-
     /// A run that the worker lists.
     fn listed(&mut self, now: Now, worker_id: &Name, listed: &RunReport) {
         let Some(worker) = self.workers.get_mut(worker_id) else {
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -168,7 +168,7 @@
             self.journal.mark(id);
             // Without its queue a job's attempts are not known, so it goes on.
             let queue = self.queues.queue(&job.queue);
-            let attempts = queue.map_or(u16::MAX, |queue| queue.attempts);
+            let attempts = queue.map_or(usize::MAX, |queue| usize::from(queue.attempts));
             tracing::info!(task = %end.task, run = end.run, worker = %worker_id, failures, attempts, "run failed");
             if !step.lasts && failures >= attempts {
                 self.end_job(now, id, Outcome::Failed);
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -86,6 +86,9 @@
         misfits: &mut Vec<Misfit>,
         out: &mut Vec<ShardAction>,
     ) -> Option<()> {
+        if self.ending.contains_key(&key.step.job) {
+            return None;
+        }
         let job = self.jobs.get(&key.step.job)?;
         let step = job.step(key.step)?;
         if step.waiting() == 0 || !job.is_ready(key.step.turn, key.step.step) {
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -261,7 +261,8 @@
         epoch,
         order: Order::Renew {
             until,
-            noted: worker.noted,
+            // The worker may have started anew, and then its ends have other numbers.
+            noted: if worker.misses == 0 { worker.noted } else { 0 },
             wait,
         },
         timeout: wait + POLL_TIME,
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -151,11 +151,11 @@
         }
     }
 
-    /// Forgets all that belongs to an earlier life.
-    pub fn begin_life(&mut self, born: u64) {
+    /// Forgets what belongs to an earlier life; its runs are missing in the reports of this one.
+    pub fn begin_life(&mut self, born: u64, until: u64) {
         self.born = Some(born);
         self.clock = None;
-        self.until = 0;
+        self.until = until;
         self.processed = 0;
         self.noted = 0;
         self.failed_runs = 0;
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -9,6 +9,9 @@
 use super::spec::{JobId, JobSpec, StepId, TaskKey};
 use crate::base::Name;
 
+/// Failed runs that are kept of one task.
+const MAX_FAILURES: usize = 64;
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -44,10 +47,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct Task {
     pub state: TaskState,
-    /// Runs that ended as failed, and the newest of them. A later owner may see the end of a run
-    /// again that an earlier one has counted.
-    pub failures: u16,
-    pub failed_run: u64,
+    /// Runs that ended as failed. A later owner may see the end of a run again that an earlier one
+    /// has counted, and ends of several workers come in any order.
+    pub failed_runs: Vec<u64>,
     /// Ordinal of the newest run that this owner ordered.
     pub runs: u32,
     /// Saved progress that the next run resumes from.
@@ -164,15 +166,18 @@
     }
 
     /// Counts a failed run of a task unless it was counted before; returns the failures so far.
-    pub fn count_failure(&mut self, key: TaskKey, run: u64) -> u16 {
+    /// Tasks that last fail any number of times, so only the newest failures are kept.
+    pub fn count_failure(&mut self, key: TaskKey, run: u64) -> usize {
         let Some(task) = self.task_mut(key) else {
             return 0;
         };
-        if run > task.failed_run {
-            task.failed_run = run;
-            task.failures = task.failures.saturating_add(1);
+        if !task.failed_runs.contains(&run) {
+            if task.failed_runs.len() >= MAX_FAILURES {
+                task.failed_runs.remove(0);
+            }
+            task.failed_runs.push(run);
         }
-        task.failures
+        task.failed_runs.len()
     }
 
     pub fn step(&self, id: StepId) -> Option<&Step> {
@@ -266,11 +271,9 @@
             progress.mark_done(index);
             continue;
         }
-        if task.failures > 0 {
-            let index = index as u16;
-            progress
-                .failures
-                .push((index, task.failures, task.failed_run));
+        if !task.failed_runs.is_empty() {
+            let runs = task.failed_runs.clone();
+            progress.failures.push((index as u16, runs));
         }
         if let Some(checkpoint) = &task.checkpoint {
             progress
@@ -288,10 +291,9 @@
             step.done += 1;
         }
     }
-    for (index, failures, run) in &saved.failures {
+    for (index, runs) in &saved.failures {
         if let Some(task) = step.tasks.get_mut(usize::from(*index)) {
-            task.failures = *failures;
-            task.failed_run = *run;
+            task.failed_runs.clone_from(runs);
         }
     }
     for (index, checkpoint) in &saved.checkpoints {
--- a/src/request/job/progress.rs
+++ b/src/request/job/progress.rs
@@ -21,8 +21,8 @@
 pub struct StepProgress {
     /// One bit a task, lowest first; missing bytes are zero.
     done: Vec<u8>,
-    /// Index, count of failed runs and newest failed run of tasks that have any.
-    pub failures: Vec<(u16, u16, u64)>,
+    /// Index and failed runs of tasks that have any.
+    pub failures: Vec<(u16, Vec<u64>)>,
     /// Index and newest checkpoint of tasks that wait with one.
     pub checkpoints: Vec<(u16, Arc<str>)>,
 }
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -32,8 +32,13 @@
     pub born: u64,
     /// Messages neither arrive nor leave.
     pub is_cut: bool,
+    /// Until when its process is starting; nobody answers meanwhile.
+    pub down_until: u64,
 }
 
+/// Time that a worker's process takes to start: longer than an owner pauses between two reports.
+const RESTART_TIME: u64 = 500;
+
 /// All workers, and what has happened to each task.
 pub struct Fleet {
     pub workers: Vec<Worker>,
@@ -61,6 +66,7 @@
             offset: 1_000 * (index as u64 + 1),
             born: 1,
             is_cut: false,
+            down_until: 0,
         });
         Fleet {
             workers: workers.collect(),
@@ -89,7 +95,17 @@
         for task in running {
             self.note(task, format!("{now}: worker {index} starts anew"));
         }
+        // An end that nobody has noted is lost with its worker and does not count.
         let worker = &mut self.workers[index];
+        for end in worker
+            .ended
+            .iter()
+            .filter(|end| end.ending == Ending::Failed)
+        {
+            if let Some(failures) = self.failures.get_mut(&end.task) {
+                *failures -= 1;
+            }
+        }
         worker.runs.clear();
         worker.ended.clear();
         worker.next_end = 1;
@@ -97,6 +113,7 @@
         worker.until = 0;
         worker.closed.clear();
         worker.born += 1;
+        worker.down_until = now + RESTART_TIME;
     }
 
     /// Ends what is over at `now`.
@@ -246,18 +263,16 @@
             self.violate(task, format!("{task} runs twice at once"));
         }
         if self.noted.contains(&task) {
-            self.violations
-                .push(format!("{task} starts after its end was noted"));
+            self.violate(task, format!("{task} starts after its end was noted"));
         }
         let Some((spec, attempts)) = self.specs.get(&task).cloned() else {
-            self.violations.push(format!("{task} was never asked for"));
+            self.violate(task, format!("{task} was never asked for"));
             return;
         };
         let failures = self.failures.get(&task).copied().unwrap_or(0);
         let lasts = spec.steps[usize::from(task.step.step)].lasts;
         if !lasts && u64::from(failures) >= attempts {
-            self.violations
-                .push(format!("{task} starts after {failures} failures"));
+            self.violate(task, format!("{task} starts after {failures} failures"));
         }
         for after in &spec.steps[usize::from(task.step.step)].after {
             for other in 0..spec.steps[usize::from(*after)].count {
@@ -265,8 +280,7 @@
                 earlier.step.step = *after;
                 earlier.index = other;
                 if !self.done.contains(&earlier) {
-                    self.violations
-                        .push(format!("{task} starts before {earlier} is done"));
+                    self.violate(task, format!("{task} starts before {earlier} is done"));
                 }
             }
         }
--- a/tests/shard/random.rs
+++ b/tests/shard/random.rs
@@ -62,10 +62,6 @@
 }
 
 fn play(seed: u64, weather: Weather, changes: &[Change]) {
-    if std::env::var("SHARD_TRACE").is_ok() {
-        let _ = tracing_subscriber::fmt().with_max_level(tracing::Level::DEBUG).without_time().try_init();
-        tracing::info!("NEW CASE");
-    }
     let mut world = World::new(seed, WORKERS, 8_000);
     world.claim();
     world.run(600);
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -216,7 +216,6 @@
 
     fn step(&mut self) {
         self.now += STEP;
-        if self.now % 100 == 0 { tracing::debug!("T {}", self.now); }
         self.fleet.advance(self.now);
         while let Some(entry) = self.messages.first_entry() {
             if entry.key().0 > self.now {
@@ -314,7 +313,8 @@
             Message::Order(owner, tag, call, delivery, born) => {
                 let worker = worker_index(&call.worker);
                 let target = &self.fleet.workers[worker];
-                let (is_cut, is_restarted) = (target.is_cut, target.born != born);
+                let is_cut = target.is_cut || target.down_until > self.now;
+                let is_restarted = target.born != born;
                 if is_cut || is_restarted {
                     if delivery == Delivery::Answered {
                         let error = match is_restarted {
