--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -405,7 +405,7 @@
                 let config = (version < self.config.version).then(|| (*self.config).clone());
                 let hosts = self.peers.values().map(|peer| peer.record.clone());
                 let reply = PeerReply::Hello {
-                    presence: self.presence(now.steady),
+                    presence: Box::new(self.presence(now.steady)),
                     config,
                     hosts: hosts.collect(),
                 };
@@ -444,7 +444,7 @@
                     hosts,
                 }) => {
                     self.claim.answered(&presence.host.name);
-                    self.heard(now, presence, out);
+                    self.heard(now, *presence, out);
                     if let Some(config) = config {
                         self.set_config(now, config, out);
                     }
--- a/src/process/host/message.rs
+++ b/src/process/host/message.rs
@@ -62,7 +62,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerReply {
     Hello {
-        presence: Presence,
+        presence: Box<Presence>,
         config: Option<QueueTable>,
         hosts: Vec<HostRecord>,
     },
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -3,6 +3,7 @@
 
 mod claim;
 mod forward;
+#[allow(clippy::module_inception)]
 mod host;
 mod io;
 mod log_writer;
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -7,6 +7,7 @@
 mod recovery;
 mod reports;
 mod runs;
+#[allow(clippy::module_inception)]
 mod shard;
 mod starts;
 mod watch;
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -2,6 +2,7 @@
 
 mod contention;
 mod fit;
+#[allow(clippy::module_inception)]
 mod job;
 mod order;
 mod progress;
