--- a/src/process/host/forward.rs
+++ b/src/process/host/forward.rs
@@ -220,8 +220,9 @@
     pub(super) fn poll_forwards(&mut self, now: Now, out: &mut Vec<HostAction>) {
         let mut due = Vec::new();
         let mut late = Vec::new();
+        let stops = self.answer_limit().is_some_and(|limit| limit <= now.steady);
         for (ticket, forward) in &self.forwards {
-            if forward.deadline <= now.steady {
+            if stops || forward.deadline <= now.steady {
                 late.push(*ticket);
             } else if forward.retry_at.is_some_and(|at| at <= now.steady) {
                 due.push(*ticket);
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -30,6 +30,9 @@
 /// Shortest time from SIGTERM to the exit, in milliseconds: the balancer sends new connections
 /// until it has missed two answers, a second apart.
 const STOP_TIME: Millis = Millis(3_200);
+/// Time from SIGTERM after which requests that still wait for an owner are answered, in
+/// milliseconds; the platform would cut them off unanswered.
+const ANSWER_LIMIT: Millis = Millis(4_600);
 /// Longest time from SIGTERM to the exit, in milliseconds; the platform kills after the grace time.
 const STOP_LIMIT: Millis = Millis(5_200);
 
@@ -548,6 +551,11 @@
         out.push(HostAction::Drain);
     }
 
+    /// When the requests in progress have to be answered at the latest, if this host stops.
+    pub(super) fn answer_limit(&self) -> Option<Millis> {
+        self.stopping.map(|since| since + ANSWER_LIMIT)
+    }
+
     fn check_stop(&mut self, now: Now, out: &mut Vec<HostAction>) {
         let Some(since) = self.stopping else {
             return;
