Look at a worker when it reports, not at all workers at each event

Each poll of the core walked every run of every worker (stalls, stops, a view that summed the runs), and each placement rebuilt candidates and looked workers up by name for every task.

Change: workers stand in slots; a worker's book keeps its expected use, its margins and whether it has runs to stop; progress is checked as the report comes; the look at all workers runs every 10 ms. A second run of one task on one worker is stopped instead of being lost from the book.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -304,8 +304,8 @@
         let Some(shard) = &self.shard else {
             return;
         };
-        let view = shard.view(now.steady);
-        let epoch = view.epoch;
+        let epoch = shard.epoch();
+        let failing_for = shard.failing_for(now.steady);
         if !shard.is_claimed() && now.steady.since(self.claim.claimed) > CLAIM_TIME {
             tracing::warn!(epoch, "the store does not take the claim");
             self.drop_shard(now, out);
@@ -320,7 +320,7 @@
             self.drop_shard(now, out);
             return;
         }
-        let is_failing = view.failing_for.is_some_and(|time| time >= HANDOVER_TIME);
+        let is_failing = failing_for.is_some_and(|time| time >= HANDOVER_TIME);
         if (is_failing || self.stopping.is_some()) && !self.claim.is_handing {
             self.hand_over(now, epoch, out);
         }
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -12,11 +12,12 @@
 mod starts;
 mod watch;
 mod worker;
+mod workers;
 
 pub use journal::{Commit, Journal};
 pub use recovery::ISOLATION_TIME;
 pub use shard::{
-    Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings, ShardView,
-    StoreTag, WorkerTag,
+    Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag,
+    WorkerTag,
 };
 pub use worker::{Run, RunState, Worker};
--- a/src/process/shard/paces.rs
+++ b/src/process/shard/paces.rs
@@ -42,6 +42,7 @@
         if is_due {
             worker.learned = now.steady;
         }
+        worker.margins = self.contention.margins(&serving, &filling);
         worker.harmed = match is_over {
             true => worker.harmed.or(Some(now.steady)),
             false => None,
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -128,8 +128,8 @@
                 }
                 ShardRecord::State(id, Some(state)) => states.push((id, state)),
                 ShardRecord::Worker(id, Some(record)) => {
-                    let worker = self.workers.entry(id.clone()).or_insert_with(|| {
-                        Worker::new(id, record.address, record.service, now.steady)
+                    let worker = self.workers.get_or_insert(&id, || {
+                        Worker::new(id.clone(), record.address, record.service, now.steady)
                     });
                     worker.is_recorded = true;
                     worker.is_inherited = true;
@@ -180,7 +180,7 @@
         let limit = self.claimed + ISOLATION_TIME + lease + FLIGHT_TIME;
         let missing = self
             .workers
-            .values()
+            .iter()
             .filter(|worker| worker.is_inherited && worker.last_report.is_none())
             .count();
         if missing > 0 && now.steady < limit {
@@ -201,8 +201,8 @@
     pub(super) fn registry(&mut self, now: Now, change: RegistryChange) {
         match change {
             RegistryChange::Set(id, entry) => {
-                let worker = self.workers.entry(id.clone()).or_insert_with(|| {
-                    Worker::new(id, entry.address, entry.service.clone(), now.steady)
+                let worker = self.workers.get_or_insert(&id, || {
+                    Worker::new(id.clone(), entry.address, entry.service.clone(), now.steady)
                 });
                 worker.address = entry.address;
                 worker.service = entry.service;
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -1,6 +1,7 @@
 //! Answers of workers to orders and their reports.
 
 use super::shard::{Now, Shard, ShardAction, WorkerTag};
+use super::watch::stop_stalled;
 use super::worker::RunState;
 use crate::base::{Millis, Name};
 use crate::connection::{CallError, Refusal, RunReport, WorkerAnswer, WorkerReport};
@@ -100,10 +101,7 @@
                 // The order may be carried out later; a confirmed stop rules that out.
                 if is_starting {
                     tracing::info!(%task, run = run_number, worker = %worker_id, "start without answer; stops the run");
-                    run.state = RunState::Stopping {
-                        sent: None,
-                        confirmed: None,
-                    };
+                    worker.stop_run(task);
                 }
                 return;
             }
@@ -234,6 +232,7 @@
         self.missing(now, worker_id, sent, &report);
         self.pace(now, worker_id, out);
         if let Some(worker) = self.workers.get_mut(worker_id) {
+            stop_stalled(worker, now.steady);
             if worker.noted < worker.processed {
                 worker.poll_at = now.steady + NOTE_WAIT;
             }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -16,6 +16,14 @@
     /// A run that this owner did not order: it belongs to an earlier owner, or it was given up.
     pub(super) fn adopt(&mut self, now: Now, worker_id: &Name, listed: &RunReport) {
         let key = listed.task;
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            // Two runs of one task on one worker: the book holds one, so both are stopped in turn.
+            if let Some(known) = worker.runs.get(&key).map(|known| known.run) {
+                tracing::warn!(task = %key, run = listed.run, known, worker = %worker_id, "worker lists another run of a task; stops the known one");
+                worker.stop_run(key);
+                return;
+            }
+        }
         let is_open =
             self.accepted.contains(&key.step.job) && !self.ending.contains_key(&key.step.job);
         let job = self.jobs.get_mut(&key.step.job);
@@ -72,11 +80,6 @@
                 // The job has ended and its sizes are gone, so nothing else fits until the run ends.
                 run.reserved = worker.capacity;
             }
-            if let Some(other) = worker.runs.get_mut(&key) {
-                // An older run of the same task; the current one stays known.
-                other.is_stray = other.is_stray && run.is_stray;
-                return;
-            }
             worker.add_run(key, run);
         }
     }
@@ -219,31 +222,20 @@
 
     /// Stops all runs of a task.
     fn stop_task(&mut self, task: TaskKey) {
-        for worker in self.workers.values_mut() {
-            if let Some(run) = worker.runs.get_mut(&task) {
-                begin_stop(run);
-            }
+        for worker in self.workers.iter_mut() {
+            worker.stop_run(task);
         }
     }
 
     /// Stops all runs of a job.
     pub(super) fn stop_job(&mut self, now: Now, id: JobId, out: &mut Vec<ShardAction>) {
-        for worker in self.workers.values_mut() {
-            for (task, run) in &mut worker.runs {
-                if task.step.job == id {
-                    begin_stop(run);
-                }
+        for worker in self.workers.iter_mut() {
+            let of_job = worker.runs.keys().filter(|task| task.step.job == id);
+            let tasks: Vec<TaskKey> = of_job.copied().collect();
+            for task in tasks {
+                worker.stop_run(task);
             }
         }
         self.send_stops(now, out);
     }
 }
-
-pub(super) fn begin_stop(run: &mut Run) {
-    if !matches!(run.state, RunState::Stopping { .. }) {
-        run.state = RunState::Stopping {
-            sent: None,
-            confirmed: None,
-        };
-    }
-}
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -8,7 +8,7 @@
 
 use super::backlog::Ended;
 use super::journal::Journal;
-use super::worker::Worker;
+use super::workers::Workers;
 use crate::base::{Millis, Name};
 use crate::connection::{
     CallError, Partition, StoreAnswer, StoreCall, StoreRequest, WorkerAnswer, WorkerCall,
@@ -151,20 +151,6 @@
     Active,
 }
 
-/// What the host shows of a shard.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct ShardView {
-    pub epoch: u64,
-    pub jobs: usize,
-    pub workers: usize,
-    pub runs: usize,
-    pub waiting_steps: usize,
-    pub is_serving: bool,
-    /// How long the store has refused or lost appends.
-    pub failing_for: Option<Millis>,
-    pub last_stored: Millis,
-}
-
 /// The owner's state of one shard.
 pub struct Shard {
     pub(super) settings: ShardSettings,
@@ -186,7 +172,7 @@
     pub(super) ready: BTreeSet<OrderKey>,
     /// Jobs with turns that come due later, by Unix milliseconds.
     pub(super) timed: BTreeSet<(u64, JobId)>,
-    pub(super) workers: HashMap<Name, Worker>,
+    pub(super) workers: Workers,
     /// Tasks with a run that only has to end before another may start.
     pub(super) strays: HashSet<TaskKey>,
     /// Calls that wait for the outcome of a job's append.
@@ -200,6 +186,7 @@
     pub(super) contention: Contention,
     pub(super) is_changed: bool,
     last_place: Millis,
+    pub(super) last_watch: Millis,
     pub(super) last_sweep: Millis,
     pub(super) is_superseded: bool,
 }
@@ -231,7 +218,7 @@
             ending: HashMap::new(),
             ready: BTreeSet::new(),
             timed: BTreeSet::new(),
-            workers: HashMap::new(),
+            workers: Workers::default(),
             strays: HashSet::new(),
             tickets: HashMap::new(),
             loaded: Vec::new(),
@@ -241,6 +228,7 @@
             contention: Contention::default(),
             is_changed: false,
             last_place: Millis(0),
+            last_watch: Millis(0),
             last_sweep: now.steady,
             is_superseded: false,
         };
@@ -284,17 +272,9 @@
         self.write(now, out);
     }
 
-    pub fn view(&self, now: Millis) -> ShardView {
-        ShardView {
-            epoch: self.owner.epoch,
-            jobs: self.jobs.len(),
-            workers: self.workers.len(),
-            runs: self.workers.values().map(|worker| worker.runs.len()).sum(),
-            waiting_steps: self.ready.len(),
-            is_serving: self.phase >= Phase::Settling && !self.is_superseded,
-            failing_for: self.journal.failing_for(now),
-            last_stored: self.journal.last_stored(),
-        }
+    /// How long the store has refused or lost appends.
+    pub fn failing_for(&self, now: Millis) -> Option<Millis> {
+        self.journal.failing_for(now)
     }
 
     /// Whether the store has accepted the claim.
@@ -305,7 +285,7 @@
     /// Workers that the registry lists.
     pub fn listed_workers(&self) -> impl Iterator<Item = &Name> {
         self.workers
-            .values()
+            .iter()
             .filter(|worker| worker.is_listed)
             .map(|worker| &worker.id)
     }
@@ -333,7 +313,7 @@
             }
         }
         let mut noted = Vec::new();
-        for worker in self.workers.values() {
+        for worker in self.workers.iter() {
             let Some(born) = worker.born.filter(|_| worker.processed > worker.noted) else {
                 continue;
             };
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -1,11 +1,11 @@
 //! Places waiting tasks on workers and orders their starts.
 
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
-use super::worker::{Run, RunState, Worker, expected_use};
+use super::worker::{Run, RunState, Worker};
 use crate::base::{Millis, Name, Size};
 use crate::connection::{Order, StartOrder, WorkerCall};
 use crate::request::job::{
-    Margin, Need, OrderKey, Room, StepId, StepSpec, TaskKey, TaskState, choose,
+    Need, OrderKey, Pressure, Room, StepId, StepSpec, TaskKey, TaskState, choose,
 };
 
 /// Longest time for a start to be confirmed, in milliseconds. A worker answers in a few plus the
@@ -27,15 +27,8 @@
     service: Name,
 }
 
-/// A worker as one pass of the placement sees it; what the pass starts is taken off.
-struct Candidate {
-    id: Name,
-    service: Name,
-    free: Size,
-    idle: i64,
-    /// Only kept up to date where filling tasks are placed.
-    margins: Vec<Margin>,
-}
+/// Slots of the workers that one pass of the placement may use.
+pub(super) type Candidates = Vec<usize>;
 
 impl Shard {
     /// Places what has room, in order.
@@ -44,13 +37,13 @@
             return;
         }
         let keys: Vec<OrderKey> = self.ready.iter().copied().collect();
-        let mut candidates = self.candidates(now);
+        let candidates = self.candidates(now);
         let mut misfits: Vec<Misfit> = Vec::new();
         for key in keys {
             if self.phase != Phase::Active && self.inherited.contains(&key.step.job) {
                 continue;
             }
-            match self.place_step(now, key, &mut candidates, &mut misfits, out) {
+            match self.place_step(now, key, &candidates, &mut misfits, out) {
                 Some(()) => {}
                 None => {
                     self.ready.remove(&key);
@@ -59,22 +52,11 @@
         }
     }
 
-    fn candidates(&self, now: Now) -> Vec<Candidate> {
-        let usable = self
-            .workers
-            .values()
-            .filter(|worker| worker.is_usable(now.steady) && worker.suspect_until <= now.steady);
-        usable
-            .map(|worker| Candidate {
-                id: worker.id.clone(),
-                service: worker.service.clone(),
-                free: worker.free(),
-                idle: worker.idle(),
-                margins: self
-                    .contention
-                    .margins(&worker.serving(), &worker.filling()),
-            })
-            .collect()
+    pub(super) fn candidates(&self, now: Now) -> Candidates {
+        let usable = self.workers.slots().filter(|(_, worker)| {
+            worker.is_usable(now.steady) && worker.suspect_until <= now.steady
+        });
+        usable.map(|(slot, _)| slot).collect()
     }
 
     /// Places tasks of one step; `None` if it has none left to place.
@@ -82,7 +64,7 @@
         &mut self,
         now: Now,
         key: OrderKey,
-        candidates: &mut [Candidate],
+        candidates: &Candidates,
         misfits: &mut Vec<Misfit>,
         out: &mut Vec<ShardAction>,
     ) -> Option<()> {
@@ -133,7 +115,7 @@
         }
         for task in waiting {
             let found = self.find_worker(now, &service, spec, key.step, None, candidates);
-            let Some(index) = found else {
+            let Some(slot) = found else {
                 if spec.label.is_none() && spec.spread == 0 {
                     misfits.push(Misfit {
                         reserved,
@@ -145,7 +127,7 @@
                 }
                 return Some(());
             };
-            self.start(now, &mut candidates[index], spec, task, None, out);
+            self.start(now, slot, spec, task, None, out);
         }
         None
     }
@@ -157,7 +139,7 @@
         service: &Name,
         spec: &StepSpec,
         tasks: &[TaskKey],
-        candidates: &mut [Candidate],
+        candidates: &Candidates,
         out: &mut Vec<ShardAction>,
     ) {
         let Some(step) = tasks.first().map(|task| task.step) else {
@@ -167,27 +149,22 @@
             true => self.racks(service, spec),
             false => vec![None],
         };
-        let reserved = spec.reserved();
         for rack in racks {
             let mut chosen: Vec<usize> = Vec::new();
             for task in tasks {
                 let rack = rack.as_ref();
                 let found = self.find_worker(now, service, spec, step, rack, candidates);
-                let Some(index) = found else {
+                let Some(slot) = found else {
                     break;
                 };
                 // Holds the room until the whole gang is known to fit.
-                let candidate = &mut candidates[index];
-                candidate.free = candidate.free.saturating_sub(&reserved);
-                if let Some(worker) = self.workers.get_mut(&candidate.id) {
+                if let Some(worker) = self.workers.at_mut(slot) {
                     worker.add_run(*task, new_run(spec, 0, now.steady));
                 }
-                chosen.push(index);
+                chosen.push(slot);
             }
-            for (task, index) in tasks.iter().zip(&chosen) {
-                let candidate = &mut candidates[*index];
-                candidate.free = candidate.free.saturating_add(&reserved);
-                if let Some(worker) = self.workers.get_mut(&candidate.id) {
+            for (task, slot) in tasks.iter().zip(&chosen) {
+                if let Some(worker) = self.workers.at_mut(*slot) {
                     worker.remove_run(*task);
                 }
             }
@@ -197,9 +174,8 @@
             let job = self.jobs.get(&step.job);
             let runs = tasks.iter().filter_map(|task| Some(job?.task(*task)?.runs));
             let ordinal = runs.max().unwrap_or(0) + 1;
-            for (task, index) in tasks.iter().zip(chosen) {
-                let candidate = &mut candidates[index];
-                self.start(now, candidate, spec, *task, Some(ordinal), out);
+            for (task, slot) in tasks.iter().zip(chosen) {
+                self.start(now, slot, spec, *task, Some(ordinal), out);
             }
             return;
         }
@@ -209,7 +185,7 @@
     fn racks(&self, service: &Name, spec: &StepSpec) -> Vec<Option<Name>> {
         let mut racks: Vec<Name> = self
             .workers
-            .values()
+            .iter()
             .filter(|worker| worker.service == *service && worker.is_ready)
             .filter_map(|worker| worker.rack().cloned())
             .collect();
@@ -220,7 +196,12 @@
     }
 
     /// Whether another worker has room for a task that runs.
-    pub(super) fn has_room_elsewhere(&self, now: Now, task: TaskKey) -> bool {
+    pub(super) fn has_room_elsewhere(
+        &self,
+        now: Now,
+        task: TaskKey,
+        candidates: &Candidates,
+    ) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return false;
         };
@@ -230,12 +211,11 @@
         let Some(spec) = job.spec.steps.get(usize::from(task.step.step)) else {
             return false;
         };
-        let candidates = self.candidates(now);
-        self.find_worker(now, &queue.service, spec, task.step, None, &candidates)
+        self.find_worker(now, &queue.service, spec, task.step, None, candidates)
             .is_some()
     }
 
-    /// Index of the best candidate for a task of a step.
+    /// Slot of the best candidate for a task of a step.
     fn find_worker(
         &self,
         now: Now,
@@ -243,7 +223,7 @@
         spec: &StepSpec,
         step: StepId,
         rack: Option<&Name>,
-        candidates: &[Candidate],
+        candidates: &Candidates,
     ) -> Option<usize> {
         let need = Need {
             reserved: spec.reserved(),
@@ -254,80 +234,49 @@
             label: spec.label.as_ref(),
             rack: spec.rack.as_ref(),
         };
-        let rooms = candidates
-            .iter()
-            .enumerate()
-            .filter_map(|(index, candidate)| {
-                if candidate.service != *service || !need.reserved.fits(&candidate.free) {
-                    return None;
-                }
-                let worker = self.workers.get(&candidate.id)?;
-                if rack.is_some() && worker.rack() != rack {
-                    return None;
-                }
-                if spec.spread > 0 && worker.count(step) >= usize::from(spec.spread) {
-                    return None;
-                }
-                let room = self.room(now, &need, worker, candidate);
-                Some((index, room))
-            });
+        let pressure = self
+            .contention
+            .pressure(now.steady, need.image.filter(|_| need.fills));
+        let rooms = candidates.iter().filter_map(|slot| {
+            let worker = self.workers.at(*slot)?;
+            let free = worker.free();
+            if !need.reserved.fits(&free) || worker.service != *service {
+                return None;
+            }
+            if rack.is_some() && worker.rack() != rack {
+                return None;
+            }
+            if spec.spread > 0 && worker.count(step) >= usize::from(spec.spread) {
+                return None;
+            }
+            Some((*slot, room(&need, worker, free, &pressure)))
+        });
         choose(&need, rooms)
     }
 
-    fn room<'a>(
-        &self,
-        now: Now,
-        need: &Need<'_>,
-        worker: &'a Worker,
-        candidate: &Candidate,
-    ) -> Room<'a> {
-        let share = worker.share(need.demand);
-        let slack = match need.fills {
-            true => self
-                .contention
-                .left_with(now.steady, &candidate.margins, need.image, share),
-            false => f64::INFINITY,
-        };
-        Room {
-            free: candidate.free,
-            capacity: worker.capacity,
-            idle: candidate.idle,
-            labels: &worker.labels,
-            slack,
-            has_kin: need.lasts && worker.has_lasting(|image| image == need.image),
-            strangers: match need.lasts {
-                true => worker.strangers(need.image),
-                false => 0,
-            },
-        }
-    }
-
     fn start(
         &mut self,
         now: Now,
-        candidate: &mut Candidate,
+        slot: usize,
         spec: &StepSpec,
         task: TaskKey,
         ordinal: Option<u32>,
         out: &mut Vec<ShardAction>,
     ) {
         let epoch = self.owner.epoch;
-        let (Some(worker), Some(job)) = (
-            self.workers.get_mut(&candidate.id),
-            self.jobs.get_mut(&task.step.job),
-        ) else {
+        let (Some(worker), Some(job)) =
+            (self.workers.at_mut(slot), self.jobs.get_mut(&task.step.job))
+        else {
             return;
         };
         let Some(until) = worker.lease_end(now.steady, self.settings.lease) else {
             return;
         };
-        candidate.free = candidate.free.saturating_sub(&spec.reserved());
-        candidate.idle -= expected_use(spec.size.processors, spec.lasts);
         if spec.fills {
             let share = worker.share(spec.size.processors);
             let image = spec.image.as_ref();
             self.contention
-                .start(now.steady, &mut candidate.margins, image, share);
+                .start(now.steady, &mut worker.margins, image, share);
         }
         let payload = job.spec.payload.clone();
         job.has_started = true;
@@ -409,6 +358,24 @@
     }
 }
 
+fn room<'a>(need: &Need<'_>, worker: &'a Worker, free: Size, pressure: &Pressure) -> Room<'a> {
+    Room {
+        free,
+        capacity: worker.capacity,
+        idle: worker.idle(),
+        labels: &worker.labels,
+        slack: match need.fills {
+            true => pressure.left_with(&worker.margins, worker.share(need.demand)),
+            false => f64::INFINITY,
+        },
+        has_kin: need.lasts && worker.has_lasting(|image| image == need.image),
+        strangers: match need.lasts {
+            true => worker.strangers(need.image),
+            false => 0,
+        },
+    }
+}
+
 fn new_run(spec: &StepSpec, run: u64, now: Millis) -> Run {
     Run {
         run,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -1,7 +1,6 @@
 //! What time brings: renewals, repeated stops, lapsed leases, due turns and outdated records.
 
 use super::reports::STOP_MARGIN;
-use super::runs::begin_stop;
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
 use super::worker::{RunState, Worker};
 use crate::base::{Millis, Name};
@@ -21,6 +20,9 @@
 const IDLE_WAIT: Millis = Millis(2_000);
 /// Longest time for an answer beyond the wait, in milliseconds.
 const POLL_TIME: Millis = Millis(700);
+/// Shortest time between two looks at all workers for what is due, in milliseconds; half of what an
+/// order takes on its way.
+const WATCH_TIME: Millis = Millis(10);
 const STOP_TIME: Millis = Millis(600);
 /// Time after which a stop without confirmation is sent again, in milliseconds.
 const STOP_REPEAT: Millis = Millis(700);
@@ -71,7 +73,7 @@
         };
         let lapsed: Vec<(Name, TaskKey)> = self
             .workers
-            .values()
+            .iter()
             .filter(is_over)
             .flat_map(|worker| worker.runs.keys().map(|task| (worker.id.clone(), *task)))
             .collect();
@@ -84,7 +86,7 @@
     fn evacuate(&mut self, now: Now) {
         let leaving: Vec<(Name, TaskKey)> =
             self.workers
-                .values()
+                .iter()
                 .filter(|worker| worker.is_listed && !worker.is_ready)
                 .flat_map(|worker| {
                     let lasting = worker.runs.iter().filter(|(_, run)| {
@@ -93,14 +95,17 @@
                     lasting.map(|(task, _)| (worker.id.clone(), *task))
                 })
                 .collect();
+        if leaving.is_empty() {
+            return;
+        }
+        let candidates = self.candidates(now);
         for (worker_id, task) in leaving {
-            if !self.has_room_elsewhere(now, task) {
+            if !self.has_room_elsewhere(now, task, &candidates) {
                 continue;
             }
             tracing::info!(%task, worker = %worker_id, "moves a lasting task off a leaving worker");
-            let worker = self.workers.get_mut(&worker_id);
-            if let Some(run) = worker.and_then(|worker| worker.runs.get_mut(&task)) {
-                begin_stop(run);
+            if let Some(worker) = self.workers.get_mut(&worker_id) {
+                worker.stop_run(task);
             }
         }
     }
@@ -133,7 +138,7 @@
     /// Records the workers that are used, and forgets those that are gone.
     fn record_workers(&mut self) {
         let mut gone: Vec<Name> = Vec::new();
-        for worker in self.workers.values_mut() {
+        for worker in self.workers.iter_mut() {
             let is_idle = worker.runs.is_empty() && worker.noted == worker.processed;
             if !worker.is_listed && is_idle && self.phase == Phase::Active {
                 gone.push(worker.id.clone());
@@ -157,11 +162,14 @@
 
     /// Sends the reports, stops and renewals that are due.
     pub(super) fn poll_workers(&mut self, now: Now, out: &mut Vec<ShardAction>) {
+        if now.steady.since(self.last_watch) < WATCH_TIME {
+            return;
+        }
+        self.last_watch = now.steady;
         let epoch = self.owner.epoch;
         let lease = self.settings.lease;
         let stop_time = self.settings.stop_time + STOP_MARGIN;
-        for worker in self.workers.values_mut() {
-            stall(worker, now.steady);
+        for worker in self.workers.iter_mut() {
             if worker.waiting_poll.is_none() && worker.poll_at <= now.steady {
                 let wait = poll_wait(worker);
                 worker.waiting_poll = Some(now.steady);
@@ -176,11 +184,13 @@
 
     pub(super) fn send_stops(&mut self, now: Now, out: &mut Vec<ShardAction>) {
         let epoch = self.owner.epoch;
-        for worker in self.workers.values_mut() {
+        for worker in self.workers.iter_mut().filter(|worker| worker.has_stops) {
+            worker.has_stops = false;
             for (task, run) in &mut worker.runs {
                 let RunState::Stopping { sent, confirmed } = &mut run.state else {
                     continue;
                 };
+                worker.has_stops = true;
                 let is_due = sent.is_none_or(|at| now.steady.since(at) >= STOP_REPEAT);
                 if !is_due || confirmed.is_some() {
                     continue;
@@ -210,7 +220,7 @@
 impl Worker {
     /// Whether a confirmed stop waits for a report that was asked for after it.
     fn wants_look(&self, now: Millis, stop_time: Millis) -> bool {
-        let Some(waiting) = self.waiting_poll else {
+        let Some(waiting) = self.waiting_poll.filter(|_| self.has_stops) else {
             return false;
         };
         self.runs.values().any(|run| match run.state {
@@ -270,18 +280,16 @@
     out.push(ShardAction::Worker(tag, call));
 }
 
-/// Stops runs that make no progress on a worker that reports.
-fn stall(worker: &mut Worker, now: Millis) {
-    if worker.misses > 0 {
-        return;
-    }
+/// Stops runs that make no progress, as the newest report of their worker shows them.
+pub(super) fn stop_stalled(worker: &mut Worker, now: Millis) {
+    let mut stops: Vec<TaskKey> = Vec::new();
     let mut stalled = 0;
-    for (task, run) in &mut worker.runs {
+    for (task, run) in &worker.runs {
         let is_active = matches!(run.state, RunState::Active { .. });
         let halted = run.halted.map(|since| now.since(since));
         if is_active && run.saves && halted.is_some_and(|time| time >= MOVE_TIME) {
             tracing::info!(%task, run = run.run, worker = %worker.id, percent = run.percent, "moves a halted run");
-            begin_stop(run);
+            stops.push(*task);
             continue;
         }
         let is_at_work = run.lasts && run.percent >= 100;
@@ -290,9 +298,12 @@
         }
         let percent = run.percent;
         tracing::warn!(%task, run = run.run, worker = %worker.id, percent, "run makes no progress");
-        begin_stop(run);
+        stops.push(*task);
         stalled += 1;
     }
+    for task in stops {
+        worker.stop_run(task);
+    }
     if stalled > 0 {
         worker.suspect_until = worker.suspect_until.max(now + STALL_AVOID);
     }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::base::{Millis, Name, Size};
-use crate::request::job::{Filling, Serving, TaskKey};
+use crate::request::job::{Filling, Margin, Serving, TaskKey};
 
 /// Slowest allowed clock of a worker, in percent of true time.
 const SLOWEST_CLOCK: u64 = 98;
@@ -89,6 +89,12 @@
     pub noted: u64,
     pub runs: HashMap<TaskKey, Run>,
     pub committed: Size,
+    /// Millicores that the runs are expected to use.
+    used: i64,
+    /// Whether a run is to be stopped.
+    pub has_stops: bool,
+    /// Room for more filling tasks as of the last report, less what was started since.
+    pub margins: Vec<Margin>,
     /// Reports under way: when the waiting one and the immediate one were sent.
     pub waiting_poll: Option<Millis>,
     pub quick_poll: Option<Millis>,
@@ -128,6 +134,9 @@
             noted: 0,
             runs: HashMap::new(),
             committed: Size::ZERO,
+            used: 0,
+            has_stops: false,
+            margins: Vec::new(),
             waiting_poll: None,
             quick_poll: None,
             poll_at: now,
@@ -183,25 +192,41 @@
 
     pub fn add_run(&mut self, task: TaskKey, run: Run) {
         self.committed = self.committed.saturating_add(&run.reserved);
+        self.used += expected_use(run.demand, run.lasts);
+        self.has_stops |= matches!(run.state, RunState::Stopping { .. });
         if let Some(replaced) = self.runs.insert(task, run) {
-            self.committed = self.committed.saturating_sub(&replaced.reserved);
+            self.release(&replaced);
         }
     }
 
     pub fn remove_run(&mut self, task: TaskKey) -> Option<Run> {
         let run = self.runs.remove(&task)?;
-        self.committed = self.committed.saturating_sub(&run.reserved);
+        self.release(&run);
         Some(run)
     }
 
+    fn release(&mut self, run: &Run) {
+        self.committed = self.committed.saturating_sub(&run.reserved);
+        self.used -= expected_use(run.demand, run.lasts);
+    }
+
+    /// Lets a run end by an order, unless one is under way.
+    pub fn stop_run(&mut self, task: TaskKey) {
+        let Some(run) = self.runs.get_mut(&task) else {
+            return;
+        };
+        if !matches!(run.state, RunState::Stopping { .. }) {
+            run.state = RunState::Stopping {
+                sent: None,
+                confirmed: None,
+            };
+        }
+        self.has_stops = true;
+    }
+
     /// Millicores that nothing here is expected to use.
     pub fn idle(&self) -> i64 {
-        let used: i64 = self
-            .runs
-            .values()
-            .map(|run| expected_use(run.demand, run.lasts))
-            .sum();
-        i64::from(self.capacity.processors) - used
+        i64::from(self.capacity.processors) - self.used
     }
 
     /// Serving tasks at work, with their tails.
--- /dev/null
+++ b/src/process/shard/workers.rs
@@ -0,0 +1,70 @@
+//! All workers of a shard, by id and by slot.
+
+use std::collections::HashMap;
+
+use super::worker::Worker;
+use crate::base::Name;
+
+/// Workers in slots, so that the placement reaches each without a look-up by its id. A slot is
+/// valid until its worker is removed.
+#[derive(Debug, Default)]
+pub(super) struct Workers {
+    slots: Vec<Option<Worker>>,
+    index: HashMap<Name, usize>,
+    vacant: Vec<usize>,
+}
+
+impl Workers {
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    pub fn get_mut(&mut self, id: &Name) -> Option<&mut Worker> {
+        self.at_mut(*self.index.get(id)?)
+    }
+
+    pub fn at(&self, slot: usize) -> Option<&Worker> {
+        self.slots.get(slot)?.as_ref()
+    }
+
+    pub fn at_mut(&mut self, slot: usize) -> Option<&mut Worker> {
+        self.slots.get_mut(slot)?.as_mut()
+    }
+
+    /// Returns the worker, which `make` creates if it is new.
+    pub fn get_or_insert(&mut self, id: &Name, make: impl FnOnce() -> Worker) -> &mut Worker {
+        let slot = match self.index.get(id) {
+            Some(slot) => *slot,
+            None => {
+                let slot = self.vacant.pop().unwrap_or(self.slots.len());
+                if slot == self.slots.len() {
+                    self.slots.push(None);
+                }
+                self.index.insert(id.clone(), slot);
+                slot
+            }
+        };
+        self.slots[slot].get_or_insert_with(make)
+    }
+
+    pub fn remove(&mut self, id: &Name) {
+        if let Some(slot) = self.index.remove(id) {
+            self.slots[slot] = None;
+            self.vacant.push(slot);
+        }
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = &Worker> {
+        self.slots.iter().flatten()
+    }
+
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Worker> {
+        self.slots.iter_mut().flatten()
+    }
+
+    /// Workers with their slots.
+    pub fn slots(&self) -> impl Iterator<Item = (usize, &Worker)> {
+        let slots = self.slots.iter().enumerate();
+        slots.filter_map(|(slot, worker)| Some((slot, worker.as_ref()?)))
+    }
+}
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -54,6 +54,31 @@
     pub image: Option<Name>,
     /// Logarithm from the expected tail to the aim.
     pub left: f64,
+    /// Place of the serving image among those learned of.
+    place: Option<usize>,
+}
+
+/// What filling tasks of one image do to the serving images, in the order of their places.
+#[derive(Debug, Clone)]
+pub struct Pressure {
+    /// Slope, or `None` if the pair is unknown and was tried a moment ago.
+    slopes: Vec<Option<f64>>,
+}
+
+impl Pressure {
+    /// Least margin that is left if such a task takes `share` of the worker; negative infinity if a
+    /// pair may not be tried now.
+    pub fn left_with(&self, margins: &[Margin], share: f64) -> f64 {
+        let mut least = f64::INFINITY;
+        for margin in margins {
+            let slope = margin.place.and_then(|place| self.slopes.get(place));
+            let Some(slope) = slope.copied().unwrap_or(Some(PRIOR_SLOPE)) else {
+                return f64::NEG_INFINITY;
+            };
+            least = least.min(margin.left - slope * share);
+        }
+        least
+    }
 }
 
 /// Filling tasks of one image on a worker.
@@ -79,7 +104,8 @@
 /// What has been learned of all pairs of images.
 #[derive(Debug, Default)]
 pub struct Contention {
-    images: HashMap<Name, Image>,
+    images: Vec<Image>,
+    places: HashMap<Name, usize>,
 }
 
 impl Contention {
@@ -88,7 +114,7 @@
         let Some(name) = &serving.image else {
             return;
         };
-        if !self.images.contains_key(name) {
+        if !self.places.contains_key(name) {
             if self.images.len() >= MAX_IMAGES {
                 return;
             }
@@ -97,9 +123,11 @@
                 indices: HashMap::new(),
                 trials: HashMap::new(),
             };
-            self.images.insert(name.clone(), image);
+            self.places.insert(name.clone(), self.images.len());
+            self.images.push(image);
         }
-        let Some(image) = self.images.get_mut(name) else {
+        let place = self.places.get(name);
+        let Some(image) = place.and_then(|place| self.images.get_mut(*place)) else {
             return;
         };
         let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
@@ -114,14 +142,15 @@
 
     /// Brings what was observed since the last call into force.
     pub fn learn(&mut self) {
-        for image in self.images.values_mut() {
+        for image in &mut self.images {
             image.tail.solve();
         }
     }
 
     /// Rise of the logarithm of the tail by a filling image that takes a whole worker.
     pub fn slope(&self, serving: Option<&Name>, filling: Option<&Name>) -> f64 {
-        let image = serving.and_then(|name| self.images.get(name));
+        let place = serving.and_then(|name| self.places.get(name));
+        let image = place.and_then(|place| self.images.get(*place));
         image.map_or(PRIOR_SLOPE, |image| image.slope(filling))
     }
 
@@ -153,31 +182,22 @@
                 None => margins.push(Margin {
                     image: task.image.clone(),
                     left,
+                    place: image.and_then(|name| self.places.get(name)).copied(),
                 }),
             }
         }
         margins
     }
 
-    /// Least margin that is left if a filling task of `image` takes `share` of the worker; negative
-    /// infinity if a pair is unknown and was tried a moment ago.
-    pub fn left_with(
-        &self,
-        now: Millis,
-        margins: &[Margin],
-        image: Option<&Name>,
-        share: f64,
-    ) -> f64 {
-        let mut least = f64::INFINITY;
-        for margin in margins {
-            let serving = margin.image.as_ref().and_then(|name| self.images.get(name));
-            if serving.is_some_and(|serving| !serving.may_start(now, image)) {
-                return f64::NEG_INFINITY;
-            }
-            let slope = serving.map_or(PRIOR_SLOPE, |serving| serving.slope(image));
-            least = least.min(margin.left - slope * share);
+    /// What filling tasks of `image` do to every serving image.
+    pub fn pressure(&self, now: Millis, image: Option<&Name>) -> Pressure {
+        let slopes = self.images.iter().map(|serving| {
+            let may_start = serving.may_start(now, image);
+            may_start.then(|| serving.slope(image))
+        });
+        Pressure {
+            slopes: slopes.collect(),
         }
-        least
     }
 
     /// Takes a filling task that starts into account.
@@ -190,10 +210,7 @@
     ) {
         for margin in margins {
             margin.left -= self.slope(margin.image.as_ref(), filling) * share;
-            let serving = margin
-                .image
-                .as_ref()
-                .and_then(|name| self.images.get_mut(name));
+            let serving = margin.place.and_then(|place| self.images.get_mut(place));
             if let (Some(serving), Some(filling)) = (serving, filling) {
                 if !serving.is_known(Some(filling)) && serving.trials.len() < MAX_IMAGES {
                     serving.trials.insert(filling.clone(), now);
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -9,7 +9,7 @@
 mod regression;
 mod spec;
 
-pub use contention::{Contention, Filling, Margin, OVER, Serving};
+pub use contention::{Contention, Filling, Margin, OVER, Pressure, Serving};
 pub use fit::{Need, Room, choose};
 pub use job::{Ending, Job, Outcome, Step, Task, TaskState, Turn};
 pub use order::{OrderKey, order_key};
--- a/tests/contention.rs
+++ b/tests/contention.rs
@@ -62,7 +62,9 @@
     let contention = learned(6.0);
     let margins = contention.margins(&[serving(QUIET), serving(QUIET)], &[]);
     let left = |image: &str, share| {
-        contention.left_with(Millis(10_000), &margins, name(image).as_ref(), share)
+        contention
+            .pressure(Millis(10_000), name(image).as_ref())
+            .left_with(&margins, share)
     };
     assert!(left("heavy", 0.1) < 0.0);
     assert!(left("light", 0.3) > 0.0);
@@ -97,15 +99,27 @@
     let fresh = name("fresh");
     let mut margins = contention.margins(&[serving(QUIET)], &[]);
     let at = Millis(10_000);
-    assert!(contention.left_with(at, &margins, fresh.as_ref(), 0.05) > 0.0);
+    assert!(
+        contention
+            .pressure(at, fresh.as_ref())
+            .left_with(&margins, 0.05)
+            > 0.0
+    );
     contention.start(at, &mut margins, fresh.as_ref(), 0.05);
     assert_eq!(
-        contention.left_with(at, &margins, fresh.as_ref(), 0.05),
+        contention
+            .pressure(at, fresh.as_ref())
+            .left_with(&margins, 0.05),
         f64::NEG_INFINITY
     );
     let later = Millis(at.0 + 2_000);
     let margins = contention.margins(&[serving(QUIET)], &[]);
-    assert!(contention.left_with(later, &margins, fresh.as_ref(), 0.05) > 0.0);
+    assert!(
+        contention
+            .pressure(later, fresh.as_ref())
+            .left_with(&margins, 0.05)
+            > 0.0
+    );
 }
 
 /// Guards against memory that grows with the images ever seen.
