Take the undisturbed tail of a job from its other tasks

Change: Undisturbed keeps, for each job, the tail without disturbance from the last moments' reports of its tasks, less known pressure; the regression learns what is above it, and pace and placement start from it.

--- a/src/process/shard/paces.rs
+++ b/src/process/shard/paces.rs
@@ -29,11 +29,11 @@
         let is_due = now.steady.since(worker.learned) >= LEARN_TIME;
         if is_due {
             for task in &serving {
-                self.contention.observe(task, &filling);
+                self.contention.observe(now.steady, task, &filling);
             }
         }
         let is_over = !filling.is_empty() && serving.iter().any(|task| task.tail >= OVER);
-        let paces = self.contention.paces(&serving, &filling);
+        let paces = self.contention.paces(now.steady, &serving, &filling);
         let paces: Vec<(Option<Name>, u8)> = filling
             .iter()
             .zip(paces)
@@ -42,7 +42,7 @@
         if is_due {
             worker.learned = now.steady;
         }
-        worker.margins = self.contention.margins(&serving, &filling);
+        worker.margins = self.contention.margins(now.steady, &serving, &filling);
         worker.harmed = match is_over {
             true => worker.harmed.or(Some(now.steady)),
             false => None,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -49,7 +49,7 @@
         if self.phase < Phase::Settling {
             return;
         }
-        self.contention.learn();
+        self.contention.learn(now.steady);
         self.settle(now);
         self.lapse(now);
         self.evacuate(now);
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -232,10 +232,11 @@
     /// Serving tasks at work, with their tails.
     pub fn serving(&self) -> Vec<Serving> {
         self.runs
-            .values()
-            .filter(|run| run.tail_bound > 0 && run.percent >= 100)
-            .filter_map(|run| {
+            .iter()
+            .filter(|(_, run)| run.tail_bound > 0 && run.percent >= 100)
+            .filter_map(|(task, run)| {
                 Some(Serving {
+                    job: task.step.job,
                     image: run.image.clone(),
                     tail: run.figure? as f64 / f64::from(run.tail_bound),
                 })
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -4,9 +4,12 @@
 use std::collections::HashMap;
 
 use super::regression::Regression;
+use super::spec::JobId;
+use super::undisturbed::Undisturbed;
 use crate::base::{Millis, Name};
 
-/// Tail latency as a share of its bound before anything is known of an image.
+/// Tail latency as a share of its bound that is assumed of a task whose job's undisturbed tail is not
+/// known.
 const PRIOR_TAIL: f64 = 0.4;
 /// Rise of the logarithm of the tail by a filling image that takes the whole worker, before
 /// anything is known of the pair: most pairs disturb little, some raise the tail fast.
@@ -31,9 +34,12 @@
 const AIM: f64 = 0.9;
 /// Factor by which a tail may rise with the load before the next report changes the pace.
 const SWING: f64 = 1.1;
-/// Lowest tail that is assumed for the next seconds, as a share of the bound: what an undisturbed
-/// task reaches at the top of its load's swing.
+/// Lowest tail that is assumed of a task whose job's undisturbed tail is not known, as a share of the
+/// bound: what an undisturbed task reaches at the top of its load's swing.
 const EXPECTED_TAIL: f64 = 0.72;
+/// The same for the placement beside a task whose undisturbed tail is known: a filling task stays for
+/// seconds, in which the load swings half-way to its top.
+const PLACING_TAIL: f64 = 0.55;
 /// Share of its bound at which a serving task counts as over it; then even harmless images are slowed
 /// down.
 pub const OVER: f64 = 0.97;
@@ -43,6 +49,7 @@
 /// A serving task as the latest report shows it.
 #[derive(Debug, Clone)]
 pub struct Serving {
+    pub job: JobId,
     pub image: Option<Name>,
     /// Tail latency as a share of its bound.
     pub tail: f64,
@@ -94,7 +101,8 @@
 /// What disturbs the serving tasks of one image.
 #[derive(Debug)]
 struct Image {
-    /// Logarithm of the tail as a share of its bound, over the shares that filling images use.
+    /// Logarithm of the tail over what it would be undisturbed, over the shares that filling images
+    /// use.
     tail: Regression,
     indices: HashMap<Name, usize>,
     /// When each unknown pair was last tried.
@@ -106,11 +114,17 @@
 pub struct Contention {
     images: Vec<Image>,
     places: HashMap<Name, usize>,
+    undisturbed: Undisturbed,
 }
 
 impl Contention {
     /// Learns from one report of a worker.
-    pub fn observe(&mut self, serving: &Serving, filling: &[Filling]) {
+    pub fn observe(&mut self, now: Millis, serving: &Serving, filling: &[Filling]) {
+        let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
+        let known = self.undisturbed.expected(now, serving.job);
+        let pressure = self.pressure_on(serving, filling);
+        self.undisturbed
+            .observe(now, serving.job, seen - pressure, pressure);
         let Some(name) = &serving.image else {
             return;
         };
@@ -119,7 +133,7 @@
                 return;
             }
             let image = Image {
-                tail: Regression::new(PRIOR_TAIL.ln()),
+                tail: Regression::new(0.0),
                 indices: HashMap::new(),
                 trials: HashMap::new(),
             };
@@ -130,18 +144,20 @@
         let Some(image) = place.and_then(|place| self.images.get_mut(*place)) else {
             return;
         };
-        let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
         let mut values = Vec::with_capacity(filling.len());
         for other in filling.iter().filter(|other| other.used > 0.0) {
             if let Some(index) = other.image.as_ref().and_then(|filler| image.index(filler)) {
                 values.push((index, other.used));
             }
         }
-        image.tail.observe(&values, seen);
+        image
+            .tail
+            .observe(&values, seen - known.unwrap_or(PRIOR_TAIL.ln()));
     }
 
     /// Brings what was observed since the last call into force.
-    pub fn learn(&mut self) {
+    pub fn learn(&mut self, now: Millis) {
+        self.undisturbed.forget_old(now);
         for image in &mut self.images {
             image.tail.solve();
         }
@@ -154,21 +170,32 @@
         image.map_or(PRIOR_SLOPE, |image| image.slope(filling))
     }
 
-    /// How much room for pressure a serving task leaves: the logarithm from its undisturbed tail to
-    /// the aim.
-    fn slack(&self, serving: &Serving, filling: &[Filling]) -> f64 {
-        let pressure: f64 = filling
+    /// Rise of the logarithm of a serving task's tail by the filling tasks beside it.
+    fn pressure_on(&self, serving: &Serving, filling: &[Filling]) -> f64 {
+        let image = serving.image.as_ref();
+        let parts = filling
             .iter()
-            .map(|other| self.slope(serving.image.as_ref(), other.image.as_ref()) * other.used)
-            .sum();
+            .map(|other| self.slope(image, other.image.as_ref()) * other.used);
+        parts.sum()
+    }
+
+    /// How much room for pressure a serving task leaves: the logarithm from its undisturbed tail,
+    /// taken as at least `least`, to the aim.
+    fn slack(&self, now: Millis, serving: &Serving, filling: &[Filling], least: f64) -> f64 {
         let seen = serving.tail.clamp(MIN_TAIL, MAX_TAIL).ln();
-        let undisturbed = (seen - pressure + SWING.ln()).max(EXPECTED_TAIL.ln());
+        let unexplained = seen - self.pressure_on(serving, filling);
+        let known = self.undisturbed.expected(now, serving.job);
+        let undisturbed = match known.filter(|_| serving.tail < AIM) {
+            // What the slopes don't explain may be a load that rises faster than the estimate.
+            Some(known) => ((known + unexplained.max(known)) / 2.0 + SWING.ln()).max(least.ln()),
+            None => (unexplained + SWING.ln()).max(EXPECTED_TAIL.ln()),
+        };
         AIM.ln() - undisturbed
     }
 
     /// What every serving image on a worker leaves for more pressure if all filling tasks there run
     /// at full pace.
-    pub fn margins(&self, serving: &[Serving], filling: &[Filling]) -> Vec<Margin> {
+    pub fn margins(&self, now: Millis, serving: &[Serving], filling: &[Filling]) -> Vec<Margin> {
         let mut margins: Vec<Margin> = Vec::new();
         for task in serving {
             let image = task.image.as_ref();
@@ -176,7 +203,7 @@
                 .iter()
                 .map(|other| self.slope(image, other.image.as_ref()) * other.wanted)
                 .sum();
-            let left = self.slack(task, filling) - wanted;
+            let left = self.slack(now, task, filling, PLACING_TAIL) - wanted;
             match margins.iter_mut().find(|margin| margin.image == task.image) {
                 Some(margin) => margin.left = margin.left.min(left),
                 None => margins.push(Margin {
@@ -221,7 +248,7 @@
 
     /// Pace for the filling tasks of each image, as a share of full pace, in the order of
     /// `filling`. Images that disturb no serving task here run at full pace.
-    pub fn paces(&self, serving: &[Serving], filling: &[Filling]) -> Vec<f64> {
+    pub fn paces(&self, now: Millis, serving: &[Serving], filling: &[Filling]) -> Vec<f64> {
         let mut paces: Vec<f64> = vec![1.0; filling.len()];
         for task in serving {
             let slopes: Vec<f64> = filling
@@ -234,7 +261,7 @@
             if harmful <= 0.0 {
                 continue;
             }
-            let slack = self.slack(task, filling) - harmless;
+            let slack = self.slack(now, task, filling, MIN_TAIL) - harmless;
             let share = (slack / harmful).clamp(0.0, 1.0);
             for (pace, slope) in paces.iter_mut().zip(&slopes) {
                 if *slope >= limit {
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -8,6 +8,7 @@
 mod progress;
 mod regression;
 mod spec;
+mod undisturbed;
 
 pub use contention::{Contention, Filling, Margin, OVER, Pressure, Serving};
 pub use fit::{Need, Room, choose};
--- a/tests/contention.rs
+++ b/tests/contention.rs
@@ -1,10 +1,12 @@
 //! Filling tasks beside serving tasks: what is learned of pairs, and how it limits them.
 
 use jayfork::base::{Millis, Name};
-use jayfork::request::job::{Contention, Filling, Serving};
+use jayfork::request::job::{Contention, Filling, JobId, Serving};
 use yare::parameterized;
 
 const QUIET: f64 = 0.4;
+/// When everything has been learned.
+const AT: Millis = Millis(10_000);
 
 fn name(text: &str) -> Option<Name> {
     Some(text.into())
@@ -12,6 +14,7 @@
 
 fn serving(tail: f64) -> Serving {
     Serving {
+        job: JobId(1),
         image: name("search"),
         tail,
     }
@@ -29,14 +32,14 @@
 fn learned(slope: f64) -> Contention {
     let mut contention = Contention::default();
     let mut rng = fastrand::Rng::with_seed(3);
-    for _ in 0..400 {
+    for index in 0..400 {
         let (heavy, light) = (rng.f64() * 0.2, rng.f64() * 0.4);
         let swing = 0.8 + 0.4 * rng.f64();
         let tail = QUIET * swing * (slope * heavy).exp();
         let fillers = [filling("heavy", heavy), filling("light", light)];
-        contention.observe(&serving(tail), &fillers);
+        contention.observe(Millis(index * 25), &serving(tail), &fillers);
     }
-    contention.learn();
+    contention.learn(AT);
     contention
 }
 
@@ -60,10 +63,10 @@
 #[test]
 fn margins_keep_out_only_what_disturbs() {
     let contention = learned(6.0);
-    let margins = contention.margins(&[serving(QUIET), serving(QUIET)], &[]);
+    let margins = contention.margins(AT, &[serving(QUIET), serving(QUIET)], &[]);
     let left = |image: &str, share| {
         contention
-            .pressure(Millis(10_000), name(image).as_ref())
+            .pressure(AT, name(image).as_ref())
             .left_with(&margins, share)
     };
     assert!(left("heavy", 0.1) < 0.0);
@@ -77,7 +80,7 @@
     let contention = learned(6.0);
     let fillers = [filling("heavy", 0.1), filling("light", 0.2)];
     let tail = 0.5 * (6.0_f64 * 0.1).exp();
-    let paces = contention.paces(&[serving(tail)], &fillers);
+    let paces = contention.paces(AT, &[serving(tail)], &fillers);
     assert!(paces[0] < 0.5, "{paces:?}");
     assert_eq!(paces[1], 1.0);
 }
@@ -87,7 +90,7 @@
 #[test]
 fn a_task_over_its_bound_slows_all_beside_it() {
     let contention = learned(6.0);
-    let paces = contention.paces(&[serving(1.3)], &[filling("light", 0.3)]);
+    let paces = contention.paces(AT, &[serving(1.3)], &[filling("light", 0.3)]);
     assert!(paces[0] < 1.0, "{paces:?}");
 }
 
@@ -97,8 +100,8 @@
 fn unknown_pairs_are_tried_one_at_a_time() {
     let mut contention = learned(6.0);
     let fresh = name("fresh");
-    let mut margins = contention.margins(&[serving(QUIET)], &[]);
-    let at = Millis(10_000);
+    let mut margins = contention.margins(AT, &[serving(QUIET)], &[]);
+    let at = AT;
     assert!(
         contention
             .pressure(at, fresh.as_ref())
@@ -113,7 +116,7 @@
         f64::NEG_INFINITY
     );
     let later = Millis(at.0 + 2_000);
-    let margins = contention.margins(&[serving(QUIET)], &[]);
+    let margins = contention.margins(AT, &[serving(QUIET)], &[]);
     assert!(
         contention
             .pressure(later, fresh.as_ref())
@@ -129,10 +132,11 @@
     for index in 0..1_000 {
         let image = format!("image-{index}");
         let task = Serving {
+            job: JobId(index),
             image: name(&image),
             tail: QUIET,
         };
-        contention.observe(&task, &[filling(&image, 0.1)]);
+        contention.observe(AT, &task, &[filling(&image, 0.1)]);
     }
     let first = contention.slope(name("image-0").as_ref(), name("image-999").as_ref());
     let last = contention.slope(name("image-999").as_ref(), name("image-999").as_ref());
