Let jobs that miss their objective give way until they press again

Change: a step's place has a standing. A job that can't meet its objective gives way to those that can, until it must start lest nobody waits for it; overdue jobs come last.

--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs' turns and steps: what becomes ready, what is recorded.
 
 use super::shard::{Now, Shard};
-use crate::request::job::{Job, JobId, StepId, order_key};
+use crate::request::job::{Job, JobId, OrderKey, StepId, order_key};
 use crate::version::{ShardRecord, StateRecord};
 
 impl Shard {
@@ -34,7 +34,8 @@
                 0 => job.accepted,
                 _ => job.due(step.turn),
             };
-            self.ready.insert(order_key(queue, &job.spec, start, step));
+            let key = order_key(queue, &job.spec, start, self.wall, step);
+            self.ready.insert(key);
         }
         self.is_changed = true;
     }
@@ -48,6 +49,16 @@
         }
     }
 
+    /// Gives the steps whose jobs stand otherwise by now their new place.
+    pub(super) fn reorder_expired(&mut self) {
+        let is_expired = |key: &OrderKey| key.expires < self.wall;
+        let expired: Vec<OrderKey> = self.ready.iter().copied().filter(is_expired).collect();
+        for key in expired {
+            self.ready.remove(&key);
+            self.enqueue(key.step.job);
+        }
+    }
+
     /// The record of an open job's progress.
     pub(super) fn progress_record(&self, id: JobId) -> Option<ShardRecord> {
         if self.ending.contains_key(&id) {
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -185,6 +185,8 @@
     pub(super) held: Vec<(u64, Request)>,
     pub(super) contention: Contention,
     pub(super) is_changed: bool,
+    /// Unix milliseconds of the newest event.
+    pub(super) wall: u64,
     last_place: Millis,
     pub(super) last_watch: Millis,
     pub(super) last_sweep: Millis,
@@ -227,6 +229,7 @@
             held: Vec::new(),
             contention: Contention::default(),
             is_changed: false,
+            wall: now.wall,
             last_place: Millis(0),
             last_watch: Millis(0),
             last_sweep: now.steady,
@@ -237,6 +240,7 @@
     }
 
     pub fn handle(&mut self, now: Now, event: ShardEvent, out: &mut Vec<ShardAction>) {
+        self.wall = now.wall;
         match event {
             ShardEvent::Request(ticket, request) => self.request(now, ticket, request, out),
             ShardEvent::Registry(changes) => {
@@ -260,6 +264,7 @@
         if self.is_superseded {
             return;
         }
+        self.wall = now.wall;
         self.sweep(now, out);
         if self.phase >= Phase::Settling {
             self.poll_workers(now, out);
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -54,6 +54,7 @@
         self.lapse(now);
         self.evacuate(now);
         self.open_due(now);
+        self.reorder_expired();
         self.expire(now);
         self.record_workers();
         if self.journal.is_failing(now.steady) {
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -13,6 +13,6 @@
 pub use contention::{Contention, Filling, Margin, OVER, Pressure, Serving};
 pub use fit::{Need, Room, choose};
 pub use job::{Ending, Job, Outcome, Step, Task, TaskState, Turn};
-pub use order::{OrderKey, order_key};
+pub use order::{OrderKey, Standing, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -210,6 +210,24 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Declared time in milliseconds of the longest chain that begins with a step.
+    pub fn chain_from(&self, step: u16) -> u64 {
+        let first = usize::from(step);
+        let mut ends: Vec<Option<u64>> = vec![None; self.steps.len()];
+        for (index, spec) in self.steps.iter().enumerate().skip(first) {
+            let before = spec
+                .after
+                .iter()
+                .filter_map(|after| ends[usize::from(*after)]);
+            let start = match index == first {
+                true => Some(0),
+                false => before.max(),
+            };
+            ends[index] = start.map(|start| start + u64::from(spec.runtime));
+        }
+        ends.into_iter().flatten().max().unwrap_or(0)
+    }
+
     /// Whether some step has no end of its own.
     pub fn lasts(&self) -> bool {
         self.steps.iter().any(|step| step.lasts)
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -55,7 +55,7 @@
 fn the_first_goes_before(first: (u8, u32, bool, u64), second: (u8, u32, bool, u64)) {
     let key = |(priority, runtime, lasts, start): (u8, u32, bool, u64), job| {
         let queue = queue(priority, 2.0);
-        order_key(Some(&queue), &spec(runtime, lasts), start, step(job))
+        order_key(Some(&queue), &spec(runtime, lasts), start, start, step(job))
     };
     // The id decides last, so it is set against the expected order.
     assert!(key(first, 2) < key(second, 1));
