Keep the shard off weak hosts

Change: a host with less than half of the strongest known processor leaves the claim to others for a second, a host that hears less than half of the others waits for more answers, and a weak owner passes the shard to a strong host after 1.5 s.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -1,5 +1,6 @@
 //! Who owns the shard: when an owner counts as gone, who claims, and when an owner gives up.
 
+use std::cmp::Reverse;
 use std::collections::HashSet;
 
 use super::host::{Host, HostAction, Owner, Peer, PeerUse, StoreUse};
@@ -38,6 +39,15 @@
 /// Longest time for a call of the handover, in milliseconds.
 const HANDOVER_CALL: Millis = Millis(400);
 const STORE_CALL: Millis = Millis(600);
+/// A host with less than this share of the strongest host's processor is weak: it owns the shard only
+/// while no stronger host can, since an owner needs many times what an entry host needs.
+const WEAK_SHARE: u32 = 2;
+/// How long a weak host leaves the claim to stronger ones, in milliseconds: two rounds.
+const WEAK_WAIT: Millis = Millis(1_000);
+/// How long a host that hears less than half of the others waits for more answers, in milliseconds.
+const SPARSE_WAIT: Millis = Millis(1_000);
+/// Shortest time of an ownership before a weak host passes it to a stronger one, in milliseconds.
+const WEAK_TENURE: Millis = Millis(1_500);
 /// Random low bits of an epoch, which keep two claims of one ordinal apart.
 const EPOCH_BITS: u32 = 16;
 /// Distance of the store in steps of this many milliseconds ranks hosts before their processors.
@@ -183,14 +193,24 @@
         if !has_store || is_new || self.config.version == 0 {
             return false;
         }
+        let waited = self
+            .claim
+            .searching
+            .map_or(Millis(0), |since| now.steady.since(since));
+        let is_sparse = self.claim.answered.len() * 2 < self.peers.len();
+        let is_early = self.is_weak() && waited < WEAK_WAIT || is_sparse && waited < SPARSE_WAIT;
+        if is_early {
+            return false;
+        }
         let own = self.own_rank();
+        let strongest = self.strongest();
         let best = self
             .peers
             .values()
             .filter(|peer| self.claim.answered.contains(&peer.record.name))
             .filter(|peer| peer.heard.is_some_and(|at| at >= round))
             .filter(|peer| is_candidate(peer, now.steady))
-            .map(rank)
+            .map(|peer| rank(peer, strongest))
             .min();
         if best.is_some_and(|best| best < own) {
             return false;
@@ -240,13 +260,24 @@
         }
     }
 
-    fn own_rank(&self) -> (u64, u32, Name) {
+    /// Processor of the strongest host that is known.
+    fn strongest(&self) -> u32 {
+        let others = self.peers.values().map(|peer| peer.record.processor);
+        others.fold(self.settings.record.processor, u32::max)
+    }
+
+    fn is_weak(&self) -> bool {
+        is_weak(self.settings.record.processor, self.strongest())
+    }
+
+    fn own_rank(&self) -> Rank {
         let record = &self.settings.record;
-        (
-            self.store_time.0 / DISTANCE_STEP,
-            u32::MAX - record.processor,
-            record.name.clone(),
-        )
+        Rank {
+            is_weak: self.is_weak(),
+            distance: self.store_time.0 / DISTANCE_STEP,
+            processor: Reverse(record.processor),
+            name: record.name.clone(),
+        }
     }
 
     fn claim(&mut self, now: Now, out: &mut Vec<HostAction>) {
@@ -321,12 +352,21 @@
             return;
         }
         let is_failing = failing_for.is_some_and(|time| time >= HANDOVER_TIME);
-        if (is_failing || self.stopping.is_some()) && !self.claim.is_handing {
-            self.hand_over(now, epoch, out);
+        let is_tenured = now.steady.since(self.claim.claimed) >= WEAK_TENURE;
+        let is_relieved = self.is_weak() && is_tenured;
+        if self.claim.is_handing {
+            return;
+        }
+        if is_failing || self.stopping.is_some() {
+            self.hand_over(now, epoch, false, out);
+        } else if is_relieved {
+            self.hand_over(now, epoch, true, out);
         }
     }
 
-    fn hand_over(&mut self, now: Now, epoch: u64, out: &mut Vec<HostAction>) {
+    /// Asks the best other host to take over, or the best of those that aren't weak.
+    fn hand_over(&mut self, now: Now, epoch: u64, is_strong: bool, out: &mut Vec<HostAction>) {
+        let strongest = self.strongest();
         let best = self
             .peers
             .values()
@@ -335,7 +375,8 @@
                     .is_some_and(|at| now.steady.since(at) <= OWNER_AGE)
             })
             .filter(|peer| is_candidate(peer, now.steady))
-            .min_by_key(|peer| rank(peer));
+            .filter(|peer| !is_strong || !is_weak(peer.record.processor, strongest))
+            .min_by_key(|peer| rank(peer, strongest));
         let Some(peer) = best else {
             return;
         };
@@ -420,17 +461,31 @@
     !is_stopping && peer.store_age(now).is_some_and(|age| age <= STORE_AGE)
 }
 
-/// Hosts near the store come first, then those with more processor time.
-fn rank(peer: &Peer) -> (u64, u32, Name) {
+/// Who is the better owner; smaller is better. Strong hosts near the store come first, then those with
+/// more processor time.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_weak: bool,
+    distance: u64,
+    processor: Reverse<u32>,
+    name: Name,
+}
+
+fn is_weak(processor: u32, strongest: u32) -> bool {
+    processor.saturating_mul(WEAK_SHARE) < strongest
+}
+
+fn rank(peer: &Peer, strongest: u32) -> Rank {
     let store_time = peer
         .presence
         .as_ref()
         .map_or(u64::MAX, |presence| presence.store_time);
-    (
-        store_time / DISTANCE_STEP,
-        u32::MAX - peer.record.processor,
-        peer.record.name.clone(),
-    )
+    Rank {
+        is_weak: is_weak(peer.record.processor, strongest),
+        distance: store_time / DISTANCE_STEP,
+        processor: Reverse(peer.record.processor),
+        name: peer.record.name.clone(),
+    }
 }
 
 pub(super) fn shard_partition() -> Partition {
