--- a/tests/contention.rs
+++ b/tests/contention.rs
@@ -142,3 +142,32 @@
     let last = contention.slope(name("image-999").as_ref(), name("image-999").as_ref());
     assert_eq!(first, last, "unknown pairs have the same slope");
 }
+
+/// Feeds reports of a job whose load swings by a factor of two and more, from one worker without
+/// filling tasks and one where `light` is busiest at the top of the swing.
+fn swung() -> (Contention, Millis) {
+    let mut contention = Contention::default();
+    let mut now = Millis(0);
+    for index in 0..200_u64 {
+        now = Millis(index * 150);
+        let top = (index as f64 * 0.1).sin();
+        let tail = QUIET * (0.5 * top).exp();
+        let used = 0.1 + 0.1 * top;
+        contention.observe(now, &serving(tail), &[]);
+        contention.observe(now, &serving(tail), &[filling("light", used)]);
+        contention.learn(now);
+    }
+    (contention, now)
+}
+
+/// Pattern: the load of a service swings while harmless filling tasks run beside it. Guards against
+/// the swing taken for their doing, which slows them down and leaves a backlog.
+#[test]
+fn a_swing_of_the_load_is_not_taken_for_a_disturbance() {
+    let (contention, now) = swung();
+    let slope = contention.slope(name("search").as_ref(), name("light").as_ref());
+    assert!(slope < 0.3, "{slope}");
+    let fillers = [filling("light", 0.4)];
+    let paces = contention.paces(now, &[serving(0.66)], &fillers);
+    assert_eq!(paces, [1.0]);
+}
