--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -61,6 +61,7 @@
             }
             Commit::Worker(id) => {
                 if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.is_recording = false;
                     worker.is_recorded = true;
                     self.is_changed = true;
                 }
@@ -133,6 +134,8 @@
                     });
                     worker.is_recorded = true;
                     worker.is_inherited = true;
+                    worker.is_draining = record.is_leaving;
+                    worker.recorded_leaving = record.is_leaving;
                 }
                 ShardRecord::Owner(_)
                 | ShardRecord::Job(_, None)
@@ -182,6 +185,7 @@
             .workers
             .iter()
             .filter(|worker| worker.is_inherited && worker.last_report.is_none())
+            .filter(|worker| !worker.has_left)
             .count();
         if missing > 0 && now.steady < limit {
             return;
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -143,11 +143,13 @@
             let is_idle = worker.runs.is_empty() && worker.noted == worker.processed;
             if !worker.is_listed && is_idle && self.phase == Phase::Active {
                 gone.push(worker.id.clone());
-            } else if worker.is_listed && !worker.is_recorded && !worker.is_recording {
+            } else if worker.is_listed && !worker.is_recording && worker.needs_record() {
                 worker.is_recording = true;
+                worker.recorded_leaving = worker.is_draining;
                 let record = WorkerRecord {
                     address: worker.address,
                     service: worker.service.clone(),
+                    is_leaving: worker.is_draining,
                 };
                 self.journal.push(
                     &ShardRecord::Worker(worker.id.clone(), Some(record)),
@@ -219,6 +221,10 @@
 }
 
 impl Worker {
+    fn needs_record(&self) -> bool {
+        !self.is_recorded || self.recorded_leaving != self.is_draining
+    }
+
     /// Whether a confirmed stop waits for a report that was asked for after it.
     fn wants_look(&self, now: Millis, stop_time: Millis) -> bool {
         let Some(waiting) = self.waiting_poll.filter(|_| self.has_stops) else {
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -73,6 +73,8 @@
     pub has_left: bool,
     /// Whether its record is stored, so that a later owner asks it for its runs.
     pub is_recorded: bool,
+    /// Whether its record says that it is leaving.
+    pub recorded_leaving: bool,
     /// Whether an earlier owner used it.
     pub is_inherited: bool,
     /// Whether its record is on its way.
@@ -125,6 +127,7 @@
             is_draining: false,
             has_left: false,
             is_recorded: false,
+            recorded_leaving: false,
             is_inherited: false,
             is_recording: false,
             born: None,
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -34,6 +34,9 @@
 pub struct WorkerRecord {
     pub address: SocketAddr,
     pub service: Name,
+    /// Whether it has announced that it leaves. A later owner then need not wait for it once nothing
+    /// listens at its address.
+    pub is_leaving: bool,
 }
 
 /// An accepted job.
--- a/tests/shard/cases.rs
+++ b/tests/shard/cases.rs
@@ -119,6 +119,26 @@
     world.assert_kept();
 }
 
+/// Guards against a new owner that waits a whole lease for a worker that has announced its leave and
+/// is gone: what earlier owners accepted would stand still meanwhile.
+#[test]
+fn a_new_owner_does_not_wait_for_workers_that_have_left() {
+    let mut world = served(3, 8_000);
+    world.submit(1, &lasting(6, 1_000));
+    world.run(1_000);
+    world.drain(1);
+    world.run(300);
+    world.submit(2, &chain(&[2, 2, 2], 1_000));
+    world.run(100);
+    world.leave(1);
+    world.kill(0);
+    world.claim();
+    world.run(4_000);
+    assert_eq!(world.running(1), 6);
+    assert_eq!(outcome(&mut world, 2), COMPLETED);
+    world.assert_kept();
+}
+
 /// Guards against runs of a silent worker that never count as lapsed because renewals go on being
 /// sent, and against lasting tasks that stay away.
 #[test]
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -30,6 +30,10 @@
     /// Difference of this worker's clock from the true time.
     offset: u64,
     pub born: u64,
+    /// Whether its last entry in the registry says that it is leaving.
+    pub is_leaving: bool,
+    /// Its process has ended for good; nothing listens at its address.
+    pub is_gone: bool,
     /// Messages neither arrive nor leave.
     pub is_cut: bool,
     /// Until when its process is starting; nobody answers meanwhile.
@@ -65,6 +69,8 @@
             closed: HashMap::new(),
             offset: 1_000 * (index as u64 + 1),
             born: 1,
+            is_leaving: false,
+            is_gone: false,
             is_cut: false,
             down_until: 0,
         });
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -129,7 +129,9 @@
         let shard = Shard::claim(settings, partition, owner, queues, self.time(), &mut out);
         self.owners.push(Some(shard));
         self.perform(index, out);
-        let changes = (0..self.fleet.workers.len()).map(|worker| self.entry(worker));
+        let listed =
+            (0..self.fleet.workers.len()).filter(|worker| !self.fleet.workers[*worker].is_gone);
+        let changes = listed.map(|worker| self.entry(worker));
         let event = ShardEvent::Registry(changes.collect());
         self.event(index, event);
         index
@@ -142,7 +144,10 @@
                 .parse()
                 .expect("an address"),
             data_centre: "east".into(),
-            state: WorkerState::Ready,
+            state: match self.fleet.workers[worker].is_leaving {
+                true => WorkerState::Draining,
+                false => WorkerState::Ready,
+            },
             capacity: self.fleet.workers[worker].capacity,
             labels: vec!["a".into(), format!("r{}", worker / 4).into()],
             born: None,
@@ -151,6 +156,25 @@
         RegistryChange::Set(worker_name(worker), entry)
     }
 
+    /// A worker announces that it leaves.
+    pub fn drain(&mut self, worker: usize) {
+        self.fleet.workers[worker].is_leaving = true;
+        let change = self.entry(worker);
+        if let Some(owner) = self.owner() {
+            self.event(owner, ShardEvent::Registry(vec![change]));
+        }
+    }
+
+    /// A worker's process ends and leaves the registry; its runs end with it.
+    pub fn leave(&mut self, worker: usize) {
+        self.fleet.restart(self.now, worker);
+        self.fleet.workers[worker].is_gone = true;
+        let change = RegistryChange::Removed(worker_name(worker));
+        if let Some(owner) = self.owner() {
+            self.event(owner, ShardEvent::Registry(vec![change]));
+        }
+    }
+
     pub fn kill(&mut self, owner: usize) {
         self.owners[owner] = None;
     }
@@ -313,6 +337,11 @@
             Message::Order(owner, tag, call, delivery, born) => {
                 let worker = worker_index(&call.worker);
                 let target = &self.fleet.workers[worker];
+                if target.is_gone {
+                    let answer = Err(CallError::Refused);
+                    self.send(5, Message::Answer(owner, tag, answer));
+                    return;
+                }
                 let is_cut = target.is_cut || target.down_until > self.now;
                 let is_restarted = target.born != born;
                 if is_cut || is_restarted {
