Suspect a worker by jobs that fail there, not by runs

Read from the code: runs of one hopeless job, up to 9 s of pause, go to the emptiest workers, which are those with room; and a step that no worker was allowed for kept larger lasting ones from being looked at.

Change: several failed runs of one job count once; lasting tasks go to a suspect worker before they wait; what does not fit is kept apart for them. tests/shard: both new cases fail on the code before.

--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -6,11 +6,11 @@
 use crate::connection::{EndReport, RunReport};
 use crate::request::job::{Ending, JobId, Outcome, TaskKey, TaskState};
 
-/// Failed runs in a row after which a worker gets no tasks for a while.
-const SUSPECT_RUNS: u32 = 2;
-/// How long a suspect worker gets no tasks, in milliseconds, times its failed runs in a row.
+/// Jobs with failed runs in a row after which a worker gets no tasks for a while.
+const SUSPECT_JOBS: usize = 2;
+/// How long a suspect worker gets no tasks, in milliseconds, times these jobs.
 const SUSPECT_TIME: Millis = Millis(1_500);
-const MAX_SUSPECT: u32 = 6;
+const MAX_SUSPECT: usize = 6;
 
 impl Shard {
     /// A run that this owner did not order: it belongs to an earlier owner, or it was given up.
@@ -92,13 +92,17 @@
         worker.processed = end.number;
         match end.ending {
             Ending::Done => {
-                worker.failed_runs = 0;
+                worker.failed_jobs.clear();
             }
             Ending::Failed => {
-                worker.failed_runs += 1;
-                let failed = worker.failed_runs;
-                if failed >= SUSPECT_RUNS {
-                    let pause = SUSPECT_TIME.0 * u64::from(failed.min(MAX_SUSPECT));
+                let job = end.task.step.job;
+                let is_new = !worker.failed_jobs.contains(&job);
+                if is_new && worker.failed_jobs.len() < MAX_SUSPECT {
+                    worker.failed_jobs.push(job);
+                }
+                let failed = worker.failed_jobs.len();
+                if is_new && failed >= SUSPECT_JOBS {
+                    let pause = SUSPECT_TIME.0 * failed as u64;
                     worker.suspect_until = now.steady + Millis(pause);
                     tracing::warn!(worker = %worker_id, failed, pause, "runs fail on a worker; avoids it");
                 }
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -23,6 +23,8 @@
     reserved: Size,
     demand: u32,
     fills: bool,
+    /// Lasting tasks may go to workers that others avoid.
+    lasts: bool,
     image: Option<Name>,
     service: Name,
 }
@@ -53,9 +55,12 @@
     }
 
     pub(super) fn candidates(&self, now: Now) -> Candidates {
-        let usable = self.workers.slots().filter(|(_, worker)| {
-            worker.is_usable(now.steady) && worker.suspect_until <= now.steady
-        });
+        self.usable(now, |worker| worker.suspect_until <= now.steady)
+    }
+
+    fn usable(&self, now: Now, filter: impl Fn(&Worker) -> bool) -> Candidates {
+        let slots = self.workers.slots();
+        let usable = slots.filter(|(_, worker)| worker.is_usable(now.steady) && filter(worker));
         usable.map(|(slot, _)| slot).collect()
     }
 
@@ -86,6 +91,7 @@
         let is_misfit = |misfit: &Misfit| {
             misfit.service == service
                 && misfit.fills == spec.fills
+                && misfit.lasts == spec.lasts
                 && misfit.demand <= spec.size.processors
                 && (!spec.fills || misfit.image == spec.image)
                 && misfit.reserved.fits(&reserved)
@@ -114,13 +120,19 @@
             return Some(());
         }
         for task in waiting {
-            let found = self.find_worker(now, &service, spec, key.step, None, candidates);
+            let mut found = self.find_worker(now, &service, spec, key.step, None, candidates);
+            if found.is_none() && spec.lasts {
+                // A failure costs a lasting task nothing, and waiting does.
+                let suspects = self.usable(now, |worker| worker.suspect_until > now.steady);
+                found = self.find_worker(now, &service, spec, key.step, None, &suspects);
+            }
             let Some(slot) = found else {
                 if spec.label.is_none() && spec.spread == 0 {
                     misfits.push(Misfit {
                         reserved,
                         demand: spec.size.processors,
                         fills: spec.fills,
+                        lasts: spec.lasts,
                         image: spec.image.clone(),
                         service,
                     });
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::base::{Millis, Name, Size};
-use crate::request::job::{Filling, Margin, Serving, TaskKey};
+use crate::request::job::{Filling, JobId, Margin, Serving, TaskKey};
 
 /// Slowest allowed clock of a worker, in percent of true time.
 const SLOWEST_CLOCK: u64 = 98;
@@ -105,8 +105,9 @@
     pub last_report: Option<Millis>,
     /// Calls without an answer since the last one with.
     pub misses: u32,
-    /// Runs that failed here since the last that was done.
-    pub failed_runs: u32,
+    /// Jobs of which a run failed here since the last run that was done. Several runs of one job tell of
+    /// the job, not of the worker.
+    pub failed_jobs: Vec<JobId>,
     pub suspect_until: Millis,
     /// Since when a serving task is over its bound beside filling tasks.
     pub harmed: Option<Millis>,
@@ -145,7 +146,7 @@
             poll_at: now,
             last_report: None,
             misses: 0,
-            failed_runs: 0,
+            failed_jobs: Vec::new(),
             suspect_until: Millis(0),
             harmed: None,
             learned: Millis(0),
@@ -170,7 +171,7 @@
         self.until = until;
         self.processed = 0;
         self.noted = 0;
-        self.failed_runs = 0;
+        self.failed_jobs.clear();
         self.suspect_until = Millis(0);
     }
 
--- a/tests/shard/cases.rs
+++ b/tests/shard/cases.rs
@@ -139,6 +139,38 @@
     world.assert_kept();
 }
 
+/// Pattern: jobs that can never run. Guards against healthy workers that get no tasks since the runs of
+/// one such job fail on them.
+#[test]
+fn a_hopeless_job_does_not_keep_others_from_its_worker() {
+    let mut world = served(1, 8_000);
+    world.weather.fails = 1.0;
+    world.submit(1, &chain(&[6], 1_000));
+    world.run(4_000);
+    assert_eq!(outcome(&mut world, 1), Some(Outcome::Failed));
+    world.weather.fails = 0.0;
+    world.submit(2, &chain(&[2], 1_000));
+    world.run(1_500);
+    assert_eq!(outcome(&mut world, 2), COMPLETED);
+    world.assert_kept();
+}
+
+/// Guards against a lasting task that waits while only workers with failed runs have room.
+#[test]
+fn a_lasting_task_goes_to_a_suspect_worker_before_it_waits() {
+    let mut world = served(1, 8_000);
+    world.weather.fails = 1.0;
+    for id in 1..8 {
+        world.submit(id, &chain(&[2], 500));
+    }
+    world.run(3_000);
+    world.weather.fails = 0.0;
+    world.submit(8, &lasting(2, 1_000));
+    world.run(500);
+    assert_eq!(world.running(8), 2);
+    world.assert_kept();
+}
+
 /// Guards against runs of a silent worker that never count as lapsed because renewals go on being
 /// sent, and against lasting tasks that stay away.
 #[test]
