Let the age of an owner grow on its way between hosts

The age did not count the way of the answer.

Change: an answer's age grows by the time since the question; what comes unasked counts only from the owner itself; the epoch of a process that has been restarted is over.

tests/ownership.rs: both new cases fail on the code before.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -67,6 +67,8 @@
     answered: HashSet<Name>,
     /// Epochs up to this one are known to be taken.
     pub floor: u64,
+    /// Epochs up to this one are over: their owner's process has been restarted.
+    pub over: u64,
     /// End of the journal and when it was first seen to be there.
     journal: Option<(u64, Millis)>,
     is_reading: bool,
@@ -87,12 +89,26 @@
 }
 
 impl Host {
-    /// Takes in what somebody says about the owner.
-    pub(super) fn see_owner(&mut self, now: Now, seen: &OwnerSeen, out: &mut Vec<HostAction>) {
+    /// Takes in what somebody says about the owner, in an answer to what was `asked` then or unasked.
+    ///
+    /// The age of what others have heard grows with the time since the question; without that, slow
+    /// hosts that tell each other of an owner would keep it young after its end.
+    pub(super) fn see_owner(
+        &mut self,
+        now: Now,
+        seen: &OwnerSeen,
+        asked: Option<Millis>,
+        out: &mut Vec<HostAction>,
+    ) {
         self.claim.floor = self.claim.floor.max(seen.epoch);
-        if seen.host == self.settings.record.name {
+        if seen.host == self.settings.record.name || seen.epoch <= self.claim.over {
             return;
         }
+        let age = match (seen.age, asked) {
+            (0, _) => Millis(0),
+            (age, Some(asked)) => Millis(age) + now.steady.since(asked),
+            (_, None) => return,
+        };
         if self
             .shard
             .as_ref()
@@ -101,7 +117,7 @@
             tracing::warn!(owner = %seen.host, epoch = seen.epoch, "a newer owner is known");
             self.drop_shard(now, out);
         }
-        let heard = now.steady.since(Millis(seen.age));
+        let heard = now.steady.since(age);
         match &mut self.owner {
             Some(owner) if owner.epoch == seen.epoch => {
                 if owner.heard.is_none_or(|at| at < heard) {
--- a/src/process/host/forward.rs
+++ b/src/process/host/forward.rs
@@ -102,7 +102,10 @@
             return;
         };
         let left = forward.deadline.since(now.steady);
-        let purpose = PeerUse::Forward { ticket };
+        let purpose = PeerUse::Forward {
+            ticket,
+            sent: now.steady,
+        };
         let message = PeerCall::Request(request);
         self.call_peer(purpose, address, message, left.min(TRY_TIME), out);
     }
@@ -135,6 +138,7 @@
         &mut self,
         now: Now,
         ticket: u64,
+        sent: Millis,
         answer: Result<PeerReply, CallError>,
         out: &mut Vec<HostAction>,
     ) {
@@ -146,7 +150,7 @@
             }
             Ok(PeerReply::NotOwner { owner }) => {
                 if let Some(seen) = owner {
-                    self.see_owner(now, &seen, out);
+                    self.see_owner(now, &seen, Some(sent), out);
                 }
             }
             Ok(PeerReply::Unknown) => {
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -115,9 +115,18 @@
 /// What a call to a peer is for.
 #[derive(Debug, Clone)]
 pub(super) enum PeerUse {
-    Hello { to: SocketAddr, is_owner: bool },
-    Forward { ticket: u64 },
-    TakeOver { epoch: u64 },
+    Hello {
+        to: SocketAddr,
+        is_owner: bool,
+        sent: Millis,
+    },
+    Forward {
+        ticket: u64,
+        sent: Millis,
+    },
+    TakeOver {
+        epoch: u64,
+    },
 }
 
 /// What is known of another host.
@@ -376,7 +385,11 @@
             config,
         };
         self.call_peer(
-            PeerUse::Hello { to, is_owner },
+            PeerUse::Hello {
+                to,
+                is_owner,
+                sent: now.steady,
+            },
             to,
             message,
             HELLO_TIME,
@@ -406,7 +419,7 @@
         match call {
             PeerCall::Hello { presence, config } => {
                 let version = presence.config;
-                self.heard(now, presence, out);
+                self.heard(now, presence, None, out);
                 if let Some(config) = config {
                     self.set_config(now, config, out);
                 }
@@ -445,14 +458,14 @@
             return;
         };
         match purpose {
-            PeerUse::Hello { to, is_owner } => match answer {
+            PeerUse::Hello { to, is_owner, sent } => match answer {
                 Ok(PeerReply::Hello {
                     presence,
                     config,
                     hosts,
                 }) => {
                     self.claim.answered(&presence.host.name);
-                    self.heard(now, *presence, out);
+                    self.heard(now, *presence, Some(sent), out);
                     if let Some(config) = config {
                         self.set_config(now, config, out);
                     }
@@ -462,7 +475,9 @@
                 }
                 _ => self.hello_failed(now, to, is_owner),
             },
-            PeerUse::Forward { ticket } => self.forward_answer(now, ticket, answer, out),
+            PeerUse::Forward { ticket, sent } => {
+                self.forward_answer(now, ticket, sent, answer, out);
+            }
             PeerUse::TakeOver { epoch } => {
                 let accepted = matches!(answer, Ok(PeerReply::TakeOver(true)));
                 self.take_over_answer(now, epoch, accepted, out);
@@ -470,12 +485,19 @@
         }
     }
 
-    /// Takes in what another host says of itself.
-    fn heard(&mut self, now: Now, presence: Presence, out: &mut Vec<HostAction>) {
+    /// Takes in what another host says of itself and of the owner. `asked` is when it was asked; what
+    /// comes unasked has been on its way for an unknown time.
+    fn heard(
+        &mut self,
+        now: Now,
+        presence: Presence,
+        asked: Option<Millis>,
+        out: &mut Vec<HostAction>,
+    ) {
         let name = presence.host.name.clone();
         self.learn(presence.host.clone());
         if let Some(seen) = &presence.owner {
-            self.see_owner(now, seen, out);
+            self.see_owner(now, seen, asked, out);
         }
         let is_owner = presence
             .owner
@@ -485,6 +507,9 @@
             // The process was restarted or has stepped down.
             if !is_owner && self.shard.is_none() {
                 tracing::info!(host = %name, epoch = owner.epoch, "host owns the shard no longer");
+                if owner.boot != presence.host.boot {
+                    self.claim.over = self.claim.over.max(owner.epoch);
+                }
                 self.owner = None;
             }
         }
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -9,7 +9,8 @@
 };
 use jayfork::platform::{CONFIG_KEY, CONFIG_STREAM};
 use jayfork::process::host::{
-    Host, HostAction, HostEvent, HostRecord, HostSettings, PeerCall, PeerReply, StoreUse,
+    Host, HostAction, HostEvent, HostRecord, HostSettings, OwnerSeen, PeerCall, PeerReply,
+    Presence, StoreUse,
 };
 use jayfork::process::shard::{Now, ShardSettings};
 use yare::parameterized;
@@ -189,7 +190,7 @@
                 } => {
                     let to = usize::from(address.port()) - 1;
                     let after = self.delay();
-                    match self.hosts[to].is_some() {
+                    match self.hosts.get(to).is_some_and(Option::is_some) {
                         true => self.send(after, Message::PeerCall(index, to, call, message)),
                         false => {
                             let answer = Err(CallError::NoAnswer);
@@ -388,3 +389,90 @@
     assert_eq!(heirs.len(), 1, "{heirs:?}");
     assert_ne!(heirs, owners);
 }
+
+fn rumour(age: u64) -> Presence {
+    let record = |name: &str, index| HostRecord {
+        name: name.into(),
+        boot: 1,
+        control: address(index),
+        data_centre: "east".into(),
+        region: "east".into(),
+        processor: STRONG,
+    };
+    Presence {
+        host: record("teller", 1),
+        config: 1,
+        owner: Some(OwnerSeen {
+            host: "owner".into(),
+            boot: 1,
+            epoch: 1 << 16,
+            age,
+        }),
+        store_age: None,
+        store_time: 4,
+        is_stopping: false,
+    }
+}
+
+/// Age of the owner that the first host tells a caller.
+fn told_age(world: &mut World, caller: Presence) -> Option<u64> {
+    let time = world.time();
+    let mut out = Vec::new();
+    let call = PeerCall::Hello {
+        presence: caller,
+        config: None,
+    };
+    let host = world.hosts[0].as_mut().expect("a host");
+    host.handle(time, HostEvent::Peer(1, call), &mut out);
+    out.into_iter().find_map(|action| match action {
+        HostAction::PeerReply(1, PeerReply::Hello { presence, .. }) => {
+            presence.owner.map(|owner| owner.age)
+        }
+        _ => None,
+    })
+}
+
+/// Guards against an owner that lives on in what slow hosts tell each other: each told it as young as
+/// it was when the answer was written, so its age never grew, and for eight seconds nobody claimed.
+#[test]
+fn the_age_of_an_owner_grows_on_the_way() {
+    const WAY: u64 = 300;
+    const AGE: u64 = 400;
+    let mut world = World::start(1, &[(STRONG, 2)]);
+    let seed = Presence {
+        owner: None,
+        ..rumour(0)
+    };
+    assert_eq!(told_age(&mut world, seed.clone()), None);
+    let mut calls: Vec<u64> = Vec::new();
+    while calls.is_empty() {
+        world.now += STEP;
+        let time = world.time();
+        let mut out = Vec::new();
+        let host = world.hosts[0].as_mut().expect("a host");
+        host.poll(time, &mut out);
+        calls.extend(out.iter().filter_map(|action| match action {
+            HostAction::PeerCall {
+                call, address: to, ..
+            } if *to == address(1) => Some(*call),
+            _ => None,
+        }));
+    }
+    world.now += WAY;
+    for call in calls {
+        let reply = PeerReply::Hello {
+            presence: Box::new(rumour(AGE)),
+            config: None,
+            hosts: Vec::new(),
+        };
+        world.event(0, HostEvent::PeerAnswer(call, Ok(reply)));
+    }
+    assert_eq!(told_age(&mut world, seed), Some(AGE + WAY));
+}
+
+/// Guards against the same through calls that come unasked, whose way is not known.
+#[test]
+fn what_others_heard_of_an_owner_counts_only_when_asked_for() {
+    let mut world = World::start(1, &[(STRONG, 2)]);
+    assert_eq!(told_age(&mut world, rumour(400)), None);
+}
