Number runs by the whole epoch, so that two owners of one ordinal never share a number

Cause: a run number held the ordinal of its epoch alone. Hosts that claim before they hear of each other take the same ordinal with different low bits; each may be accepted in turn, and both number their runs alike. Change: the high bits of a run number are the whole epoch. Numbers recorded by earlier owners are lower than all new ones, so old journals load and numbers still rise. Before: owners_with_epochs_of_one_ordinal_number_runs_differently fails (third start after two failures). Also: reports, stops and tombstones compare run numbers of one worker, whose token orders the owners.

--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -15,11 +15,8 @@
 const START_TIMEOUT: Millis = Millis(700);
 /// A worker whose last report is older than this gets no tasks, in milliseconds.
 const REPORT_AGE: Millis = Millis(2_600);
-/// Low bits of a run number that count the runs of a task within an epoch; the ordinal of the epoch
-/// is above them.
+/// Low bits of a run number that count the runs of a task within an epoch; the epoch is above them.
 const RUN_BITS: u32 = 12;
-/// Random low bits of an epoch; its ordinal is above them.
-const EPOCH_BITS: u32 = 16;
 
 /// Requirements of a task that no worker had room for in this placement pass. Tasks that need the
 /// same or more are skipped for the rest of the pass.
@@ -435,9 +432,8 @@
     }
 }
 
-/// Number of a run. Its high bits are the ordinal of the epoch, so that numbers rise across owners
-/// without being recorded.
+/// Number of a run. Its high bits are the whole epoch, so that numbers rise across owners without
+/// being recorded, and no two owners give the same number, even if they claim at the same time.
 pub(super) fn run_number(epoch: u64, runs: u32) -> u64 {
-    let ordinal = (epoch >> EPOCH_BITS).saturating_sub(1);
-    (ordinal << RUN_BITS) + u64::from(runs)
+    (epoch << RUN_BITS) + u64::from(runs)
 }
--- a/tests/shard/cases.rs
+++ b/tests/shard/cases.rs
@@ -279,3 +279,25 @@
     world.run(6_000);
     assert_eq!(outcome(&mut world, 1), COMPLETED);
 }
+
+/// Guards against two owners that give two runs of a task the same number: the second failure would
+/// not count, and the task would start more often than its attempts allow. Their epochs differ in
+/// the random bits alone when both hosts claim before they hear of each other.
+#[test]
+fn owners_with_epochs_of_one_ordinal_number_runs_differently() {
+    let mut world = World::new(7, 2, 8_000);
+    world.attempts = 2;
+    let first = world.claim_with_epoch((1 << 16) | 5);
+    world.run(500);
+    world.faults.run_failure = 1.0;
+    world.submit(1, &chain(&[1], 1_000));
+    world.run(45);
+    assert_eq!((world.fleet.starts, world.running(1)), (1, 1));
+    world.kill(first);
+    world.drain(0);
+    world.claim_with_epoch((1 << 16) | 9);
+    world.run(12_000);
+    world.assert_no_violations();
+    assert_eq!(outcome(&mut world, 1), Some(Outcome::Failed));
+    assert_eq!(world.fleet.starts, 2);
+}
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -120,11 +120,16 @@
 
     /// Lets a new owner claim the shard and returns its index; earlier owners are not informed.
     pub fn claim(&mut self) -> usize {
+        self.claim_with_epoch((self.owners.len() as u64 + 1) << 16)
+    }
+
+    /// The same with the given epoch.
+    pub fn claim_with_epoch(&mut self, epoch: u64) -> usize {
         let index = self.owners.len();
         let owner = OwnerRecord {
             host: format!("host-{index}").into(),
             boot: index as u64,
-            epoch: (index as u64 + 1) << 16,
+            epoch,
         };
         let partition = Partition {
             stream: "shard".into(),
