Ask and name a bounded number of hosts, and leave the configuration to the store

Cause: the messages between hosts grew with their square. Every host without an owner sent a hello to all others each 0.5 s, each answer listed all hosts (12 KB at 147), every host asked the owner 2.5 times a second (365 hellos/s), hosts that started together all asked the same host first, and each sent its configuration to every host that it believed to be behind, although all of them read it from the store. An answer names eight hosts that live, different ones each time, and the owner. In clusters of more than 25 hosts a search asks the 16 best-ranked hosts that have not stayed silent (low-capacity hosts ask four), and a host claims only once all better-ranked ones were asked; low-capacity hosts send a hello to the owner each second. A host that learns of a newer configuration reads the store at once and asks the peer that has it after 0.3 s. Hosts that were silent for two minutes are forgotten.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -1,11 +1,12 @@
 //! Ownership of the shard: detecting that its owner is gone, claiming it, handing it over and
 //! giving it up.
 
-use std::cmp::Reverse;
 use std::collections::HashSet;
 
-use super::host::{Host, HostAction, Owner, Peer, PeerPurpose, StorePurpose};
+use super::host::{Host, HostAction, Owner, PeerPurpose, StorePurpose};
 use super::message::{KnownOwner, PeerCall};
+use super::peers::Peer;
+use super::rank::{Rank, is_low_capacity};
 use super::streams::{HOSTS_STREAM, OWNER_KEY, SHARD_STREAM};
 use crate::base::{Millis, Name};
 use crate::connection::{KeyedRecord, Partition, StoreAnswer, StoreCall, StoreRequest};
@@ -15,6 +16,8 @@
 /// An owner counts as gone once the last message that any host received from it is older than this,
 /// in milliseconds.
 const OWNER_AGE: Millis = Millis(1_200);
+/// The same on a host that sends hellos to the owner rarely, in milliseconds.
+const RARE_OWNER_AGE: Millis = Millis(2_000);
 /// The same after two consecutive hellos to the owner have failed, in milliseconds.
 const FAILED_HELLO_AGE: Millis = Millis(450);
 /// Interval of the rounds in which a host without an owner sends a hello to all hosts, in
@@ -50,10 +53,6 @@
 const HANDOVER_CALL_TIMEOUT: Millis = Millis(400);
 /// Timeout of a call to the store, in milliseconds.
 const STORE_TIMEOUT: Millis = Millis(600);
-/// A host is low-capacity if its processor is less than that of the largest host divided by this.
-/// It owns the shard only while no high-capacity host can, since an owner needs many times the
-/// processor time of an entry host.
-const LOW_CAPACITY_DIVISOR: u32 = 2;
 /// How long a low-capacity host leaves the claim to high-capacity ones, in milliseconds: two
 /// rounds.
 const LOW_CAPACITY_WAIT_TIME: Millis = Millis(1_000);
@@ -65,10 +64,6 @@
 const MIN_OWNERSHIP_TIME: Millis = Millis(1_500);
 /// Number of low bits of an epoch that are random, so that two claims with the same ordinal differ.
 const EPOCH_BITS: u32 = 16;
-/// Response times of the store are compared in steps of this many milliseconds. Within a step, the
-/// host with the larger processor ranks first.
-const STORE_TIME_STEP: u64 = 10;
-
 /// State of the search for an owner, of the claim and of a handover.
 #[derive(Debug, Default)]
 pub(super) struct Claim {
@@ -76,8 +71,12 @@
     search_started: Option<Millis>,
     /// When the current round of hellos to all hosts was sent.
     round_started: Option<Millis>,
+    /// Hosts that were asked in this round.
+    asked: Vec<Name>,
     /// Hosts that have answered in this round.
     responders: HashSet<Name>,
+    /// Hosts that were asked in an earlier round of this search and have not answered.
+    silent: HashSet<Name>,
     /// The highest epoch that this host knows of; a new claim takes a higher one.
     pub max_epoch: u64,
     /// Epochs up to this one have ended: their owner's process has been restarted.
@@ -179,6 +178,8 @@
         if self.claim.search_started.is_none() {
             self.claim.search_started = Some(now.steady);
             self.claim.journal_end = None;
+            self.claim.asked.clear();
+            self.claim.silent.clear();
             tracing::info!(
                 epoch = self.owner.as_ref().map(|owner| owner.epoch),
                 "no message from an owner; asking all hosts"
@@ -206,19 +207,49 @@
             return false;
         };
         let limit = match owner.failed_hellos {
+            0 | 1 if self.hears_owner_rarely() => RARE_OWNER_AGE,
             0 | 1 => OWNER_AGE,
             _ => FAILED_HELLO_AGE,
         };
         now.steady.since(heard) <= limit
     }
 
-    /// Sends a hello to all peers and starts to collect the answers.
+    /// Sends a hello to all peers, or in a large cluster to the best-ranked ones that have not
+    /// failed to answer in this search, and starts to collect the answers.
     fn start_round(&mut self, now: Now, out: &mut Vec<HostAction>) {
-        self.claim.round_started = Some(now.steady);
-        self.claim.responders.clear();
-        for address in self.peer_addresses() {
-            self.send_hello(now, address, false, out);
+        let claim = &mut self.claim;
+        for name in std::mem::take(&mut claim.asked) {
+            if !claim.responders.contains(&name) {
+                claim.silent.insert(name);
+            }
+        }
+        if claim.silent.len() >= self.peers.len() {
+            claim.silent.clear();
+        }
+        claim.round_started = Some(now.steady);
+        claim.responders.clear();
+        let targets = self.peers.search_targets(
+            self.max_processor(),
+            self.is_low_capacity(),
+            self.settings.record.boot,
+            &self.claim.silent,
+        );
+        for name in &targets {
+            if let Some(address) = self.peers.get(name).map(|peer| peer.record.control) {
+                self.send_hello(now, address, false, out);
+            }
         }
+        self.claim.asked = targets;
+    }
+
+    /// Whether every host that ranks before `own` was asked in this search.
+    fn has_asked_better(&self, own: &Rank, max_processor: u32) -> bool {
+        let claim = &self.claim;
+        self.peers
+            .values()
+            .filter(|peer| Rank::of(peer, max_processor) < *own)
+            .map(|peer| &peer.record.name)
+            .all(|name| claim.silent.contains(name) || claim.asked.contains(name))
     }
 
     /// Whether this host may claim the shard now: it ranks first among the hosts that answered.
@@ -234,7 +265,7 @@
             .claim
             .search_started
             .map_or(Millis(0), |since| now.steady.since(since));
-        let has_few_responders = self.claim.responders.len() * 2 < self.peers.len();
+        let has_few_responders = self.claim.responders.len() * 2 < self.claim.asked.len();
         let must_wait = self.is_low_capacity() && waited < LOW_CAPACITY_WAIT_TIME
             || has_few_responders && waited < FEW_RESPONDERS_TIME;
         if must_wait {
@@ -248,9 +279,9 @@
             .filter(|peer| self.claim.responders.contains(&peer.record.name))
             .filter(|peer| peer.last_heard.is_some_and(|at| at >= round_started))
             .filter(|peer| is_candidate(peer, now.steady))
-            .map(|peer| rank(peer, max_processor))
+            .map(|peer| Rank::of(peer, max_processor))
             .min();
-        if best.is_some_and(|best| best < own) {
+        if best.is_some_and(|best| best < own) || !self.has_asked_better(&own, max_processor) {
             return false;
         }
         if self.peers.is_empty() || !self.claim.responders.is_empty() {
@@ -305,18 +336,19 @@
         others.fold(self.settings.record.processor, u32::max)
     }
 
-    fn is_low_capacity(&self) -> bool {
+    pub(super) fn is_low_capacity(&self) -> bool {
         is_low_capacity(self.settings.record.processor, self.max_processor())
     }
 
     fn own_rank(&self) -> Rank {
         let record = &self.settings.record;
-        Rank {
-            is_low_capacity: self.is_low_capacity(),
-            store_distance: self.store_time.0 / STORE_TIME_STEP,
-            processor: Reverse(record.processor),
-            name: record.name.clone(),
-        }
+        let max_processor = self.max_processor();
+        Rank::new(
+            record.name.clone(),
+            record.processor,
+            max_processor,
+            self.store_time,
+        )
     }
 
     fn claim(&mut self, now: Now, out: &mut Vec<HostAction>) {
@@ -447,7 +479,7 @@
                         && heard.is_some_and(|at| at >= since + STORE_PROOF_TIME)
                 }
             })
-            .min_by_key(|peer| rank(peer, max_processor));
+            .min_by_key(|peer| Rank::of(peer, max_processor));
         let Some(peer) = best else {
             return;
         };
@@ -549,33 +581,6 @@
     !is_stopping && peer.store_age(now).is_some_and(|age| age <= STORE_AGE)
 }
 
-/// Order of preference for the owner; smaller is better. High-capacity hosts come first, then those
-/// closer to the store, then those with a larger processor.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank {
-    is_low_capacity: bool,
-    store_distance: u64,
-    processor: Reverse<u32>,
-    name: Name,
-}
-
-fn is_low_capacity(processor: u32, max_processor: u32) -> bool {
-    processor.saturating_mul(LOW_CAPACITY_DIVISOR) < max_processor
-}
-
-fn rank(peer: &Peer, max_processor: u32) -> Rank {
-    let store_time = peer
-        .presence
-        .as_ref()
-        .map_or(u64::MAX, |presence| presence.store_time);
-    Rank {
-        is_low_capacity: is_low_capacity(peer.record.processor, max_processor),
-        store_distance: store_time / STORE_TIME_STEP,
-        processor: Reverse(peer.record.processor),
-        name: peer.record.name.clone(),
-    }
-}
-
 pub(super) fn shard_partition() -> Partition {
     Partition {
         stream: SHARD_STREAM.into(),
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -7,6 +7,7 @@
 use super::claim::Claim;
 use super::forward::PendingRequest;
 use super::message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
+use super::peers::Peers;
 use super::streams::Streams;
 use crate::base::{Millis, Name};
 use crate::connection::{
@@ -19,12 +20,20 @@
 
 /// Interval of hellos to the owner, in milliseconds.
 const OWNER_HELLO_TIME: Millis = Millis(400);
+/// The same for low-capacity hosts of a large cluster, in milliseconds. Few of them are asked to
+/// own the shard, and the owner's processor has to serve all their hellos.
+const RARE_OWNER_HELLO_TIME: Millis = Millis(1_000);
 /// Interval of hellos to the other hosts, one after another, in milliseconds.
 const PEER_HELLO_TIME: Millis = Millis(900);
 /// Pause between a failed hello to the owner and the next one, in milliseconds.
 const HELLO_RETRY_TIME: Millis = Millis(100);
 /// Timeout of a hello, in milliseconds.
 const HELLO_TIMEOUT: Millis = Millis(600);
+/// How long a host tries to read a newer configuration from the store before it asks a peer for it,
+/// in milliseconds.
+const CONFIG_STORE_TIME: Millis = Millis(300);
+/// Pause before it asks again, in milliseconds.
+const CONFIG_RETRY_TIME: Millis = Millis(700);
 /// A host reports that it isn't ready once the last message from the owner is older than this, in
 /// milliseconds.
 const READY_AGE: Millis = Millis(2_500);
@@ -139,26 +148,14 @@
     },
 }
 
-/// What this host knows of another one.
-#[derive(Debug, Clone)]
-pub(super) struct Peer {
-    pub record: HostRecord,
-    /// When `presence` arrived.
-    pub last_heard: Option<Millis>,
-    pub presence: Option<Presence>,
-}
-
-impl Peer {
-    /// Time since the store last answered the peer.
-    pub fn store_age(&self, now: Millis) -> Option<Millis> {
-        let age = self.presence.as_ref()?.store_age?;
-        Some(now.since(self.last_heard?) + Millis(age))
-    }
-
-    /// When the store last answered the peer, by this host's clock.
-    pub fn store_heard(&self, now: Millis) -> Option<Millis> {
-        Some(now.since(self.store_age(now)?))
-    }
+/// A configuration that this host does not have yet.
+#[derive(Debug, Clone, Copy)]
+struct NewerConfig {
+    version: u64,
+    /// A peer that has it.
+    holder: SocketAddr,
+    /// When to ask the holder for it.
+    ask_at: Millis,
 }
 
 /// The newest owner that this host knows of.
@@ -176,7 +173,7 @@
 pub struct Host {
     pub(super) settings: HostSettings,
     pub(super) config: Arc<QueueTable>,
-    pub(super) peers: HashMap<Name, Peer>,
+    pub(super) peers: Peers,
     pub(super) owner: Option<Owner>,
     pub(super) shard: Option<Shard>,
     pub(super) streams: Streams,
@@ -196,8 +193,8 @@
     owner_hello: Millis,
     /// When the next hello to one of the other hosts is due.
     peer_hello: Millis,
-    /// Counts the hellos to other hosts, which selects the next host.
-    peer_index: usize,
+    /// A newer configuration that a peer has.
+    newer_config: Option<NewerConfig>,
     is_ready: bool,
     /// When the host was asked to stop.
     pub(super) stopping: Option<Millis>,
@@ -205,10 +202,12 @@
 
 impl Host {
     pub fn new(settings: HostSettings, now: Now) -> Self {
+        let record = &settings.record;
+        let peers = Peers::new(record.name.clone(), record.boot);
         Host {
             settings,
             config: Arc::default(),
-            peers: HashMap::new(),
+            peers,
             owner: None,
             shard: None,
             streams: Streams::new(now.steady),
@@ -222,7 +221,7 @@
             started: now.steady,
             owner_hello: now.steady,
             peer_hello: now.steady,
-            peer_index: 0,
+            newer_config: None,
             is_ready: false,
             stopping: None,
         }
@@ -249,6 +248,7 @@
     pub fn poll(&mut self, now: Now, out: &mut Vec<HostAction>) {
         self.poll_streams(now, out);
         self.send_due_hellos(now, out);
+        self.ask_for_config(now, out);
         self.check_owner(now, out);
         let mut actions = Vec::new();
         if let Some(shard) = &mut self.shard {
@@ -347,35 +347,37 @@
 
     fn send_due_hellos(&mut self, now: Now, out: &mut Vec<HostAction>) {
         if now.steady >= self.owner_hello {
-            self.owner_hello = now.steady + OWNER_HELLO_TIME;
+            let interval = match self.hears_owner_rarely() {
+                true => RARE_OWNER_HELLO_TIME,
+                false => OWNER_HELLO_TIME,
+            };
+            self.owner_hello = now.steady + interval;
             if let Some(address) = self.owner_address() {
                 self.send_hello(now, address, true, out);
             }
         }
         if now.steady >= self.peer_hello {
             self.peer_hello = now.steady + PEER_HELLO_TIME;
-            let mut addresses: Vec<SocketAddr> = self.peer_addresses();
-            if addresses.is_empty() {
-                addresses.clone_from(&self.settings.seeds);
-                addresses.retain(|address| *address != self.settings.record.control);
-            }
-            if !addresses.is_empty() {
-                self.peer_index += 1;
-                let address = addresses[self.peer_index % addresses.len()];
+            self.peers.forget_silent(now.steady);
+            if let Some(address) = self.peers.next_hello().or_else(|| self.next_seed()) {
                 self.send_hello(now, address, false, out);
             }
         }
     }
 
-    /// Sorted addresses of all known peers.
-    pub(super) fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let mut addresses: Vec<SocketAddr> = self
-            .peers
-            .values()
-            .map(|peer| peer.record.control)
-            .collect();
-        addresses.sort();
-        addresses
+    /// One of the seeds, another one at each call; `None` if this host is the only one.
+    fn next_seed(&mut self) -> Option<SocketAddr> {
+        let id = self.new_id() as usize;
+        let own = self.settings.record.control;
+        let seeds = self.settings.seeds.iter().filter(|seed| **seed != own);
+        let seeds: Vec<SocketAddr> = seeds.copied().collect();
+        seeds.get(id.checked_rem(seeds.len())?).copied()
+    }
+
+    /// Whether this host sends hellos to the owner at a longer interval, because the cluster is
+    /// large and other hosts come first to own the shard.
+    pub(super) fn hears_owner_rarely(&self) -> bool {
+        !self.peers.is_small_cluster() && self.is_low_capacity()
     }
 
     /// Address of the owner, if it is another host.
@@ -391,18 +393,20 @@
         is_owner: bool,
         out: &mut Vec<HostAction>,
     ) {
-        let known = self
-            .peers
-            .values()
-            .find(|peer| peer.record.control == to)
-            .and_then(|peer| peer.presence.as_ref())
-            .map(|presence| presence.config);
-        let config = known
-            .is_some_and(|version| version < self.config.version)
-            .then(|| (*self.config).clone());
+        self.send_hello_for(now, to, is_owner, false, out);
+    }
+
+    fn send_hello_for(
+        &mut self,
+        now: Now,
+        to: SocketAddr,
+        is_owner: bool,
+        wants_config: bool,
+        out: &mut Vec<HostAction>,
+    ) {
         let message = PeerCall::Hello {
             presence: self.presence(now.steady),
-            config,
+            wants_config,
         };
         self.call_peer(
             PeerPurpose::Hello {
@@ -443,18 +447,19 @@
         out: &mut Vec<HostAction>,
     ) {
         match call {
-            PeerCall::Hello { presence, config } => {
+            PeerCall::Hello {
+                presence,
+                wants_config,
+            } => {
                 let version = presence.config;
                 self.presence_received(now, presence, None, out);
-                if let Some(config) = config {
-                    self.set_config(now, config, out);
-                }
-                let config = (version < self.config.version).then(|| (*self.config).clone());
-                let hosts = self.peers.values().map(|peer| peer.record.clone());
+                let sends_config = wants_config && version < self.config.version;
+                let config = sends_config.then(|| (*self.config).clone());
+                let owner = self.owner.as_ref().map(|owner| owner.host.clone());
                 let reply = PeerReply::Hello {
                     presence: Box::new(self.presence(now.steady)),
                     config,
-                    hosts: hosts.collect(),
+                    hosts: self.peers.sample(now.steady, owner.as_ref()),
                 };
                 out.push(HostAction::PeerReply(ticket, reply));
             }
@@ -496,7 +501,7 @@
                         self.set_config(now, config, out);
                     }
                     for record in hosts {
-                        self.add_peer(record);
+                        self.peers.add(now.steady, record);
                     }
                 }
                 _ => self.hello_failed(now, to, is_owner),
@@ -521,7 +526,8 @@
         out: &mut Vec<HostAction>,
     ) {
         let name = presence.host.name.clone();
-        self.add_peer(presence.host.clone());
+        self.peers.add(now.steady, presence.host.clone());
+        self.note_config(now, presence.config, presence.host.control);
         if let Some(reported) = &presence.owner {
             self.update_owner(now, reported, call_sent, out);
         }
@@ -539,32 +545,36 @@
                 self.owner = None;
             }
         }
-        if let Some(peer) = self.peers.get_mut(&name) {
-            peer.last_heard = Some(now.steady);
-            peer.presence = Some(presence);
-        }
+        self.peers.set_presence(now.steady, presence);
     }
 
-    /// Adds a host, or replaces its record if its process has been restarted.
-    pub(super) fn add_peer(&mut self, record: HostRecord) {
-        if record.name == self.settings.record.name {
+    /// Reads the configuration from the store at once if a peer has a newer one. The peer is asked
+    /// for it only if the store does not answer soon.
+    fn note_config(&mut self, now: Now, version: u64, holder: SocketAddr) {
+        let known = self.newer_config.map_or(0, |newer| newer.version);
+        if version <= known.max(self.config.version) {
             return;
         }
-        match self.peers.get_mut(&record.name) {
-            Some(peer) => {
-                if peer.record.boot != record.boot && peer.record != record {
-                    peer.record = record;
-                }
-            }
-            None => {
-                let peer = Peer {
-                    record: record.clone(),
-                    last_heard: None,
-                    presence: None,
-                };
-                self.peers.insert(record.name, peer);
-            }
+        let ask_at = now.steady + CONFIG_STORE_TIME;
+        self.newer_config = Some(NewerConfig {
+            version,
+            holder,
+            ask_at: self.newer_config.map_or(ask_at, |newer| newer.ask_at),
+        });
+        self.streams.read_config_soon(now.steady);
+    }
+
+    /// Asks a peer for a newer configuration that the store has not delivered.
+    fn ask_for_config(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        let Some(newer) = &mut self.newer_config else {
+            return;
+        };
+        if now.steady < newer.ask_at {
+            return;
         }
+        newer.ask_at = now.steady + CONFIG_RETRY_TIME;
+        let holder = newer.holder;
+        self.send_hello_for(now, holder, false, true, out);
     }
 
     /// Applies a configuration if it is newer than the current one.
@@ -579,6 +589,9 @@
             "configuration applied"
         );
         self.config = Arc::new(config);
+        self.newer_config = self
+            .newer_config
+            .filter(|newer| newer.version > self.config.version);
         if let Some(epoch) = self.shard.as_ref().map(Shard::epoch) {
             let event = ShardEvent::Queues(self.config.clone());
             self.shard_event(now, epoch, event, out);
--- a/src/process/host/message.rs
+++ b/src/process/host/message.rs
@@ -50,8 +50,8 @@
 pub enum PeerCall {
     Hello {
         presence: Presence,
-        /// The sender's configuration, if it knows that the receiver has an older one.
-        config: Option<QueueTable>,
+        /// Whether the answer is to contain the receiver's configuration if it is newer.
+        wants_config: bool,
     },
     Request(Request),
     /// The owner with this epoch asks the receiver to claim the shard.
@@ -65,6 +65,7 @@
     Hello {
         presence: Box<Presence>,
         config: Option<QueueTable>,
+        /// Some of the other hosts, and the owner.
         hosts: Vec<HostRecord>,
     },
     Shard(Reply),
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -8,6 +8,8 @@
 mod io;
 mod log_writer;
 mod message;
+mod peers;
+mod rank;
 mod runtime;
 mod streams;
 
--- /dev/null
+++ b/src/process/host/peers.rs
@@ -0,0 +1,199 @@
+//! The other hosts as this host knows them. In large clusters a host asks and names only a few of
+//! them at a time, so that its messages do not grow with the cluster.
+
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use super::message::{HostRecord, Presence};
+use super::rank::Rank;
+use crate::base::{Millis, Name};
+
+/// Up to this many other hosts, a host that searches for an owner asks all of them at once.
+pub(super) const SMALL_CLUSTER: usize = 24;
+/// Hosts that a high-capacity host of a larger cluster asks in one round of its search.
+const FAN_OUT: usize = 16;
+/// The same for a low-capacity host. Any high-capacity host tells it who owns the shard.
+const LOW_CAPACITY_FAN_OUT: usize = 4;
+/// Records of other hosts in the answer to a hello.
+const SHARED_HOSTS: usize = 8;
+/// A host is named to others if its last message is not older than this, in milliseconds.
+const SHARED_AGE: Millis = Millis(10_000);
+/// A host is forgotten if its last message is older than this, in milliseconds. It comes back with
+/// its next hello.
+const FORGET_AGE: Millis = Millis(120_000);
+
+/// What this host knows of another one.
+#[derive(Debug, Clone)]
+pub(super) struct Peer {
+    pub record: HostRecord,
+    /// When `presence` arrived.
+    pub last_heard: Option<Millis>,
+    pub presence: Option<Presence>,
+    /// When this host first heard of it.
+    added: Millis,
+}
+
+impl Peer {
+    /// Time since the store last answered the peer.
+    pub fn store_age(&self, now: Millis) -> Option<Millis> {
+        let age = self.presence.as_ref()?.store_age?;
+        Some(now.since(self.last_heard?) + Millis(age))
+    }
+
+    /// When the store last answered the peer, by this host's clock.
+    pub fn store_heard(&self, now: Millis) -> Option<Millis> {
+        Some(now.since(self.store_age(now)?))
+    }
+}
+
+/// All other hosts, by name.
+#[derive(Debug)]
+pub(super) struct Peers {
+    own_name: Name,
+    by_name: HashMap<Name, Peer>,
+    /// Sorted addresses; rebuilt when a host is added, replaced or forgotten.
+    addresses: Vec<SocketAddr>,
+    /// Counts the hellos to other hosts, which selects the next one.
+    next_hello: usize,
+    /// Counts the samples, which selects where the next one begins.
+    next_sample: usize,
+}
+
+impl Peers {
+    /// `seed` spreads the first hellos of hosts that start at the same time.
+    pub fn new(own_name: Name, seed: u64) -> Self {
+        Peers {
+            own_name,
+            by_name: HashMap::new(),
+            addresses: Vec::new(),
+            next_hello: seed as u16 as usize,
+            next_sample: seed as u16 as usize,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    pub fn is_small_cluster(&self) -> bool {
+        self.len() <= SMALL_CLUSTER
+    }
+
+    pub fn get(&self, name: &Name) -> Option<&Peer> {
+        self.by_name.get(name)
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Peer> {
+        self.by_name.values()
+    }
+
+    /// Adds a host, or replaces its record if its process has been restarted.
+    pub fn add(&mut self, now: Millis, record: HostRecord) {
+        if record.name == self.own_name {
+            return;
+        }
+        match self.by_name.get_mut(&record.name) {
+            Some(peer) if peer.record.boot == record.boot || peer.record == record => return,
+            Some(peer) => peer.record = record,
+            None => {
+                let peer = Peer {
+                    record: record.clone(),
+                    last_heard: None,
+                    presence: None,
+                    added: now,
+                };
+                self.by_name.insert(record.name, peer);
+            }
+        }
+        self.rebuild_addresses();
+    }
+
+    /// Records the state that a known host has sent.
+    pub fn set_presence(&mut self, now: Millis, presence: Presence) {
+        if let Some(peer) = self.by_name.get_mut(&presence.host.name) {
+            peer.last_heard = Some(now);
+            peer.presence = Some(presence);
+        }
+    }
+
+    /// Forgets hosts that have sent nothing for long.
+    pub fn forget_silent(&mut self, now: Millis) {
+        let count = self.len();
+        self.by_name.retain(|_, peer| {
+            let heard = peer.last_heard.unwrap_or(peer.added);
+            now.since(heard) <= FORGET_AGE
+        });
+        if self.len() < count {
+            self.rebuild_addresses();
+        }
+    }
+
+    fn rebuild_addresses(&mut self) {
+        self.addresses = self.values().map(|peer| peer.record.control).collect();
+        self.addresses.sort();
+    }
+
+    /// Address for the next hello, one host after another; `None` if no host is known.
+    pub fn next_hello(&mut self) -> Option<SocketAddr> {
+        self.next_hello += 1;
+        let index = self.next_hello.checked_rem(self.addresses.len())?;
+        self.addresses.get(index).copied()
+    }
+
+    /// Records of some hosts that live, different ones each time, and of `always`.
+    pub fn sample(&mut self, now: Millis, always: Option<&Name>) -> Vec<HostRecord> {
+        let is_alive = |peer: &&Peer| {
+            let heard = peer.last_heard;
+            heard.is_some_and(|at| now.since(at) <= SHARED_AGE)
+        };
+        let mut alive: Vec<&Peer> = self.by_name.values().filter(is_alive).collect();
+        alive.sort_unstable_by_key(|peer| peer.record.control);
+        let start = self.next_sample.checked_rem(alive.len()).unwrap_or(0);
+        alive.rotate_left(start);
+        alive.truncate(SHARED_HOSTS);
+        self.next_sample += alive.len();
+        let owner = always.and_then(|name| self.by_name.get(name));
+        let is_included = owner.is_some_and(|owner| {
+            let mut names = alive.iter().map(|peer| &peer.record.name);
+            names.any(|name| *name == owner.record.name)
+        });
+        alive.extend(owner.filter(|_| !is_included));
+        alive.into_iter().map(|peer| peer.record.clone()).collect()
+    }
+
+    /// Hosts to ask in the next round of a search for an owner: the best-ranked ones that are not
+    /// in `silent`. A low-capacity host starts at another one of the high-capacity hosts, given by
+    /// `offset`.
+    pub fn search_targets(
+        &self,
+        max_processor: u32,
+        is_low_capacity: bool,
+        offset: u64,
+        silent: &HashSet<Name>,
+    ) -> Vec<Name> {
+        if self.is_small_cluster() {
+            return self.by_name.keys().cloned().collect();
+        }
+        let others = self.values();
+        let mut ranks: Vec<Rank> = others
+            .filter(|peer| !silent.contains(&peer.record.name))
+            .map(|peer| Rank::of(peer, max_processor))
+            .collect();
+        ranks.sort_unstable();
+        let high_capacity = ranks.partition_point(|rank| !rank.is_low_capacity);
+        let fan_out = match is_low_capacity {
+            true => {
+                let start = (offset as usize).checked_rem(high_capacity).unwrap_or(0);
+                ranks[..high_capacity].rotate_left(start);
+                LOW_CAPACITY_FAN_OUT
+            }
+            false => FAN_OUT,
+        };
+        ranks.truncate(fan_out);
+        ranks.into_iter().map(|rank| rank.name).collect()
+    }
+}
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -163,6 +163,11 @@
         }
     }
 
+    /// Brings the next read of the configuration forward to `now`.
+    pub fn read_config_soon(&mut self, now: Millis) {
+        self.config.due = self.config.due.min(now);
+    }
+
     /// Starts to read the worker registry from its beginning.
     pub fn follow_registry(&mut self, now: Millis) {
         self.listed_workers.clear();
@@ -268,7 +273,7 @@
                     ReadResult::Nothing => return,
                 };
                 for record in records {
-                    self.apply_host(&record);
+                    self.apply_host(now, &record);
                 }
             }
             StorePurpose::Registry { epoch } => self.apply_registry(now, epoch, answer, out),
@@ -298,7 +303,7 @@
         }
     }
 
-    fn apply_host(&mut self, record: &KeyedRecord) {
+    fn apply_host(&mut self, now: Now, record: &KeyedRecord) {
         if record.key == OWNER_KEY {
             match ShardRecord::decode(&record.key, &record.value) {
                 Ok(ShardRecord::Owner(owner)) => {
@@ -310,7 +315,7 @@
         }
         let config = bincode::config::standard();
         match bincode::serde::decode_from_slice::<HostRecord, _>(&record.value, config) {
-            Ok((host, _)) => self.add_peer(host),
+            Ok((host, _)) => self.peers.add(now.steady, host),
             Err(error) => {
                 tracing::warn!(key = record.key, %error, "cannot decode the record of a host")
             }
--- /dev/null
+++ b/tests/ownership/cases.rs
@@ -0,0 +1,199 @@
+//! Who owns the shard, in clusters of a few hosts.
+
+use jayfork::process::host::{
+    HostAction, HostEvent, HostRecord, KnownOwner, PeerCall, PeerReply, Presence,
+};
+use yare::parameterized;
+
+use super::world::{HIGH_CAPACITY, LOW_CAPACITY, STEP, World, address};
+
+/// Three high-capacity hosts, then six low-capacity ones, two of them closest to the store.
+fn mixed_hosts() -> Vec<(u32, u64)> {
+    let high_capacity = [(HIGH_CAPACITY, 2), (HIGH_CAPACITY, 14), (HIGH_CAPACITY, 14)];
+    let low_capacity = [1, 1, 2, 14, 14, 14].map(|store_delay| (LOW_CAPACITY, store_delay));
+    high_capacity.into_iter().chain(low_capacity).collect()
+}
+
+/// Guards against a low-capacity host that claims the shard at a cold start, because only a few
+/// other hosts have answered by then. Its processor would not keep up.
+#[parameterized(
+    first = { 1 },
+    second = { 2 },
+    third = { 3 },
+    fourth = { 4 },
+    fifth = { 5 },
+    sixth = { 6 },
+)]
+fn a_cold_start_ends_with_one_high_capacity_owner(seed: u64) {
+    let mut world = World::start(seed, &mixed_hosts());
+    world.run(4_000);
+    let owners = world.owners();
+    assert_eq!(owners.len(), 1, "{owners:?}");
+    assert!(owners[0] < 3, "{owners:?}");
+    let claim_count = world.claim_count;
+    world.run(20_000);
+    assert_eq!((world.owners(), world.claim_count), (owners, claim_count));
+}
+
+/// Guards against a shard that has no owner while only low-capacity hosts are left, and against one
+/// that stays with a low-capacity host after a high-capacity one has returned.
+#[test]
+fn low_capacity_hosts_own_the_shard_until_a_high_capacity_one_returns() {
+    let mut world = World::start(1, &mixed_hosts());
+    world.run(3_000);
+    for index in 0..3 {
+        world.hosts[index] = None;
+    }
+    world.run(4_000);
+    let owners = world.owners();
+    assert_eq!(owners.len(), 1, "{owners:?}");
+    assert!(owners[0] >= 3);
+    world.boot(1, HIGH_CAPACITY);
+    world.run(4_000);
+    assert_eq!(world.owners(), [1]);
+}
+
+/// Guards against a shard that stays without an owner after the owner's process was killed.
+#[parameterized(
+    even = { &[(100, 2); 6] },
+    high_capacity_first = { &[
+        (HIGH_CAPACITY, 2),
+        (HIGH_CAPACITY, 14),
+        (LOW_CAPACITY, 1),
+        (LOW_CAPACITY, 2),
+    ] },
+)]
+fn a_killed_owner_is_replaced(hosts: &[(u32, u64)]) {
+    let mut world = World::start(2, hosts);
+    world.run(4_000);
+    let first = world.owners();
+    assert_eq!(first.len(), 1, "{first:?}");
+    world.hosts[first[0]] = None;
+    world.run(2_500);
+    let second = world.owners();
+    assert_eq!(second.len(), 1, "{second:?}");
+    assert_ne!(first, second);
+}
+
+/// Guards against an owner that gives up the shard while the store fails for all hosts. No host
+/// could claim it, so leases would expire and accepted jobs would wait.
+#[parameterized(
+    short = { 1_200 },
+    long = { 6_000 },
+)]
+fn the_owner_stays_while_the_store_refuses_all(outage: u64) {
+    let mut world = World::start(3, &mixed_hosts());
+    world.run(4_000);
+    let owners = world.owners();
+    world.refused_hosts = (0..world.hosts.len()).collect();
+    for _ in 0..outage / 100 {
+        world.run(100);
+        assert_eq!(world.owners(), owners);
+    }
+    world.refused_hosts.clear();
+    world.run(2_000);
+    assert_eq!(world.owners(), owners);
+}
+
+/// Guards against an owner that keeps the shard while the store refuses only its calls. No job
+/// could be accepted in that time.
+#[test]
+fn an_owner_that_the_store_refuses_hands_over() {
+    let mut world = World::start(3, &mixed_hosts());
+    world.run(4_000);
+    let owners = world.owners();
+    world.refused_hosts.clone_from(&owners);
+    world.run(2_500);
+    let successors = world.owners();
+    assert_eq!(successors.len(), 1, "{successors:?}");
+    assert_ne!(successors, owners);
+}
+
+/// State of a peer that last heard from the owner, a third host, `age` milliseconds ago.
+fn peer_presence(age: u64) -> Presence {
+    let record = |name: &str, index| HostRecord {
+        name: name.into(),
+        boot: 1,
+        control: address(index),
+        data_centre: "east".into(),
+        region: "east".into(),
+        processor: HIGH_CAPACITY,
+    };
+    Presence {
+        host: record("peer", 1),
+        config: 1,
+        owner: Some(KnownOwner {
+            host: "owner".into(),
+            boot: 1,
+            epoch: 1 << 16,
+            age,
+        }),
+        store_age: None,
+        store_time: 4,
+        is_stopping: false,
+    }
+}
+
+/// Age of the owner that the first host reports in its reply to a hello of `caller`.
+fn reported_age(world: &mut World, caller: Presence) -> Option<u64> {
+    let time = world.time();
+    let mut out = Vec::new();
+    let call = PeerCall::Hello {
+        presence: caller,
+        wants_config: false,
+    };
+    let host = world.hosts[0].as_mut().expect("a host");
+    host.handle(time, HostEvent::Peer(1, call), &mut out);
+    out.into_iter().find_map(|action| match action {
+        HostAction::PeerReply(1, PeerReply::Hello { presence, .. }) => {
+            presence.owner.map(|owner| owner.age)
+        }
+        _ => None,
+    })
+}
+
+/// Guards against an owner that is gone but counts as alive, because slow hosts report it to each
+/// other. They passed on its age without the time that the report was on its way, so the age did
+/// not grow and no host claimed the shard for 8 s.
+#[test]
+fn the_reported_age_of_an_owner_includes_the_time_in_transit() {
+    const DELAY: u64 = 300;
+    const AGE: u64 = 400;
+    let mut world = World::start(1, &[(HIGH_CAPACITY, 2)]);
+    let caller = Presence {
+        owner: None,
+        ..peer_presence(0)
+    };
+    assert_eq!(reported_age(&mut world, caller.clone()), None);
+    let mut calls: Vec<u64> = Vec::new();
+    while calls.is_empty() {
+        world.now += STEP;
+        let time = world.time();
+        let mut out = Vec::new();
+        let host = world.hosts[0].as_mut().expect("a host");
+        host.poll(time, &mut out);
+        calls.extend(out.iter().filter_map(|action| match action {
+            HostAction::PeerCall {
+                call, address: to, ..
+            } if *to == address(1) => Some(*call),
+            _ => None,
+        }));
+    }
+    world.now += DELAY;
+    for call in calls {
+        let reply = PeerReply::Hello {
+            presence: Box::new(peer_presence(AGE)),
+            config: None,
+            hosts: Vec::new(),
+        };
+        world.event(0, HostEvent::PeerAnswer(call, Ok(reply)));
+    }
+    assert_eq!(reported_age(&mut world, caller), Some(AGE + DELAY));
+}
+
+/// Guards against the same fault through hellos that answer none, whose time in transit is unknown.
+#[test]
+fn an_unrequested_report_of_another_owner_is_ignored() {
+    let mut world = World::start(1, &[(HIGH_CAPACITY, 2)]);
+    assert_eq!(reported_age(&mut world, peer_presence(400)), None);
+}
--- /dev/null
+++ b/tests/ownership/main.rs
@@ -0,0 +1,5 @@
+//! Ownership of the shard: the cores of several entry hosts with a simulated network and store.
+
+mod cases;
+mod scale;
+mod world;
--- /dev/null
+++ b/tests/ownership/scale.rs
@@ -0,0 +1,127 @@
+//! Clusters of more than a hundred hosts: what a host sends and receives must not grow with them.
+
+use yare::parameterized;
+
+use super::world::{HIGH_CAPACITY, LOW_CAPACITY, World};
+
+/// Hosts of the cluster, of which the first are high-capacity.
+const HOSTS: usize = 147;
+const HIGH_CAPACITY_HOSTS: usize = 18;
+/// Records of hosts in one answer to a hello: a sample, and the owner's.
+const MAX_SHARED_RECORDS: usize = 9;
+/// Hellos that a low-capacity host may receive per second, with its processor of 0.069 cores.
+const MAX_LOW_CAPACITY_CALLS: usize = 10;
+/// Hellos that a high-capacity host may receive per second, with its processor of 0.5 cores.
+const MAX_HIGH_CAPACITY_CALLS: usize = 250;
+
+/// Two thirds of the hosts are in the region of the store.
+fn cluster() -> Vec<(u32, u64)> {
+    let host = |index| {
+        let processor = match index < HIGH_CAPACITY_HOSTS {
+            true => HIGH_CAPACITY,
+            false => LOW_CAPACITY,
+        };
+        (processor, if index % 3 == 0 { 14 } else { 2 })
+    };
+    (0..HOSTS).map(host).collect()
+}
+
+/// Asserts that no host has received more hellos in `seconds` than it can answer.
+fn assert_calls(world: &World, seconds: usize) {
+    let (high_capacity, low_capacity) = world.received_calls.split_at(HIGH_CAPACITY_HOSTS);
+    let high = high_capacity.iter().max().copied().unwrap_or(0);
+    let low = low_capacity.iter().max().copied().unwrap_or(0);
+    assert!(high <= MAX_HIGH_CAPACITY_CALLS * seconds, "{high} calls");
+    assert!(low <= MAX_LOW_CAPACITY_CALLS * seconds, "{low} calls");
+}
+
+/// Guards against hellos that grow with the square of the hosts at a cold start: every host asked
+/// all others every half a second, and each answer listed all hosts.
+#[parameterized(
+    first = { 1 },
+    second = { 2 },
+)]
+fn a_cold_start_of_many_hosts_ends_with_one_owner(seed: u64) {
+    let mut world = World::start(seed, &cluster());
+    world.run(5_000);
+    let owners = world.owners();
+    assert_eq!(owners.len(), 1, "{owners:?}");
+    assert!(owners[0] < HIGH_CAPACITY_HOSTS, "{owners:?}");
+    assert_calls(&world, 5);
+    let answers: usize = world.received_calls.iter().sum();
+    assert!(world.sent_records <= answers * MAX_SHARED_RECORDS);
+}
+
+/// Guards against the same growth while the owner lives: its processor and link were used up by
+/// hellos alone.
+#[test]
+fn an_owner_answers_a_bounded_number_of_hellos() {
+    let mut world = World::start(1, &cluster());
+    world.run(6_000);
+    let owners = world.owners();
+    world.received_calls.fill(0);
+    world.run(4_000);
+    assert_eq!(world.owners(), owners);
+    assert_calls(&world, 4);
+}
+
+/// Guards against a search for an owner in which all hosts call all others, and against several
+/// hosts that claim the shard because each has asked others.
+#[test]
+fn a_killed_owner_of_many_hosts_is_replaced_once() {
+    let mut world = World::start(1, &cluster());
+    world.run(6_000);
+    let first = world.owners();
+    let claim_count = world.claim_count;
+    world.hosts[first[0]] = None;
+    world.received_calls.fill(0);
+    world.run(3_000);
+    let second = world.owners();
+    assert_eq!(second.len(), 1, "{second:?}");
+    assert!(second[0] < HIGH_CAPACITY_HOSTS, "{second:?}");
+    assert_eq!(world.claim_count, claim_count + 1);
+    assert_calls(&world, 3);
+}
+
+/// Guards against a shard without an owner, or with one claim after the other, once all
+/// high-capacity hosts are gone.
+#[test]
+fn many_low_capacity_hosts_agree_on_an_owner() {
+    let mut world = World::start(1, &cluster());
+    world.run(6_000);
+    let claim_count = world.claim_count;
+    for index in 0..HIGH_CAPACITY_HOSTS {
+        world.hosts[index] = None;
+    }
+    world.run(9_000);
+    let owners = world.owners();
+    assert_eq!(owners.len(), 1, "{owners:?}");
+    assert!(world.claim_count <= claim_count + 2);
+}
+
+/// Guards against a new configuration that each host sends to each other one, although all of them
+/// read it from the store: with 1,600 queues the owner ran out of memory.
+#[test]
+fn hosts_that_the_store_answers_do_not_exchange_the_configuration() {
+    let mut world = World::start(1, &cluster());
+    world.run(6_000);
+    world.sent_configs = 0;
+    world.publish(2);
+    world.run(2_500);
+    assert_eq!(world.config_versions(), [2]);
+    assert_eq!(world.sent_configs, 0);
+}
+
+/// Guards against hosts that keep an old configuration while the store refuses their calls.
+#[test]
+fn hosts_that_the_store_refuses_get_the_configuration_from_others() {
+    let mut world = World::start(1, &cluster());
+    world.run(6_000);
+    world.refused_hosts = (0..HOSTS).filter(|index| index % 3 == 1).collect();
+    world.run(2_000);
+    world.sent_configs = 0;
+    world.publish(2);
+    world.run(2_500);
+    assert_eq!(world.config_versions(), [2]);
+    assert!(world.sent_configs <= world.refused_hosts.len() * 2);
+}
