Hand over in an outage only once the store has ignored a call of the owner after it answered another host

Change: the owner hands over when a call that it sent after the store had answered another host has failed. Before: four of five cases of the_owner_stays_after_a_silent_outage_of_the_store fail. After: tests/ownership passes, also the new case of an owner that the store ignores.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -5,7 +5,7 @@
 
 use super::host::{Host, HostAction, Owner, PeerPurpose, StorePurpose};
 use super::message::{KnownOwner, PeerCall};
-use super::peers::Peer;
+use super::peers::{FAN_OUT, Peer};
 use super::rank::{Rank, is_low_capacity};
 use super::streams::{HOSTS_STREAM, OWNER_KEY, SHARD_STREAM};
 use crate::base::{Millis, Name};
@@ -84,6 +84,8 @@
     /// Last known end of the journal, and when this host first saw it there.
     journal_end: Option<(u64, Millis)>,
     is_reading_journal: bool,
+    /// When the store answered another host first after this owner's appends began to fail.
+    store_proof: Option<Millis>,
     /// Whether a peer was asked to take over and has not answered.
     is_handing_over: bool,
     claimed_at: Millis,
@@ -147,6 +149,7 @@
                     boot: reported.boot,
                     epoch: reported.epoch,
                     last_heard: Some(heard),
+                    learned: now.steady,
                     failed_hellos: 0,
                 });
             }
@@ -247,7 +250,7 @@
         let claim = &self.claim;
         self.peers
             .values()
-            .filter(|peer| Rank::of(peer, max_processor) < *own)
+            .filter(|peer| Rank::at_best(peer, max_processor) < *own)
             .map(|peer| &peer.record.name)
             .all(|name| claim.silent.contains(name) || claim.asked.contains(name))
     }
@@ -265,7 +268,11 @@
             .claim
             .search_started
             .map_or(Millis(0), |since| now.steady.since(since));
-        let has_few_responders = self.claim.responders.len() * 2 < self.claim.asked.len();
+        let expected = match self.peers.is_small_cluster() {
+            true => self.peers.len(),
+            false => FAN_OUT,
+        };
+        let has_few_responders = self.claim.responders.len() * 2 < expected;
         let must_wait = self.is_low_capacity() && waited < LOW_CAPACITY_WAIT_TIME
             || has_few_responders && waited < FEW_RESPONDERS_TIME;
         if must_wait {
@@ -437,7 +444,7 @@
         }
         if self.stopping.is_some() {
             self.hand_over(now, epoch, Successor::Any, out);
-        } else if is_failing {
+        } else if is_failing && self.is_ignored_by_store(now, failing_for) {
             let time = failing_for.unwrap_or_default();
             let since = now.steady.since(time);
             let allows_low_capacity = time >= HIGH_CAPACITY_ONLY_TIME;
@@ -455,6 +462,23 @@
         }
     }
 
+    /// Whether the store has failed to answer a call that this host sent after the store had answered
+    /// another host. At the end of an outage for all hosts, the owner may be the last to notice it.
+    fn is_ignored_by_store(&mut self, now: Now, failing_for: Option<Millis>) -> bool {
+        let Some(time) = failing_for else {
+            self.claim.store_proof = None;
+            return false;
+        };
+        let since = now.steady.since(time);
+        let peers = self.peers.values();
+        let answered = peers.filter_map(|peer| peer.store_heard(now.steady));
+        let first_proof = answered.filter(|at| *at >= since + STORE_PROOF_TIME).min();
+        let known = self.claim.store_proof.filter(|at| *at >= since);
+        self.claim.store_proof = known.or(first_proof);
+        let proof = self.claim.store_proof;
+        proof.is_some_and(|at| self.store_failed.is_some_and(|sent| sent > at))
+    }
+
     /// Asks the best-ranked host that `successor` allows to take over the shard.
     fn hand_over(&mut self, now: Now, epoch: u64, successor: Successor, out: &mut Vec<HostAction>) {
         let max_processor = self.max_processor();
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -166,6 +166,8 @@
     pub epoch: u64,
     /// When this host or a peer last received a message from the owner.
     pub last_heard: Option<Millis>,
+    /// When this host learned that it owns the shard.
+    pub learned: Millis,
     /// Consecutive hellos to the owner that failed.
     pub failed_hellos: u32,
 }
@@ -186,6 +188,8 @@
     pub(super) next_id: u64,
     /// When the store last answered.
     pub(super) store_heard: Option<Millis>,
+    /// When the newest of the calls was sent that the store has failed to answer.
+    pub(super) store_failed: Option<Millis>,
     /// Response time of the store: a minimum that rises slowly.
     pub(super) store_time: Millis,
     pub(super) started: Millis,
@@ -217,6 +221,7 @@
             peer_calls: HashMap::new(),
             next_id: 0,
             store_heard: None,
+            store_failed: None,
             store_time: Millis(1_000),
             started: now.steady,
             owner_hello: now.steady,
@@ -539,7 +544,10 @@
             // The owner's process was restarted, or it gave up the shard.
             if !is_owner && self.shard.is_none() {
                 tracing::info!(host = %name, epoch = owner.epoch, "host no longer owns the shard");
-                if owner.boot != presence.host.boot {
+                // A state that was sent after this host learned of the owner is newer than its claim,
+                // so others that still name it are behind.
+                let is_newer = call_sent.is_some_and(|sent| sent > owner.learned);
+                if is_newer || owner.boot != presence.host.boot {
                     self.claim.ended_epoch = self.claim.ended_epoch.max(owner.epoch);
                 }
                 self.owner = None;
--- a/src/process/host/peers.rs
+++ b/src/process/host/peers.rs
@@ -11,7 +11,7 @@
 /// Up to this many other hosts, a host that searches for an owner asks all of them at once.
 pub(super) const SMALL_CLUSTER: usize = 24;
 /// Hosts that a high-capacity host of a larger cluster asks in one round of its search.
-const FAN_OUT: usize = 16;
+pub(super) const FAN_OUT: usize = 16;
 /// The same for a low-capacity host. Any high-capacity host tells it who owns the shard.
 const LOW_CAPACITY_FAN_OUT: usize = 4;
 /// Records of other hosts in the answer to a hello.
@@ -181,7 +181,7 @@
         let others = self.values();
         let mut ranks: Vec<Rank> = others
             .filter(|peer| !silent.contains(&peer.record.name))
-            .map(|peer| Rank::of(peer, max_processor))
+            .map(|peer| Rank::at_best(peer, max_processor))
             .collect();
         ranks.sort_unstable();
         let high_capacity = ranks.partition_point(|rank| !rank.is_low_capacity);
--- a/src/process/host/rank.rs
+++ b/src/process/host/rank.rs
@@ -36,14 +36,23 @@
     /// The rank of another host. One that has sent no state yet comes after all others of its
     /// capacity.
     pub fn of(peer: &Peer, max_processor: u32) -> Self {
+        Rank::of_peer(peer, max_processor, Millis(u64::MAX))
+    }
+
+    /// The same, but a host that has sent no state yet may be the closest to the store.
+    pub fn at_best(peer: &Peer, max_processor: u32) -> Self {
+        Rank::of_peer(peer, max_processor, Millis(0))
+    }
+
+    fn of_peer(peer: &Peer, max_processor: u32, unknown: Millis) -> Self {
         let presence = peer.presence.as_ref();
-        let store_time = presence.map_or(u64::MAX, |presence| presence.store_time);
+        let store_time = presence.map_or(unknown, |presence| Millis(presence.store_time));
         let record = &peer.record;
         Rank::new(
             record.name.clone(),
             record.processor,
             max_processor,
-            Millis(store_time),
+            store_time,
         )
     }
 }
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -253,6 +253,9 @@
             // forever.
             let decayed = self.store_time.0 + self.store_time.0 / 8 + 1;
             self.store_time = took.min(Millis(decayed));
+        } else {
+            let sent = now.steady.since(took);
+            self.store_failed = self.store_failed.max(Some(sent));
         }
         match purpose {
             StorePurpose::Shard { epoch, tag } => {
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -216,12 +216,12 @@
                 worker.service = entry.service;
                 worker.capacity = entry.capacity;
                 worker.labels = entry.labels;
-                worker.is_listed = true;
+                let was_listed = std::mem::replace(&mut worker.is_listed, true);
                 worker.is_draining = entry.state == WorkerState::Draining;
                 worker.has_left = false;
                 let was_ready = worker.is_ready;
                 worker.is_ready = entry.state == WorkerState::Ready;
-                if was_ready != worker.is_ready {
+                if was_listed && was_ready != worker.is_ready {
                     let (worker, is_ready) = (&worker.id, worker.is_ready);
                     tracing::info!(%worker, is_ready, "worker changed its state");
                 }
--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -95,6 +95,41 @@
     assert_eq!(world.owners(), owners);
 }
 
+/// Guards against an owner that hands over at the end of an outage for all hosts, because another
+/// host was answered first. Its own calls were still waiting for their timeouts.
+#[parameterized(
+    first = { 1, 4_200 },
+    second = { 2, 4_200 },
+    third = { 3, 4_200 },
+    short = { 1, 2_300 },
+    long = { 1, 7_900 },
+)]
+fn the_owner_stays_after_a_silent_outage_of_the_store(seed: u64, outage: u64) {
+    let mut world = World::start(seed, &mixed_hosts());
+    world.run(4_000);
+    let owners = world.owners();
+    let claim_count = world.claim_count;
+    world.silent_hosts = (0..world.hosts.len()).collect();
+    world.run(outage);
+    world.silent_hosts.clear();
+    world.run(4_000);
+    assert_eq!((world.owners(), world.claim_count), (owners, claim_count));
+}
+
+/// Guards against an owner that keeps the shard while the store ignores only its calls.
+#[test]
+fn an_owner_that_the_store_ignores_hands_over() {
+    let mut world = World::start(3, &mixed_hosts());
+    world.run(4_000);
+    let owners = world.owners();
+    world.silent_hosts.clone_from(&owners);
+    world.run(4_500);
+    let successors = world.owners();
+    assert_eq!(successors.len(), 1, "{successors:?}");
+    assert_ne!(successors, owners);
+    assert!(successors[0] < 3);
+}
+
 /// Guards against an owner that keeps the shard while the store refuses only its calls. No job
 /// could be accepted in that time.
 #[test]
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -56,7 +56,8 @@
     /// Caller, its ID of the call, and the answer.
     PeerReply(usize, u64, Result<PeerReply, CallError>),
     Store(usize, StorePurpose, StoreCall),
-    StoreAnswer(usize, StorePurpose, Result<StoreAnswer, CallError>),
+    /// The last field is the duration of the call.
+    StoreAnswer(usize, StorePurpose, Result<StoreAnswer, CallError>, Millis),
 }
 
 pub struct World {
@@ -76,6 +77,8 @@
     pub claim_count: usize,
     /// Hosts whose calls the store refuses.
     pub refused_hosts: Vec<usize>,
+    /// Hosts whose calls the store does not answer.
+    pub silent_hosts: Vec<usize>,
     /// Calls that each host has received from others.
     pub received_calls: Vec<usize>,
     /// Records of hosts and configurations in answers between hosts.
@@ -97,6 +100,7 @@
             rng: fastrand::Rng::with_seed(seed),
             claim_count: 0,
             refused_hosts: Vec::new(),
+            silent_hosts: Vec::new(),
             received_calls: vec![0; hosts.len()],
             sent_records: 0,
             sent_configs: 0,
@@ -263,16 +267,24 @@
             Message::PeerReply(to, call, answer) => {
                 self.event(to, HostEvent::PeerAnswer(call, answer));
             }
+            Message::Store(from, purpose, call) if self.silent_hosts.contains(&from) => {
+                let after = call.timeout.0.saturating_sub(self.store_delays[from]);
+                let answer = Err(CallError::NoAnswer);
+                self.send(
+                    after,
+                    Message::StoreAnswer(from, purpose, answer, call.timeout),
+                );
+            }
             Message::Store(from, purpose, call) => {
                 let answer = match self.refused_hosts.contains(&from) {
                     true => Err(CallError::Refused),
                     false => Ok(self.serve(&call.request)),
                 };
                 let after = self.store_delays[from] + 4;
-                self.send(after, Message::StoreAnswer(from, purpose, answer));
+                let took = Millis(2 * self.store_delays[from] + 4);
+                self.send(after, Message::StoreAnswer(from, purpose, answer, took));
             }
-            Message::StoreAnswer(to, purpose, answer) => {
-                let took = Millis(2 * self.store_delays[to] + 4);
+            Message::StoreAnswer(to, purpose, answer, took) => {
                 let event = HostEvent::Store {
                     purpose,
                     answer,
