Bound the start orders that wait for an answer, and compare 64 workers instead of all

In the burst the owner ordered thousands of starts at once, most on new connections (49,740 of them); its processor was busy, hellos waited behind them, and at 14.06 s another host claimed the shard although the owner had ended 30 jobs a second until then. Each new owner met the same load: seven owners until 43 s, 3,582 requests without an owner's answer. Change: at most 384 start orders wait for an answer, two on one worker, and the rest waits in the order of placement; a task without a rack that does not last is compared with 64 workers with room, beginning at another worker in each pass; reports of workers with best-effort tasks are bounded to 2,000/s in all.

--- a/benches/shard.rs
+++ b/benches/shard.rs
@@ -1,8 +1,8 @@
 //! Processor time that a shard's state machine needs, by number of workers.
 //!
-//! `cargo bench --bench shard [WORKERS...]` simulates 30 s of jobs on a simple model of the workers
-//! and prints the rates of starts, reports and other orders, the share of a core in use, and the
-//! time per call.
+//! `cargo bench --bench shard [surge=FACTOR] [WORKERS...]` simulates 30 s of jobs on a simple model of
+//! the workers and prints the rates of starts, reports and other orders, the share of a core in use,
+//! and the time per call. With `surge`, that many times as many jobs arrive, and a backlog grows.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -85,10 +85,13 @@
     } else {
         worker_counts
     };
+    let surge = std::env::args()
+        .find_map(|argument| argument.strip_prefix("surge=")?.parse().ok())
+        .unwrap_or(1.0);
     println!("workers  starts/s  reports/s  others/s  core %  µs a call");
     for worker_count in worker_counts {
         let mut bench = Bench::new(worker_count);
-        bench.run();
+        bench.run(surge);
         let seconds = SIMULATED_TIME as f64 / 1_000.0;
         let calls = (bench.starts + bench.reports + bench.other_orders) as f64;
         println!(
@@ -160,7 +163,7 @@
     }
 
     /// Runs the simulation after a warm-up that is not measured.
-    fn run(&mut self) {
+    fn run(&mut self, surge: f64) {
         let hundreds = self.workers.len() as f64 / 100.0;
         let end = self.now + SIMULATED_TIME;
         let mut due_jobs = [0.0; 3];
@@ -179,7 +182,7 @@
             .iter()
             .enumerate()
             {
-                due_jobs[index] += rate * hundreds / 1_000.0;
+                due_jobs[index] += rate * surge * hundreds / 1_000.0;
                 while due_jobs[index] >= 1.0 {
                     due_jobs[index] -= 1.0;
                     self.submit(name);
@@ -228,7 +231,11 @@
             Some(format!("{kind}-{}", rng.u8(0..count)).into())
         };
         let steps = match queue {
-            "short" => vec![step(10, 5_700, 640)],
+            // One in seven keeps its tasks apart.
+            "short" => vec![StepSpec {
+                spread: u16::from(self.rng.u8(0..7) == 0),
+                ..step(10, 5_700, 640)
+            }],
             "best-effort" => {
                 let image = random_image(&mut self.rng, "best-effort", 18);
                 let first = StepSpec {
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -79,9 +79,12 @@
         run_number: u64,
         answer: Result<WorkerAnswer, CallError>,
     ) {
+        self.pending_starts = self.pending_starts.saturating_sub(1);
+        self.needs_placement = true;
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
+        worker.pending_starts = worker.pending_starts.saturating_sub(1);
         match &answer {
             Ok(WorkerAnswer::Accepted { clock }) => worker.set_clock(*clock, now.steady),
             Ok(_) => {}
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -204,6 +204,10 @@
     /// Wall clock of the newest event, in Unix milliseconds.
     pub(super) wall: u64,
     last_placement: Millis,
+    /// Number of placement passes, in workers that were passed over.
+    pub(super) placement_passes: usize,
+    /// Start orders without an answer.
+    pub(super) pending_starts: usize,
     pub(super) last_poll: Millis,
     pub(super) last_sweep: Millis,
     /// Whether a newer owner is known.
@@ -248,6 +252,8 @@
             needs_placement: false,
             wall: now.wall,
             last_placement: Millis(0),
+            placement_passes: 0,
+            pending_starts: 0,
             last_poll: Millis(0),
             last_sweep: now.steady,
             is_superseded: false,
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -18,6 +18,14 @@
 /// Low bits of a run number that count the runs of a task within an epoch; the epoch is above them.
 const RUN_BITS: u32 = 12;
 
+/// Start orders that may be without an answer at the same time. More of them would only wait for
+/// the owner's processor, behind them the hellos of other hosts, which would then take it for gone.
+const MAX_PENDING_STARTS: usize = 384;
+/// The same for one worker. Each needs a connection of its own.
+const MAX_WORKER_STARTS: usize = 2;
+/// Workers with room that are compared for one task, unless it is long-running or has a rack.
+const MAX_COMPARED: usize = 64;
+
 /// Requirements of a task that no worker had room for in this placement pass. Tasks that need the
 /// same or more are skipped for the rest of the pass.
 struct UnmetRequirements {
@@ -30,8 +38,17 @@
     service: Name,
 }
 
-/// Slots of the workers that one placement pass may use.
-pub(super) type Candidates = Vec<usize>;
+/// A worker that one placement pass may use.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Candidate {
+    slot: usize,
+    /// Capacity that no run reserves, kept here so that full workers are passed over quickly.
+    free: Size,
+    /// Start orders that it has not answered.
+    starts: usize,
+}
+
+pub(super) type Candidates = Vec<Candidate>;
 
 impl Shard {
     /// Places waiting tasks in the order of `ready` as far as workers have room.
@@ -39,19 +56,29 @@
         if self.ready.is_empty() {
             return;
         }
+        if self.pending_starts >= MAX_PENDING_STARTS {
+            return;
+        }
         let keys: Vec<OrderKey> = self.ready.iter().copied().collect();
-        let candidates = self.candidates(now);
+        let mut candidates = self.candidates(now);
+        // Passes begin at different workers, since not all of them are compared.
+        let start = self.placement_passes.checked_rem(candidates.len());
+        candidates.rotate_left(start.unwrap_or(0));
+        self.placement_passes = self.placement_passes.wrapping_add(MAX_COMPARED);
         let mut unmet: Vec<UnmetRequirements> = Vec::new();
         for key in keys {
             if self.phase != Phase::Active && self.recovered.contains(&key.step.job) {
                 continue;
             }
-            match self.place_step(now, key, &candidates, &mut unmet, out) {
+            match self.place_step(now, key, &mut candidates, &mut unmet, out) {
                 Some(()) => {}
                 None => {
                     self.ready.remove(&key);
                 }
             }
+            if self.pending_starts >= MAX_PENDING_STARTS {
+                return;
+            }
         }
     }
 
@@ -63,7 +90,13 @@
     fn usable(&self, now: Now, filter: impl Fn(&Worker) -> bool) -> Candidates {
         let slots = self.workers.slots();
         let usable = slots.filter(|(_, worker)| worker.is_usable(now.steady) && filter(worker));
-        usable.map(|(slot, _)| slot).collect()
+        usable
+            .map(|(slot, worker)| Candidate {
+                slot,
+                free: worker.free(),
+                starts: worker.pending_starts,
+            })
+            .collect()
     }
 
     /// Places the waiting tasks of one step. Returns `None` if none is left, so that the step
@@ -72,7 +105,7 @@
         &mut self,
         now: Now,
         key: OrderKey,
-        candidates: &Candidates,
+        candidates: &mut Candidates,
         unmet: &mut Vec<UnmetRequirements>,
         out: &mut Vec<ShardAction>,
     ) -> Option<()> {
@@ -123,6 +156,9 @@
             return Some(());
         }
         for task in waiting {
+            if self.pending_starts >= MAX_PENDING_STARTS {
+                return Some(());
+            }
             let mut found = self.find_worker(now, &service, spec, key.step, None, candidates);
             if found.is_none() && spec.lasts {
                 // Waiting is worse for a long-running task than a failed run, which does not count
@@ -144,10 +180,20 @@
                 return Some(());
             };
             self.start_task(now, slot, spec, task, None, out);
+            self.update_candidate(candidates, slot);
         }
         None
     }
 
+    /// Brings the room of a worker up to date after a start.
+    fn update_candidate(&self, candidates: &mut Candidates, slot: usize) {
+        let found = candidates.iter_mut().find(|other| other.slot == slot);
+        if let (Some(candidate), Some(worker)) = (found, self.workers.at(slot)) {
+            candidate.free = worker.free();
+            candidate.starts = worker.pending_starts;
+        }
+    }
+
     /// Places all tasks of a gang, or none.
     fn place_gang(
         &mut self,
@@ -155,7 +201,7 @@
         service: &Name,
         spec: &StepSpec,
         tasks: &[TaskKey],
-        candidates: &Candidates,
+        candidates: &mut Candidates,
         out: &mut Vec<ShardAction>,
     ) {
         let Some(step) = tasks.first().map(|task| task.step) else {
@@ -177,12 +223,14 @@
                 if let Some(worker) = self.workers.at_mut(slot) {
                     worker.add_run(*task, new_run(spec, 0, now.steady));
                 }
+                self.update_candidate(candidates, slot);
                 chosen.push(slot);
             }
             for (task, slot) in tasks.iter().zip(&chosen) {
                 if let Some(worker) = self.workers.at_mut(*slot) {
                     worker.remove_run(*task);
                 }
+                self.update_candidate(candidates, *slot);
             }
             if chosen.len() < tasks.len() {
                 continue;
@@ -192,6 +240,7 @@
             let ordinal = runs.max().unwrap_or(0) + 1;
             for (task, slot) in tasks.iter().zip(chosen) {
                 self.start_task(now, slot, spec, *task, Some(ordinal), out);
+                self.update_candidate(candidates, slot);
             }
             return;
         }
@@ -256,10 +305,17 @@
             now.steady,
             requirements.image.filter(|_| requirements.fills),
         );
-        let workers = candidates.iter().filter_map(|slot| {
-            let worker = self.workers.at(*slot)?;
-            let free = worker.free();
-            if !requirements.reserved.fits(&free) || worker.service != *service {
+        let max_starts = match spec.gang {
+            true => usize::MAX,
+            false => MAX_WORKER_STARTS,
+        };
+        let with_room = candidates.iter().filter(|candidate| {
+            candidate.starts < max_starts && requirements.reserved.fits(&candidate.free)
+        });
+        let workers = with_room.filter_map(|candidate| {
+            let worker = self.workers.at(candidate.slot)?;
+            let free = candidate.free;
+            if worker.service != *service {
                 return None;
             }
             if rack.is_some() && worker.rack() != rack {
@@ -269,11 +325,18 @@
                 return None;
             }
             Some((
-                *slot,
+                candidate.slot,
                 describe_candidate(&requirements, worker, free, &interference),
             ))
         });
-        choose_worker(&requirements, workers)
+        // A few workers may be much better than the others for these tasks.
+        let compares_all = spec.lasts || spec.rack.is_some();
+        let limit = if compares_all {
+            usize::MAX
+        } else {
+            MAX_COMPARED
+        };
+        choose_worker(&requirements, workers, limit)
     }
 
     /// Records a new run of a task and orders its start. `ordinal` is given for gangs, whose runs
@@ -314,6 +377,8 @@
         let mut placed = new_run(spec, run, now.steady);
         placed.checkpoint.clone_from(&checkpoint);
         worker.add_run(task, placed);
+        worker.pending_starts += 1;
+        self.pending_starts += 1;
         worker.lease_until = worker.lease_until.max(until);
         let tag = WorkerTag::Start {
             worker: worker.id.clone(),
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -19,6 +19,9 @@
 /// The same on a worker with best-effort tasks, in milliseconds, since these can slow down serving
 /// tasks. The reported latencies are means over half a second.
 const BEST_EFFORT_WAIT: Millis = Millis(300);
+/// Reports per second of workers with best-effort tasks. With more such workers than this allows,
+/// each of them waits longer.
+const BEST_EFFORT_REPORT_RATE: u64 = 2_000;
 /// The same on a worker without runs, in milliseconds; workers allow no longer wait.
 const IDLE_WAIT: Millis = Millis(2_000);
 /// Timeout of a request for a report beyond its wait, in milliseconds.
@@ -179,9 +182,11 @@
         let epoch = self.owner.epoch;
         let lease = self.settings.lease;
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
+        let spacing = Millis(self.workers.len() as u64 * 1_000 / BEST_EFFORT_REPORT_RATE);
+        let best_effort_wait = BEST_EFFORT_WAIT.max(spacing).min(POLL_WAIT);
         for worker in self.workers.iter_mut() {
             if worker.long_poll.is_none() && worker.next_poll <= now.steady {
-                let wait = poll_wait(worker);
+                let wait = poll_wait(worker, best_effort_wait);
                 worker.long_poll = Some(now.steady);
                 request_report(worker, now.steady, epoch, lease, wait, false, out);
             } else if worker.immediate_poll.is_none()
@@ -252,8 +257,9 @@
     }
 }
 
-/// How long the worker may wait for a run to end before it reports.
-fn poll_wait(worker: &Worker) -> Millis {
+/// How long the worker may wait for a run to end before it reports; `best_effort_wait` applies if it
+/// has best-effort tasks.
+fn poll_wait(worker: &Worker, best_effort_wait: Millis) -> Millis {
     // Ends that are not acknowledged yet make the worker answer at once in any case.
     if worker.last_report.is_none() || worker.processed > worker.acknowledged {
         return Millis(0);
@@ -261,7 +267,7 @@
     let has_best_effort = worker.runs.values().any(|run| run.fills);
     match worker.runs.is_empty() {
         true => IDLE_WAIT,
-        false if has_best_effort => BEST_EFFORT_WAIT,
+        false if has_best_effort => best_effort_wait,
         false => POLL_WAIT,
     }
 }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -101,6 +101,8 @@
     pub committed: Size,
     /// Millicores that all runs together are expected to use.
     expected_use: i64,
+    /// Start orders without an answer.
+    pub pending_starts: usize,
     /// Whether any run is being stopped; cleared a moment after the last one has ended.
     pub has_stops: bool,
     /// Headroom for more best-effort tasks as of the last report, less those started since.
@@ -151,6 +153,7 @@
             runs: HashMap::new(),
             committed: Size::ZERO,
             expected_use: 0,
+            pending_starts: 0,
             has_stops: false,
             headroom: Vec::new(),
             long_poll: None,
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -59,16 +59,16 @@
 ///
 /// Best-effort tasks go to the worker with the most headroom and idle processors. Long-running
 /// tasks are packed by image, so that each best-effort image finds workers on which it interferes
-/// with no image. Other tasks go to the worker with the largest free share of its processors.
+/// with no image. Other tasks go to the worker with the largest free share of its processors. At most
+/// `limit` workers with room are compared.
 pub fn choose_worker<'a>(
     task: &TaskRequirements<'_>,
     workers: impl Iterator<Item = (usize, CandidateWorker<'a>)>,
+    limit: usize,
 ) -> Option<usize> {
     let mut best: Option<(i64, usize)> = None;
-    for (index, worker) in workers {
-        let Some(score) = score(task, &worker) else {
-            continue;
-        };
+    let scores = workers.filter_map(|(index, worker)| Some((index, score(task, &worker)?)));
+    for (index, score) in scores.take(limit) {
         if best.is_none_or(|(best_score, _)| score > best_score) {
             best = Some((score, index));
         }
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -96,11 +96,19 @@
 #[test]
 fn a_task_goes_to_the_emptiest_worker_that_fits() {
     let workers = [1_000, 9_000, 4_000].map(|free| worker(&[], free, 16_000, 1.0));
-    let choice = choose_worker(&task(2_000, false, false), workers.into_iter().enumerate());
+    let choice = choose_worker(
+        &task(2_000, false, false),
+        workers.into_iter().enumerate(),
+        usize::MAX,
+    );
     assert_eq!(choice, Some(1));
     let workers = [1_000, 1_900].map(|free| worker(&[], free, 16_000, 1.0));
     assert_eq!(
-        choose_worker(&task(2_000, false, false), workers.into_iter().enumerate()),
+        choose_worker(
+            &task(2_000, false, false),
+            workers.into_iter().enumerate(),
+            usize::MAX
+        ),
         None
     );
 }
@@ -115,11 +123,16 @@
     let mut same_image = worker(&[], 3_000, 0, 1.0);
     same_image.has_same_image = true;
     let workers = [mixed.clone(), empty.clone(), same_image];
-    let choice = choose_worker(&task(2_000, false, true), workers.into_iter().enumerate());
+    let choice = choose_worker(
+        &task(2_000, false, true),
+        workers.into_iter().enumerate(),
+        usize::MAX,
+    );
     assert_eq!(choice, Some(2));
     let choice = choose_worker(
         &task(2_000, false, true),
         [mixed, empty].into_iter().enumerate(),
+        usize::MAX,
     );
     assert_eq!(choice, Some(1));
 }
@@ -133,7 +146,11 @@
         worker(&[], 16_000, 9_000, -0.1),
         worker(&[], 16_000, 4_000, 0.5),
     ];
-    let choice = choose_worker(&task(3_000, true, false), workers.into_iter().enumerate());
+    let choice = choose_worker(
+        &task(3_000, true, false),
+        workers.into_iter().enumerate(),
+        usize::MAX,
+    );
     assert_eq!(choice, Some(2));
 }
 
@@ -148,18 +165,26 @@
     let mut task_with_rack = task(2_000, false, false);
     task_with_rack.rack = Some(&rack);
     assert_eq!(
-        choose_worker(&task_with_rack, workers().into_iter().enumerate()),
+        choose_worker(
+            &task_with_rack,
+            workers().into_iter().enumerate(),
+            usize::MAX
+        ),
         Some(1)
     );
     // If the preferred rack is full, another one is chosen.
     let full = [worker(&far, 15_000, 0, 1.0), worker(&near, 1_000, 0, 1.0)];
     assert_eq!(
-        choose_worker(&task_with_rack, full.into_iter().enumerate()),
+        choose_worker(&task_with_rack, full.into_iter().enumerate(), usize::MAX),
         Some(0)
     );
     task_with_rack.label = Some(&label);
     assert_eq!(
-        choose_worker(&task_with_rack, workers().into_iter().enumerate()),
+        choose_worker(
+            &task_with_rack,
+            workers().into_iter().enumerate(),
+            usize::MAX
+        ),
         None
     );
 }
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -5,4 +5,5 @@
 mod fleet;
 mod random;
 mod store;
+mod wide_jobs;
 mod world;
--- /dev/null
+++ b/tests/shard/wide_jobs.rs
@@ -0,0 +1,40 @@
+//! A surge of wide jobs: more tasks become ready at once than the owner can order the starts of.
+
+use jayfork::process::shard::Reply;
+use jayfork::request::job::Outcome;
+
+use super::world::{World, chain};
+
+const WORKERS: usize = 250;
+const JOBS: u64 = 30;
+const TASKS: u16 = 100;
+/// Start orders that the owner may have without an answer, in all and on one worker.
+const MAX_PENDING_STARTS: (usize, usize) = (384, 2);
+
+/// Guards against an owner that orders all starts of a surge at once. The orders and their new
+/// connections kept its processor busy for seconds; it answered no hellos, other hosts took it for
+/// gone, and each new owner met the same load.
+#[test]
+fn a_surge_of_wide_jobs_starts_in_bounded_portions() {
+    let mut world = World::new(7, WORKERS, 16_000);
+    world.claim();
+    world.run(500);
+    for id in 1..=JOBS {
+        world.submit(id, &chain(&[TASKS], 1_000));
+    }
+    world.run(4_000);
+    let (all, of_worker) = world.max_pending_starts;
+    assert!(all <= MAX_PENDING_STARTS.0, "{all} starts");
+    assert!(of_worker <= MAX_PENDING_STARTS.1, "{of_worker} starts");
+    for id in 1..=JOBS {
+        let is_done = matches!(
+            world.state(id),
+            Some(Reply::State {
+                outcome: Some(Outcome::Completed),
+                ..
+            })
+        );
+        assert!(is_done, "job {id}");
+    }
+    world.assert_no_violations();
+}
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -77,6 +77,10 @@
     pub attempts: u16,
     /// Range of the run times, in milliseconds.
     pub runtimes: Range<u64>,
+    /// Start orders without an answer, by worker.
+    pending_starts: HashMap<Name, usize>,
+    /// Most start orders that were without an answer at once, in all and on one worker.
+    pub max_pending_starts: (usize, usize),
 }
 
 impl World {
@@ -93,6 +97,8 @@
             serial: 0,
             attempts: 3,
             runtimes: 50..900,
+            pending_starts: HashMap::new(),
+            max_pending_starts: (0, 0),
         }
     }
 
@@ -324,6 +330,9 @@
                 self.chance(self.faults.answer_loss),
             ),
         };
+        if matches!(call.order, Order::Start(_)) {
+            self.count_start(&call.worker);
+        }
         let timeout = call.timeout.0;
         if is_late || is_lost {
             let answer = Err(CallError::NoAnswer);
@@ -344,6 +353,15 @@
         );
     }
 
+    fn count_start(&mut self, worker: &Name) {
+        let count = self.pending_starts.entry(worker.clone()).or_default();
+        *count += 1;
+        let of_worker = *count;
+        let all = self.pending_starts.values().sum();
+        let (max_all, max_worker) = self.max_pending_starts;
+        self.max_pending_starts = (max_all.max(all), max_worker.max(of_worker));
+    }
+
     fn send(&mut self, after: u64, message: Message) {
         self.serial += 1;
         let at = self.now + after;
@@ -395,6 +413,11 @@
                 }
             }
             Message::Answer(owner, tag, answer) => {
+                if let WorkerTag::Start { worker, .. } = &tag {
+                    if let Some(count) = self.pending_starts.get_mut(worker) {
+                        *count -= 1;
+                    }
+                }
                 self.event(owner, ShardEvent::Worker(tag, answer));
             }
         }
