--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -73,7 +74,7 @@
     ///
     /// # Errors
     ///
-    /// `NotSent` if the call was not sent, `NoAnswer` if the connection closed or `time_limit`
+    /// `NotSent` if the call was not sent, `Refused` if no process listens on the port, `NoAnswer` if the connection closed or `time_limit`
     /// passed before the reply arrived, `Malformed` if a message cannot be encoded or decoded.
     pub async fn call(
         &self,
@@ -117,8 +118,13 @@
             return Ok(sender.clone());
         }
         let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let Ok(Ok(stream)) = opened else {
-            return Err(CallError::NotSent);
+        let stream = match opened {
+            Ok(Ok(stream)) => stream,
+            // The host is up, but no process listens on the port.
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                return Err(CallError::Refused);
+            }
+            Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
         };
         set_nodelay(&stream);
         let (sender, connection) = h2::client::handshake(stream)
--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -49,6 +49,16 @@
 /// The journal has no live owner if it has not grown for this long, in milliseconds; an owner
 /// appends at least every 500 ms.
 const IDLE_JOURNAL_TIME: Millis = Millis(1_300);
+/// The same if other hosts answer, but none has heard from the owner.
+const IDLE_OWNER_TIME: Millis = Millis(900);
+/// A host starts to watch the journal once the last message from the owner is older than this, in
+/// milliseconds, so that the end of a live owner is known when the search begins.
+const JOURNAL_WATCH_AGE: Millis = Millis(500);
+/// Pause between two reads of the journal's end, in milliseconds.
+const JOURNAL_READ_PAUSE: Millis = Millis(200);
+/// An owner whose journal grows, but that has answered no host for this long, is cut off from the
+/// hosts, in milliseconds from the begin of the search.
+const UNREACHABLE_OWNER_TIME: Millis = Millis(2_500);
 /// Timeout of the call that asks a peer to take over, in milliseconds.
 const HANDOVER_CALL_TIMEOUT: Millis = Millis(400);
 /// Timeout of a call to the store, in milliseconds.
@@ -84,6 +94,8 @@
     /// Last known end of the journal, and when this host first saw it there.
     journal_end: Option<(u64, Millis)>,
     is_reading_journal: bool,
+    /// When the end of the journal was last asked for.
+    journal_asked: Millis,
     /// When the store answered another host first after this owner's appends began to fail.
     store_proof: Option<Millis>,
     /// Whether a peer was asked to take over and has not answered.
@@ -138,6 +150,7 @@
                     owner.last_heard = Some(heard);
                     if reported.age == 0 {
                         owner.failed_hellos = 0;
+                        owner.is_refusing = false;
                     }
                 }
             }
@@ -151,18 +164,27 @@
                     last_heard: Some(heard),
                     learned: now.steady,
                     failed_hellos: 0,
+                    is_refusing: false,
                 });
             }
         }
     }
 
-    pub(super) fn hello_failed(&mut self, now: Now, to: std::net::SocketAddr, is_owner: bool) {
+    /// Records that a hello got no answer; `is_refused` if nothing listens at the address.
+    pub(super) fn hello_failed(
+        &mut self,
+        now: Now,
+        to: std::net::SocketAddr,
+        is_owner: bool,
+        is_refused: bool,
+    ) {
         if !is_owner || self.owner_address() != Some(to) {
             return;
         }
         self.retry_hello_soon(now);
         if let Some(owner) = &mut self.owner {
             owner.failed_hellos += 1;
+            owner.is_refusing = is_refused;
         }
     }
 
@@ -173,6 +195,7 @@
             self.check_ownership(now, out);
             return;
         }
+        self.watch_journal(now, out);
         if self.has_owner(now) || self.stopping.is_some() {
             self.claim.search_started = None;
             self.claim.round_started = None;
@@ -180,7 +203,6 @@
         }
         if self.claim.search_started.is_none() {
             self.claim.search_started = Some(now.steady);
-            self.claim.journal_end = None;
             self.claim.asked.clear();
             self.claim.silent.clear();
             tracing::info!(
@@ -291,25 +313,48 @@
         if best.is_some_and(|best| best < own) || !self.has_asked_better(&own, max_processor) {
             return false;
         }
-        if self.peers.is_empty() || !self.claim.responders.is_empty() {
+        // Without an answer, this host may be cut off from all others. If it has answers, the owner
+        // may still be alive, but too busy to answer, or cut off by a busy link.
+        let idle_time = match self.claim.responders.is_empty() {
+            _ if self.peers.is_empty() => return true,
+            true => IDLE_JOURNAL_TIME,
+            false if self.is_owner_gone() || waited >= UNREACHABLE_OWNER_TIME => return true,
+            false => IDLE_OWNER_TIME,
+        };
+        let journal_end = self.claim.journal_end;
+        if journal_end.is_some_and(|(_, since)| now.steady.since(since) >= idle_time) {
             return true;
         }
-        // No peer answers, perhaps because this host is cut off from them. It claims only if the
-        // journal shows no live owner.
-        match self.claim.journal_end {
-            Some((_, since)) if now.steady.since(since) >= IDLE_JOURNAL_TIME => true,
-            _ => {
-                self.read_journal(out);
-                false
-            }
+        self.read_journal(now, out);
+        false
+    }
+
+    /// Whether the owner has certainly ended: it said so, or nothing listens at its address.
+    fn is_owner_gone(&self) -> bool {
+        self.owner.as_ref().is_none_or(|owner| owner.is_refusing)
+    }
+
+    /// Reads the end of the journal if the owner has been silent for a while and this host may be
+    /// its successor.
+    fn watch_journal(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        let Some(owner) = &self.owner else {
+            return;
+        };
+        let age = owner.last_heard.map(|at| now.steady.since(at));
+        if age.is_some_and(|age| age < JOURNAL_WATCH_AGE) || self.hears_owner_rarely() {
+            self.claim.journal_end = None;
+            return;
         }
+        self.read_journal(now, out);
     }
 
-    fn read_journal(&mut self, out: &mut Vec<HostAction>) {
-        if self.claim.is_reading_journal {
+    fn read_journal(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        let pause = now.steady.since(self.claim.journal_asked);
+        if self.claim.is_reading_journal || pause < JOURNAL_READ_PAUSE {
             return;
         }
         self.claim.is_reading_journal = true;
+        self.claim.journal_asked = now.steady;
         // The page after the last possible key is empty but gives the end of the stream.
         let request = StoreRequest::Newest {
             partition: shard_partition(),
--- a/src/process/host/forward.rs
+++ b/src/process/host/forward.rs
@@ -163,7 +163,7 @@
             }
             Ok(_) => {}
             Err(error) => {
-                let may_be_sent = error != CallError::NotSent;
+                let may_be_sent = !matches!(error, CallError::NotSent | CallError::Refused);
                 if let Some(pending) = self.pending_requests.get_mut(&ticket) {
                     pending.is_uncertain |= may_be_sent;
                 }
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -170,6 +170,8 @@
     pub learned: Millis,
     /// Consecutive hellos to the owner that failed.
     pub failed_hellos: u32,
+    /// Whether nothing listens at its address.
+    pub is_refusing: bool,
 }
 
 pub struct Host {
@@ -509,7 +511,10 @@
                         self.peers.add(now.steady, record);
                     }
                 }
-                _ => self.hello_failed(now, to, is_owner),
+                answer => {
+                    let is_refused = matches!(answer, Err(CallError::Refused));
+                    self.hello_failed(now, to, is_owner, is_refused);
+                }
             },
             PeerPurpose::Forward { ticket, sent } => {
                 self.handle_forward_answer(now, ticket, sent, answer, out);
--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -144,6 +144,39 @@
     assert_ne!(successors, owners);
 }
 
+/// Guards against a live owner that is replaced because it is too busy to answer hellos. Its work went
+/// on, and the new owner had to recover all of it under the same load.
+#[parameterized(
+    first = { 1 },
+    second = { 2 },
+    third = { 3 },
+)]
+fn a_busy_owner_that_appends_keeps_the_shard(seed: u64) {
+    let mut world = World::start(seed, &mixed_hosts());
+    world.run(4_000);
+    let owners = world.owners();
+    let claim_count = world.claim_count;
+    world.cut_hosts.clone_from(&owners);
+    world.run(2_400);
+    world.cut_hosts.clear();
+    world.run(4_000);
+    assert_eq!((world.owners(), world.claim_count), (owners, claim_count));
+}
+
+/// Guards against a shard whose owner reaches the store but no other host, so that no request of a
+/// client gets to it.
+#[test]
+fn an_owner_that_is_cut_off_from_the_hosts_is_replaced() {
+    let mut world = World::start(3, &mixed_hosts());
+    world.run(4_000);
+    let owners = world.owners();
+    world.cut_hosts.clone_from(&owners);
+    world.run(5_000);
+    let successors = world.owners();
+    assert_eq!(successors.len(), 1, "{successors:?}");
+    assert_ne!(successors, owners);
+}
+
 /// State of a peer that last heard from the owner, a third host, `age` milliseconds ago.
 fn peer_presence(age: u64) -> Presence {
     let record = |name: &str, index| HostRecord {
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -79,6 +79,8 @@
     pub refused_hosts: Vec<usize>,
     /// Hosts whose calls the store does not answer.
     pub silent_hosts: Vec<usize>,
+    /// Hosts that neither get nor answer calls of others.
+    pub cut_hosts: Vec<usize>,
     /// Calls that each host has received from others.
     pub received_calls: Vec<usize>,
     /// Records of hosts and configurations in answers between hosts.
@@ -101,6 +103,7 @@
             claim_count: 0,
             refused_hosts: Vec::new(),
             silent_hosts: Vec::new(),
+            cut_hosts: Vec::new(),
             received_calls: vec![0; hosts.len()],
             sent_records: 0,
             sent_configs: 0,
@@ -224,7 +227,8 @@
                 } => {
                     let to = usize::from(address.port()) - 1;
                     let after = self.delay();
-                    match self.hosts.get(to).is_some_and(Option::is_some) {
+                    let is_cut = [index, to].iter().any(|host| self.cut_hosts.contains(host));
+                    match !is_cut && self.hosts.get(to).is_some_and(Option::is_some) {
                         true => self.send(after, Message::PeerCall(index, to, call, message)),
                         false => {
                             let answer = Err(CallError::NoAnswer);
