Read the configuration of a large cluster once a data centre

Cause: each of 147 hosts read every new configuration from the store. Change: in clusters of more than 25 hosts a host gets the configuration from one of the two first hosts of its data centre that answer (largest processor, then name); these, the owner and hosts without such a neighbour read the store. If the source fails twice, the host reads the store itself. Hosts that read nothing else keep in touch with the store by the stream of hosts. Before: a_configuration_is_read_by_a_few_hosts_of_each_data_centre fails with 136 reads. After: it passes, as do the cases in which the store refuses half of the hosts and in which all large hosts are killed.

--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -34,6 +34,9 @@
 const CONFIG_STORE_TIME: Millis = Millis(300);
 /// Pause before it asks again, in milliseconds.
 const CONFIG_RETRY_TIME: Millis = Millis(700);
+/// A host that gets configurations from another one reads the store after it has asked in vain this
+/// many times.
+const MAX_CONFIG_ASKS: u32 = 2;
 /// A host reports that it isn't ready once the last message from the owner is older than this, in
 /// milliseconds.
 const READY_AGE: Millis = Millis(2_500);
@@ -156,6 +159,8 @@
     holder: SocketAddr,
     /// When to ask the holder for it.
     ask_at: Millis,
+    /// How often the holder was asked.
+    asks: u32,
 }
 
 /// The newest owner that this host knows of.
@@ -199,6 +204,8 @@
     owner_hello: Millis,
     /// When the next hello to one of the other hosts is due.
     peer_hello: Millis,
+    /// The host that this one gets new configurations from; `None` if it reads them from the store.
+    config_source: Option<SocketAddr>,
     /// A newer configuration that a peer has.
     newer_config: Option<NewerConfig>,
     is_ready: bool,
@@ -228,6 +235,7 @@
             started: now.steady,
             owner_hello: now.steady,
             peer_hello: now.steady,
+            config_source: None,
             newer_config: None,
             is_ready: false,
             stopping: None,
@@ -366,6 +374,10 @@
         if now.steady >= self.peer_hello {
             self.peer_hello = now.steady + PEER_HELLO_TIME;
             self.peers.forget_silent(now.steady);
+            self.config_source = self.find_config_source(now);
+            if let Some(source) = self.config_source.or_else(|| self.possible_source()) {
+                self.send_hello_for(now, source, false, true, out);
+            }
             if let Some(address) = self.peers.next_hello().or_else(|| self.next_seed()) {
                 self.send_hello(now, address, false, out);
             }
@@ -561,20 +573,48 @@
         self.peers.set_presence(now.steady, presence);
     }
 
-    /// Reads the configuration from the store at once if a peer has a newer one. The peer is asked
-    /// for it only if the store does not answer soon.
+    /// Gets a newer configuration that a peer has. A host that reads the store does so at once, and
+    /// asks the peer only if the store does not answer soon.
     fn note_config(&mut self, now: Now, version: u64, holder: SocketAddr) {
         let known = self.newer_config.map_or(0, |newer| newer.version);
         if version <= known.max(self.config.version) {
             return;
         }
-        let ask_at = now.steady + CONFIG_STORE_TIME;
+        let first = match self.config_source {
+            Some(_) => now.steady,
+            None => {
+                self.streams.read_config_soon(now.steady);
+                now.steady + CONFIG_STORE_TIME
+            }
+        };
         self.newer_config = Some(NewerConfig {
             version,
-            holder,
-            ask_at: self.newer_config.map_or(ask_at, |newer| newer.ask_at),
+            holder: self.config_source.unwrap_or(holder),
+            ask_at: self.newer_config.map_or(first, |newer| newer.ask_at),
+            asks: self.newer_config.map_or(0, |newer| newer.asks),
         });
-        self.streams.read_config_soon(now.steady);
+    }
+
+    /// Whether this host leaves the reading of the configuration to another one, which has not failed
+    /// to deliver a newer one.
+    pub(super) fn leaves_config_to_source(&self) -> bool {
+        let has_failed = self
+            .newer_config
+            .is_some_and(|newer| newer.asks > MAX_CONFIG_ASKS);
+        self.config_source.is_some() && !has_failed
+    }
+
+    /// Address of the host to get new configurations from; `None` if this host reads them itself, as
+    /// the owner does.
+    fn find_config_source(&self, now: Now) -> Option<SocketAddr> {
+        let is_reader = self.shard.is_some() || self.config.version == 0;
+        let source = || self.peers.config_source(now.steady, &self.settings.record);
+        if is_reader { None } else { source() }
+    }
+
+    fn possible_source(&mut self) -> Option<SocketAddr> {
+        let index = self.new_id() as usize;
+        self.peers.possible_source(&self.settings.record, index)
     }
 
     /// Asks a peer for a newer configuration that the store has not delivered.
@@ -587,6 +627,7 @@
         }
         newer.ask_at = now.steady + CONFIG_RETRY_TIME;
         let holder = newer.holder;
+        newer.asks += 1;
         self.send_hello_for(now, holder, false, true, out);
     }
 
--- a/src/process/host/peers.rs
+++ b/src/process/host/peers.rs
@@ -1,6 +1,7 @@
 //! The other hosts as this host knows them. In large clusters a host asks and names only a few of
 //! them at a time, so that its messages do not grow with the cluster.
 
+use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
@@ -14,6 +15,13 @@
 pub(super) const FAN_OUT: usize = 16;
 /// The same for a low-capacity host. Any high-capacity host tells it who owns the shard.
 const LOW_CAPACITY_FAN_OUT: usize = 4;
+/// Hosts of a data centre in a larger cluster from which the others get the configuration, so that it
+/// is read from the store only a few times.
+const CONFIG_SOURCES: usize = 2;
+/// A host may be one of them if its last message is not older than this, in milliseconds.
+const SOURCE_AGE: Millis = Millis(2_500);
+/// Hosts that are tried in turn while none of them answers.
+const PROBED_SOURCES: usize = 4;
 /// Records of other hosts in the answer to a hello.
 const SHARED_HOSTS: usize = 8;
 /// A host is named to others if its last message is not older than this, in milliseconds.
@@ -165,6 +173,52 @@
         alive.into_iter().map(|peer| peer.record.clone()).collect()
     }
 
+    /// Address of the host from which `own` gets new configurations; `None` if it reads them from the
+    /// store itself.
+    pub fn config_source(&self, now: Millis, own: &HostRecord) -> Option<SocketAddr> {
+        if self.is_small_cluster() {
+            return None;
+        }
+        let is_alive = |peer: &&Peer| {
+            let heard = peer.last_heard;
+            heard.is_some_and(|at| now.since(at) <= SOURCE_AGE)
+        };
+        let mut sources = self.ranked_before(own, is_alive);
+        sources.truncate(CONFIG_SOURCES);
+        let index = (own.boot as usize).checked_rem(sources.len())?;
+        sources.get(index).map(|record| record.control)
+    }
+
+    /// Address of a host that may become the source of new configurations once it has answered,
+    /// another one for each `index`; `None` if `own` comes first itself.
+    pub fn possible_source(&self, own: &HostRecord, index: usize) -> Option<SocketAddr> {
+        if self.is_small_cluster() {
+            return None;
+        }
+        let mut sources = self.ranked_before(own, |_| true);
+        sources.truncate(PROBED_SOURCES);
+        let index = index.checked_rem(sources.len())?;
+        sources.get(index).map(|record| record.control)
+    }
+
+    /// The hosts of the same data centre that `filter` allows and that read the configuration before
+    /// `own` does, in this order: those with a large processor, then by name.
+    fn ranked_before<'a>(
+        &'a self,
+        own: &HostRecord,
+        filter: impl Fn(&&Peer) -> bool,
+    ) -> Vec<&'a HostRecord> {
+        let rank = |record: &HostRecord| (Reverse(record.processor), record.name.clone());
+        let own_rank = rank(own);
+        let others = self.values().filter(filter).map(|peer| &peer.record);
+        let neighbours = others.filter(|record| record.data_centre == own.data_centre);
+        let mut before: Vec<&HostRecord> = neighbours
+            .filter(|record| rank(record) < own_rank)
+            .collect();
+        before.sort_unstable_by_key(|record| rank(record));
+        before
+    }
+
     /// Hosts to ask in the next round of a search for an owner: the best-ranked ones that are not
     /// in `silent`. A low-capacity host starts at another one of the high-capacity hosts, given by
     /// `offset`.
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -27,6 +27,9 @@
 const HOSTS_READ_INTERVAL: Millis = Millis(3_000);
 /// The same while this host searches for an owner of the shard.
 const SEARCH_READ_INTERVAL: Millis = Millis(600);
+/// The same on a host that reads nothing else. Only hosts that the store has answered lately may own
+/// the shard.
+const ONLY_READ_INTERVAL: Millis = Millis(1_200);
 /// Interval of reads of the worker registry, in milliseconds. A worker must get no more tasks 2.5 s
 /// after it leaves.
 const REGISTRY_READ_INTERVAL: Millis = Millis(400);
@@ -144,6 +147,8 @@
     config: KeyedReader,
     hosts: KeyedReader,
     registry: Option<KeyedReader>,
+    /// Whether another host delivers the configuration.
+    is_config_paused: bool,
     /// Workers on the pages of the listing that is in progress.
     listed_workers: HashSet<Name>,
     /// When to append this host's record; `None` once that is done.
@@ -157,12 +162,24 @@
             config: KeyedReader::new(CONFIG_STREAM, CONFIG_READ_INTERVAL, now),
             hosts: KeyedReader::new(HOSTS_STREAM, HOSTS_READ_INTERVAL, now),
             registry: None,
+            is_config_paused: false,
             listed_workers: HashSet::new(),
             register_at: Some(now),
             is_registering: false,
         }
     }
 
+    /// Pauses the reading of the configuration. After a pause it begins with the newest record, since
+    /// those in between need not be read.
+    fn pause_config(&mut self, now: Millis, is_paused: bool) {
+        if std::mem::replace(&mut self.is_config_paused, is_paused) && !is_paused {
+            self.config.next = None;
+            self.config.page_key = None;
+            self.config.page_end = None;
+            self.config.due = now;
+        }
+    }
+
     /// Brings the next read of the configuration forward to `now`.
     pub fn read_config_soon(&mut self, now: Millis) {
         self.config.due = self.config.due.min(now);
@@ -188,10 +205,15 @@
         let steady = now.steady;
         self.streams.hosts.interval = match self.claim.is_searching() {
             true => SEARCH_READ_INTERVAL,
+            false if self.leaves_config_to_source() => ONLY_READ_INTERVAL,
             false => HOSTS_READ_INTERVAL,
         };
-        if let Some(call) = self.streams.config.poll(steady) {
-            out.push(HostAction::Store(StorePurpose::Config, call));
+        let pauses_config = self.leaves_config_to_source();
+        self.streams.pause_config(steady, pauses_config);
+        if !pauses_config {
+            if let Some(call) = self.streams.config.poll(steady) {
+                out.push(HostAction::Store(StorePurpose::Config, call));
+            }
         }
         if let Some(call) = self.streams.hosts.poll(steady) {
             out.push(HostAction::Store(StorePurpose::Hosts, call));
