Record which jobs of a backlog have not started, so that they do not wait for a lease after a change of the owner

Change: a job that is accepted while others wait is recorded as not started (n/ID); the record of the next 64 jobs in the order of placement is deleted ahead of their starts, and no task starts before that is stored. A new owner places recorded jobs at once. Without a backlog nothing is written. Before: jobs_that_have_not_started_do_not_wait_for_unreachable_workers fails.

--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -1,10 +1,15 @@
 //! The turns and steps of jobs (a turn is one occurrence of a repeating job): which steps can be
 //! placed, and the record of a job's progress.
 
-use super::shard::{Now, Shard};
-use crate::request::job::{Job, JobId, OrderKey, StepId, order_key};
+use super::journal::Commit;
+use super::shard::{Now, Phase, Shard};
+use crate::request::job::{Job, JobId, OrderKey, StartPermit, StepId, order_key};
 use crate::version::{JobStateRecord, ShardRecord};
 
+/// Jobs in the order of placement that may start without waiting for the store. The jobs behind them
+/// are recorded as not started.
+const START_PERMITS: usize = 64;
+
 impl Shard {
     /// Opens the turns of a job that are due and queues its steps for placement.
     pub(super) fn open_turns(&mut self, now: Now, id: JobId) {
@@ -41,6 +46,55 @@
         self.needs_placement = true;
     }
 
+    /// Whether a new job has to wait for others to start.
+    pub(super) fn has_backlog(&self) -> bool {
+        !self.ready.is_empty() || self.tickets.len() > START_PERMITS
+    }
+
+    /// Records that a new job has not started, because others wait before it. If this owner fails, the
+    /// next one can place its tasks without waiting for workers that do not answer.
+    pub(super) fn defer(&mut self, job: &mut Job) {
+        job.start_permit = StartPermit::Deferred;
+        let record = ShardRecord::Deferred(job.id, true);
+        self.journal.push(&record, Some(Commit::Deferred(job.id)));
+    }
+
+    /// Deletes this record of the jobs that come first in the order of placement, ahead of their
+    /// starts.
+    pub(super) fn permit_next_jobs(&mut self) {
+        let mut permits = 0;
+        let mut last = None;
+        for key in &self.ready {
+            let id = key.step.job;
+            if self.phase != Phase::Active && self.recovered.contains(&id) {
+                continue;
+            }
+            let Some(job) = self.jobs.get_mut(&id).filter(|job| !job.has_started) else {
+                continue;
+            };
+            if last.replace(id) == Some(id) {
+                continue;
+            }
+            permits += 1;
+            if permits > START_PERMITS {
+                return;
+            }
+            if job.start_permit == StartPermit::Deferred {
+                job.start_permit = StartPermit::Requested;
+                let record = ShardRecord::Deferred(id, false);
+                self.journal.push(&record, Some(Commit::MayStart(id)));
+            }
+        }
+    }
+
+    /// Permits the start of a job whose record is deleted.
+    pub(super) fn commit_may_start(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.start_permit = StartPermit::Granted;
+            self.needs_placement = true;
+        }
+    }
+
     /// Rebuilds `ready` after a change of the queues' priorities or objectives.
     pub(super) fn rebuild_order(&mut self) {
         self.ready.clear();
--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -25,6 +25,10 @@
     Owner,
     Worker(Name),
     Accepted(JobId),
+    /// The record that the job has not started.
+    Deferred(JobId),
+    /// The deletion of that record.
+    MayStart(JobId),
     Ended(JobId),
     /// The effects of all ends of runs up to `number` in this incarnation of the worker are
     /// recorded.
@@ -263,6 +267,8 @@
                 withdrawn.push(job);
                 false
             }
+            // Its job comes before it.
+            Some(Commit::Deferred(job)) => !withdrawn.contains(&job),
             _ => true,
         });
         withdrawn
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -7,16 +7,16 @@
 use crate::base::Millis;
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
 use crate::platform::WorkerState;
-use crate::request::job::{Job, JobId};
+use crate::request::job::{Job, JobId, StartPermit};
 use crate::version::{JobStateRecord, ShardRecord};
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
 const LOAD_RETRY: Millis = Millis(100);
 /// The keys of the records, divided at these keys into ranges that are read at the same time. Over a
 /// long distance, one read after the other would take seconds. The keys of jobs begin with `j/`,
-/// those of their states with `s/`, both followed by hexadecimal digits, and those of workers with
-/// `w/`.
-const RANGE_STARTS: [&str; 7] = ["", "j/4", "j/8", "j/c", "s/", "s/8", "w/"];
+/// those of jobs that have not started with `n/` and those of states with `s/`, all followed by
+/// hexadecimal digits, and those of workers with `w/`.
+const RANGE_STARTS: [&str; 9] = ["", "j/4", "j/8", "j/c", "n/", "n/8", "s/", "s/8", "w/"];
 /// How long an owner that reaches neither the store nor a peer keeps renewing leases, in
 /// milliseconds. A new owner waits this much longer for a worker that it cannot reach.
 pub const ISOLATION_TIME: Millis = Millis(2_500);
@@ -92,6 +92,8 @@
                 }
             }
             Commit::Accepted(id) => self.commit_accepted(now, id, out),
+            Commit::Deferred(_) => {}
+            Commit::MayStart(id) => self.commit_may_start(id),
             Commit::Ended(id) => self.commit_ended(now, id, out),
             acknowledged @ Commit::Acknowledged { .. } => self.commit_acknowledged(acknowledged),
         }
@@ -180,6 +182,7 @@
     fn restore(&mut self, now: Now) {
         let records = std::mem::take(&mut self.loaded_records);
         let mut states: Vec<(JobId, JobStateRecord)> = Vec::new();
+        let mut deferred: Vec<JobId> = Vec::new();
         for record in records {
             match record {
                 ShardRecord::Job(id, Some(job)) => {
@@ -188,6 +191,7 @@
                     self.accepted.insert(id);
                 }
                 ShardRecord::State(id, Some(state)) => states.push((id, state)),
+                ShardRecord::Deferred(id, true) => deferred.push(id),
                 ShardRecord::Worker(id, Some(record)) => {
                     let worker = self.workers.get_or_insert(&id, || {
                         Worker::new(id.clone(), record.address, record.service, now.steady)
@@ -200,6 +204,7 @@
                 ShardRecord::Owner(_)
                 | ShardRecord::Job(_, None)
                 | ShardRecord::State(_, None)
+                | ShardRecord::Deferred(_, false)
                 | ShardRecord::Worker(_, None) => {}
             }
         }
@@ -218,8 +223,18 @@
             }
         }
         self.recovered = self.jobs.keys().copied().collect();
+        for id in deferred {
+            match self.jobs.get_mut(&id) {
+                Some(job) => {
+                    job.start_permit = StartPermit::Deferred;
+                    self.recovered.remove(&id);
+                }
+                None => self.journal.push(&ShardRecord::Deferred(id, false), None),
+            }
+        }
         self.phase = Phase::Recovering;
-        for id in self.recovered.clone() {
+        let ids: Vec<JobId> = self.jobs.keys().copied().collect();
+        for id in ids {
             self.open_turns(now, id);
         }
         tracing::info!(
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -3,7 +3,7 @@
 use super::journal::Commit;
 use super::shard::{Now, Phase, Reply, Request, Shard, ShardAction};
 use crate::base::Name;
-use crate::request::job::{Job, JobId, Outcome};
+use crate::request::job::{Job, JobId, Outcome, StartPermit};
 use crate::version::{JobRecord, JobStateRecord, ShardRecord};
 
 /// Seconds after which a client may try again while the store cannot be written to. Short outages
@@ -59,7 +59,11 @@
                 };
                 let record = ShardRecord::Job(job, Some(record));
                 self.journal.push(&record, Some(Commit::Accepted(job)));
-                self.jobs.insert(job, Job::new(job, queue, spec, now.wall));
+                let mut accepted = Job::new(job, queue, spec, now.wall);
+                if self.has_backlog() {
+                    self.defer(&mut accepted);
+                }
+                self.jobs.insert(job, accepted);
                 self.tickets.entry(job).or_default().push(ticket);
             }
             Request::State { job, queue } => {
@@ -145,6 +149,9 @@
             Some(Commit::Ended(id)),
         );
         self.journal.push(&ShardRecord::Job(id, None), None);
+        if job.start_permit != StartPermit::Granted {
+            self.journal.push(&ShardRecord::Deferred(id, false), None);
+        }
         tracing::info!(job = %id, ?outcome, "job ends");
     }
 
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -5,8 +5,8 @@
 use crate::base::{Millis, Name, Size};
 use crate::connection::{Order, StartOrder, WorkerCall};
 use crate::request::job::{
-    CandidateWorker, ImageInterference, OrderKey, StepId, StepSpec, TaskKey, TaskRequirements,
-    TaskState, choose_worker,
+    CandidateWorker, ImageInterference, OrderKey, StartPermit, StepId, StepSpec, TaskKey,
+    TaskRequirements, TaskState, choose_worker,
 };
 
 /// Timeout of a start order, in milliseconds. A worker answers within a few milliseconds plus the
@@ -56,6 +56,7 @@
         if self.ready.is_empty() {
             return;
         }
+        self.permit_next_jobs();
         if self.pending_starts >= MAX_PENDING_STARTS {
             return;
         }
@@ -117,6 +118,9 @@
         if step.waiting() == 0 || !job.is_ready(key.step.turn, key.step.step) {
             return None;
         }
+        if job.start_permit != StartPermit::Granted {
+            return Some(());
+        }
         let Some(queue) = self.queues.queue(&job.queue) else {
             return Some(());
         };
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -103,6 +103,19 @@
     pub outcome: Option<Outcome>,
     /// Whether this owner or an earlier one has ordered a run of any task.
     pub has_started: bool,
+    pub start_permit: StartPermit,
+}
+
+/// Whether tasks of a job may start. The record that a job has not started has to be deleted before
+/// its first start, so that a later owner knows which jobs may have runs.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StartPermit {
+    /// Recorded as not started.
+    Deferred,
+    /// The record is being deleted.
+    Requested,
+    #[default]
+    Granted,
 }
 
 impl Job {
@@ -116,6 +129,7 @@
             next_turn: 0,
             outcome: None,
             has_started: false,
+            start_permit: StartPermit::default(),
         }
     }
 
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -14,7 +14,7 @@
     BestEffortGroup, Contention, Headroom, ImageInterference, OVER_BOUND_SHARE, ServingTask,
 };
 pub use fit::{CandidateWorker, TaskRequirements, choose_worker};
-pub use job::{Ending, Job, Outcome, Step, Task, TaskState, Turn};
+pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
 pub use order::{ObjectiveStatus, OrderKey, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -67,6 +67,9 @@
     Worker(Name, Option<WorkerRecord>),
     Job(JobId, Option<JobRecord>),
     State(JobId, Option<JobStateRecord>),
+    /// Whether the job is known not to have started: true until its first start is permitted. Jobs
+    /// without this record may have started.
+    Deferred(JobId, bool),
 }
 
 const OWNER: &str = "owner";
@@ -78,6 +81,7 @@
             ShardRecord::Worker(id, _) => format!("w/{id}"),
             ShardRecord::Job(id, _) => format!("j/{id}"),
             ShardRecord::State(id, _) => format!("s/{id}"),
+            ShardRecord::Deferred(id, _) => format!("n/{id}"),
         }
     }
 
@@ -88,6 +92,8 @@
             ShardRecord::Worker(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Job(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::State(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Deferred(_, true) => Bytes::from_static(&[1]),
+            ShardRecord::Deferred(_, false) => Bytes::new(),
         }
     }
 
@@ -113,6 +119,10 @@
                 id.parse().map_err(|_| unknown())?,
                 decode_optional(key, value)?,
             )),
+            "n" => Ok(ShardRecord::Deferred(
+                id.parse().map_err(|_| unknown())?,
+                !value.is_empty(),
+            )),
             _ => Err(unknown()),
         }
     }
