Record what an owner has learned of the interference between images

Cause: the slopes were lost with the owner. Change: the owner records the known slopes every 3 s, unless appends fail; a new owner starts with them, at the weight of fifty reports.

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -192,6 +192,7 @@
                 }
                 ShardRecord::State(id, Some(state)) => states.push((id, state)),
                 ShardRecord::Deferred(id, true) => deferred.push(id),
+                ShardRecord::Contention(learned) => self.contention.restore(&learned),
                 ShardRecord::Worker(id, Some(record)) => {
                     let worker = self.workers.get_or_insert(&id, || {
                         Worker::new(id.clone(), record.address, record.service, now.steady)
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -201,6 +201,8 @@
     /// Requests received before all records were loaded.
     pub(super) held: Vec<(u64, Request)>,
     pub(super) contention: Contention,
+    /// When the learned interference was last recorded.
+    pub(super) last_learned: Millis,
     /// Whether something has changed since the last placement pass that may let more tasks start.
     pub(super) needs_placement: bool,
     /// Wall clock of the newest event, in Unix milliseconds.
@@ -250,6 +252,7 @@
             loads: Vec::new(),
             held: Vec::new(),
             contention: Contention::default(),
+            last_learned: now.steady,
             needs_placement: false,
             wall: now.wall,
             last_placement: Millis(0),
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -40,6 +40,8 @@
 const HALT_MOVE_TIME: Millis = Millis(1_000);
 /// How long a worker with stalled runs is suspect, in milliseconds.
 const STALL_SUSPECT_TIME: Millis = Millis(3_000);
+/// Interval of the records of learned interference, in milliseconds.
+const CONTENTION_INTERVAL: Millis = Millis(3_000);
 /// An owner appends at least this often, in milliseconds: other hosts conclude from an idle journal
 /// that its owner is gone.
 const IDLE_APPEND: Millis = Millis(500);
@@ -63,6 +65,7 @@
         self.replace_expired_keys();
         self.expire_outcomes(now);
         self.record_workers();
+        self.record_contention(now);
         if self.journal.is_failing(now.steady) {
             self.refuse_unstored(out);
         }
@@ -143,6 +146,20 @@
         }
     }
 
+    /// Records what has been learned of the interference between images. Without it, a new owner
+    /// would halt and move many best-effort tasks until it has learned the same.
+    fn record_contention(&mut self, now: Now) {
+        let is_due = now.steady.since(self.last_learned) >= CONTENTION_INTERVAL;
+        if !is_due || self.journal.failing_for(now.steady).is_some() {
+            return;
+        }
+        self.last_learned = now.steady;
+        let learned = self.contention.learned();
+        if !learned.is_empty() {
+            self.journal.push(&ShardRecord::Contention(learned), None);
+        }
+    }
+
     /// Records new and changed workers, and drops those that are gone.
     fn record_workers(&mut self) {
         let mut removed: Vec<Name> = Vec::new();
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -7,6 +7,8 @@
 
 use std::collections::HashMap;
 
+use serde::{Deserialize, Serialize};
+
 use super::baseline_tails::BaselineTails;
 use super::regression::Regression;
 use super::spec::JobId;
@@ -21,6 +23,9 @@
 /// Information (see `Regression::information`) from which a pair counts as known: three reports of
 /// a task that takes a tenth of a worker.
 const KNOWN_INFORMATION: f64 = 0.03;
+/// Upper bound of the information on a pair that an earlier owner has recorded: fifty reports of a
+/// task that takes a tenth of a worker.
+const MAX_RESTORED_INFORMATION: f64 = 0.5;
 /// Shortest time between two trials of an unknown pair, in milliseconds: the time for a start, the
 /// half second by which measurements lag, and a report.
 const TRIAL_TIME: Millis = Millis(1_500);
@@ -122,6 +127,22 @@
     trials: HashMap<Name, Millis>,
 }
 
+/// What is known of the interference with one serving image, in the form that is recorded.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LearnedImage {
+    pub image: Name,
+    pub slopes: Vec<LearnedSlope>,
+}
+
+/// Interference of one best-effort image.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LearnedSlope {
+    pub image: Name,
+    pub slope: f32,
+    /// Weight of the samples behind it.
+    pub information: f32,
+}
+
 /// Learned contention of all pairs of images.
 #[derive(Debug, Default)]
 pub struct Contention {
@@ -142,21 +163,7 @@
         let Some(name) = &serving.image else {
             return;
         };
-        if !self.image_indices.contains_key(name) {
-            if self.images.len() >= MAX_IMAGES {
-                return;
-            }
-            let image = ServingImage {
-                regression: Regression::new(0.0),
-                coefficient_indices: HashMap::new(),
-                trials: HashMap::new(),
-            };
-            self.image_indices.insert(name.clone(), self.images.len());
-            self.images.push(image);
-        }
-        let image_index = self.image_indices.get(name);
-        let Some(image) = image_index.and_then(|image_index| self.images.get_mut(*image_index))
-        else {
+        let Some(image) = self.image_mut(name) else {
             return;
         };
         let mut values = Vec::with_capacity(best_effort.len());
@@ -174,6 +181,53 @@
             .observe(&values, log_tail - known.unwrap_or(PRIOR_TAIL.ln()));
     }
 
+    /// A serving image, which is added if it is new; `None` if there are too many.
+    fn image_mut(&mut self, name: &Name) -> Option<&mut ServingImage> {
+        if !self.image_indices.contains_key(name) {
+            if self.images.len() >= MAX_IMAGES {
+                return None;
+            }
+            let image = ServingImage {
+                regression: Regression::new(0.0),
+                coefficient_indices: HashMap::new(),
+                trials: HashMap::new(),
+            };
+            self.image_indices.insert(name.clone(), self.images.len());
+            self.images.push(image);
+        }
+        self.images.get_mut(*self.image_indices.get(name)?)
+    }
+
+    /// The pairs that are known, for the next owner.
+    pub fn learned(&self) -> Vec<LearnedImage> {
+        let images = self.image_indices.iter().filter_map(|(name, index)| {
+            let slopes = self.images.get(*index)?.learned();
+            (!slopes.is_empty()).then(|| LearnedImage {
+                image: name.clone(),
+                slopes,
+            })
+        });
+        images.collect()
+    }
+
+    /// Takes over what an earlier owner has learned. It counts as little as a few samples, so that
+    /// reports soon outweigh it.
+    pub fn restore(&mut self, learned: &[LearnedImage]) {
+        for entry in learned {
+            let Some(image) = self.image_mut(&entry.image) else {
+                return;
+            };
+            for slope in &entry.slopes {
+                if let Some(index) = image.coefficient_index(&slope.image) {
+                    let weight = f64::from(slope.information).clamp(0.0, MAX_RESTORED_INFORMATION);
+                    let value = f64::from(slope.slope).clamp(0.0, MAX_SLOPE);
+                    image.regression.preset(index, value, weight);
+                }
+            }
+            image.regression.solve();
+        }
+    }
+
     /// Recomputes the slopes from all observations.
     pub fn learn(&mut self, now: Millis) {
         self.baselines.forget_old(now);
@@ -341,6 +395,18 @@
         Some(index)
     }
 
+    fn learned(&self) -> Vec<LearnedSlope> {
+        let known = self.coefficient_indices.iter();
+        let slopes = known.map(|(name, index)| LearnedSlope {
+            image: name.clone(),
+            slope: self.slope(Some(name)) as f32,
+            information: self.regression.information(*index) as f32,
+        });
+        slopes
+            .filter(|slope| f64::from(slope.information) >= KNOWN_INFORMATION)
+            .collect()
+    }
+
     fn is_known(&self, best_effort: Option<&Name>) -> bool {
         let index = best_effort.and_then(|name| self.coefficient_indices.get(name));
         index.is_some_and(|index| self.regression.information(*index) >= KNOWN_INFORMATION)
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -11,7 +11,8 @@
 mod spec;
 
 pub use contention::{
-    BestEffortGroup, Contention, Headroom, ImageInterference, OVER_BOUND_SHARE, ServingTask,
+    BestEffortGroup, Contention, Headroom, ImageInterference, LearnedImage, LearnedSlope,
+    OVER_BOUND_SHARE, ServingTask,
 };
 pub use fit::{CandidateWorker, TaskRequirements, choose_worker};
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
--- a/src/request/job/regression.rs
+++ b/src/request/job/regression.rs
@@ -75,6 +75,14 @@
         self.is_solved = false;
     }
 
+    /// Adds samples of the given weight that show `coefficient` at `index`.
+    pub fn preset(&mut self, index: usize, coefficient: f64, weight: f64) {
+        let size = self.target_products.len();
+        self.products[index * size + index] += weight;
+        self.target_products[index] += weight * coefficient;
+        self.is_solved = false;
+    }
+
     /// Coefficient at `index`, as of the last `solve`.
     pub fn coefficient(&self, index: usize) -> f64 {
         self.coefficients[index]
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::base::Name;
-use crate::request::job::{JobId, JobProgress, JobSpec, Outcome};
+use crate::request::job::{JobId, JobProgress, JobSpec, LearnedImage, Outcome};
 
 /// Why a record could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -61,7 +61,7 @@
 }
 
 /// One record of the shard; `None` deletes the key.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum ShardRecord {
     Owner(OwnerRecord),
     Worker(Name, Option<WorkerRecord>),
@@ -70,9 +70,12 @@
     /// Whether the job is known not to have started: true until its first start is permitted. Jobs
     /// without this record may have started.
     Deferred(JobId, bool),
+    /// What the owner has learned of the interference between images.
+    Contention(Vec<LearnedImage>),
 }
 
 const OWNER: &str = "owner";
+const CONTENTION: &str = "contention";
 
 impl ShardRecord {
     pub fn key(&self) -> String {
@@ -82,6 +85,7 @@
             ShardRecord::Job(id, _) => format!("j/{id}"),
             ShardRecord::State(id, _) => format!("s/{id}"),
             ShardRecord::Deferred(id, _) => format!("n/{id}"),
+            ShardRecord::Contention(_) => CONTENTION.to_owned(),
         }
     }
 
@@ -94,6 +98,7 @@
             ShardRecord::State(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Deferred(_, true) => Bytes::from_static(&[1]),
             ShardRecord::Deferred(_, false) => Bytes::new(),
+            ShardRecord::Contention(learned) => encode(learned),
         }
     }
 
@@ -108,6 +113,9 @@
         if key == OWNER {
             return Ok(ShardRecord::Owner(decode_value(key, value)?));
         }
+        if key == CONTENTION {
+            return Ok(ShardRecord::Contention(decode_value(key, value)?));
+        }
         let (kind, id) = key.split_once('/').ok_or_else(unknown)?;
         match kind {
             "w" => Ok(ShardRecord::Worker(id.into(), decode_optional(key, value)?)),
--- a/tests/contention.rs
+++ b/tests/contention.rs
@@ -3,6 +3,7 @@
 
 use jayfork::base::{Millis, Name};
 use jayfork::request::job::{BestEffortGroup, Contention, JobId, ServingTask};
+use jayfork::version::ShardRecord;
 use yare::parameterized;
 
 /// Tail latency of the serving tasks without interference, as a share of the bound.
@@ -175,3 +176,43 @@
     let limits = contention.speed_limits(now, &[serving(0.66)], &groups);
     assert_eq!(limits, [1.0]);
 }
+
+/// Guards against a new owner that knows nothing of the interference that the earlier one had learned:
+/// it halted and moved up to 97 best-effort runs a second until it had learned the same.
+#[test]
+fn the_next_owner_takes_over_the_slopes() {
+    let record = ShardRecord::Contention(trained(6.0).learned());
+    let decoded = ShardRecord::decode(&record.key(), &record.value());
+    let Ok(ShardRecord::Contention(learned)) = decoded else {
+        panic!("{decoded:?}");
+    };
+    let mut contention = Contention::default();
+    contention.restore(&learned);
+    let search = name("search");
+    let slope = |image: &str| contention.slope(search.as_ref(), name(image).as_ref());
+    assert!(
+        (slope("heavy") - 6.0).abs() < 1.0,
+        "heavy {}",
+        slope("heavy")
+    );
+    assert!(slope("light") < 0.5, "light {}", slope("light"));
+    let groups = [best_effort("heavy", 0.2)];
+    let limits = contention.speed_limits(LEARNED_AT, &[serving(0.9)], &groups);
+    assert!(limits[0] < 0.5, "{limits:?}");
+}
+
+/// Guards against recorded slopes that outweigh what the reports of a new owner show.
+#[test]
+fn reports_soon_outweigh_restored_slopes() {
+    let mut contention = Contention::default();
+    contention.restore(&trained(6.0).learned());
+    let mut rng = fastrand::Rng::with_seed(5);
+    for index in 0..400 {
+        let heavy = rng.f64() * 0.2;
+        let groups = [best_effort("heavy", heavy)];
+        contention.observe(Millis(index * 25), &serving(BASELINE), &groups);
+    }
+    contention.learn(LEARNED_AT);
+    let slope = contention.slope(name("search").as_ref(), name("heavy").as_ref());
+    assert!(slope < 2.0, "heavy {slope}");
+}
