Check only changed workers for requirements that no worker met in the pass before

Cause: with a backlog every placement pass compared all workers for each best-effort image and each step that keeps its tasks apart, 67 times a second. Change: unmet requirements last until a full pass, every 250 ms; passes between check the workers that have reported, answered a start, lost a run or changed their entry since.

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -88,6 +88,7 @@
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.is_recording = false;
                     worker.is_recorded = true;
+                    worker.has_changed = true;
                     self.needs_placement = true;
                 }
             }
@@ -293,6 +294,7 @@
                 let was_listed = std::mem::replace(&mut worker.is_listed, true);
                 worker.is_draining = entry.state == WorkerState::Draining;
                 worker.has_left = false;
+                worker.has_changed = true;
                 let was_ready = worker.is_ready;
                 worker.is_ready = entry.state == WorkerState::Ready;
                 if was_listed && was_ready != worker.is_ready {
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -85,6 +85,7 @@
             return;
         };
         worker.pending_starts = worker.pending_starts.saturating_sub(1);
+        worker.has_changed = true;
         match &answer {
             Ok(WorkerAnswer::Accepted { clock }) => worker.set_clock(*clock, now.steady),
             Ok(_) => {}
@@ -235,6 +236,7 @@
         worker.set_clock(report.clock, now.steady);
         worker.last_report = Some(now.steady);
         worker.next_poll = now.steady;
+        worker.has_changed = true;
         let last_processed = worker.processed;
         for end in &report.ended {
             if end.number > last_processed {
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -9,6 +9,7 @@
 use super::journal::Journal;
 use super::recovery::LoadRange;
 use super::requests::Ended;
+use super::starts::UnmetRequirements;
 use super::workers::Workers;
 use crate::base::{Millis, Name};
 use crate::connection::{
@@ -210,6 +211,10 @@
     last_placement: Millis,
     /// Number of placement passes, in workers that were passed over.
     pub(super) placement_passes: usize,
+    /// Requirements that no worker had room for in earlier placement passes.
+    pub(super) unmet: Vec<UnmetRequirements>,
+    /// When a placement pass last checked all workers.
+    pub(super) last_full_pass: Millis,
     /// Start orders without an answer.
     pub(super) pending_starts: usize,
     pub(super) last_poll: Millis,
@@ -257,6 +262,8 @@
             wall: now.wall,
             last_placement: Millis(0),
             placement_passes: 0,
+            unmet: Vec::new(),
+            last_full_pass: Millis(0),
             pending_starts: 0,
             last_poll: Millis(0),
             last_sweep: now.steady,
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -26,9 +26,14 @@
 /// Workers with room that are compared for one task, unless it is long-running or has a rack.
 const MAX_COMPARED: usize = 64;
 
-/// Requirements of a task that no worker had room for in this placement pass. Tasks that need the
-/// same or more are skipped for the rest of the pass.
-struct UnmetRequirements {
+/// Interval of the placement passes that check all workers, in milliseconds. Others check workers that
+/// have changed; what else changes with time, such as learned slopes, counts from the next full pass.
+const FULL_PASS_INTERVAL: Millis = Millis(250);
+
+/// Requirements of a task that no worker had room for. Tasks that need the same or more are skipped
+/// for the rest of the pass; the next ones check only workers that have changed since.
+#[derive(Debug)]
+pub(super) struct UnmetRequirements {
     reserved: Size,
     demand: u32,
     fills: bool,
@@ -36,6 +41,10 @@
     lasts: bool,
     image: Option<Name>,
     service: Name,
+    /// The only step that it applies to, if the step restricts its workers further.
+    step: Option<StepId>,
+    /// Whether it was found in this pass, so that no worker needs to be checked again.
+    is_new: bool,
 }
 
 /// A worker that one placement pass may use.
@@ -46,6 +55,8 @@
     free: Size,
     /// Start orders that it has not answered.
     starts: usize,
+    /// Whether it may have room now that it had not in the last pass.
+    has_changed: bool,
 }
 
 pub(super) type Candidates = Vec<Candidate>;
@@ -66,21 +77,45 @@
         let start = self.placement_passes.checked_rem(candidates.len());
         candidates.rotate_left(start.unwrap_or(0));
         self.placement_passes = self.placement_passes.wrapping_add(MAX_COMPARED);
-        let mut unmet: Vec<UnmetRequirements> = Vec::new();
+        let mut unmet = std::mem::take(&mut self.unmet);
+        if now.steady.since(self.last_full_pass) >= FULL_PASS_INTERVAL {
+            self.last_full_pass = now.steady;
+            unmet.clear();
+        }
+        unmet.iter_mut().for_each(|known| known.is_new = false);
+        for worker in self.workers.iter_mut() {
+            worker.has_changed = false;
+        }
+        let is_complete = self.place_steps(now, &keys, &mut candidates, &mut unmet, out);
+        if is_complete {
+            self.unmet = unmet;
+        }
+    }
+
+    /// Returns whether all steps were considered; otherwise too many starts are pending.
+    fn place_steps(
+        &mut self,
+        now: Now,
+        keys: &[OrderKey],
+        candidates: &mut Candidates,
+        unmet: &mut Vec<UnmetRequirements>,
+        out: &mut Vec<ShardAction>,
+    ) -> bool {
         for key in keys {
             if self.phase != Phase::Active && self.recovered.contains(&key.step.job) {
                 continue;
             }
-            match self.place_step(now, key, &mut candidates, &mut unmet, out) {
+            match self.place_step(now, *key, candidates, unmet, out) {
                 Some(()) => {}
                 None => {
-                    self.ready.remove(&key);
+                    self.ready.remove(key);
                 }
             }
             if self.pending_starts >= MAX_PENDING_STARTS {
-                return;
+                return false;
             }
         }
+        true
     }
 
     /// Usable workers that are not suspect.
@@ -96,6 +131,7 @@
                 slot,
                 free: worker.free(),
                 starts: worker.pending_starts,
+                has_changed: worker.has_changed,
             })
             .collect()
     }
@@ -128,17 +164,19 @@
         let spec = job.spec.clone();
         let spec = &spec.steps[usize::from(key.step.step)];
         let reserved = spec.reserved();
-        let is_known_unmet = |known: &UnmetRequirements| {
+        let is_unmet = |known: &UnmetRequirements| {
             known.service == service
                 && known.fills == spec.fills
                 && known.lasts == spec.lasts
                 && known.demand <= spec.size.processors
                 && (!spec.fills || known.image == spec.image)
                 && known.reserved.fits(&reserved)
+                && known.step.is_none_or(|step| step == key.step)
         };
-        if unmet.iter().any(is_known_unmet) {
+        if unmet.iter().any(|known| known.is_new && is_unmet(known)) {
             return Some(());
         }
+        let known_unmet = unmet.iter().position(is_unmet);
         let waiting: Vec<TaskKey> = step
             .tasks
             .iter()
@@ -163,23 +201,30 @@
             if self.pending_starts >= MAX_PENDING_STARTS {
                 return Some(());
             }
-            let mut found = self.find_worker(now, &service, spec, key.step, None, candidates);
-            if found.is_none() && spec.lasts {
+            let only_changed = known_unmet.is_some();
+            let step = key.step;
+            let mut found =
+                self.find_worker(now, &service, spec, step, None, candidates, only_changed);
+            if found.is_none() && spec.lasts && !only_changed {
                 // Waiting is worse for a long-running task than a failed run, which does not count
                 // against its attempts.
                 let suspects = self.usable(now, |worker| worker.suspect_until > now.steady);
-                found = self.find_worker(now, &service, spec, key.step, None, &suspects);
+                found = self.find_worker(now, &service, spec, step, None, &suspects, false);
             }
             let Some(slot) = found else {
-                if spec.label.is_none() && spec.spread == 0 {
-                    unmet.push(UnmetRequirements {
+                let known = known_unmet.and_then(|index| unmet.get_mut(index));
+                match known {
+                    Some(known) => known.is_new = true,
+                    None => unmet.push(UnmetRequirements {
                         reserved,
                         demand: spec.size.processors,
                         fills: spec.fills,
                         lasts: spec.lasts,
                         image: spec.image.clone(),
                         service,
-                    });
+                        step: (spec.label.is_some() || spec.spread > 0).then_some(step),
+                        is_new: true,
+                    }),
                 }
                 return Some(());
             };
@@ -219,7 +264,7 @@
             let mut chosen: Vec<usize> = Vec::new();
             for task in tasks {
                 let rack = rack.as_ref();
-                let found = self.find_worker(now, service, spec, step, rack, candidates);
+                let found = self.find_worker(now, service, spec, step, rack, candidates, false);
                 let Some(slot) = found else {
                     break;
                 };
@@ -281,12 +326,14 @@
         let Some(spec) = job.spec.steps.get(usize::from(task.step.step)) else {
             return false;
         };
-        self.find_worker(now, &queue.service, spec, task.step, None, candidates)
+        let (service, step) = (&queue.service, task.step);
+        self.find_worker(now, service, spec, step, None, candidates, false)
             .is_some()
     }
 
     /// Returns the slot of the best candidate for a task of a step, or `None` if no worker has
-    /// room.
+    /// room; `only_changed` leaves out those that have not changed since the last pass.
+    #[allow(clippy::too_many_arguments)]
     fn find_worker(
         &self,
         now: Now,
@@ -295,6 +342,7 @@
         step: StepId,
         rack: Option<&Name>,
         candidates: &Candidates,
+        only_changed: bool,
     ) -> Option<usize> {
         let requirements = TaskRequirements {
             reserved: spec.reserved(),
@@ -314,7 +362,9 @@
             false => MAX_WORKER_STARTS,
         };
         let with_room = candidates.iter().filter(|candidate| {
-            candidate.starts < max_starts && requirements.reserved.fits(&candidate.free)
+            (candidate.has_changed || !only_changed)
+                && candidate.starts < max_starts
+                && requirements.reserved.fits(&candidate.free)
         });
         let workers = with_room.filter_map(|candidate| {
             let worker = self.workers.at(candidate.slot)?;
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -101,6 +101,8 @@
     pub committed: Size,
     /// Millicores that all runs together are expected to use.
     expected_use: i64,
+    /// Whether it may have room now that it had not in the last placement pass.
+    pub has_changed: bool,
     /// Start orders without an answer.
     pub pending_starts: usize,
     /// Whether any run is being stopped; cleared a moment after the last one has ended.
@@ -153,6 +155,7 @@
             runs: HashMap::new(),
             committed: Size::ZERO,
             expected_use: 0,
+            has_changed: true,
             pending_starts: 0,
             has_stops: false,
             headroom: Vec::new(),
@@ -233,6 +236,7 @@
     fn release(&mut self, run: &Run) {
         self.committed = self.committed.saturating_sub(&run.reserved);
         self.expected_use -= expected_use(run.demand, run.lasts);
+        self.has_changed = true;
     }
 
     /// Marks a run to be stopped, unless it is being stopped already.
