--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -17,7 +17,7 @@
 };
 use crate::platform::RegistryEntry;
 use crate::request::job::{Contention, Job, JobId, JobSpec, OrderKey, Outcome, TaskKey};
-use crate::version::{OwnerRecord, QueueTable, ShardRecord};
+use crate::version::{OwnerRecord, QueueIndex, QueueTable, ShardRecord};
 
 use super::journal::Commit;
 
@@ -174,7 +174,7 @@
     pub(super) owner: OwnerRecord,
     pub(super) phase: Phase,
     pub(super) claimed_at: Millis,
-    pub(super) queues: Arc<QueueTable>,
+    pub(super) queues: QueueIndex,
     pub(super) journal: Journal,
     pub(super) jobs: HashMap<JobId, Job>,
     /// Outcomes of ended jobs, kept for `status_keep`.
@@ -241,7 +241,7 @@
             owner,
             phase: Phase::Claiming,
             claimed_at: now.steady,
-            queues,
+            queues: queues.into(),
             journal,
             jobs: HashMap::new(),
             ended: HashMap::new(),
@@ -285,7 +285,7 @@
                 self.needs_placement = true;
             }
             ShardEvent::Queues(queues) => {
-                self.queues = queues;
+                self.queues = queues.into();
                 self.rebuild_order();
             }
             ShardEvent::Store(StoreTag::Append, answer) => {
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -20,7 +20,7 @@
 };
 pub use journal::{AppendOutcome, Journal};
 pub use ledger::{Ledger, LedgerTiming, PendingPosition, RequeueReason, Task, TaskChange};
-pub use queues::{Queue, QueueTable, Service};
+pub use queues::{Queue, QueueIndex, QueueTable, Service};
 pub use quota_check::QuotaCheck;
 pub use record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
 pub use retain::RestatementSchedule;
--- a/src/version/queues.rs
+++ b/src/version/queues.rs
@@ -1,5 +1,8 @@
 //! Queues, and the services that run their tasks, as configured by the operator.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 
 use crate::base::Name;
@@ -55,8 +58,29 @@
             .filter_map(|queue| Some((queue, path.strip_prefix(&*queue.prefix)?)))
             .max_by_key(|(queue, _)| queue.prefix.len())
     }
+}
+
+/// One version of the configuration with its queues by name. The placement looks up a queue for each
+/// waiting step, and there may be thousands of both.
+#[derive(Debug, Clone, Default)]
+pub struct QueueIndex {
+    table: Arc<QueueTable>,
+    positions: HashMap<Name, usize>,
+}
 
+impl QueueIndex {
     pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.queues.iter().find(|queue| *queue.name == *name)
+        self.table.queues.get(*self.positions.get(name)?)
+    }
+}
+
+impl From<Arc<QueueTable>> for QueueIndex {
+    /// If several queues have one name, the first one counts.
+    fn from(table: Arc<QueueTable>) -> Self {
+        let mut positions = HashMap::with_capacity(table.queues.len());
+        for (position, queue) in table.queues.iter().enumerate() {
+            positions.entry(queue.name.clone()).or_insert(position);
+        }
+        QueueIndex { table, positions }
     }
 }
