Bound the open turns of a repeating job, and keep due times from overflowing

Cause: found while looking for a message that takes a process down. A client's job with four thousand million turns that are all due made the owner open every turn at once. It was stored before that, so each later owner would have run out of memory on it too. Far due times overflowed (a panic in debug builds, a time long ago in release builds). Change: at most 256 turns and 65,536 tasks of a job are open; the next turn opens when one is done. Due times saturate. A step or dependency that does not exist, from a peer or an old record, is no longer indexed without a check, and a recorded slope that is not finite is ignored.

--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -172,7 +172,7 @@
             if is_job_done {
                 self.end_job(now, id, Outcome::Completed);
             } else if is_step_done {
-                self.enqueue(id);
+                self.open_turns(now, id);
             }
             return;
         }
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -162,7 +162,7 @@
         };
         let service = queue.service.clone();
         let spec = job.spec.clone();
-        let spec = &spec.steps[usize::from(key.step.step)];
+        let spec = spec.steps.get(usize::from(key.step.step))?;
         let reserved = spec.reserved();
         let is_unmet = |known: &UnmetRequirements| {
             known.service == service
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -217,7 +217,8 @@
             let Some(image) = self.image_mut(&entry.image) else {
                 return;
             };
-            for slope in &entry.slopes {
+            let slopes = entry.slopes.iter();
+            for slope in slopes.filter(|slope| slope.slope.is_finite()) {
                 if let Some(index) = image.coefficient_index(&slope.image) {
                     let weight = f64::from(slope.information).clamp(0.0, MAX_RESTORED_INFORMATION);
                     let value = f64::from(slope.slope).clamp(0.0, MAX_SLOPE);
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -12,6 +12,12 @@
 /// Most failed runs that are remembered for one task; older ones are dropped.
 const MAX_FAILED_RUNS: usize = 64;
 
+/// Most turns of one job that are open at the same time. The others open when these are done, so that
+/// a job whose turns are all due at once does not use up the owner's memory.
+const MAX_OPEN_TURNS: usize = 256;
+/// Most tasks of all open turns of one job, unless a single turn has more.
+const MAX_OPEN_TASKS: usize = 1 << 16;
+
 /// How a job ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -137,11 +143,22 @@
         self.spec.turns.max(1)
     }
 
+    /// Whether another turn may open before one of the open ones is done.
+    fn may_open_turn(&self) -> bool {
+        let counts = self.spec.steps.iter().map(|step| usize::from(step.count));
+        let tasks: usize = counts.sum();
+        let limit = MAX_OPEN_TASKS / tasks.max(1);
+        self.turns.len() < limit.clamp(1, MAX_OPEN_TURNS)
+    }
+
     /// Due time of a turn in Unix milliseconds; 0 if it is due immediately.
     pub fn due(&self, turn: u32) -> u64 {
         match self.spec.turns {
             0 => 0,
-            _ => self.spec.first_run + u64::from(turn) * self.spec.interval,
+            _ => {
+                let offset = u64::from(turn).saturating_mul(self.spec.interval);
+                self.spec.first_run.saturating_add(offset)
+            }
         }
     }
 
@@ -149,6 +166,7 @@
     pub fn open_due(&mut self, now: u64) -> Vec<u32> {
         let mut opened = Vec::new();
         while self.outcome.is_none()
+            && self.may_open_turn()
             && self.next_turn < self.turn_count()
             && self.due(self.next_turn) <= now
         {
@@ -163,9 +181,11 @@
         opened
     }
 
-    /// Due time of the next turn in Unix milliseconds; `None` if there are no more turns.
+    /// Due time of the next turn in Unix milliseconds; `None` if there are no more turns, or if
+    /// another turn has to be done first.
     pub fn next_due(&self) -> Option<u64> {
-        let has_next = self.outcome.is_none() && self.next_turn < self.turn_count();
+        let has_next =
+            self.outcome.is_none() && self.may_open_turn() && self.next_turn < self.turn_count();
         has_next.then(|| self.due(self.next_turn))
     }
 
@@ -174,10 +194,13 @@
         let Some(open_turn) = self.turns.get(&turn) else {
             return false;
         };
-        let spec = &self.spec.steps[usize::from(step)];
+        let Some(spec) = self.spec.steps.get(usize::from(step)) else {
+            return false;
+        };
+        let steps = &open_turn.steps;
         spec.after
             .iter()
-            .all(|after| open_turn.steps[usize::from(*after)].is_done())
+            .all(|after| steps.get(usize::from(*after)).is_some_and(Step::is_done))
     }
 
     /// Counts a failed run of a task unless it was counted before; returns the number of failures.
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -222,7 +222,7 @@
             let predecessor_ends = spec
                 .after
                 .iter()
-                .filter_map(|after| ends[usize::from(*after)]);
+                .filter_map(|after| ends.get(usize::from(*after)).copied().flatten());
             let start = match index == first {
                 true => Some(0),
                 false => predecessor_ends.max(),
