Leave out small rises of speed limits; split the host's hellos, configuration and handover and the candidates

Change: a rise below 20 percent is left out, except from 0 or to 100. Before: the function did not exist; each change led to an order.

--- /dev/null
+++ b/src/process/host/handover.rs
@@ -0,0 +1,200 @@
+//! How the owner of the shard hands it over or gives it up.
+
+use super::claim::{OWNER_AGE, STORE_AGE, is_candidate};
+use super::host::{Host, HostAction, PeerPurpose};
+use super::message::PeerCall;
+use super::rank::{Rank, is_low_capacity};
+use crate::base::Millis;
+use crate::process::shard::{ISOLATION_TIME, Now};
+
+/// The owner hands over the shard after its appends have failed for this long, in milliseconds.
+const HANDOVER_TIME: Millis = Millis(500);
+/// The store serves another host if it has answered that host this long after the owner's appends
+/// began to fail, in milliseconds. Earlier answers may have been on their way when an outage of the
+/// store began for all hosts.
+const STORE_PROOF_TIME: Millis = Millis(150);
+/// Only high-capacity hosts may take over for this long after the owner's appends began to fail, in
+/// milliseconds: each host calls the store at least every 900 ms and tells the owner every 400 ms.
+const HIGH_CAPACITY_ONLY_TIME: Millis = Millis(1_500);
+/// A claim is given up if the store has not accepted it after this time, in milliseconds.
+const CLAIM_TIME: Millis = Millis(2_500);
+/// Timeout of the call that asks a peer to take over, in milliseconds.
+const HANDOVER_CALL_TIMEOUT: Millis = Millis(400);
+/// Minimum time from the claim until a low-capacity owner hands over to a high-capacity host, in
+/// milliseconds.
+const MIN_OWNERSHIP_TIME: Millis = Millis(1_500);
+
+impl Host {
+    /// Checks whether this host, as the owner, gives up the shard or hands it over.
+    pub(super) fn check_ownership(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        let Some(shard) = &self.shard else {
+            return;
+        };
+        let epoch = shard.epoch();
+        let failing_for = shard.failing_for(now.steady);
+        if !shard.is_claimed() && now.steady.since(self.claim.claimed_at) > CLAIM_TIME {
+            tracing::warn!(
+                epoch,
+                "the store has not accepted the claim; giving up the shard"
+            );
+            self.give_up_shard(now, out);
+            return;
+        }
+        let store_age = self.store_heard.map(|at| now.steady.since(at));
+        let is_store_lost = store_age.is_none_or(|age| age > ISOLATION_TIME);
+        let last_peer_message = self.peers.values().filter_map(|peer| peer.last_heard).max();
+        let are_peers_lost =
+            last_peer_message.is_some_and(|at| now.steady.since(at) > ISOLATION_TIME);
+        if is_store_lost && are_peers_lost {
+            tracing::warn!(
+                epoch,
+                "neither the store nor any peer is reachable; giving up the shard"
+            );
+            self.give_up_shard(now, out);
+            return;
+        }
+        let is_failing = failing_for.is_some_and(|time| time >= HANDOVER_TIME);
+        let may_hand_over = now.steady.since(self.claim.claimed_at) >= MIN_OWNERSHIP_TIME;
+        let should_hand_over = self.is_low_capacity() && may_hand_over;
+        if self.claim.is_handing_over {
+            return;
+        }
+        if self.stopping.is_some() {
+            self.hand_over(now, epoch, Successor::Any, out);
+        } else if is_failing && self.is_ignored_by_store(now, failing_for) {
+            let time = failing_for.unwrap_or_default();
+            let since = now.steady.since(time);
+            let allows_low_capacity = time >= HIGH_CAPACITY_ONLY_TIME;
+            self.hand_over(
+                now,
+                epoch,
+                Successor::StoreAnswers {
+                    since,
+                    allows_low_capacity,
+                },
+                out,
+            );
+        } else if should_hand_over {
+            self.hand_over(now, epoch, Successor::HighCapacity, out);
+        }
+    }
+
+    /// Whether the store has failed to answer a call that this host sent after the store had answered
+    /// another host. At the end of an outage for all hosts, the owner may be the last to notice it.
+    fn is_ignored_by_store(&mut self, now: Now, failing_for: Option<Millis>) -> bool {
+        let Some(time) = failing_for else {
+            self.claim.store_proof = None;
+            return false;
+        };
+        let since = now.steady.since(time);
+        let peers = self.peers.values();
+        let answered = peers.filter_map(|peer| peer.store_heard(now.steady));
+        let first_proof = answered.filter(|at| *at >= since + STORE_PROOF_TIME).min();
+        let known = self.claim.store_proof.filter(|at| *at >= since);
+        self.claim.store_proof = known.or(first_proof);
+        let proof = self.claim.store_proof;
+        proof.is_some_and(|at| self.store_failed.is_some_and(|sent| sent > at))
+    }
+
+    /// Asks the best-ranked host that `successor` allows to take over the shard.
+    fn hand_over(&mut self, now: Now, epoch: u64, successor: Successor, out: &mut Vec<HostAction>) {
+        let max_processor = self.max_processor();
+        let best = self
+            .peers
+            .values()
+            .filter(|peer| {
+                peer.last_heard
+                    .is_some_and(|at| now.steady.since(at) <= OWNER_AGE)
+            })
+            .filter(|peer| is_candidate(peer, now.steady))
+            .filter(|peer| match successor {
+                Successor::Any => true,
+                Successor::HighCapacity => !is_low_capacity(peer.record.processor, max_processor),
+                Successor::StoreAnswers {
+                    since,
+                    allows_low_capacity,
+                } => {
+                    let is_high_capacity = !is_low_capacity(peer.record.processor, max_processor);
+                    let heard = peer.store_heard(now.steady);
+                    (is_high_capacity || allows_low_capacity)
+                        && heard.is_some_and(|at| at >= since + STORE_PROOF_TIME)
+                }
+            })
+            .min_by_key(|peer| Rank::of(peer, max_processor));
+        let Some(peer) = best else {
+            return;
+        };
+        tracing::info!(epoch, to = %peer.record.name, "handing over the shard");
+        let address = peer.record.control;
+        self.claim.is_handing_over = true;
+        let message = PeerCall::TakeOver { epoch };
+        self.call_peer(
+            PeerPurpose::TakeOver { epoch },
+            address,
+            message,
+            HANDOVER_CALL_TIMEOUT,
+            out,
+        );
+    }
+
+    pub(super) fn handle_take_over_answer(
+        &mut self,
+        now: Now,
+        epoch: u64,
+        accepted: bool,
+        out: &mut Vec<HostAction>,
+    ) {
+        self.claim.is_handing_over = false;
+        let is_same = self
+            .shard
+            .as_ref()
+            .is_some_and(|shard| shard.epoch() == epoch);
+        if accepted && is_same {
+            self.give_up_shard(now, out);
+        }
+    }
+
+    /// Handles the owner's request to take over the shard; returns whether this host does.
+    pub(super) fn take_over(&mut self, now: Now, epoch: u64, out: &mut Vec<HostAction>) -> bool {
+        let has_store = self
+            .store_heard
+            .is_some_and(|at| now.steady.since(at) <= STORE_AGE);
+        self.claim.max_epoch = self.claim.max_epoch.max(epoch);
+        if !has_store || self.config.version == 0 || self.stopping.is_some() {
+            return false;
+        }
+        if self.shard.is_none() {
+            self.claim(now, out);
+        }
+        true
+    }
+
+    /// Gives up the shard. The next owner recovers its state from the store and the workers.
+    pub(super) fn give_up_shard(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        let Some(shard) = self.shard.take() else {
+            return;
+        };
+        tracing::info!(epoch = shard.epoch(), "no longer owns the shard");
+        self.claim.max_epoch = self.claim.max_epoch.max(shard.epoch());
+        self.claim.is_handing_over = false;
+        self.claim.round_started = None;
+        self.streams.leave_registry();
+        self.release_requests(now, out);
+    }
+}
+
+/// Which hosts the owner may hand the shard over to.
+#[derive(Debug, Clone, Copy)]
+enum Successor {
+    /// Any host: the owner is stopping.
+    Any,
+    /// Only a high-capacity host: the owner is a low-capacity one.
+    HighCapacity,
+    /// Only a host that the store has answered since `since`, when the owner's appends began to
+    /// fail. If the store fails for all hosts, the owner keeps the shard: it can renew leases and
+    /// place accepted jobs, while a new owner would first have to read the records.
+    StoreAnswers {
+        since: Millis,
+        allows_low_capacity: bool,
+    },
+}
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::claim::Claim;
+use super::config::NewerConfig;
 use super::forward::PendingRequest;
 use super::message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
 use super::peers::Peers;
@@ -18,30 +19,8 @@
 };
 use crate::version::QueueTable;
 
-/// Interval of hellos to the owner, in milliseconds.
-const OWNER_HELLO_TIME: Millis = Millis(400);
-/// The same for low-capacity hosts of a large cluster, in milliseconds. Few of them are asked to
-/// own the shard, and the owner's processor has to serve all their hellos.
-const RARE_OWNER_HELLO_TIME: Millis = Millis(1_000);
-/// Interval of hellos to the other hosts, one after another, in milliseconds.
-const PEER_HELLO_TIME: Millis = Millis(900);
 /// Pause between a failed hello to the owner and the next one, in milliseconds.
 const HELLO_RETRY_TIME: Millis = Millis(100);
-/// Timeout of a hello, in milliseconds.
-const HELLO_TIMEOUT: Millis = Millis(600);
-/// The same until the host has a configuration, in milliseconds.
-const FIRST_HELLO_TIME: Millis = Millis(300);
-/// How long a host of a large cluster waits after its start for its first configuration from another
-/// one before it reads the store, in milliseconds.
-const FIRST_CONFIG_TIME: Millis = Millis(1_500);
-/// How long a host tries to read a newer configuration from the store before it asks a peer for it,
-/// in milliseconds.
-const CONFIG_STORE_TIME: Millis = Millis(300);
-/// Pause before it asks again, in milliseconds.
-const CONFIG_RETRY_TIME: Millis = Millis(700);
-/// A host that gets configurations from another one reads the store after it has asked in vain this
-/// many times.
-const MAX_CONFIG_ASKS: u32 = 2;
 /// A host reports that it isn't ready once the last message from the owner is older than this, in
 /// milliseconds.
 const READY_AGE: Millis = Millis(2_500);
@@ -156,18 +135,6 @@
     },
 }
 
-/// A configuration that this host does not have yet.
-#[derive(Debug, Clone, Copy)]
-struct NewerConfig {
-    version: u64,
-    /// A peer that has it.
-    holder: SocketAddr,
-    /// When to ask the holder for it.
-    ask_at: Millis,
-    /// How often the holder was asked.
-    asks: u32,
-}
-
 /// The newest owner that this host knows of.
 #[derive(Debug, Clone)]
 pub(super) struct Owner {
@@ -206,13 +173,13 @@
     pub(super) store_time: Millis,
     pub(super) started: Millis,
     /// When the next hello to the owner is due.
-    owner_hello: Millis,
+    pub(super) owner_hello: Millis,
     /// When the next hello to one of the other hosts is due.
-    peer_hello: Millis,
+    pub(super) peer_hello: Millis,
     /// The host that this one gets new configurations from; `None` if it reads them from the store.
-    config_source: Option<SocketAddr>,
+    pub(super) config_source: Option<SocketAddr>,
     /// A newer configuration that a peer has.
-    newer_config: Option<NewerConfig>,
+    pub(super) newer_config: Option<NewerConfig>,
     is_ready: bool,
     /// When the host was asked to stop.
     pub(super) stopping: Option<Millis>,
@@ -365,89 +332,12 @@
         })
     }
 
-    fn send_due_hellos(&mut self, now: Now, out: &mut Vec<HostAction>) {
-        if now.steady >= self.owner_hello {
-            let interval = match self.hears_owner_rarely() {
-                true => RARE_OWNER_HELLO_TIME,
-                false => OWNER_HELLO_TIME,
-            };
-            self.owner_hello = now.steady + interval;
-            if let Some(address) = self.owner_address() {
-                self.send_hello(now, address, true, out);
-            }
-        }
-        if now.steady >= self.peer_hello {
-            self.peer_hello = match self.config.version {
-                0 => now.steady + FIRST_HELLO_TIME,
-                _ => now.steady + PEER_HELLO_TIME,
-            };
-            self.peers.forget_silent(now.steady);
-            self.config_source = self.find_config_source(now);
-            if let Some(source) = self.config_source.or_else(|| self.possible_source()) {
-                self.send_hello_for(now, source, false, true, out);
-            }
-            if let Some(address) = self.peers.next_hello().or_else(|| self.next_seed()) {
-                self.send_hello(now, address, false, out);
-            }
-        }
-    }
-
-    /// One of the seeds, another one at each call; `None` if this host is the only one.
-    fn next_seed(&mut self) -> Option<SocketAddr> {
-        let id = self.new_id() as usize;
-        let own = self.settings.record.control;
-        let seeds = self.settings.seeds.iter().filter(|seed| **seed != own);
-        let seeds: Vec<SocketAddr> = seeds.copied().collect();
-        seeds.get(id.checked_rem(seeds.len())?).copied()
-    }
-
-    /// Whether this host sends hellos to the owner at a longer interval, because the cluster is
-    /// large and other hosts come first to own the shard.
-    pub(super) fn hears_owner_rarely(&self) -> bool {
-        !self.peers.is_small_cluster() && self.is_low_capacity()
-    }
-
     /// Address of the owner, if it is another host.
     pub(super) fn owner_address(&self) -> Option<SocketAddr> {
         let owner = self.owner.as_ref().filter(|_| self.shard.is_none())?;
         Some(self.peers.get(&owner.host)?.record.control)
     }
 
-    pub(super) fn send_hello(
-        &mut self,
-        now: Now,
-        to: SocketAddr,
-        is_owner: bool,
-        out: &mut Vec<HostAction>,
-    ) {
-        self.send_hello_for(now, to, is_owner, false, out);
-    }
-
-    fn send_hello_for(
-        &mut self,
-        now: Now,
-        to: SocketAddr,
-        is_owner: bool,
-        wants_config: bool,
-        out: &mut Vec<HostAction>,
-    ) {
-        let message = PeerCall::Hello {
-            presence: self.presence(now.steady),
-            wants_config,
-        };
-        self.call_peer(
-            PeerPurpose::Hello {
-                to,
-                is_owner,
-                sent: now.steady,
-            },
-            to,
-            message,
-            HELLO_TIMEOUT,
-            out,
-        );
-    }
-
     pub(super) fn call_peer(
         &mut self,
         purpose: PeerPurpose,
@@ -546,128 +436,6 @@
         }
     }
 
-    /// Processes the state of a peer and what it knows of the owner. `call_sent` is when the hello
-    /// that it answers was sent; without one, the message was on its way for an unknown time.
-    fn presence_received(
-        &mut self,
-        now: Now,
-        presence: Presence,
-        call_sent: Option<Millis>,
-        out: &mut Vec<HostAction>,
-    ) {
-        let name = presence.host.name.clone();
-        self.peers.add(now.steady, presence.host.clone());
-        self.note_config(now, presence.config, presence.host.control);
-        if let Some(reported) = &presence.owner {
-            self.update_owner(now, reported, call_sent, out);
-        }
-        let is_owner = presence
-            .owner
-            .as_ref()
-            .is_some_and(|reported| reported.host == name && reported.age == 0);
-        if let Some(owner) = self.owner.as_ref().filter(|owner| owner.host == name) {
-            // The owner's process was restarted, or it gave up the shard.
-            if !is_owner && self.shard.is_none() {
-                tracing::info!(host = %name, epoch = owner.epoch, "host no longer owns the shard");
-                // A state that was sent after this host learned of the owner is newer than its claim,
-                // so others that still name it are behind.
-                let is_newer = call_sent.is_some_and(|sent| sent > owner.learned);
-                if is_newer || owner.boot != presence.host.boot {
-                    self.claim.ended_epoch = self.claim.ended_epoch.max(owner.epoch);
-                }
-                self.owner = None;
-            }
-        }
-        self.peers.set_presence(now.steady, presence);
-    }
-
-    /// Gets a newer configuration that a peer has. A host that reads the store does so at once, and
-    /// asks the peer only if the store does not answer soon.
-    fn note_config(&mut self, now: Now, version: u64, holder: SocketAddr) {
-        let known = self.newer_config.map_or(0, |newer| newer.version);
-        if version <= known.max(self.config.version) {
-            return;
-        }
-        let first = match self.config_source {
-            Some(_) => now.steady,
-            None => {
-                self.streams.read_config_soon(now.steady);
-                now.steady + CONFIG_STORE_TIME
-            }
-        };
-        self.newer_config = Some(NewerConfig {
-            version,
-            holder: self.config_source.unwrap_or(holder),
-            ask_at: self.newer_config.map_or(first, |newer| newer.ask_at),
-            asks: self.newer_config.map_or(0, |newer| newer.asks),
-        });
-    }
-
-    /// Whether this host leaves the reading of the configuration to another one, which has not failed
-    /// to deliver a newer one.
-    pub(super) fn leaves_config_to_source(&self) -> bool {
-        let has_failed = self
-            .newer_config
-            .is_some_and(|newer| newer.asks > MAX_CONFIG_ASKS);
-        self.config_source.is_some() && !has_failed
-    }
-
-    /// Whether this host has just started and leaves its first configuration to another one.
-    pub(super) fn awaits_first_config(&self, now: Millis) -> bool {
-        let is_new = self.config.version == 0 && now.since(self.started) < FIRST_CONFIG_TIME;
-        let record = &self.settings.record;
-        is_new && self.peers.possible_source(record, 0).is_some()
-    }
-
-    /// Address of the host to get new configurations from; `None` if this host reads them itself, as
-    /// the owner does.
-    fn find_config_source(&self, now: Now) -> Option<SocketAddr> {
-        let is_reader = self.shard.is_some() || self.config.version == 0;
-        let source = || self.peers.config_source(now.steady, &self.settings.record);
-        if is_reader { None } else { source() }
-    }
-
-    fn possible_source(&mut self) -> Option<SocketAddr> {
-        let index = self.new_id() as usize;
-        self.peers.possible_source(&self.settings.record, index)
-    }
-
-    /// Asks a peer for a newer configuration that the store has not delivered.
-    fn ask_for_config(&mut self, now: Now, out: &mut Vec<HostAction>) {
-        let Some(newer) = &mut self.newer_config else {
-            return;
-        };
-        if now.steady < newer.ask_at {
-            return;
-        }
-        newer.ask_at = now.steady + CONFIG_RETRY_TIME;
-        let holder = newer.holder;
-        newer.asks += 1;
-        self.send_hello_for(now, holder, false, true, out);
-    }
-
-    /// Applies a configuration if it is newer than the current one.
-    pub(super) fn set_config(&mut self, now: Now, config: QueueTable, out: &mut Vec<HostAction>) {
-        if config.version <= self.config.version {
-            return;
-        }
-        tracing::info!(
-            version = config.version,
-            before = self.config.version,
-            queues = config.queues.len(),
-            "configuration applied"
-        );
-        self.config = Arc::new(config);
-        self.config_source = self.find_config_source(now);
-        self.newer_config = self
-            .newer_config
-            .filter(|newer| newer.version > self.config.version);
-        if let Some(epoch) = self.shard.as_ref().map(Shard::epoch) {
-            let event = ShardEvent::Queues(self.config.clone());
-            self.shard_event(now, epoch, event, out);
-        }
-    }
-
     fn check_ready(&mut self, now: Now, out: &mut Vec<HostAction>) {
         let knows_owner = self.shard.is_some()
             || self
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -2,7 +2,10 @@
 //! owns the shard after it has claimed it.
 
 mod claim;
+mod config;
 mod forward;
+mod handover;
+mod hello;
 #[allow(clippy::module_inception)]
 mod host;
 mod io;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -6,10 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::candidates::UnmetRequirements;
 use super::journal::Journal;
 use super::recovery::LoadRange;
 use super::requests::Ended;
-use super::starts::UnmetRequirements;
 use super::workers::Workers;
 use crate::base::{Millis, Name};
 use crate::connection::{
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -1,66 +1,27 @@
 //! Assigns waiting tasks to workers and orders their starts.
 
+use super::candidates::{Candidates, MAX_COMPARED, UnmetRequirements};
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
-use super::worker::{Run, RunState, Worker};
-use crate::base::{Millis, Name, Size};
+use super::worker::{Run, RunState};
+use crate::base::{Millis, Name};
 use crate::connection::{Order, StartOrder, WorkerCall};
-use crate::request::job::{
-    CandidateWorker, ImageInterference, OrderKey, StartPermit, StepId, StepSpec, TaskKey,
-    TaskRequirements, TaskState, choose_worker,
-};
+use crate::request::job::{OrderKey, StartPermit, StepSpec, TaskKey, TaskState};
 
 /// Timeout of a start order, in milliseconds. A worker answers within a few milliseconds plus the
 /// network delay. A run whose start was not confirmed in time is stopped before the task starts
 /// elsewhere.
 const START_TIMEOUT: Millis = Millis(700);
-/// A worker whose last report is older than this gets no tasks, in milliseconds.
-const REPORT_AGE: Millis = Millis(2_600);
 /// Low bits of a run number that count the runs of a task within an epoch; the epoch is above them.
 const RUN_BITS: u32 = 12;
 
 /// Start orders that may be without an answer at the same time. More of them would only wait for
 /// the owner's processor, behind them the hellos of other hosts, which would then take it for gone.
 const MAX_PENDING_STARTS: usize = 384;
-/// The same for one worker. Each needs a connection of its own.
-const MAX_WORKER_STARTS: usize = 2;
-/// Workers with room that are compared for one task, unless it is long-running or has a rack.
-const MAX_COMPARED: usize = 64;
 
 /// Interval of the placement passes that check all workers, in milliseconds. Others check workers that
 /// have changed; what else changes with time, such as learned slopes, counts from the next full pass.
 const FULL_PASS_INTERVAL: Millis = Millis(250);
 
-/// Requirements of a task that no worker had room for. Tasks that need the same or more are skipped
-/// for the rest of the pass; the next ones check only workers that have changed since.
-#[derive(Debug)]
-pub(super) struct UnmetRequirements {
-    reserved: Size,
-    demand: u32,
-    fills: bool,
-    /// Part of the comparison because long-running tasks may also go to suspect workers.
-    lasts: bool,
-    image: Option<Name>,
-    service: Name,
-    /// The only step that it applies to, if the step restricts its workers further.
-    step: Option<StepId>,
-    /// Whether it was found in this pass, so that no worker needs to be checked again.
-    is_new: bool,
-}
-
-/// A worker that one placement pass may use.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct Candidate {
-    slot: usize,
-    /// Capacity that no run reserves, kept here so that full workers are passed over quickly.
-    free: Size,
-    /// Start orders that it has not answered.
-    starts: usize,
-    /// Whether it may have room now that it had not in the last pass.
-    has_changed: bool,
-}
-
-pub(super) type Candidates = Vec<Candidate>;
-
 impl Shard {
     /// Places waiting tasks in the order of `ready` as far as workers have room.
     pub(super) fn place(&mut self, now: Now, out: &mut Vec<ShardAction>) {
@@ -118,24 +79,6 @@
         true
     }
 
-    /// Usable workers that are not suspect.
-    pub(super) fn candidates(&self, now: Now) -> Candidates {
-        self.usable(now, |worker| worker.suspect_until <= now.steady)
-    }
-
-    fn usable(&self, now: Now, filter: impl Fn(&Worker) -> bool) -> Candidates {
-        let slots = self.workers.slots();
-        let usable = slots.filter(|(_, worker)| worker.is_usable(now.steady) && filter(worker));
-        usable
-            .map(|(slot, worker)| Candidate {
-                slot,
-                free: worker.free(),
-                starts: worker.pending_starts,
-                has_changed: worker.has_changed,
-            })
-            .collect()
-    }
-
     /// Places the waiting tasks of one step. Returns `None` if none is left, so that the step
     /// leaves `ready`.
     fn place_step(
@@ -234,15 +177,6 @@
         None
     }
 
-    /// Brings the room of a worker up to date after a start.
-    fn update_candidate(&self, candidates: &mut Candidates, slot: usize) {
-        let found = candidates.iter_mut().find(|other| other.slot == slot);
-        if let (Some(candidate), Some(worker)) = (found, self.workers.at(slot)) {
-            candidate.free = worker.free();
-            candidate.starts = worker.pending_starts;
-        }
-    }
-
     /// Places all tasks of a gang, or none.
     fn place_gang(
         &mut self,
@@ -310,89 +244,6 @@
         racks.into_iter().map(Some).chain([None]).collect()
     }
 
-    /// Whether one of the candidates has room for another run of a running task.
-    pub(super) fn has_room_elsewhere(
-        &self,
-        now: Now,
-        task: TaskKey,
-        candidates: &Candidates,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&task.step.job) else {
-            return false;
-        };
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return false;
-        };
-        let Some(spec) = job.spec.steps.get(usize::from(task.step.step)) else {
-            return false;
-        };
-        let (service, step) = (&queue.service, task.step);
-        self.find_worker(now, service, spec, step, None, candidates, false)
-            .is_some()
-    }
-
-    /// Returns the slot of the best candidate for a task of a step, or `None` if no worker has
-    /// room; `only_changed` leaves out those that have not changed since the last pass.
-    #[allow(clippy::too_many_arguments)]
-    fn find_worker(
-        &self,
-        now: Now,
-        service: &Name,
-        spec: &StepSpec,
-        step: StepId,
-        rack: Option<&Name>,
-        candidates: &Candidates,
-        only_changed: bool,
-    ) -> Option<usize> {
-        let requirements = TaskRequirements {
-            reserved: spec.reserved(),
-            demand: spec.size.processors,
-            fills: spec.fills,
-            lasts: spec.lasts,
-            image: spec.image.as_ref(),
-            label: spec.label.as_ref(),
-            rack: spec.rack.as_ref(),
-        };
-        let interference = self.contention.interference(
-            now.steady,
-            requirements.image.filter(|_| requirements.fills),
-        );
-        let max_starts = match spec.gang {
-            true => usize::MAX,
-            false => MAX_WORKER_STARTS,
-        };
-        let with_room = candidates.iter().filter(|candidate| {
-            (candidate.has_changed || !only_changed)
-                && candidate.starts < max_starts
-                && requirements.reserved.fits(&candidate.free)
-        });
-        let workers = with_room.filter_map(|candidate| {
-            let worker = self.workers.at(candidate.slot)?;
-            let free = candidate.free;
-            if worker.service != *service {
-                return None;
-            }
-            if rack.is_some() && worker.rack() != rack {
-                return None;
-            }
-            if spec.spread > 0 && worker.count_tasks(step) >= usize::from(spec.spread) {
-                return None;
-            }
-            Some((
-                candidate.slot,
-                describe_candidate(&requirements, worker, free, &interference),
-            ))
-        });
-        // A few workers may be much better than the others for these tasks.
-        let compares_all = spec.lasts || spec.rack.is_some();
-        let limit = if compares_all {
-            usize::MAX
-        } else {
-            MAX_COMPARED
-        };
-        choose_worker(&requirements, workers, limit)
-    }
-
     /// Records a new run of a task and orders its start. `ordinal` is given for gangs, whose runs
     /// share one number.
     fn start_task(
@@ -459,76 +310,6 @@
     }
 }
 
-impl Worker {
-    /// Whether it may get tasks: it is ready, recorded and reports regularly.
-    fn is_usable(&self, now: Millis) -> bool {
-        self.is_ready
-            && self.is_recorded
-            && self.unanswered < 2
-            && self
-                .last_report
-                .is_some_and(|at| now.since(at) <= REPORT_AGE)
-    }
-
-    /// Share of its processors that `demand` takes.
-    fn share(&self, demand: u32) -> f64 {
-        f64::from(demand) / f64::from(self.capacity.processors.max(1))
-    }
-
-    /// The rack, which is the second label.
-    fn rack(&self) -> Option<&Name> {
-        self.labels.get(1)
-    }
-
-    /// Whether a long-running task with a matching image runs here.
-    fn has_long_running(&self, has_image: impl Fn(Option<&Name>) -> bool) -> bool {
-        let mut long_running = self.runs.values().filter(|run| run.lasts);
-        long_running.any(|run| has_image(run.image.as_ref()))
-    }
-
-    /// Number of other images than `image` that long-running tasks here have.
-    fn other_images(&self, image: Option<&Name>) -> u32 {
-        let mut others: Vec<Option<&Name>> = Vec::new();
-        for run in self.runs.values().filter(|run| run.lasts) {
-            let other = run.image.as_ref();
-            if other != image && !others.contains(&other) {
-                others.push(other);
-            }
-        }
-        others.len() as u32
-    }
-
-    /// Number of tasks of a step here.
-    fn count_tasks(&self, step: StepId) -> usize {
-        self.runs.keys().filter(|task| task.step == step).count()
-    }
-}
-
-/// Describes a worker as the placement rules need it.
-fn describe_candidate<'a>(
-    requirements: &TaskRequirements<'_>,
-    worker: &'a Worker,
-    free: Size,
-    interference: &ImageInterference,
-) -> CandidateWorker<'a> {
-    CandidateWorker {
-        free,
-        capacity: worker.capacity,
-        idle: worker.idle_millicores(),
-        labels: &worker.labels,
-        headroom: match requirements.fills {
-            true => interference.headroom_with(&worker.headroom, worker.share(requirements.demand)),
-            false => f64::INFINITY,
-        },
-        has_same_image: requirements.lasts
-            && worker.has_long_running(|image| image == requirements.image),
-        other_images: match requirements.lasts {
-            true => worker.other_images(requirements.image),
-            false => 0,
-        },
-    }
-}
-
 fn new_run(spec: &StepSpec, run: u64, now: Millis) -> Run {
     Run {
         run,
--- a/src/process/shard/throttle.rs
+++ b/src/process/shard/throttle.rs
@@ -5,7 +5,7 @@
 use super::worker::{RunState, Worker};
 use crate::base::{Millis, Name};
 use crate::connection::{Order, WorkerCall};
-use crate::request::job::{OVER_BOUND_SHARE, TaskKey};
+use crate::request::job::{OVER_BOUND_SHARE, TaskKey, next_speed_limit};
 
 /// Timeout of a throttle order, in milliseconds.
 const THROTTLE_TIMEOUT: Millis = Millis(800);
@@ -70,6 +70,7 @@
                 0 => run.halted_since.or(Some(now.steady)),
                 _ => None,
             };
+            let limit = next_speed_limit(run.speed_limit, limit);
             if run.speed_limit != limit {
                 run.speed_limit = limit;
                 orders.push((*task, run.run, limit));
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -54,6 +54,8 @@
 /// Lowest baseline that placement assumes of a task with a known one, as a share of the bound. A
 /// best-effort task runs for seconds, in which the load may rise half-way to its peak.
 const MIN_PLACEMENT_BASELINE: f64 = 0.55;
+/// Least rise of a speed limit, in percent, except from 0 or to 100.
+const MIN_RISE: u8 = 20;
 /// Share of its bound at which a serving task's tail latency counts as over the bound; then even
 /// images with a tolerable slope are slowed down.
 pub const OVER_BOUND_SHARE: f64 = 0.97;
@@ -381,6 +383,17 @@
     }
 }
 
+/// Speed limit to order for a task that has the limit `current`, both in percent, if `target` is the
+/// highest one that its neighbours bear. Small rises are left out: the load of serving tasks swings,
+/// and each report would otherwise lead to an order.
+pub fn next_speed_limit(current: u8, target: u8) -> u8 {
+    let is_small_rise = target > current && target - current < MIN_RISE;
+    match is_small_rise && current > 0 && target < 100 {
+        true => current,
+        false => target,
+    }
+}
+
 impl ServingImage {
     /// Index of the coefficient of a best-effort image, which is added if it is new; `None` if
     /// there are too many.
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -12,7 +12,7 @@
 
 pub use contention::{
     BestEffortGroup, Contention, Headroom, ImageInterference, LearnedImage, LearnedSlope,
-    OVER_BOUND_SHARE, ServingTask,
+    OVER_BOUND_SHARE, ServingTask, next_speed_limit,
 };
 pub use fit::{CandidateWorker, TaskRequirements, choose_worker};
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
--- a/tests/contention.rs
+++ b/tests/contention.rs
@@ -2,7 +2,7 @@
 //! limits placement and speed.
 
 use jayfork::base::{Millis, Name};
-use jayfork::request::job::{BestEffortGroup, Contention, JobId, ServingTask};
+use jayfork::request::job::{BestEffortGroup, Contention, JobId, ServingTask, next_speed_limit};
 use jayfork::version::ShardRecord;
 use yare::parameterized;
 
@@ -216,3 +216,19 @@
     let slope = contention.slope(name("search").as_ref(), name("heavy").as_ref());
     assert!(slope < 2.0, "heavy {slope}");
 }
+
+/// Guards against an order for each small change of the load: on the large deployment the owner sent
+/// 2,000 of them a second. Falls, halts and returns to full speed are ordered at once.
+#[parameterized(
+    small_rise = { 50, 60, 50 },
+    rise = { 50, 70, 70 },
+    small_fall = { 60, 50, 50 },
+    from_halt = { 0, 10, 10 },
+    to_halt = { 10, 0, 0 },
+    to_full = { 90, 100, 100 },
+    same = { 40, 40, 40 },
+    unconfirmed = { u8::MAX, 40, 40 },
+)]
+fn small_rises_of_a_speed_limit_are_left_out(current: u8, target: u8, expected: u8) {
+    assert_eq!(next_speed_limit(current, target), expected);
+}
