Keep the address of a live host against older records, and the others' addresses while cut off

Cause: found on reading the change. A host's record from before its restart, named by a third host, replaced the present one, so messages went to an address that it had left. A host that was cut off for two minutes forgot all others and knew none of them if its seeds were gone. Before: an_old_record_does_not_replace_that_of_a_live_host and a_host_that_was_cut_off_for_minutes_finds_the_others_again fail. After: tests/ownership passes.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -19,8 +19,7 @@
 const RARE_OWNER_AGE: Millis = Millis(2_000);
 /// The same after two consecutive hellos to the owner have failed, in milliseconds.
 const FAILED_HELLO_AGE: Millis = Millis(450);
-/// Interval of the rounds in which a host without an owner sends a hello to all hosts, in
-/// milliseconds.
+/// Interval of the rounds in which a host without an owner sends hellos to others, in milliseconds.
 const ROUND_TIME: Millis = Millis(500);
 /// Time to wait for the answers of a round, in milliseconds: a round trip between regions and the
 /// processing on a small host.
@@ -57,12 +56,13 @@
 const MANY_SILENT_TIME: Millis = Millis(2_000);
 /// Number of low bits of an epoch that are random, so that two claims with the same ordinal differ.
 const EPOCH_BITS: u32 = 16;
+
 /// State of the search for an owner, of the claim and of a handover.
 #[derive(Debug, Default)]
 pub(super) struct Claim {
     /// Since when this host has had no owner; `None` while it has one.
     search_started: Option<Millis>,
-    /// When the current round of hellos to all hosts was sent.
+    /// When the hellos of the current round were sent.
     pub round_started: Option<Millis>,
     /// Hosts that were asked in this round.
     asked: Vec<Name>,
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -418,7 +418,7 @@
                         self.set_config(now, config, out);
                     }
                     for record in hosts {
-                        self.peers.add(now.steady, record);
+                        self.peers.add_reported(now.steady, record);
                     }
                 }
                 answer => {
--- a/src/process/host/peers.rs
+++ b/src/process/host/peers.rs
@@ -120,6 +120,16 @@
         self.rebuild_addresses();
     }
 
+    /// Adds a host that another one has named. The record may be from before a restart, so it does not
+    /// replace that of a host which has sent a message lately.
+    pub fn add_reported(&mut self, now: Millis, record: HostRecord) {
+        let known = self.by_name.get(&record.name);
+        let heard = known.and_then(|peer| peer.last_heard);
+        if heard.is_none_or(|at| now.since(at) > SHARED_AGE) {
+            self.add(now, record);
+        }
+    }
+
     /// Records the state that a known host has sent.
     pub fn set_presence(&mut self, now: Millis, presence: Presence) {
         if let Some(peer) = self.by_name.get_mut(&presence.host.name) {
@@ -128,16 +138,19 @@
         }
     }
 
-    /// Forgets hosts that have sent nothing for long.
+    /// Forgets hosts that have sent nothing for long, unless most are silent: then this host is cut
+    /// off and needs their addresses.
     pub fn forget_silent(&mut self, now: Millis) {
-        let count = self.len();
-        self.by_name.retain(|_, peer| {
+        let is_alive = |peer: &Peer| {
             let heard = peer.last_heard.unwrap_or(peer.added);
             now.since(heard) <= FORGET_AGE
-        });
-        if self.len() < count {
-            self.rebuild_addresses();
+        };
+        let alive = self.values().filter(|peer| is_alive(peer)).count();
+        if alive == self.len() || alive * 2 < self.len() {
+            return;
         }
+        self.by_name.retain(|_, peer| is_alive(peer));
+        self.rebuild_addresses();
     }
 
     fn rebuild_addresses(&mut self) {
--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -265,3 +265,56 @@
     let mut world = World::start(1, &[(HIGH_CAPACITY, 2)]);
     assert_eq!(reported_age(&mut world, peer_presence(400)), None);
 }
+
+/// Guards against an address from before a restart that replaces the present one, because a third host
+/// still names it: the host's messages went to an address that it had left.
+#[test]
+fn an_old_record_does_not_replace_that_of_a_live_host() {
+    let mut world = World::start(1, &[(HIGH_CAPACITY, 2)]);
+    reported_age(&mut world, peer_presence(0));
+    let old = HostRecord {
+        boot: 7,
+        control: address(2),
+        ..peer_presence(0).host
+    };
+    let mut called = Vec::new();
+    for _ in 0..600 {
+        world.now += STEP;
+        let time = world.time();
+        let mut out = Vec::new();
+        let host = world.hosts[0].as_mut().expect("a host");
+        host.poll(time, &mut out);
+        for action in out {
+            let HostAction::PeerCall { call, address, .. } = action else {
+                continue;
+            };
+            called.push(address);
+            let reply = PeerReply::Hello {
+                presence: Box::new(peer_presence(0)),
+                config: None,
+                hosts: vec![old.clone()],
+            };
+            world.event(0, HostEvent::PeerAnswer(call, Ok(reply)));
+        }
+    }
+    assert!(called.contains(&address(1)), "{called:?}");
+    assert!(!called.contains(&address(2)), "{called:?}");
+}
+
+/// Guards against a host that forgets all others while it is cut off, and then knows none of them if
+/// its seeds are gone too.
+#[test]
+fn a_host_that_was_cut_off_for_minutes_finds_the_others_again() {
+    let mut world = World::start(1, &mixed_hosts());
+    world.run(4_000);
+    world.cut_hosts = vec![5];
+    for seed in 0..3 {
+        world.hosts[seed] = None;
+    }
+    world.run(140_000);
+    world.cut_hosts.clear();
+    world.publish(2);
+    world.refused_hosts = vec![5];
+    world.run(3_000);
+    assert_eq!(world.config_versions(), [2]);
+}
