Leave room for runs that an earlier owner was stopping when the shard changes hands

A run that is being stopped is listed neither as running nor as ended for the stop time. A new owner knew nothing of it and filled its room, sooner than before since jobs that have not started are placed as soon as a worker has reported; the fault is older than that. Change: a worker that an earlier owner has used gets no task, and counts as not known, until the stop time is over after its first report to this owner; from that report on it refuses the earlier owner's orders. Before: the model of the workers ended runs at once; with the stop time in it a_new_owner_leaves_room_for_runs_that_are_being_stopped fails (seven overcommitted starts).

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -1,5 +1,6 @@
 //! The workers that a placement pass may use, and the choice among them.
 
+use super::reports::STOP_ALLOWANCE;
 use super::shard::{Now, Shard};
 use super::worker::Worker;
 use crate::base::{Millis, Name, Size};
@@ -53,8 +54,13 @@
     }
 
     pub(super) fn usable(&self, now: Now, filter: impl Fn(&Worker) -> bool) -> Candidates {
+        let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let slots = self.workers.slots();
-        let usable = slots.filter(|(_, worker)| worker.is_usable(now.steady) && filter(worker));
+        let usable = slots.filter(|(_, worker)| {
+            worker.is_usable(now.steady)
+                && worker.is_settled(now.steady, stop_time)
+                && filter(worker)
+        });
         usable
             .map(|(slot, worker)| Candidate {
                 slot,
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -1,6 +1,7 @@
 //! Recovery after a claim: loads the records of earlier owners and finds out which runs exist.
 
 use super::journal::{Appended, Commit};
+use super::reports::STOP_ALLOWANCE;
 use super::requests::Ended;
 use super::shard::{Now, Phase, RegistryChange, Shard, ShardAction, StoreTag, store_call};
 use super::worker::Worker;
@@ -250,8 +251,8 @@
         self.needs_placement = true;
     }
 
-    /// Ends the recovery once every worker of an earlier owner has reported, has left, or can hold
-    /// no lease any more.
+    /// Ends the recovery once the runs of every worker of an earlier owner are known, or it has left,
+    /// or can hold no lease any more.
     pub(super) fn finish_recovery(&mut self, now: Now) {
         if self.phase != Phase::Recovering {
             return;
@@ -259,10 +260,11 @@
         // True time that a lease lasts on the slowest allowed clock, at 98 % of true time.
         let lease = Millis(self.settings.lease.0 * 100 / 98);
         let deadline = self.claimed_at + ISOLATION_TIME + lease + TRANSIT_TIME;
+        let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let missing = self
             .workers
             .iter()
-            .filter(|worker| worker.is_recovered && worker.last_report.is_none())
+            .filter(|worker| !worker.is_settled(now.steady, stop_time))
             .filter(|worker| !worker.has_left)
             .count();
         if missing > 0 && now.steady < deadline {
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -235,6 +235,7 @@
         }
         worker.set_clock(report.clock, now.steady);
         worker.last_report = Some(now.steady);
+        worker.first_report.get_or_insert(now.steady);
         worker.next_poll = now.steady;
         worker.has_changed = true;
         let last_processed = worker.processed;
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -117,6 +117,8 @@
     /// When the next report is to be requested.
     pub next_poll: Millis,
     pub last_report: Option<Millis>,
+    /// When it first reported to this owner. From then on it refuses the orders of earlier owners.
+    pub first_report: Option<Millis>,
     /// Calls without an answer since the last report.
     pub unanswered: u32,
     /// Jobs with a run that failed here since a run last succeeded. A job counts once: if several
@@ -163,6 +165,7 @@
             immediate_poll: None,
             next_poll: now,
             last_report: None,
+            first_report: None,
             unanswered: 0,
             failed_jobs: Vec::new(),
             suspect_until: Millis(0),
@@ -211,6 +214,13 @@
         clock + elapsed > self.lease_until + ROUNDING_ALLOWANCE
     }
 
+    /// Whether all runs here are known. A run that an earlier owner has stopped is listed neither as
+    /// running nor as ended until `stop_time` is over, and takes room until then.
+    pub fn is_settled(&self, now: Millis, stop_time: Millis) -> bool {
+        let settled = |at: Millis| now >= at + stop_time;
+        !self.is_recovered || self.first_report.is_some_and(settled)
+    }
+
     /// Capacity that no run reserves.
     pub fn free(&self) -> Size {
         self.capacity.saturating_sub(&self.committed)
--- a/tests/shard/cases.rs
+++ b/tests/shard/cases.rs
@@ -355,3 +355,25 @@
     assert!(started > 0);
     world.assert_no_violations();
 }
+
+/// Guards against a new owner that fills a worker although a run there is still being stopped: the
+/// earlier owner ordered the stop, and the worker lists the run neither as running nor as ended.
+#[test]
+fn a_new_owner_leaves_room_for_runs_that_are_being_stopped() {
+    let mut world = world_with_owner(1, 8_000);
+    world.submit(1, &long_running(4, 2_000));
+    world.run(600);
+    for id in 2..=30 {
+        world.submit(id, &chain(&[2], 2_000));
+        world.run(10);
+    }
+    world.cancel(1);
+    let first = world.owner().expect("an owner");
+    while world.fleet.workers[0].runs.len() == 4 {
+        world.run(STEP);
+    }
+    world.kill(first);
+    world.claim();
+    world.run(5_000);
+    world.assert_no_violations();
+}
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -12,6 +12,8 @@
 
 /// Longest lease that a worker accepts, in milliseconds.
 const LEASE: u64 = 6_000;
+/// Time that a worker takes to stop a run, in milliseconds.
+const STOP_TIME: u64 = 400;
 
 pub struct Run {
     pub run: u64,
@@ -21,9 +23,18 @@
     size: Size,
 }
 
+/// A run that is being stopped: it takes room, but the worker lists it neither as running nor as ended.
+struct Stopping {
+    task: TaskKey,
+    run: u64,
+    size: Size,
+    until: u64,
+}
+
 pub struct Worker {
     pub capacity: Size,
     pub runs: BTreeMap<TaskKey, Run>,
+    stopping: Vec<Stopping>,
     ended: Vec<EndReport>,
     next_end: u64,
     /// Highest epoch that an order carried.
@@ -70,6 +81,7 @@
         let workers = (0..count).map(|index| Worker {
             capacity: Size::new(processors, 100_000, 0),
             runs: BTreeMap::new(),
+            stopping: Vec::new(),
             ended: Vec::new(),
             next_end: 1,
             token: 0,
@@ -121,6 +133,7 @@
             }
         }
         worker.runs.clear();
+        worker.stopping.clear();
         worker.ended.clear();
         worker.next_end = 1;
         worker.token = 0;
@@ -134,6 +147,7 @@
     pub fn advance(&mut self, now: u64) {
         let mut events = Vec::new();
         for (index, worker) in self.workers.iter_mut().enumerate() {
+            worker.finish_stops(now);
             let clock = now + worker.offset;
             let has_expired = clock > worker.until;
             let over: Vec<TaskKey> = worker
@@ -185,7 +199,7 @@
                 let closed = worker.closed.entry(*task).or_default();
                 *closed = (*closed).max(*run);
                 if worker.runs.get(task).is_some_and(|known| known.run <= *run) {
-                    worker.end(*task, Ending::Stopped);
+                    worker.begin_stop(now, *task);
                 }
                 self.log_event(*task, format!("{now}: run {run} stopped on {index}"));
             }
@@ -268,10 +282,11 @@
                 size,
             },
         );
-        let used = worker
-            .runs
-            .values()
-            .fold(Size::ZERO, |sum, run| sum.saturating_add(&run.size));
+        let running = worker.runs.values().map(|run| &run.size);
+        let stopping = worker.stopping.iter().map(|run| &run.size);
+        let used = running
+            .chain(stopping)
+            .fold(Size::ZERO, |sum, size| sum.saturating_add(size));
         if !used.fits(&worker.capacity) {
             let text = format!("worker {index} is overcommitted with {used:?} by {task} at {now}");
             self.violations.push(text);
@@ -281,10 +296,7 @@
 
     /// Reports a violation if the task must not start now.
     fn check_start(&mut self, task: TaskKey) {
-        let running_on = self
-            .workers
-            .iter()
-            .filter(|worker| worker.runs.contains_key(&task));
+        let running_on = self.workers.iter().filter(|worker| worker.holds(&task));
         if running_on.count() > 0 {
             self.report_violation(task, format!("{task} runs twice at once"));
         }
@@ -324,6 +336,44 @@
         }
     }
 
+    /// Begins to stop a run, which takes `STOP_TIME`.
+    fn begin_stop(&mut self, now: u64, task: TaskKey) {
+        let Some(run) = self.runs.remove(&task) else {
+            return;
+        };
+        let closed = self.closed.entry(task).or_default();
+        *closed = (*closed).max(run.run);
+        self.stopping.push(Stopping {
+            task,
+            run: run.run,
+            size: run.size,
+            until: now + STOP_TIME,
+        });
+    }
+
+    /// Lists the stopped runs whose time is over as ended.
+    fn finish_stops(&mut self, now: u64) {
+        let (over, stopping): (Vec<_>, Vec<_>) = std::mem::take(&mut self.stopping)
+            .into_iter()
+            .partition(|stopping| stopping.until <= now);
+        self.stopping = stopping;
+        for stopped in over {
+            self.ended.push(EndReport {
+                number: self.next_end,
+                task: stopped.task,
+                run: stopped.run,
+                ending: Ending::Stopped,
+                checkpoint: None,
+            });
+            self.next_end += 1;
+        }
+    }
+
+    /// Whether a run of the task is here, also one that is being stopped.
+    fn holds(&self, task: &TaskKey) -> bool {
+        self.runs.contains_key(task) || self.stopping.iter().any(|run| run.task == *task)
+    }
+
     fn end(&mut self, task: TaskKey, ending: Ending) {
         let Some(run) = self.runs.remove(&task) else {
             return;
