Start a task again at once when a run that this owner has found ends, also while workers are missing

The owner was killed while workers were replaced; one of them never reported to the next owner, so that one kept all recovered tasks waiting for the longest lease, 13.2 s. Meanwhile it moved a long-running task off a leaving worker (stopped at 31.434 s) and could not place it again until 41.612 s. Change: a task of which this owner has found a run may be placed before the recovery ends. A task has one run at a time, so no missing worker can hold another, and the worker that reported the run refuses earlier owners. Before: a_moved_task_does_not_wait_for_unreachable_workers fails.

--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -67,6 +67,9 @@
                 is_current = true;
                 job.has_started = true;
                 job.set_state(task_key, TaskState::Placed);
+                if let Some(task) = job.task_mut(task_key) {
+                    task.is_found = true;
+                }
             }
         }
         if !is_current {
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -5,7 +5,7 @@
 use super::worker::{Run, RunState};
 use crate::base::{Millis, Name};
 use crate::connection::{Order, StartOrder, WorkerCall};
-use crate::request::job::{OrderKey, StartPermit, StepSpec, TaskKey, TaskState};
+use crate::request::job::{OrderKey, StartPermit, StepSpec, Task, TaskKey, TaskState};
 
 /// Timeout of a start order, in milliseconds. A worker answers within a few milliseconds plus the
 /// network delay. A run whose start was not confirmed in time is stopped before the task starts
@@ -63,9 +63,6 @@
         out: &mut Vec<ShardAction>,
     ) -> bool {
         for key in keys {
-            if self.phase != Phase::Active && self.recovered.contains(&key.step.job) {
-                continue;
-            }
             match self.place_step(now, *key, candidates, unmet, out) {
                 Some(()) => {}
                 None => {
@@ -120,11 +117,14 @@
             return Some(());
         }
         let known_unmet = unmet.iter().position(is_unmet);
+        let only_found = self.phase != Phase::Active && self.recovered.contains(&key.step.job);
+        let may_start =
+            |task: &Task| task.state == TaskState::Waiting && (task.is_found || !only_found);
         let waiting: Vec<TaskKey> = step
             .tasks
             .iter()
             .enumerate()
-            .filter(|(_, task)| task.state == TaskState::Waiting)
+            .filter(|(_, task)| may_start(task))
             .map(|(index, _)| TaskKey {
                 step: key.step,
                 index: index as u16,
@@ -174,7 +174,7 @@
             self.start_task(now, slot, spec, task, None, out);
             self.update_candidate(candidates, slot);
         }
-        None
+        only_found.then_some(())
     }
 
     /// Places all tasks of a gang, or none.
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -61,6 +61,9 @@
     pub runs: u32,
     /// Saved progress from which the next run resumes.
     pub checkpoint: Option<Arc<str>>,
+    /// Whether this owner has found a run of it. As a task has one run at a time, no worker that has
+    /// not reported can have another.
+    pub is_found: bool,
 }
 
 #[derive(Debug, Clone)]
--- a/tests/shard/cases.rs
+++ b/tests/shard/cases.rs
@@ -377,3 +377,24 @@
     world.run(5_000);
     world.assert_no_violations();
 }
+
+/// Guards against a long-running task that is moved off a leaving worker and then waits for the longest
+/// lease, because another worker is gone at a change of the owner.
+#[test]
+fn a_moved_task_does_not_wait_for_unreachable_workers() {
+    let mut world = world_with_owner(3, 8_000);
+    world.submit(1, &long_running(2, 2_000));
+    world.run(600);
+    let holder = (0..3).find(|worker| !world.fleet.workers[*worker].runs.is_empty());
+    let holder = holder.expect("a worker with runs");
+    let first = world.owner().expect("an owner");
+    world.kill(first);
+    world.fleet.workers[(holder + 1) % 3].is_unreachable = true;
+    world.claim();
+    world.run(1_000);
+    world.drain(holder);
+    world.run(3_000);
+    let target = &world.fleet.workers[(holder + 2) % 3];
+    assert_eq!(target.runs.len(), 2);
+    world.assert_no_violations();
+}
