--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -74,8 +74,8 @@
     ///
     /// # Errors
     ///
-    /// `NotSent` if the call was not sent, `Refused` if no process listens on the port, `NoAnswer` if the connection closed or `time_limit`
-    /// passed before the reply arrived, `Malformed` if a message cannot be encoded or decoded.
+    /// `NotSent` if the call was not sent, `Refused` if no process listens on the port, `NoAnswer` if
+    /// the connection closed or `time_limit` passed before the reply arrived, `Malformed` if a message cannot be encoded or decoded.
     pub async fn call(
         &self,
         address: SocketAddr,
--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -72,7 +72,8 @@
     silent: HashSet<Name>,
     /// The highest epoch that this host knows of; a new claim takes a higher one.
     pub max_epoch: u64,
-    /// Epochs up to this one have ended: their owner's process has been restarted.
+    /// Epochs up to this one have ended: their owner's process has been restarted, or it has said that
+    /// it gave up the shard.
     pub ended_epoch: u64,
     /// Last known end of the journal, and when this host first saw it there.
     journal_end: Option<(u64, Millis)>,
