Log why long-running tasks wait

The log told of the failed run and of nothing after it, so it could not be told whether the owner had no room, held the task back for a worker that it cannot reach, or had not noticed the end.

Once a second, the owner now logs the first long-running step that has waited since the last line: how many workers are full, unusable, suspect, restricted or busy with starts, and whether the task may still have a run. One line a second at most.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -12,7 +12,7 @@
 const REPORT_AGE: Millis = Millis(2_600);
 /// Start orders of one worker that may be without an answer at the same time. Each needs a connection
 /// of its own.
-const MAX_WORKER_STARTS: usize = 2;
+pub(super) const MAX_WORKER_STARTS: usize = 2;
 /// Workers with room that are compared for one task, unless it is long-running or has a rack.
 pub(super) const MAX_COMPARED: usize = 64;
 
@@ -166,7 +166,7 @@
 
 impl Worker {
     /// Whether it may get tasks: it is ready, recorded and reports regularly.
-    fn is_usable(&self, now: Millis) -> bool {
+    pub(super) fn is_usable(&self, now: Millis) -> bool {
         self.is_ready
             && self.is_recorded
             && self.unanswered < 2
@@ -204,7 +204,7 @@
     }
 
     /// Number of tasks of a step here.
-    fn count_tasks(&self, step: StepId) -> usize {
+    pub(super) fn count_tasks(&self, step: StepId) -> usize {
         self.runs.keys().filter(|task| task.step == step).count()
     }
 }
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -12,6 +12,7 @@
 mod shard;
 mod starts;
 mod throttle;
+mod waiting;
 mod watch;
 mod worker;
 mod workers;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -16,7 +16,7 @@
     CallError, Partition, StoreAnswer, StoreCall, StoreRequest, WorkerAnswer, WorkerCall,
 };
 use crate::platform::RegistryEntry;
-use crate::request::job::{Contention, Job, JobId, JobSpec, OrderKey, Outcome, TaskKey};
+use crate::request::job::{Contention, Job, JobId, JobSpec, OrderKey, Outcome, StepId, TaskKey};
 use crate::version::{OwnerRecord, QueueIndex, QueueTable, ShardRecord};
 
 use super::journal::Commit;
@@ -219,6 +219,9 @@
     pub(super) pending_starts: usize,
     pub(super) last_poll: Millis,
     pub(super) last_sweep: Millis,
+    /// Long-running steps that waited when this was last logged, in the order of placement.
+    pub(super) waiting_steps: Vec<StepId>,
+    pub(super) last_waiting_log: Millis,
     /// Whether a newer owner is known.
     pub(super) is_superseded: bool,
 }
@@ -267,6 +270,8 @@
             pending_starts: 0,
             last_poll: Millis(0),
             last_sweep: now.steady,
+            waiting_steps: Vec::new(),
+            last_waiting_log: now.steady,
             is_superseded: false,
         };
         shard.flush_journal(now, out);
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -66,6 +66,7 @@
         self.expire_outcomes(now);
         self.record_workers();
         self.record_contention(now);
+        self.log_waiting(now);
         if self.journal.is_failing(now.steady) {
             self.refuse_unstored(out);
         }
