Start long-running tasks again before a backlog

Cause: within a priority, long-running tasks were placed after all others, new ones and restarts alike, and nothing kept room for them. The room of the failed run and all that became free later went to the backlog in small pieces. Class of fault: starvation of a large request by small ones.

Change: tasks that have run are placed before everything else, the longest waiting first, and if none of the workers has room for a second, the one that lacks least is kept free of others, at most one in 16. New long-running jobs still come after the others. After a change of the owner, all waiting long-running tasks of jobs that may have started count as such.

Tests: both cases of tests/shard/restarts.rs failed before ("left: 0, right: 2" and "left: 0, right: 1" tasks running at the limit of 6 s) and pass.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -162,6 +162,35 @@
         };
         choose_worker(&requirements, workers, limit)
     }
+
+    /// Removes the worker that lacks the fewest processors for a task of the step from `candidates`, so
+    /// that the room of the runs that end there is kept for it.
+    pub(super) fn set_aside(&self, step: StepId, candidates: &mut Candidates) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            return;
+        };
+        let spec = job.spec.steps.get(usize::from(step.step));
+        let queue = self.queues.queue(&job.queue);
+        // More room would not help a best-effort task: it waits because it would interfere.
+        let (Some(spec), Some(queue)) = (spec.filter(|spec| !spec.fills), queue) else {
+            return;
+        };
+        let reserved = spec.reserved();
+        let suitable = candidates
+            .iter()
+            .enumerate()
+            .filter_map(|(index, candidate)| {
+                let worker = self.workers.at(candidate.slot)?;
+                let is_suitable = worker.service == queue.service
+                    && reserved.fits(&worker.capacity)
+                    && worker.allows(step, spec);
+                is_suitable.then_some((index, candidate.free))
+            });
+        let best = suitable.max_by_key(|(_, free)| free.processors.min(reserved.processors));
+        if let Some((index, _)) = best {
+            candidates.remove(index);
+        }
+    }
 }
 
 impl Worker {
@@ -203,8 +232,17 @@
         others.len() as u32
     }
 
+    /// Whether the label and the spread limit of a step allow another of its tasks here.
+    pub(super) fn allows(&self, step: StepId, spec: &StepSpec) -> bool {
+        let has_label = spec
+            .label
+            .as_ref()
+            .is_none_or(|label| self.labels.contains(label));
+        has_label && (spec.spread == 0 || self.count_tasks(step) < usize::from(spec.spread))
+    }
+
     /// Number of tasks of a step here.
-    pub(super) fn count_tasks(&self, step: StepId) -> usize {
+    fn count_tasks(&self, step: StepId) -> usize {
         self.runs.keys().filter(|task| task.step == step).count()
     }
 }
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -126,7 +126,7 @@
 }
 
 /// Steps with waiting tasks whose dependencies are done.
-fn waiting_steps(job: &Job) -> Vec<StepId> {
+pub(super) fn waiting_steps(job: &Job) -> Vec<StepId> {
     let mut steps = Vec::new();
     for (number, turn) in &job.turns {
         for (index, step) in turn.steps.iter().enumerate() {
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -7,6 +7,7 @@
 mod recovery;
 mod reports;
 mod requests;
+mod restarts;
 mod runs;
 #[allow(clippy::module_inception)]
 mod shard;
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -278,7 +278,9 @@
             "runs of earlier owners are known"
         );
         self.phase = Phase::Active;
-        self.recovered.clear();
+        for id in std::mem::take(&mut self.recovered) {
+            self.add_restarts(now.steady, id);
+        }
         self.needs_placement = true;
     }
 
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -125,7 +125,7 @@
         worker.suspect_until = now.steady + REFUSAL_SUSPECT_TIME;
         worker.remove_run(task);
         tracing::info!(%task, run = run_number, worker = %worker_id, reason = cause, "start refused");
-        self.requeue(task);
+        self.requeue(now, task);
     }
 
     fn handle_stop_answer(
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -69,6 +69,7 @@
                 job.set_state(task_key, TaskState::Placed);
                 if let Some(task) = job.task_mut(task_key) {
                     task.is_found = true;
+                    task.has_run = true;
                 }
             }
         }
@@ -191,8 +192,11 @@
                 return;
             }
         }
+        if let Some(task) = job.task_mut(end.task) {
+            task.has_run = true;
+        }
         if is_current || was_waiting {
-            self.requeue(end.task);
+            self.requeue(now, end.task);
         }
     }
 
@@ -209,18 +213,20 @@
             self.enqueue(task.step.job);
             return;
         }
-        if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            if let Some(entry) = job.task_mut(task).filter(|_| run.checkpoint.is_some()) {
+        let job = self.jobs.get_mut(&task.step.job);
+        if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
+            entry.has_run |= run.state != RunState::Starting;
+            if run.checkpoint.is_some() {
                 entry.checkpoint = run.checkpoint;
             }
         }
         let age = now.steady.since(run.started).0;
         tracing::info!(%task, run = run.run, worker = %worker_id, ?ending, age, "run lost");
-        self.requeue(task);
+        self.requeue(now, task);
     }
 
     /// Makes a task whose run has ended wait for its next run.
-    pub(super) fn requeue(&mut self, task: TaskKey) {
+    pub(super) fn requeue(&mut self, now: Now, task: TaskKey) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -230,6 +236,7 @@
         if is_placed {
             job.set_state(task, TaskState::Waiting);
         }
+        self.add_restart(now.steady, task);
         self.enqueue(task.step.job);
     }
 
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -187,6 +187,8 @@
     pub(super) ending: HashMap<JobId, Outcome>,
     /// Steps with waiting tasks, in the order of placement.
     pub(super) ready: BTreeSet<OrderKey>,
+    /// Long-running tasks whose run has ended, with the time since when they wait.
+    pub(super) restarts: BTreeSet<(Millis, TaskKey)>,
     /// Due times, in Unix milliseconds, of the jobs' next turns. A turn is one occurrence of a
     /// repeating job.
     pub(super) upcoming_turns: BTreeSet<(u64, JobId)>,
@@ -252,6 +254,7 @@
             accepted: BTreeSet::new(),
             ending: HashMap::new(),
             ready: BTreeSet::new(),
+            restarts: BTreeSet::new(),
             upcoming_turns: BTreeSet::new(),
             workers: Workers::default(),
             orphaned_tasks: HashSet::new(),
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -29,7 +29,7 @@
             return;
         }
         self.permit_next_jobs();
-        if self.pending_starts >= MAX_PENDING_STARTS {
+        if self.is_starting_full() {
             return;
         }
         let keys: Vec<OrderKey> = self.ready.iter().copied().collect();
@@ -47,6 +47,7 @@
         for worker in self.workers.iter_mut() {
             worker.has_changed = false;
         }
+        self.place_restarts(now, &mut candidates, out);
         let is_complete = self.place_steps(now, &keys, &mut candidates, &mut unmet, out);
         if is_complete {
             self.unmet = unmet;
@@ -69,7 +70,7 @@
                     self.ready.remove(key);
                 }
             }
-            if self.pending_starts >= MAX_PENDING_STARTS {
+            if self.is_starting_full() {
                 return false;
             }
         }
@@ -141,7 +142,7 @@
             return Some(());
         }
         for task in waiting {
-            if self.pending_starts >= MAX_PENDING_STARTS {
+            if self.is_starting_full() {
                 return Some(());
             }
             let only_changed = known_unmet.is_some();
@@ -244,9 +245,14 @@
         racks.into_iter().map(Some).chain([None]).collect()
     }
 
+    /// Whether as many start orders wait for an answer as are allowed.
+    pub(super) fn is_starting_full(&self) -> bool {
+        self.pending_starts >= MAX_PENDING_STARTS
+    }
+
     /// Records a new run of a task and orders its start. `ordinal` is given for gangs, whose runs
     /// share one number.
-    fn start_task(
+    pub(super) fn start_task(
         &mut self,
         now: Now,
         slot: usize,
--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -3,9 +3,8 @@
 use super::candidates::MAX_WORKER_STARTS;
 use super::reports::STOP_ALLOWANCE;
 use super::shard::{Now, Phase, Shard};
-use super::worker::Worker;
 use crate::base::Millis;
-use crate::request::job::{Job, StartPermit, StepId, StepSpec, TaskKey, TaskState};
+use crate::request::job::{Job, StartPermit, StepId, StepSpec, TaskKey};
 
 /// Interval of the lines about waiting tasks, in milliseconds. A task that starts within it is usually
 /// not worth a line.
@@ -44,7 +43,7 @@
         let Some((job, spec)) = self.step_spec(*id) else {
             return;
         };
-        let tasks: Vec<TaskKey> = waiting_tasks(job, *id).collect();
+        let tasks: Vec<TaskKey> = job.waiting_tasks(*id).collect();
         let Some(task) = tasks.first() else {
             return;
         };
@@ -98,7 +97,7 @@
                     &mut rejections.unusable
                 } else if !spec.reserved().fits(&worker.free()) {
                     &mut rejections.full
-                } else if is_restricted(worker, id, spec) {
+                } else if !worker.allows(id, spec) {
                     &mut rejections.restricted
                 } else if worker.pending_starts >= MAX_WORKER_STARTS {
                     &mut rejections.starting
@@ -112,23 +111,3 @@
         rejections
     }
 }
-
-fn waiting_tasks(job: &Job, id: StepId) -> impl Iterator<Item = TaskKey> {
-    let tasks = job.step(id).into_iter().flat_map(|step| step.tasks.iter());
-    let waiting = tasks
-        .enumerate()
-        .filter(|(_, task)| task.state == TaskState::Waiting);
-    waiting.map(move |(index, _)| TaskKey {
-        step: id,
-        index: index as u16,
-    })
-}
-
-/// Whether the step's label or spread limit keeps its tasks off the worker.
-fn is_restricted(worker: &Worker, id: StepId, spec: &StepSpec) -> bool {
-    let lacks_label = spec
-        .label
-        .as_ref()
-        .is_some_and(|label| !worker.labels.contains(label));
-    lacks_label || spec.spread > 0 && worker.count_tasks(id) >= usize::from(spec.spread)
-}
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -64,6 +64,8 @@
     /// Whether this owner has found a run of it. As a task has one run at a time, no worker that has
     /// not reported can have another.
     pub is_found: bool,
+    /// Whether a run of it has certainly started.
+    pub has_run: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -229,6 +231,18 @@
         self.step(key.step)?.tasks.get(usize::from(key.index))
     }
 
+    /// Tasks of a step without a run.
+    pub fn waiting_tasks(&self, id: StepId) -> impl Iterator<Item = TaskKey> {
+        let tasks = self.step(id).into_iter().flat_map(|step| &step.tasks);
+        let waiting = tasks
+            .enumerate()
+            .filter(|(_, task)| task.state == TaskState::Waiting);
+        waiting.map(move |(index, _)| TaskKey {
+            step: id,
+            index: index as u16,
+        })
+    }
+
     pub fn task_mut(&mut self, key: TaskKey) -> Option<&mut Task> {
         self.step_mut(key.step)?
             .tasks
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -8,10 +8,8 @@
 use jayfork::connection::{
     EndReport, Order, Refusal, RunReport, StartOrder, WorkerAnswer, WorkerReport,
 };
-use jayfork::request::job::{Ending, JobSpec, TaskKey};
+use jayfork::request::job::{Ending, JobId, JobSpec, TaskKey};
 
-/// Longest lease that a worker accepts, in milliseconds.
-const LEASE: u64 = 6_000;
 /// Time that a worker takes to stop a run, in milliseconds.
 const STOP_TIME: u64 = 400;
 
@@ -32,6 +30,8 @@
 }
 
 pub struct Worker {
+    /// Longest lease that it accepts, in milliseconds.
+    pub max_lease: u64,
     pub capacity: Size,
     pub runs: BTreeMap<TaskKey, Run>,
     stopping: Vec<Stopping>,
@@ -79,6 +79,7 @@
 impl Fleet {
     pub fn new(count: usize, processors: u32) -> Self {
         let workers = (0..count).map(|index| Worker {
+            max_lease: 6_000,
             capacity: Size::new(processors, 100_000, 0),
             runs: BTreeMap::new(),
             stopping: Vec::new(),
@@ -143,6 +144,16 @@
         worker.down_until = now + RESTART_TIME;
     }
 
+    /// Lets all runs of a job fail now.
+    pub fn fail_job(&mut self, now: u64, job: JobId) {
+        let workers = self.workers.iter_mut();
+        let runs = workers.flat_map(|worker| worker.runs.iter_mut());
+        for (_, run) in runs.filter(|(task, _)| task.step.job == job) {
+            run.ends = now;
+            run.fails = true;
+        }
+    }
+
     /// Ends the runs that are over or whose lease has expired at `now`.
     pub fn advance(&mut self, now: u64) {
         let mut events = Vec::new();
@@ -329,10 +340,10 @@
 }
 
 impl Worker {
-    /// Extends the lease, by at most `LEASE` from now.
+    /// Extends the lease, by at most `max_lease` from now.
     fn extend(&mut self, clock: u64, until: Option<u64>) {
         if let Some(until) = until {
-            self.until = self.until.max(until.min(clock + LEASE));
+            self.until = self.until.max(until.min(clock + self.max_lease));
         }
     }
 
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod fleet;
 mod random;
+mod restarts;
 mod store;
 mod wide_jobs;
 mod world;
--- /dev/null
+++ b/tests/shard/restarts.rs
@@ -0,0 +1,59 @@
+//! Long-running tasks that have to start again while the workers are full.
+
+use jayfork::request::job::JobId;
+
+use super::world::{World, chain, long_running};
+
+/// Time within which a long-running task has to run again after its last run, in milliseconds.
+const RESTART_LIMIT: u64 = 6_000;
+
+/// Two workers with one long-running task each, and a backlog that fills them for longer than the limit.
+fn busy_world() -> World {
+    let mut world = World::new(7, 2, 8_000);
+    world.claim();
+    world.run(500);
+    world.runtimes = 600..1_700;
+    world.submit(1, &long_running(2, 5_000));
+    world.run(500);
+    for id in 2..=120 {
+        world.submit(id, &chain(&[1], 2_000));
+    }
+    world.run(2_000);
+    assert_eq!(world.running(1), 2);
+    world
+}
+
+/// Guards against a long-running task that fails under load and does not start again, because its room
+/// goes to the tasks of a backlog.
+#[test]
+fn a_failed_long_running_task_starts_again_before_a_backlog() {
+    let mut world = busy_world();
+    world.fleet.fail_job(world.now, JobId(1));
+    world.run(RESTART_LIMIT);
+    assert_eq!(world.running(1), 2);
+    assert!(!world.fleet.done.is_empty());
+    world.assert_no_violations();
+}
+
+/// Guards against a long-running task that loses its worker under load and does not start again, because
+/// small tasks take up all room that becomes free on the others.
+#[test]
+fn a_long_running_task_of_a_lost_worker_gets_room_among_small_tasks() {
+    let mut world = World::new(7, 3, 8_000);
+    world.claim();
+    world.run(500);
+    world.runtimes = 600..1_700;
+    world.submit(1, &long_running(1, 6_000));
+    world.run(500);
+    for id in 2..=200 {
+        world.submit(id, &chain(&[1], 2_000));
+    }
+    world.run(2_000);
+    let holder = world.holder(1);
+    world.fleet.restart(world.now, holder);
+    world.fleet.workers[holder].is_unreachable = true;
+    // The lease of the lost run has to expire first.
+    world.run(world.max_lease() + RESTART_LIMIT / 2);
+    assert_eq!(world.running(1), 1);
+    world.assert_no_violations();
+}
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -146,7 +146,7 @@
             part: 0,
         };
         let settings = ShardSettings {
-            lease: Millis(6_000),
+            lease: Millis(self.max_lease()),
             stop_time: Millis(400),
             status_keep: Millis(120_000),
         };
@@ -434,6 +434,20 @@
         assert!(violations.is_empty(), "{violations:#?}");
     }
 
+    /// Longest lease that the workers accept, in milliseconds.
+    pub fn max_lease(&self) -> u64 {
+        let leases = self.fleet.workers.iter().map(|worker| worker.max_lease);
+        leases.min().expect("a worker")
+    }
+
+    /// A worker that runs tasks of a job.
+    pub fn holder(&self, id: u64) -> usize {
+        let is_of_job = |task: &TaskKey| task.step.job == JobId(id);
+        let mut workers = self.fleet.workers.iter();
+        let holder = workers.position(|worker| worker.runs.keys().any(is_of_job));
+        holder.expect("a worker runs tasks of the job")
+    }
+
     /// Number of runs of a job on all workers.
     pub fn running(&self, id: u64) -> usize {
         let workers = self.fleet.workers.iter();
