Bound the leases that owners grant, and what a new owner waits for

Cause: owners granted the longest lease that workers accept. The tasks of a worker that is lost without a trace wait until its lease has expired; each start order that was still sent to it prolonged that lease, up to 2.6 s after the loss; and a new owner waited 2.5 s, a lease and 0.5 s for every worker that it could not reach. Class of fault: a time for recovery that follows from a limit of the platform instead of from the time within which work has to go on. Deployments with 6 s did not show it.

Change: owners grant 6 s at most. A start order carries the end of the last renewal, or half a lease if that is later. An owner that reaches neither the store nor a peer stops renewing after 1.5 s instead of 2.5 s, and a new owner waits that much less. Sum from the loss of an owner, with a claim after 2 s: 10.1 s, below the 11 s in which the work has to go on.

Test: both cases of tasks_of_a_silent_worker_do_not_wait_for_the_longest_lease failed before ("left: 1, right: 3" tasks running).

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -19,8 +19,9 @@
 /// hexadecimal digits, and those of workers with `w/`.
 const RANGE_STARTS: [&str; 9] = ["", "j/4", "j/8", "j/c", "n/", "n/8", "s/", "s/8", "w/"];
 /// How long an owner that reaches neither the store nor a peer keeps renewing leases, in
-/// milliseconds. A new owner waits this much longer for a worker that it cannot reach.
-pub const ISOLATION_TIME: Millis = Millis(2_500);
+/// milliseconds. A new owner waits this much longer for a worker that it cannot reach. Peers send
+/// hellos every 400 ms, and the owner itself appends every 500 ms.
+pub const ISOLATION_TIME: Millis = Millis(1_500);
 /// Longest time that an order can be in transit after its sender stopped, in milliseconds.
 const TRANSIT_TIME: Millis = Millis(500);
 
@@ -258,7 +259,7 @@
             return;
         }
         // True time that a lease lasts on the slowest allowed clock, at 98 % of true time.
-        let lease = Millis(self.settings.lease.0 * 100 / 98);
+        let lease = Millis(self.settings.granted_lease().0 * 100 / 98);
         let deadline = self.claimed_at + ISOLATION_TIME + lease + TRANSIT_TIME;
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let missing = self
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -228,7 +228,8 @@
                 tracing::warn!(worker = %worker_id, born, runs, "worker has restarted");
             }
             // The runs that this incarnation lists may hold a lease of the greatest length.
-            worker.begin_incarnation(report.start_time, report.clock + self.settings.lease.0);
+            let lease = self.settings.granted_lease();
+            worker.begin_incarnation(report.start_time, report.clock + lease.0);
         }
         if worker.is_stale(report.clock) {
             return;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -28,6 +28,12 @@
 /// Shortest time between two placement passes, in milliseconds; each pass checks all workers.
 const PLACEMENT_INTERVAL: Millis = Millis(15);
 
+/// Longest lease that an owner grants, in milliseconds, even if workers accept longer ones. The tasks of
+/// a worker that is lost without a trace wait until its lease has expired, and a new owner waits as
+/// long for a worker that it cannot reach. It exceeds the time from the loss of an owner to the first
+/// renewals of the next one, which is about 3 s, by as much again.
+const MAX_LEASE: Millis = Millis(6_000);
+
 /// The time of an event on both clocks.
 #[derive(Debug, Clone, Copy)]
 pub struct Now {
@@ -47,6 +53,13 @@
     pub status_keep: Millis,
 }
 
+impl ShardSettings {
+    /// Length of the leases that owners grant.
+    pub(super) fn granted_lease(&self) -> Millis {
+        self.lease.min(MAX_LEASE)
+    }
+}
+
 /// A client's request to the shard.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Request {
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -267,7 +267,7 @@
         else {
             return;
         };
-        let Some(until) = worker.lease_end(now.steady, self.settings.lease) else {
+        let Some(until) = worker.start_lease_end(now.steady, self.settings.granted_lease()) else {
             return;
         };
         if spec.fills {
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -196,7 +196,7 @@
         }
         self.last_poll = now.steady;
         let epoch = self.owner.epoch;
-        let lease = self.settings.lease;
+        let lease = self.settings.granted_lease();
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let spacing = Millis(self.workers.len() as u64 * 1_000 / BEST_EFFORT_REPORT_RATE);
         let best_effort_wait = BEST_EFFORT_WAIT.max(spacing).min(POLL_WAIT);
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -204,6 +204,14 @@
         Some(clock + now.since(at).0 + length.0)
     }
 
+    /// End, on the worker's clock, of the lease that a start order carries; `length` is that of a
+    /// renewal. It prolongs the lease only if renewals are late, and by half as much as they do: a worker
+    /// may have been lost since its last report, and its other runs would then be held longer.
+    pub fn start_lease_end(&self, now: Millis, length: Millis) -> Option<u64> {
+        let least = self.lease_end(now, Millis(length.0 / 2))?;
+        Some(least.max(self.lease_until))
+    }
+
     /// Whether every lease that this owner granted has expired even if the worker's clock is as
     /// slow as allowed.
     pub fn has_expired(&self, now: Millis) -> bool {
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -2,11 +2,18 @@
 
 use jayfork::request::job::JobId;
 
+use yare::parameterized;
+
 use super::world::{World, chain, long_running};
 
 /// Time within which a long-running task has to run again after its last run, in milliseconds.
 const RESTART_LIMIT: u64 = 6_000;
 
+/// The same if its worker is lost without a trace: its lease has to expire first.
+const SILENT_WORKER_LIMIT: u64 = 9_000;
+/// Time from the loss of an owner to the claim of the next one, in milliseconds.
+const CLAIM_DELAY: u64 = 2_000;
+
 /// Two workers with one long-running task each, and a backlog that fills them for longer than the limit.
 fn busy_world() -> World {
     let mut world = World::new(7, 2, 8_000);
@@ -52,8 +59,40 @@
     let holder = world.holder(1);
     world.fleet.restart(world.now, holder);
     world.fleet.workers[holder].is_unreachable = true;
-    // The lease of the lost run has to expire first.
-    world.run(world.max_lease() + RESTART_LIMIT / 2);
+    world.run(SILENT_WORKER_LIMIT);
     assert_eq!(world.running(1), 1);
     world.assert_no_violations();
 }
+
+/// Guards against long-running tasks that wait for the longest lease that workers accept when a worker
+/// is lost without a trace, alone or together with the owner.
+#[parameterized(
+    with_the_same_owner = { false, SILENT_WORKER_LIMIT },
+    with_the_next_owner = { true, CLAIM_DELAY + SILENT_WORKER_LIMIT },
+)]
+fn tasks_of_a_silent_worker_do_not_wait_for_the_longest_lease(is_owner_lost: bool, limit: u64) {
+    let mut world = World::new(7, 3, 8_000);
+    for worker in &mut world.fleet.workers {
+        worker.max_lease = 10_000;
+    }
+    let first = world.claim();
+    world.run(500);
+    world.submit(1, &long_running(3, 2_000));
+    world.run(2_000);
+    for id in 2..=200 {
+        world.submit(id, &chain(&[1], 1_000));
+    }
+    world.run(100);
+    let holder = world.holder(1);
+    world.fleet.restart(world.now, holder);
+    world.fleet.workers[holder].is_unreachable = true;
+    let end = world.now + limit;
+    if is_owner_lost {
+        world.kill(first);
+        world.run(CLAIM_DELAY);
+        world.claim();
+    }
+    world.run(end - world.now);
+    assert_eq!(world.running(1), 3);
+    world.assert_no_violations();
+}
