Keep a worker free for a restart only if it can get room there

Cause: the worker that lacks least for a waiting restart was kept free of all other tasks, also of other restarts, and also if the room there is held by long-running tasks, which do not end. Where such tasks hold most of the capacity, a large restart kept a worker that it could never use.

Change: a worker is kept free only if the task fits beside the long-running tasks there, and the other restarts may use it.

Test: a_small_restart_does_not_wait_for_a_large_one failed before ("left: 0, right: 1").

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -164,7 +164,8 @@
     }
 
     /// Removes the worker that lacks the fewest processors for a task of the step from `candidates`, so
-    /// that the room of the runs that end there is kept for it.
+    /// that the room of the runs that end there is kept for it. Room that long-running tasks hold does
+    /// not become free.
     pub(super) fn set_aside(&self, step: StepId, candidates: &mut Candidates) {
         let Some(job) = self.jobs.get(&step.job) else {
             return;
@@ -182,7 +183,7 @@
             .filter_map(|(index, candidate)| {
                 let worker = self.workers.at(candidate.slot)?;
                 let is_suitable = worker.service == queue.service
-                    && reserved.fits(&worker.capacity)
+                    && reserved.fits(&worker.capacity.saturating_sub(&worker.long_held))
                     && worker.allows(step, spec);
                 is_suitable.then_some((index, candidate.free))
             });
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -6,7 +6,7 @@
 use super::jobs::waiting_steps;
 use super::shard::{Now, Phase, Shard, ShardAction};
 use crate::base::Millis;
-use crate::request::job::{JobId, TaskKey, TaskState};
+use crate::request::job::{JobId, StepId, TaskKey, TaskState};
 
 /// Most restarts that a placement pass tries, the longest waiting first. Each may look at all workers.
 const MAX_RESTARTS: usize = 32;
@@ -74,7 +74,7 @@
         if self.restarts.is_empty() {
             return;
         }
-        let mut set_aside = candidates.len().div_ceil(SET_ASIDE_DIVISOR);
+        let mut lacking_room: Vec<StepId> = Vec::new();
         let mut suspects = self.usable(now, |worker| worker.suspect_until > now.steady);
         let first: Vec<(Millis, TaskKey)> =
             self.restarts.iter().take(MAX_RESTARTS).copied().collect();
@@ -87,15 +87,17 @@
                 Restart::Over => {
                     self.restarts.remove(&entry);
                 }
-                Restart::LacksRoom
-                    if set_aside > 0 && now.steady.since(since) >= SET_ASIDE_WAIT =>
-                {
-                    set_aside -= 1;
-                    self.set_aside(key.step, candidates);
+                Restart::LacksRoom if now.steady.since(since) >= SET_ASIDE_WAIT => {
+                    lacking_room.push(key.step);
                 }
                 Restart::LacksRoom | Restart::Waiting => {}
             }
         }
+        // The restarts themselves may use these workers: a smaller one must not wait for a larger one.
+        lacking_room.truncate(candidates.len().div_ceil(SET_ASIDE_DIVISOR));
+        for step in lacking_room {
+            self.set_aside(step, candidates);
+        }
     }
 
     /// Starts one of the tasks again if a worker has room.
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -99,6 +99,8 @@
     pub runs: HashMap<TaskKey, Run>,
     /// Resources reserved by all runs.
     pub committed: Size,
+    /// Resources reserved by runs that do not end by themselves.
+    pub long_held: Size,
     /// Millicores that all runs together are expected to use.
     expected_use: i64,
     /// Whether it may have room now that it had not in the last placement pass.
@@ -156,6 +158,7 @@
             acknowledged: 0,
             runs: HashMap::new(),
             committed: Size::ZERO,
+            long_held: Size::ZERO,
             expected_use: 0,
             has_changed: true,
             pending_starts: 0,
@@ -237,6 +240,9 @@
     /// Adds a run; it replaces another run of the task.
     pub fn add_run(&mut self, task: TaskKey, run: Run) {
         self.committed = self.committed.saturating_add(&run.reserved);
+        if run.lasts {
+            self.long_held = self.long_held.saturating_add(&run.reserved);
+        }
         self.expected_use += expected_use(run.demand, run.lasts);
         self.has_stops |= matches!(run.state, RunState::Stopping { .. });
         if let Some(replaced) = self.runs.insert(task, run) {
@@ -253,6 +259,9 @@
     /// Subtracts a run from the totals.
     fn release(&mut self, run: &Run) {
         self.committed = self.committed.saturating_sub(&run.reserved);
+        if run.lasts {
+            self.long_held = self.long_held.saturating_sub(&run.reserved);
+        }
         self.expected_use -= expected_use(run.demand, run.lasts);
         self.has_changed = true;
     }
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -96,3 +96,26 @@
     assert_eq!(world.running(1), 3);
     world.assert_no_violations();
 }
+
+/// Guards against a long-running task that waits although a worker has room, because that worker is kept
+/// free for a larger task that cannot get room there.
+#[test]
+fn a_small_restart_does_not_wait_for_a_large_one() {
+    let mut world = World::new(7, 2, 8_000);
+    world.claim();
+    world.run(500);
+    world.submit(1, &long_running(1, 7_000));
+    world.run(100);
+    world.submit(2, &long_running(1, 5_000));
+    world.submit(3, &long_running(1, 2_000));
+    world.run(500);
+    assert_ne!(world.holder(1), world.holder(3));
+    let holder = world.holder(1);
+    world.fleet.restart(world.now, holder);
+    world.fleet.workers[holder].is_unreachable = true;
+    world.run(SILENT_WORKER_LIMIT);
+    world.fleet.fail_job(world.now, JobId(3));
+    world.run(RESTART_LIMIT);
+    assert_eq!(world.running(3), 1);
+    world.assert_no_violations();
+}
