Give up a task that crashes the workers that start it

Each start took a worker and all its other runs away for some seconds.

Cause: a run that was lost with its worker counted against no limit. `lose_run` put the task back into the queue, whatever had ended the worker, and nothing remembered the run once the lease was over.

Change: a run that is lost soon after its start is suspect. It counts against its task once the process of its worker has certainly ended: a new incarnation reports, or another worker answers at the address, also after the lease. A worker that was cut off, was silent or had announced that it leaves counts for nothing. After two crashes (three, if the last run was past its start) the job ends as failed. Other tasks on the worker must not be blamed, so a task runs on trial from the first suspicion on: on a worker without recent starts, on which nothing else starts until 200 ms after the start was confirmed. A second crash then has one possible cause. A run that is reported a second after its start ends the trial. The counts have records of their own (`c/ID`), so that a later owner knows them, records of earlier versions stay readable and hosts of earlier versions skip them. A worker whose address answers for another one loses its runs at once.

Conclusion: the number of starts of such a task is bounded; its neighbours are lost once with it and are not failed.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -33,6 +33,17 @@
     pub is_new: bool,
 }
 
+/// Limits on the workers that `find_worker` considers.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Search<'a> {
+    /// The only rack to use.
+    pub rack: Option<&'a Name>,
+    /// Whether to leave out the workers that have not changed since the last pass.
+    pub only_changed: bool,
+    /// Whether to leave out the workers with recent starts.
+    pub only_quiet: bool,
+}
+
 /// A worker that one placement pass may use.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Candidate {
@@ -73,6 +84,10 @@
 
     /// Brings the room of a worker up to date after a start.
     pub(super) fn update_candidate(&self, candidates: &mut Candidates, slot: usize) {
+        if self.workers.at(slot).is_some_and(Worker::is_exclusive) {
+            candidates.retain(|other| other.slot != slot);
+            return;
+        }
         let found = candidates.iter_mut().find(|other| other.slot == slot);
         if let (Some(candidate), Some(worker)) = (found, self.workers.at(slot)) {
             candidate.free = worker.free();
@@ -97,22 +112,19 @@
             return false;
         };
         let (service, step) = (&queue.service, task.step);
-        self.find_worker(now, service, spec, step, None, candidates, false)
+        self.find_worker(now, service, spec, step, candidates, Search::default())
             .is_some()
     }
 
-    /// Returns the slot of the best candidate for a task of a step, or `None` if no worker has
-    /// room; `only_changed` leaves out those that have not changed since the last pass.
-    #[allow(clippy::too_many_arguments)]
+    /// Returns the slot of the best candidate for a task of a step, or `None` if no worker has room.
     pub(super) fn find_worker(
         &self,
         now: Now,
         service: &Name,
         spec: &StepSpec,
         step: StepId,
-        rack: Option<&Name>,
         candidates: &Candidates,
-        only_changed: bool,
+        search: Search<'_>,
     ) -> Option<usize> {
         let requirements = TaskRequirements {
             reserved: spec.reserved(),
@@ -132,7 +144,7 @@
             false => MAX_WORKER_STARTS,
         };
         let with_room = candidates.iter().filter(|candidate| {
-            (candidate.has_changed || !only_changed)
+            (candidate.has_changed || !search.only_changed)
                 && candidate.starts < max_starts
                 && requirements.reserved.fits(&candidate.free)
         });
@@ -142,7 +154,10 @@
             if worker.service != *service {
                 return None;
             }
-            if rack.is_some() && worker.rack() != rack {
+            if search.rack.is_some() && worker.rack() != search.rack {
+                return None;
+            }
+            if search.only_quiet && !worker.is_quiet() {
                 return None;
             }
             if spec.spread > 0 && worker.count_tasks(step) >= usize::from(spec.spread) {
@@ -199,6 +214,7 @@
     pub(super) fn is_usable(&self, now: Millis) -> bool {
         self.is_ready
             && self.is_recorded
+            && !self.is_exclusive()
             && self.unanswered < 2
             && self
                 .last_report
--- /dev/null
+++ b/src/process/shard/crashes.rs
@@ -0,0 +1,239 @@
+//! Counts the workers whose processes end right after they have started a task, and gives up a task
+//! that ends them again and again.
+//!
+//! A run that is lost with its worker soon after its start is suspect. It counts against its task only
+//! once the worker's process has certainly ended: it has restarted, or another worker has its address.
+//! From the suspicion on, the task runs on trial: none of its workers starts another task until the
+//! run has survived its start, so that no other task is blamed for a crash that it causes.
+
+use super::shard::{Now, Shard};
+use super::worker::{Run, RunState, Worker};
+use crate::base::{Millis, Name};
+use crate::request::job::{JobId, Outcome, TaskCrashes, TaskKey};
+use crate::version::ShardRecord;
+
+/// Crashed workers after which a task is given up. The proof of a crash may come after the next start,
+/// and each change of the owner may lose one crash, since starts are not recorded.
+const MAX_CRASHES: usize = 2;
+/// The same if the start of the last run was over before the crash, which may have another cause.
+const MAX_LATE_CRASHES: usize = 3;
+/// A worker that reports this long after a start order has survived the start, in milliseconds. The
+/// order may take up to 700 ms.
+const SURVIVAL_TIME: Millis = Millis(1_000);
+/// How long no other task starts on the worker of a run on trial once the start is confirmed, in
+/// milliseconds. A task that crashes its workers does so within some 10 ms.
+const EXCLUSIVE_TIME: Millis = Millis(200);
+/// How long a task on trial waits for a worker without recent starts, in milliseconds; then any worker
+/// with room will do.
+const QUIET_WAIT: Millis = Millis(2_000);
+/// How long a worker that is gone is asked whether its process has ended, in milliseconds. A crashed
+/// worker is back after some seconds.
+const PROOF_TIME: Millis = Millis(30_000);
+
+/// A run that was lost with its worker soon after its start.
+#[derive(Debug, Clone, Copy)]
+pub struct SuspectRun {
+    task: TaskKey,
+    run: u64,
+    started: Millis,
+    lost: Millis,
+    /// Whether its worker had not reported since its start was over.
+    is_recent: bool,
+}
+
+/// A restart of a worker, as seen by the owner.
+#[derive(Debug, Clone, Copy)]
+pub struct Restart {
+    /// When the first report of the new incarnation arrived.
+    pub seen: Millis,
+    /// When the last report of the earlier incarnation arrived.
+    pub last_report: Option<Millis>,
+}
+
+impl Shard {
+    /// Remembers a lost run if its start may have crashed the worker.
+    pub(super) fn suspect_run(&mut self, now: Now, worker_id: &Name, task: TaskKey, run: &Run) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if run.is_adopted || worker.is_draining || worker.has_survived(run) {
+            return;
+        }
+        let is_recent = !worker.is_past_start(run);
+        worker.suspects.push(SuspectRun {
+            task,
+            run: run.run,
+            started: run.started,
+            lost: now.steady,
+            is_recent,
+        });
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.begin_trial(task, now.steady);
+        }
+    }
+
+    /// Applies a report to the suspect runs of its worker and to the runs on trial there.
+    pub(super) fn check_crashes(&mut self, now: Now, worker_id: &Name) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if worker.suspects.is_empty() && worker.trials.is_empty() {
+            return;
+        }
+        let restart = worker.restart;
+        // The process that has answered is the one that got the other runs: it was only cut off.
+        let mut proven = std::mem::take(&mut worker.suspects);
+        proven.retain(|suspect| restart.is_some_and(|restart| suspect.started < restart.seen));
+        self.count_crashes(now, worker_id, &proven);
+        self.end_trials(worker_id);
+    }
+
+    /// Counts all suspect runs of a worker whose process has ended for good.
+    pub(super) fn prove_crashes(&mut self, now: Now, worker_id: &Name) {
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            let proven = std::mem::take(&mut worker.suspects);
+            self.count_crashes(now, worker_id, &proven);
+        }
+    }
+
+    /// Counts the crash of a worker against the tasks whose runs have caused it, as far as is known.
+    fn count_crashes(&mut self, now: Now, worker_id: &Name, proven: &[SuspectRun]) {
+        // Most likely the newest run has crashed the worker.
+        let has_recent = proven.iter().any(|suspect| suspect.is_recent);
+        for suspect in proven.iter().filter(|run| run.is_recent || !has_recent) {
+            let id = suspect.task.step.job;
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let crashes = job.count_crash(suspect.task, suspect.run, now.steady);
+            if crashes == 0 {
+                continue;
+            }
+            let limit = match suspect.is_recent {
+                true => MAX_CRASHES,
+                false => MAX_LATE_CRASHES,
+            };
+            let (task, run, shared) = (suspect.task, suspect.run, proven.len());
+            tracing::warn!(%task, run, worker = %worker_id, crashes, limit, shared, "worker crashed after the start of a run");
+            if crashes >= limit {
+                tracing::warn!(%task, run, worker = %worker_id, crashes, limit, "giving up a task that crashes its workers");
+                self.end_job(now, id, Outcome::Failed);
+            } else {
+                self.record_crashes(id);
+            }
+        }
+    }
+
+    /// Whether a task on trial should still wait for a worker without recent starts; `None` if it is
+    /// not on trial.
+    pub(super) fn trial_needs_quiet(&self, now: Now, task: TaskKey) -> Option<bool> {
+        let since = self.jobs.get(&task.step.job)?.trial_since(task)?;
+        Some(now.steady.since(since) < QUIET_WAIT)
+    }
+
+    /// Ends the trials of the runs that have survived their start.
+    fn end_trials(&mut self, worker_id: &Name) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let mut survived = Vec::new();
+        let mut trials = std::mem::take(&mut worker.trials);
+        trials.retain(|task| match worker.runs.get(task) {
+            Some(run) if worker.has_survived(run) => {
+                survived.push(*task);
+                false
+            }
+            run => run.is_some(),
+        });
+        worker.trials = trials;
+        for task in survived {
+            let job = self.jobs.get_mut(&task.step.job);
+            let was_recorded = job.is_some_and(|job| job.end_trial(task));
+            if was_recorded {
+                self.record_crashes(task.step.job);
+            }
+        }
+    }
+
+    /// Restores the crashes that earlier owners recorded.
+    pub(super) fn restore_crashes(&mut self, now: Now, recorded: Vec<(JobId, Vec<TaskCrashes>)>) {
+        for (id, crashes) in recorded {
+            match self.jobs.get_mut(&id) {
+                Some(job) => job.restore_crashes(&crashes, now.steady),
+                None => self.journal.push(&ShardRecord::Crashes(id, None), None),
+            }
+        }
+    }
+
+    /// Records the crashes that count against the tasks of a job, for later owners.
+    fn record_crashes(&mut self, id: JobId) {
+        if self.ending.contains_key(&id) {
+            return;
+        }
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let crashes = job.crashes();
+        let value = (!crashes.is_empty()).then_some(crashes);
+        self.journal.push(&ShardRecord::Crashes(id, value), None);
+    }
+}
+
+impl Worker {
+    /// When the incarnation of a run last reported.
+    fn last_report_with(&self, run: &Run) -> Option<Millis> {
+        match self.restart {
+            Some(restart) if run.started < restart.seen => restart.last_report,
+            _ => self.last_report,
+        }
+    }
+
+    /// Whether a report has shown that the process survived the start of a run.
+    fn has_survived(&self, run: &Run) -> bool {
+        let last_report = self.last_report_with(run);
+        last_report.is_some_and(|at| at >= run.started + SURVIVAL_TIME)
+    }
+
+    /// Whether a run has been reported long enough after its start for other tasks to start here.
+    fn is_past_start(&self, run: &Run) -> bool {
+        match run.state {
+            RunState::Active { since } => {
+                let last_report = self.last_report_with(run);
+                run.is_adopted || last_report.is_some_and(|at| at >= since + EXCLUSIVE_TIME)
+            }
+            _ => self.has_survived(run),
+        }
+    }
+
+    /// Whether all its runs are past their starts, so that a crash would be the doing of the next.
+    pub(super) fn is_quiet(&self) -> bool {
+        self.runs.values().all(|run| self.is_past_start(run))
+    }
+
+    /// The runs on trial here that are not past their starts.
+    fn exclusive_runs(&self) -> impl Iterator<Item = &Run> {
+        let on_trial = self.trials.iter().filter_map(|task| self.runs.get(task));
+        on_trial.filter(|run| !self.is_past_start(run))
+    }
+
+    /// Whether a run on trial here keeps other tasks from starting.
+    pub(super) fn is_exclusive(&self) -> bool {
+        self.exclusive_runs().next().is_some()
+    }
+
+    /// Whether a report requested now would end this, but not the pending one, sent at `waiting`.
+    pub(super) fn may_end_exclusion(&self, now: Millis, waiting: Millis) -> bool {
+        self.exclusive_runs().any(|run| match run.state {
+            RunState::Active { since } => {
+                since + EXCLUSIVE_TIME >= waiting && now > since + EXCLUSIVE_TIME
+            }
+            _ => false,
+        })
+    }
+
+    /// Whether it is still to be asked whether its process has ended.
+    pub(super) fn awaits_proof(&self, now: Millis) -> bool {
+        let newest = self.suspects.iter().map(|suspect| suspect.lost).max();
+        newest.is_some_and(|lost| now.since(lost) < PROOF_TIME)
+    }
+}
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -2,6 +2,7 @@
 //! durable.
 
 mod candidates;
+mod crashes;
 mod jobs;
 mod journal;
 mod recovery;
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -8,7 +8,7 @@
 use crate::base::Millis;
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
 use crate::platform::WorkerState;
-use crate::request::job::{Job, JobId, StartPermit};
+use crate::request::job::{Job, JobId, StartPermit, TaskCrashes};
 use crate::version::{JobStateRecord, ShardRecord};
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
@@ -186,6 +186,7 @@
         let records = std::mem::take(&mut self.loaded_records);
         let mut states: Vec<(JobId, JobStateRecord)> = Vec::new();
         let mut deferred: Vec<JobId> = Vec::new();
+        let mut crashes: Vec<(JobId, Vec<TaskCrashes>)> = Vec::new();
         for record in records {
             match record {
                 ShardRecord::Job(id, Some(job)) => {
@@ -195,6 +196,7 @@
                 }
                 ShardRecord::State(id, Some(state)) => states.push((id, state)),
                 ShardRecord::Deferred(id, true) => deferred.push(id),
+                ShardRecord::Crashes(id, Some(counted)) => crashes.push((id, counted)),
                 ShardRecord::Contention(learned) => self.contention.restore(&learned),
                 ShardRecord::Worker(id, Some(record)) => {
                     let worker = self.workers.get_or_insert(&id, || {
@@ -209,6 +211,7 @@
                 | ShardRecord::Job(_, None)
                 | ShardRecord::State(_, None)
                 | ShardRecord::Deferred(_, false)
+                | ShardRecord::Crashes(_, None)
                 | ShardRecord::Worker(_, None) => {}
             }
         }
@@ -241,6 +244,7 @@
         for id in ids {
             self.open_turns(now, id);
         }
+        self.restore_crashes(now, crashes);
         tracing::info!(
             epoch = self.owner.epoch,
             jobs = self.jobs.len(),
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -190,12 +190,16 @@
             answer => {
                 worker.unanswered += 1;
                 let is_refused = matches!(answer, Err(CallError::Refused));
+                let is_replaced = matches!(answer, Ok(WorkerAnswer::WrongWorker));
                 worker.has_left = is_refused && worker.is_draining && !worker.is_listed;
                 let pause = Millis(POLL_RETRY.0 * u64::from(worker.unanswered.min(10)));
                 worker.next_poll = now.steady + pause.min(MAX_POLL_RETRY);
                 if worker.unanswered == 3 {
                     tracing::warn!(worker = %worker_id, ?answer, "worker does not answer requests for reports");
                 }
+                if is_replaced {
+                    self.worker_gone(now, worker_id);
+                }
             }
         }
     }
@@ -228,8 +232,8 @@
                 tracing::warn!(worker = %worker_id, born, runs, "worker has restarted");
             }
             // The runs that this incarnation lists may hold a lease of the greatest length.
-            let lease = self.settings.granted_lease();
-            worker.begin_incarnation(report.start_time, report.clock + lease.0);
+            let lease_until = report.clock + self.settings.granted_lease().0;
+            worker.begin_incarnation(now.steady, report.start_time, lease_until);
         }
         if worker.is_stale(report.clock) {
             return;
@@ -249,6 +253,7 @@
             self.update_run(now, worker_id, listed);
         }
         self.lose_missing_runs(now, worker_id, sent, &report);
+        self.check_crashes(now, worker_id);
         self.throttle(now, worker_id, out);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             stop_stalled(worker, now.steady);
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -152,6 +152,9 @@
         if job.start_permit != StartPermit::Granted {
             self.journal.push(&ShardRecord::Deferred(id, false), None);
         }
+        if !job.trials.is_empty() {
+            self.journal.push(&ShardRecord::Crashes(id, None), None);
+        }
         tracing::info!(job = %id, ?outcome, "job ends");
     }
 
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -2,7 +2,7 @@
 //! without it until it runs again, and under load other tasks would take up all room that becomes
 //! free.
 
-use super::candidates::Candidates;
+use super::candidates::{Candidates, Search};
 use super::jobs::waiting_steps;
 use super::shard::{Now, Phase, Shard, ShardAction};
 use crate::base::Millis;
@@ -134,9 +134,12 @@
         let Some(spec) = spec.steps.get(usize::from(key.step.step)) else {
             return Restart::Over;
         };
-        let find = |workers: &Candidates| {
-            self.find_worker(now, &service, spec, key.step, None, workers, false)
+        let search = Search {
+            only_quiet: self.trial_needs_quiet(now, key) == Some(true),
+            ..Search::default()
         };
+        let find =
+            |workers: &Candidates| self.find_worker(now, &service, spec, key.step, workers, search);
         // Waiting is worse for a long-running task than a failed run, which does not count against its
         // attempts.
         let Some(slot) = find(candidates).or_else(|| find(suspects)) else {
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -49,6 +49,7 @@
             speed_limit: 100,
             halted_since: None,
             is_orphaned: false,
+            is_adopted: true,
         };
         if let Some(job) = job {
             if let Some(spec) = job.spec.steps.get(usize::from(task_key.step.step)) {
@@ -213,6 +214,7 @@
             self.enqueue(task.step.job);
             return;
         }
+        self.suspect_run(now, worker_id, task, &run);
         let job = self.jobs.get_mut(&task.step.job);
         if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
             entry.has_run |= run.state != RunState::Starting;
@@ -225,6 +227,18 @@
         self.requeue(now, task);
     }
 
+    /// Loses all runs of a worker whose process has ended, while another worker has its address.
+    pub(super) fn worker_gone(&mut self, now: Now, worker_id: &Name) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let tasks: Vec<TaskKey> = worker.runs.keys().copied().collect();
+        for task in tasks {
+            self.lose_run(now, worker_id, task, Ending::Lapsed);
+        }
+        self.prove_crashes(now, worker_id);
+    }
+
     /// Makes a task whose run has ended wait for its next run.
     pub(super) fn requeue(&mut self, now: Now, task: TaskKey) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -1,6 +1,6 @@
 //! Assigns waiting tasks to workers and orders their starts.
 
-use super::candidates::{Candidates, MAX_COMPARED, UnmetRequirements};
+use super::candidates::{Candidates, MAX_COMPARED, Search, UnmetRequirements};
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
 use super::worker::{Run, RunState};
 use crate::base::{Millis, Name};
@@ -118,6 +118,7 @@
             return Some(());
         }
         let known_unmet = unmet.iter().position(is_unmet);
+        let has_trials = !job.trials.is_empty();
         let only_found = self.phase != Phase::Active && self.recovered.contains(&key.step.job);
         let may_start =
             |task: &Task| task.state == TaskState::Waiting && (task.is_found || !only_found);
@@ -141,19 +142,32 @@
             }
             return Some(());
         }
+        let mut is_held = false;
         for task in waiting {
             if self.is_starting_full() {
                 return Some(());
             }
-            let only_changed = known_unmet.is_some();
+            let trial = match has_trials {
+                true => self.trial_needs_quiet(now, task),
+                false => None,
+            };
+            let search = Search {
+                rack: None,
+                only_changed: known_unmet.is_some() && trial.is_none(),
+                only_quiet: trial == Some(true),
+            };
             let step = key.step;
-            let mut found =
-                self.find_worker(now, &service, spec, step, None, candidates, only_changed);
-            if found.is_none() && spec.lasts && !only_changed {
+            let mut found = self.find_worker(now, &service, spec, step, candidates, search);
+            if found.is_none() && spec.lasts && !search.only_changed {
                 // Waiting is worse for a long-running task than a failed run, which does not count
                 // against its attempts.
                 let suspects = self.usable(now, |worker| worker.suspect_until > now.steady);
-                found = self.find_worker(now, &service, spec, step, None, &suspects, false);
+                found = self.find_worker(now, &service, spec, step, &suspects, search);
+            }
+            if found.is_none() && trial.is_some() {
+                // Tasks that are not on trial may find a worker all the same.
+                is_held = true;
+                continue;
             }
             let Some(slot) = found else {
                 let known = known_unmet.and_then(|index| unmet.get_mut(index));
@@ -175,7 +189,7 @@
             self.start_task(now, slot, spec, task, None, out);
             self.update_candidate(candidates, slot);
         }
-        only_found.then_some(())
+        (only_found || is_held).then_some(())
     }
 
     /// Places all tasks of a gang, or none.
@@ -191,6 +205,10 @@
         let Some(step) = tasks.first().map(|task| task.step) else {
             return;
         };
+        let mut trials = tasks
+            .iter()
+            .filter_map(|task| self.trial_needs_quiet(now, *task));
+        let needs_quiet = trials.any(|needs_quiet| needs_quiet);
         let racks = match spec.same_rack {
             true => self.racks(service, spec),
             false => vec![None],
@@ -198,8 +216,12 @@
         for rack in racks {
             let mut chosen: Vec<usize> = Vec::new();
             for task in tasks {
-                let rack = rack.as_ref();
-                let found = self.find_worker(now, service, spec, step, rack, candidates, false);
+                let search = Search {
+                    rack: rack.as_ref(),
+                    only_changed: false,
+                    only_quiet: needs_quiet,
+                };
+                let found = self.find_worker(now, service, spec, step, candidates, search);
                 let Some(slot) = found else {
                     break;
                 };
@@ -285,9 +307,13 @@
         entry.runs = ordinal.unwrap_or(entry.runs + 1);
         let run = run_number(epoch, entry.runs);
         let checkpoint = entry.checkpoint.clone();
+        let is_trial = job.trial_since(task).is_some();
         let mut placed = new_run(spec, run, now.steady);
         placed.checkpoint.clone_from(&checkpoint);
         worker.add_run(task, placed);
+        if is_trial {
+            worker.trials.push(task);
+        }
         worker.pending_starts += 1;
         self.pending_starts += 1;
         worker.lease_until = worker.lease_until.max(until);
@@ -335,6 +361,7 @@
         speed_limit: 100,
         halted_since: None,
         is_orphaned: false,
+        is_adopted: false,
     }
 }
 
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -64,7 +64,7 @@
         self.open_due(now);
         self.replace_expired_keys();
         self.expire_outcomes(now);
-        self.record_workers();
+        self.record_workers(now);
         self.record_contention(now);
         self.log_waiting(now);
         if self.journal.is_failing(now.steady) {
@@ -162,11 +162,12 @@
     }
 
     /// Records new and changed workers, and drops those that are gone.
-    fn record_workers(&mut self) {
+    fn record_workers(&mut self, now: Now) {
         let mut removed: Vec<Name> = Vec::new();
         for worker in self.workers.iter_mut() {
             let is_idle = worker.runs.is_empty() && worker.acknowledged == worker.processed;
-            if !worker.is_listed && is_idle && self.phase == Phase::Active {
+            let is_done = is_idle && !worker.awaits_proof(now.steady);
+            if !worker.is_listed && is_done && self.phase == Phase::Active {
                 removed.push(worker.id.clone());
             } else if worker.is_listed && !worker.is_recording && worker.needs_record() {
                 worker.is_recording = true;
@@ -257,19 +258,23 @@
         !self.is_recorded || self.recorded_leaving != self.is_draining
     }
 
-    /// Whether a confirmed stop needs a report at once: the run must have ended by now, but the
-    /// pending report may have been requested too early to show it.
+    /// Whether a report is needed at once. A confirmed stop must have ended its run by now, or a run on
+    /// trial its exclusion, but the pending report may have been requested too early to show it.
     fn needs_immediate_poll(&self, now: Millis, stop_time: Millis) -> bool {
-        let Some(waiting) = self.long_poll.filter(|_| self.has_stops) else {
+        let Some(waiting) = self.long_poll else {
             return false;
         };
-        self.runs.values().any(|run| match run.state {
-            RunState::Stopping {
-                confirmed: Some(at),
-                ..
-            } => at + stop_time >= waiting && now > at + stop_time,
-            _ => false,
-        })
+        if !self.trials.is_empty() && self.may_end_exclusion(now, waiting) {
+            return true;
+        }
+        self.has_stops
+            && self.runs.values().any(|run| match run.state {
+                RunState::Stopping {
+                    confirmed: Some(at),
+                    ..
+                } => at + stop_time >= waiting && now > at + stop_time,
+                _ => false,
+            })
     }
 }
 
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::crashes::{Restart, SuspectRun};
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{BestEffortGroup, Headroom, JobId, ServingTask, TaskKey};
 
@@ -60,6 +61,8 @@
     pub halted_since: Option<Millis>,
     /// Whether the run is not the current one of its task, so that it only has to end.
     pub is_orphaned: bool,
+    /// Whether it was found in a report, so that its start is over.
+    pub is_adopted: bool,
 }
 
 /// One worker, over all its incarnations.
@@ -133,6 +136,13 @@
     pub over_since: Option<Millis>,
     /// When a report was last used to learn the contention between its tasks.
     pub last_learned: Millis,
+    /// The newest restart of its process.
+    pub restart: Option<Restart>,
+    /// Runs that were lost here soon after their start; it is not known yet whether the process ended.
+    pub suspects: Vec<SuspectRun>,
+    /// Tasks on trial here, which have not survived their start yet. Meanwhile no other task starts
+    /// here.
+    pub trials: Vec<TaskKey>,
 }
 
 impl Worker {
@@ -174,6 +184,9 @@
             suspect_until: Millis(0),
             over_since: None,
             last_learned: Millis(0),
+            restart: None,
+            suspects: Vec::new(),
+            trials: Vec::new(),
         }
     }
 
@@ -191,7 +204,13 @@
 
     /// Resets what belongs to the earlier incarnation. Its runs stay on record until a report of
     /// the new one does not list them.
-    pub fn begin_incarnation(&mut self, incarnation: u64, lease_until: u64) {
+    pub fn begin_incarnation(&mut self, now: Millis, incarnation: u64, lease_until: u64) {
+        if self.incarnation.is_some() {
+            self.restart = Some(Restart {
+                seen: now,
+                last_report: self.last_report,
+            });
+        }
         self.incarnation = Some(incarnation);
         self.clock = None;
         self.lease_until = lease_until;
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -7,6 +7,7 @@
 
 use super::progress::{JobProgress, StepProgress, TurnProgress};
 use super::spec::{JobId, JobSpec, StepId, TaskKey};
+use super::trials::Trial;
 use crate::base::Name;
 
 /// Most failed runs that are remembered for one task; older ones are dropped.
@@ -115,6 +116,8 @@
     /// Whether this owner or an earlier one has ordered a run of any task.
     pub has_started: bool,
     pub start_permit: StartPermit,
+    /// Tasks whose newest run may have crashed its worker.
+    pub trials: BTreeMap<TaskKey, Trial>,
 }
 
 /// Whether tasks of a job may start. The record that a job has not started has to be deleted before
@@ -141,6 +144,7 @@
             outcome: None,
             has_started: false,
             start_permit: StartPermit::default(),
+            trials: BTreeMap::new(),
         }
     }
 
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -9,6 +9,7 @@
 mod progress;
 mod regression;
 mod spec;
+mod trials;
 
 pub use contention::{
     BestEffortGroup, Contention, Headroom, ImageInterference, LearnedImage, LearnedSlope,
@@ -19,3 +20,4 @@
 pub use order::{ObjectiveStatus, OrderKey, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
+pub use trials::{TaskCrashes, Trial};
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::base::Name;
-use crate::request::job::{JobId, JobProgress, JobSpec, LearnedImage, Outcome};
+use crate::request::job::{JobId, JobProgress, JobSpec, LearnedImage, Outcome, TaskCrashes};
 
 /// Why a record could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -72,6 +72,9 @@
     Deferred(JobId, bool),
     /// What the owner has learned of the interference between images.
     Contention(Vec<LearnedImage>),
+    /// Runs of a job's tasks that have crashed their workers. They have a record of their own, since
+    /// hosts of earlier versions skip unknown keys but could not decode another form of the state.
+    Crashes(JobId, Option<Vec<TaskCrashes>>),
 }
 
 const OWNER: &str = "owner";
@@ -86,6 +89,7 @@
             ShardRecord::State(id, _) => format!("s/{id}"),
             ShardRecord::Deferred(id, _) => format!("n/{id}"),
             ShardRecord::Contention(_) => CONTENTION.to_owned(),
+            ShardRecord::Crashes(id, _) => format!("c/{id}"),
         }
     }
 
@@ -99,6 +103,7 @@
             ShardRecord::Deferred(_, true) => Bytes::from_static(&[1]),
             ShardRecord::Deferred(_, false) => Bytes::new(),
             ShardRecord::Contention(learned) => encode(learned),
+            ShardRecord::Crashes(_, value) => value.as_ref().map(encode).unwrap_or_default(),
         }
     }
 
@@ -131,6 +136,10 @@
                 id.parse().map_err(|_| unknown())?,
                 !value.is_empty(),
             )),
+            "c" => Ok(ShardRecord::Crashes(
+                id.parse().map_err(|_| unknown())?,
+                decode_optional(key, value)?,
+            )),
             _ => Err(unknown()),
         }
     }
--- /dev/null
+++ b/tests/shard/crashes.rs
@@ -0,0 +1,228 @@
+//! Tasks that crash the workers that start them, and workers that crash for other reasons.
+
+use jayfork::process::shard::Reply;
+use jayfork::request::job::{JobId, JobSpec, Outcome, TaskCrashes};
+use jayfork::version::{JobStateRecord, ShardRecord};
+use yare::parameterized;
+
+use super::world::{World, chain, long_running};
+
+const COMPLETED: Option<Outcome> = Some(Outcome::Completed);
+const FAILED: Option<Outcome> = Some(Outcome::Failed);
+
+fn outcome(world: &mut World, id: u64) -> Option<Outcome> {
+    match world.state(id) {
+        Some(Reply::State { outcome, .. }) => outcome,
+        other => panic!("job {id} has no state: {other:?}"),
+    }
+}
+
+/// A simulation with one owner, whose workers return under another id if `renames` is set.
+fn world_with_owner(seed: u64, workers: usize, renames: bool) -> World {
+    let mut world = World::new(seed, workers, 8_000);
+    world.renames = renames;
+    world.claim();
+    world.run(500);
+    world
+}
+
+fn submit_crashing(world: &mut World, id: u64, spec: &JobSpec) {
+    world.fleet.crashing.insert(JobId(id));
+    world.submit(id, spec);
+}
+
+/// Guards against a task that crashes each worker that starts it and is started again and again:
+/// runs lost with their worker counted against no limit.
+#[parameterized(
+    restarted = { false, false },
+    replaced = { true, false },
+    long_running_restarted = { false, true },
+    long_running_replaced = { true, true },
+)]
+fn a_task_that_crashes_its_workers_is_given_up(renames: bool, lasts: bool) {
+    let mut world = world_with_owner(7, 12, renames);
+    let spec = match lasts {
+        true => long_running(1, 1_000),
+        false => chain(&[1], 1_000),
+    };
+    submit_crashing(&mut world, 1, &spec);
+    world.run(60_000);
+    world.assert_no_violations();
+    assert_eq!(outcome(&mut world, 1), FAILED);
+}
+
+/// Guards against crashes that a change of the owner forgets, so that the task is started too often.
+#[parameterized(
+    restarted = { false },
+    replaced = { true },
+)]
+fn crashes_are_counted_across_owners(renames: bool) {
+    for delay in [200, 2_000, 7_500, 9_000, 14_000] {
+        let mut world = world_with_owner(delay, 12, renames);
+        submit_crashing(&mut world, 1, &chain(&[1], 1_000));
+        for _ in 0..2 {
+            world.run(delay);
+            let owner = world.owner().expect("an owner");
+            world.kill(owner);
+            world.run(300);
+            world.claim();
+        }
+        world.run(90_000);
+        world.assert_no_violations();
+        assert_eq!(
+            outcome(&mut world, 1),
+            FAILED,
+            "owner killed every {delay} ms"
+        );
+    }
+}
+
+/// Guards against jobs that fail because their tasks run beside one that crashes its workers.
+#[parameterized(
+    restarted = { false, false },
+    replaced = { true, false },
+    owner_killed = { true, true },
+)]
+fn tasks_beside_one_that_crashes_its_workers_do_not_fail(renames: bool, kills: bool) {
+    for seed in 0..8 {
+        let mut world = world_with_owner(seed, 12, renames);
+        world.submit(1, &long_running(6, 1_000));
+        world.run(2_000);
+        for id in 10..22 {
+            world.submit(id, &chain(&[4, 4], 500));
+            world.run(5);
+            submit_crashing(&mut world, id + 100, &chain(&[1], 500));
+        }
+        world.submit(2, &long_running(6, 1_000));
+        if kills {
+            world.run(6_200);
+            let owner = world.owner().expect("an owner");
+            world.kill(owner);
+            world.run(300);
+            world.claim();
+        }
+        for id in 30..60 {
+            world.submit(id, &chain(&[2, 2], 500));
+            world.run(400);
+        }
+        world.run(90_000);
+        world.assert_no_violations();
+        for id in (10..22).chain(30..60) {
+            assert_eq!(outcome(&mut world, id), COMPLETED, "job {id}, seed {seed}");
+        }
+        for id in 110..122 {
+            assert_eq!(outcome(&mut world, id), FAILED, "job {id}, seed {seed}");
+        }
+        assert_eq!((world.running(1), world.running(2)), (6, 6));
+    }
+}
+
+/// Guards against jobs that fail because their workers crash for reasons of their own.
+#[parameterized(
+    restarted = { false },
+    replaced = { true },
+)]
+fn tasks_of_workers_that_crash_by_themselves_do_not_fail(renames: bool) {
+    let mut world = world_with_owner(7, 4, renames);
+    world.runtimes = 1_500..2_300;
+    world.submit(1, &long_running(4, 1_000));
+    world.submit(2, &chain(&[4, 4], 1_000));
+    for worker in [0, 1, 2, 3, 0, 1, 2, 3] {
+        world.run(2_500);
+        world.crash(worker);
+    }
+    world.run(30_000);
+    world.assert_no_violations();
+    assert_eq!(outcome(&mut world, 2), COMPLETED);
+    assert_eq!(world.running(1), 4);
+}
+
+/// Guards against runs on a worker that was only cut off being counted as crashes.
+#[test]
+fn tasks_of_workers_that_are_cut_off_do_not_fail() {
+    let mut world = world_with_owner(7, 3, false);
+    world.submit(1, &long_running(3, 1_000));
+    for worker in [0, 1, 2, 0, 1, 2] {
+        world.submit(10 + world.now, &chain(&[6], 500));
+        world.run(30);
+        world.fleet.workers[worker].is_unreachable = true;
+        world.run(9_000);
+        world.fleet.workers[worker].is_unreachable = false;
+        world.run(1_000);
+    }
+    world.run(10_000);
+    world.assert_no_violations();
+    assert_eq!(world.running(1), 3);
+    let failed = world.fleet.specs.keys().map(|task| task.step.job.0);
+    let mut jobs: Vec<u64> = failed.filter(|id| *id != 1).collect();
+    jobs.dedup();
+    for id in jobs {
+        assert_eq!(outcome(&mut world, id), COMPLETED);
+    }
+}
+
+/// Guards against a gang that crashes its workers and is started again and again.
+#[test]
+fn a_gang_that_crashes_its_workers_is_given_up() {
+    let mut world = world_with_owner(7, 12, true);
+    let mut spec = chain(&[3], 1_000);
+    spec.steps[0].gang = true;
+    submit_crashing(&mut world, 1, &spec);
+    world.run(60_000);
+    world.assert_no_violations();
+    assert_eq!(outcome(&mut world, 1), FAILED);
+}
+
+/// Guards against runs that count as crashes although their worker announced that it was leaving.
+#[test]
+fn tasks_of_workers_that_leave_do_not_fail() {
+    let mut world = world_with_owner(7, 2, true);
+    for id in 0..8 {
+        let worker = id as usize % 2;
+        world.submit(id + 1, &chain(&[6], 500));
+        world.run(100);
+        world.drain(worker);
+        world.run(50);
+        world.crash(worker);
+        world.run(12_000);
+        world.fleet.workers[worker].is_leaving = false;
+        world.refresh(worker);
+        world.run(2_000);
+    }
+    world.assert_no_violations();
+    for id in 0..8 {
+        assert_eq!(outcome(&mut world, id + 1), COMPLETED, "job {}", id + 1);
+    }
+}
+
+/// Guards against records of an earlier version that can no longer be read because crashes are recorded
+/// too.
+#[test]
+fn records_without_crashes_are_still_read() {
+    // Turn 3 comes next; in turn 2, task 1 of step 0 is done and task 0 has failed as run 65537.
+    let value = [0, 3, 1, 2, 1, 1, 2, 1, 0, 1, 252, 1, 0, 1, 0, 0];
+    let decoded = ShardRecord::decode("s/0000000000000007", &value);
+    let Ok(ShardRecord::State(JobId(7), Some(JobStateRecord::Open(progress)))) = decoded else {
+        panic!("{decoded:?}");
+    };
+    assert_eq!(progress.next_turn, 3);
+    let step = &progress.turns[0].steps[0];
+    assert!(step.is_done(1) && !step.is_done(0));
+    assert_eq!(step.failures, [(0, vec![65_537])]);
+}
+
+/// Guards against crashes that a later owner reads differently than they were recorded.
+#[test]
+fn recorded_crashes_are_read_back() {
+    let crashes = TaskCrashes {
+        turn: 2,
+        step: 1,
+        index: 300,
+        runs: vec![65_537, 131_074],
+    };
+    for value in [Some(vec![crashes]), None] {
+        let record = ShardRecord::Crashes(JobId(7), value);
+        let decoded = ShardRecord::decode(&record.key(), &record.value());
+        assert_eq!(decoded, Ok(record));
+    }
+}
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -10,6 +10,8 @@
 };
 use jayfork::request::job::{Ending, JobId, JobSpec, TaskKey};
 
+use super::crash_model::CRASH_DELAY;
+
 /// Time that a worker takes to stop a run, in milliseconds.
 const STOP_TIME: u64 = 400;
 
@@ -55,6 +57,14 @@
     pub is_unreachable: bool,
     /// Until when its process is starting and gives no answers.
     pub down_until: u64,
+    /// When its process ends because of a task that it has started.
+    pub crash_at: Option<u64>,
+    /// When its entry is removed from the registry, after a crash.
+    pub unlisted_at: Option<u64>,
+    /// When a process listens at its address again, after a crash.
+    pub returns_at: Option<u64>,
+    /// How often another worker has taken over its address.
+    pub renamed: u64,
 }
 
 /// Time that a worker's process takes to start, in milliseconds; longer than an owner's pause
@@ -70,6 +80,12 @@
     pub acknowledged: HashSet<TaskKey>,
     pub done: HashSet<TaskKey>,
     pub failures: HashMap<TaskKey, u32>,
+    /// Jobs whose tasks crash the workers that start them.
+    pub crashing: HashSet<JobId>,
+    /// Crashes of workers while they ran the task, for each task.
+    pub crashes: HashMap<TaskKey, u32>,
+    /// Starts of each task after `MAX_CRASHES` crashes.
+    pub late_starts: HashMap<TaskKey, u32>,
     pub starts: u64,
     pub violations: Vec<String>,
     /// Events of each task, for the messages of violations.
@@ -94,6 +110,10 @@
             is_gone: false,
             is_unreachable: false,
             down_until: 0,
+            crash_at: None,
+            unlisted_at: None,
+            returns_at: None,
+            renamed: 0,
         });
         Fleet {
             workers: workers.collect(),
@@ -101,6 +121,9 @@
             acknowledged: HashSet::new(),
             done: HashSet::new(),
             failures: HashMap::new(),
+            crashing: HashSet::new(),
+            crashes: HashMap::new(),
+            late_starts: HashMap::new(),
             starts: 0,
             violations: Vec::new(),
             history: HashMap::new(),
@@ -111,7 +134,7 @@
         self.history.entry(task).or_default().push(text);
     }
 
-    fn report_violation(&mut self, task: TaskKey, text: String) {
+    pub fn report_violation(&mut self, task: TaskKey, text: String) {
         let history = self.history.get(&task).cloned().unwrap_or_default();
         self.violations.push(format!("{text}; {history:?}"));
     }
@@ -284,6 +307,9 @@
             false => now + runtime,
         };
         let worker = &mut self.workers[index];
+        if self.crashing.contains(&task.step.job) {
+            worker.crash_at.get_or_insert(now + CRASH_DELAY);
+        }
         worker.runs.insert(
             task,
             Run {
@@ -326,6 +352,7 @@
         if !lasts && u64::from(failures) >= attempts {
             self.report_violation(task, format!("{task} starts after {failures} failures"));
         }
+        self.check_crashes(task);
         for after in &spec.steps[usize::from(task.step.step)].after {
             for index in 0..spec.steps[usize::from(*after)].count {
                 let mut earlier = task;
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -2,6 +2,8 @@
 //! and repeated messages, killed and superseded owners, and outages of the store.
 
 mod cases;
+mod crash_model;
+mod crashes;
 mod fleet;
 mod random;
 mod restarts;
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -81,6 +81,8 @@
     pending_starts: HashMap<Name, usize>,
     /// Most start orders that were without an answer at once, in all and on one worker.
     pub max_pending_starts: (usize, usize),
+    /// Whether another worker takes over the address of a worker that has crashed.
+    pub renames: bool,
 }
 
 impl World {
@@ -99,6 +101,7 @@
             runtimes: 50..900,
             pending_starts: HashMap::new(),
             max_pending_starts: (0, 0),
+            renames: false,
         }
     }
 
@@ -156,7 +159,7 @@
         self.owners.push(Some(shard));
         self.perform(index, out);
         let listed_workers =
-            (0..self.fleet.workers.len()).filter(|worker| !self.fleet.workers[*worker].is_gone);
+            (0..self.fleet.workers.len()).filter(|worker| self.fleet.workers[*worker].is_listed());
         let changes = listed_workers.map(|worker| self.entry(worker));
         let event = ShardEvent::Registry(changes.collect());
         self.event(index, event);
@@ -164,7 +167,7 @@
     }
 
     /// The entry of a worker in the registry.
-    fn entry(&self, worker: usize) -> RegistryChange {
+    pub fn entry(&self, worker: usize) -> RegistryChange {
         let entry = RegistryEntry {
             service: SERVICE.into(),
             address: format!("10.0.0.{}:80", worker + 1)
@@ -180,7 +183,7 @@
             start_time: None,
             drain_time: None,
         };
-        RegistryChange::Set(worker_name(worker), entry)
+        RegistryChange::Set(self.worker_name(worker), entry)
     }
 
     /// Lets a worker announce that it leaves.
@@ -196,7 +199,7 @@
     pub fn leave(&mut self, worker: usize) {
         self.fleet.restart(self.now, worker);
         self.fleet.workers[worker].is_gone = true;
-        let change = RegistryChange::Removed(worker_name(worker));
+        let change = RegistryChange::Removed(self.worker_name(worker));
         if let Some(owner) = self.owner() {
             self.event(owner, ShardEvent::Registry(vec![change]));
         }
@@ -270,6 +273,7 @@
     fn step(&mut self) {
         self.now += STEP;
         self.fleet.advance(self.now);
+        self.advance_crashes();
         while let Some(entry) = self.messages.first_entry() {
             if entry.key().0 > self.now {
                 break;
@@ -287,7 +291,7 @@
         }
     }
 
-    fn event(&mut self, owner: usize, event: ShardEvent) {
+    pub fn event(&mut self, owner: usize, event: ShardEvent) {
         let time = self.time();
         let mut out = Vec::new();
         if let Some(shard) = &mut self.owners[owner] {
@@ -383,11 +387,16 @@
             Message::Order(owner, tag, call, delivery, incarnation) => {
                 let worker = worker_index(&call.worker);
                 let target = &self.fleet.workers[worker];
-                if target.is_gone {
+                if target.is_gone || target.returns_at.is_some() {
                     let answer = Err(CallError::Refused);
                     self.send(5, Message::Answer(owner, tag, answer));
                     return;
                 }
+                if call.worker != self.worker_name(worker) {
+                    let answer = Ok(WorkerAnswer::WrongWorker);
+                    self.send(5, Message::Answer(owner, tag, answer));
+                    return;
+                }
                 let is_unreachable = target.is_unreachable || target.down_until > self.now;
                 let is_restarted = target.incarnation != incarnation;
                 if is_unreachable || is_restarted {
@@ -409,7 +418,12 @@
                     .serve(now, worker, epoch, &call.order, fails, runtime);
                 if delivery == Delivery::Answered {
                     let after = self.rng.u64(1..25);
-                    self.send(after, Message::Answer(owner, tag, Ok(answer)));
+                    let crash_at = self.fleet.workers[worker].crash_at;
+                    let answer = match crash_at.is_some_and(|at| at < now + after) {
+                        true => Err(CallError::NoAnswer),
+                        false => Ok(answer),
+                    };
+                    self.send(after, Message::Answer(owner, tag, answer));
                 }
             }
             Message::Answer(owner, tag, answer) => {
@@ -458,10 +472,6 @@
     }
 }
 
-pub fn worker_name(index: usize) -> Name {
-    format!("worker-{index}").into()
-}
-
 fn worker_index(name: &str) -> usize {
     name.rsplit('-')
         .next()
