Test that a worker gets no starts over a capacity that shrinks while it runs

Workers may change their capacity while they run tasks; their registry entries show it. The model of the workers counts a smaller capacity 50 ms after its announcement, much earlier than the specification.

The code already holds: free room is the capacity of the newest entry less all reservations, which include the runs that are being stopped. It also covers that the room is used again when the worker grows.

--- /dev/null
+++ b/tests/shard/capacity.rs
@@ -0,0 +1,64 @@
+//! Workers whose capacity changes while they run tasks.
+
+use jayfork::base::Size;
+
+use super::fleet::Worker;
+use super::world::{World, chain, long_running};
+
+/// Time from the announcement of a smaller capacity until it counts, in milliseconds: starts that are
+/// on their way may still arrive. By the specification it is several seconds.
+const RESIZE_TIME: u64 = 50;
+
+impl Worker {
+    /// The capacity that starts must respect.
+    pub fn limit(&self, now: u64) -> Size {
+        let (former, until) = self.former;
+        match now < until {
+            true => self.capacity.max(&former),
+            false => self.capacity,
+        }
+    }
+}
+
+impl World {
+    /// Changes the capacity of a worker and announces it in the registry.
+    pub fn resize(&mut self, worker: usize, processors: u32) {
+        let target = &mut self.fleet.workers[worker];
+        target.former = (target.capacity, self.now + RESIZE_TIME);
+        target.capacity.processors = processors;
+        self.refresh(worker);
+    }
+}
+
+/// Guards against starts over the capacity of a worker that shrinks while it runs tasks, also while
+/// some of them are being stopped, and against room that is not used again when it grows.
+#[test]
+fn a_shrunk_worker_gets_no_starts_over_its_capacity() {
+    let mut world = World::new(7, 2, 8_000);
+    world.claim();
+    world.run(500);
+    world.submit(1, &long_running(8, 1_000));
+    for id in 10..30 {
+        world.submit(id, &chain(&[4], 1_000));
+    }
+    world.run(400);
+    for worker in [0, 1] {
+        world.resize(worker, 3_000);
+    }
+    for id in 30..50 {
+        world.submit(id, &chain(&[4], 500));
+        world.run(60);
+    }
+    world.cancel(1);
+    world.run(10_000);
+    world.assert_no_violations();
+    world.submit(2, &long_running(12, 1_000));
+    world.run(3_000);
+    assert_eq!(world.running(2), 6);
+    for worker in [0, 1] {
+        world.resize(worker, 8_000);
+    }
+    world.run(2_000);
+    assert_eq!(world.running(2), 12);
+    world.assert_no_violations();
+}
