Prove the end of a worker's process by the first report of another one at its address

Cause: the end of a process was proven only by an answer of another worker to a request for a report, and these requests are up to 0.6 s apart. A worker that returns and gets such a task at once is gone before the next one.

Change: the first report of a worker that appears after the recovery loses the runs of the workers that had its address before, and counts their crashes. It is looked up among all workers, once for each new worker.

Conclusion: no start on a new worker precedes the proof of the crash before.

--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -1,6 +1,6 @@
 //! Handles workers' answers to orders and their reports.
 
-use super::shard::{Now, Shard, ShardAction, WorkerTag};
+use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
 use super::watch::stop_stalled;
 use super::worker::RunState;
 use crate::base::{Millis, Name};
@@ -240,6 +240,7 @@
         }
         worker.set_clock(report.clock, now.steady);
         worker.last_report = Some(now.steady);
+        let is_first = worker.first_report.is_none();
         worker.first_report.get_or_insert(now.steady);
         worker.next_poll = now.steady;
         worker.has_changed = true;
@@ -254,6 +255,9 @@
         }
         self.lose_missing_runs(now, worker_id, sent, &report);
         self.check_crashes(now, worker_id);
+        if is_first && self.phase == Phase::Active {
+            self.lose_runs_at_address(now, worker_id);
+        }
         self.throttle(now, worker_id, out);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             stop_stalled(worker, now.steady);
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -1,7 +1,7 @@
 //! The life cycle of runs: adoption from an earlier owner, end, loss and stop.
 
 use super::shard::{Now, Shard, ShardAction};
-use super::worker::{Run, RunState};
+use super::worker::{Run, RunState, Worker};
 use crate::base::{Millis, Name, Size};
 use crate::connection::{EndReport, RunReport};
 use crate::request::job::{Ending, JobId, Outcome, TaskKey, TaskState};
@@ -227,6 +227,22 @@
         self.requeue(now, task);
     }
 
+    /// Loses the runs of the workers that had the address of a new worker before.
+    pub(super) fn lose_runs_at_address(&mut self, now: Now, new_id: &Name) {
+        let Some(address) = self.workers.get_mut(new_id).map(|worker| worker.address) else {
+            return;
+        };
+        let is_replaced = |worker: &&Worker| {
+            let is_empty = worker.runs.is_empty() && worker.suspects.is_empty();
+            worker.address == address && worker.id != *new_id && !is_empty
+        };
+        let replaced = self.workers.iter().filter(is_replaced);
+        let ids: Vec<Name> = replaced.map(|worker| worker.id.clone()).collect();
+        for id in ids {
+            self.worker_gone(now, &id);
+        }
+    }
+
     /// Loses all runs of a worker whose process has ended, while another worker has its address.
     pub(super) fn worker_gone(&mut self, now: Now, worker_id: &Name) {
         let Some(worker) = self.workers.get_mut(worker_id) else {
--- a/tests/shard/crashes.rs
+++ b/tests/shard/crashes.rs
@@ -248,3 +248,15 @@
         assert_eq!(decoded, Ok(record));
     }
 }
+
+/// Guards against crashes that are proven seconds late because the next worker at the address is there
+/// for less than the pause between two requests for reports: the task was started five times.
+#[test]
+fn a_new_worker_at_an_address_proves_the_end_of_the_one_before() {
+    let mut world = world_with_owner(7, 1, true);
+    submit_crashing(&mut world, 1, &chain(&[1], 1_000));
+    world.run(60_000);
+    world.assert_no_violations();
+    assert_eq!(outcome(&mut world, 1), FAILED);
+    assert!(world.fleet.starts <= 2, "{} starts", world.fleet.starts);
+}
