Start nothing on a worker whose runs reserve more than its capacity in any dimension

What callers would see: a worker whose accelerators have shrunk below what its runs reserve gets tasks that need only processors and memory. Whether such a start counts as bringing the worker over its capacity is open; the model of the workers counts it.

Cause: the free room was computed by dimension, and a task that needs nothing of the exceeded dimension fitted.

Change: such a worker has no free room until its runs take no more than its capacity.

--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -251,9 +251,13 @@
         !self.is_recovered || self.first_report.is_some_and(settled)
     }
 
-    /// Capacity that no run reserves.
+    /// Capacity that no run reserves; none at all if the runs reserve too much in any dimension, as after
+    /// the capacity has shrunk.
     pub fn free(&self) -> Size {
-        self.capacity.saturating_sub(&self.committed)
+        match self.committed.fits(&self.capacity) {
+            true => self.capacity.saturating_sub(&self.committed),
+            false => Size::ZERO,
+        }
     }
 
     /// Adds a run; it replaces another run of the task.
--- a/tests/shard/capacity.rs
+++ b/tests/shard/capacity.rs
@@ -62,3 +62,29 @@
     assert_eq!(world.running(2), 12);
     world.assert_no_violations();
 }
+
+/// Guards against starts on a worker that is over its capacity in another dimension than the task uses.
+#[test]
+fn a_worker_over_its_capacity_in_one_dimension_gets_no_starts() {
+    let mut world = World::new(7, 1, 8_000);
+    world.fleet.workers[0].capacity.accelerators = 4;
+    world.claim();
+    world.run(500);
+    let mut spec = long_running(2, 1_000);
+    spec.steps[0].size.accelerators = 2;
+    world.submit(1, &spec);
+    world.run(500);
+    assert_eq!(world.running(1), 2);
+    let target = &mut world.fleet.workers[0];
+    target.former = (target.capacity, world.now + RESIZE_TIME);
+    target.capacity.accelerators = 1;
+    world.refresh(0);
+    world.run(100);
+    world.submit(2, &chain(&[2], 1_000));
+    world.run(2_000);
+    assert_eq!(world.running(2), 0);
+    world.cancel(1);
+    world.run(3_000);
+    assert_eq!(world.fleet.starts, 4);
+    world.assert_no_violations();
+}
