Restart only tasks that have run, try all restarts in turn, and keep leases from before a restart in mind

The review of the restarts and of the bounded leases found five faults of theirs, each shown by a test: - After a change of the owner, long-running tasks that had never run came before a backlog and took all room for good (10 of 49 jobs done after 30 s). Now a waiting task counts as interrupted only if it has failed or saved progress, or if others of its step run. - Only the 32 longest-waiting restarts were tried, so that tasks without room blocked all later ones. Now a pass goes on where the last one ended, and sizes that found no room are not tried again. - Where memory was short, another worker was kept free in each pass, and none got room. The worker that lacks least in any dimension is kept, the same one in each pass. - A worker that restarts under its id shortens an order's lease only to the longest one that it accepts. The owner knows that bound again, and start orders do not extend beyond the granted lease. - Restarts did not check that their step is ready and its job permitted to start (by reading). Also, a report after a miss is requested without a wait: until it is answered, no lease is renewed.

Tests: long_running_tasks_that_have_not_run_come_after_a_backlog, a_restart_does_not_wait_behind_tasks_ without_room, a_restart_that_lacks_memory_gets_room_among_small_tasks and a_lease_from_before_a_restart_is_ waited_for failed before and pass.

--- a/src/base.rs
+++ b/src/base.rs
@@ -87,6 +87,17 @@
             && self.accelerators <= limit.accelerators
     }
 
+    /// Share of `need` that this size has, in thousandths, in the dimension that lacks most.
+    pub fn covered_share(&self, need: &Size) -> u32 {
+        let share = |has: u32, need: u32| match need {
+            0 => 1_000,
+            need => (u64::from(has.min(need)) * 1_000 / u64::from(need)) as u32,
+        };
+        share(self.processors, need.processors)
+            .min(share(self.memory, need.memory))
+            .min(share(self.accelerators, need.accelerators))
+    }
+
     pub fn saturating_sub(&self, other: &Size) -> Size {
         Size {
             processors: self.processors.saturating_sub(other.processors),
--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -1,5 +1,7 @@
 //! The workers that a placement pass may use, and the choice among them.
 
+use std::cmp::Reverse;
+
 use super::reports::STOP_ALLOWANCE;
 use super::shard::{Now, Shard};
 use super::worker::Worker;
@@ -178,7 +180,7 @@
         choose_worker(&requirements, workers, limit)
     }
 
-    /// Removes the worker that lacks the fewest processors for a task of the step from `candidates`, so
+    /// Removes the worker that lacks least for a task of the step from `candidates`, so
     /// that the room of the runs that end there is kept for it. Room that long-running tasks hold does
     /// not become free.
     pub(super) fn set_aside(&self, step: StepId, candidates: &mut Candidates) {
@@ -198,11 +200,13 @@
             .filter_map(|(index, candidate)| {
                 let worker = self.workers.at(candidate.slot)?;
                 let is_suitable = worker.service == queue.service
-                    && reserved.fits(&worker.capacity.saturating_sub(&worker.long_held))
+                    && reserved.fits(&worker.capacity.saturating_sub(&worker.long_reserved))
                     && worker.allows(step, spec);
-                is_suitable.then_some((index, candidate.free))
+                let covered = candidate.free.covered_share(&reserved);
+                // Without the slot, workers that are equal would take turns, and none would get room.
+                is_suitable.then_some((index, (covered, Reverse(candidate.slot))))
             });
-        let best = suitable.max_by_key(|(_, free)| free.processors.min(reserved.processors));
+        let best = suitable.max_by_key(|(_, rank)| *rank);
         if let Some((index, _)) = best {
             candidates.remove(index);
         }
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -284,7 +284,7 @@
         );
         self.phase = Phase::Active;
         for id in std::mem::take(&mut self.recovered) {
-            self.add_restarts(now.steady, id);
+            self.add_interrupted(now.steady, id);
         }
         self.needs_placement = true;
     }
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -231,8 +231,9 @@
                 let (born, runs) = (report.start_time, worker.runs.len());
                 tracing::warn!(worker = %worker_id, born, runs, "worker has restarted");
             }
-            // The runs that this incarnation lists may hold a lease of the greatest length.
-            let lease_until = report.clock + self.settings.granted_lease().0;
+            // The runs that this incarnation lists may hold a lease of the greatest length: if it started
+            // anew, orders that were meant for the earlier incarnation ended far ahead of its clock.
+            let lease_until = report.clock + self.settings.lease.0;
             worker.begin_incarnation(now.steady, report.start_time, lease_until);
         }
         if worker.is_stale(report.clock) {
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -5,11 +5,14 @@
 use super::candidates::{Candidates, Search};
 use super::jobs::waiting_steps;
 use super::shard::{Now, Phase, Shard, ShardAction};
-use crate::base::Millis;
-use crate::request::job::{JobId, StepId, TaskKey, TaskState};
+use crate::base::{Millis, Name, Size};
+use crate::request::job::{JobId, StartPermit, StepId, TaskKey, TaskState};
 
-/// Most restarts that a placement pass tries, the longest waiting first. Each may look at all workers.
-const MAX_RESTARTS: usize = 32;
+/// Most restarts for which a placement pass searches a worker. Each search looks at all workers; the next
+/// pass goes on behind them.
+const MAX_SEARCHES: usize = 32;
+/// Most workers that are kept free of other tasks. Each is chosen among all workers.
+const MAX_SET_ASIDE: usize = 32;
 /// At most one of this many workers is kept free of other tasks for restarts that find no room, so that
 /// the loss of many workers does not stop all other work.
 const SET_ASIDE_DIVISOR: usize = 16;
@@ -23,7 +26,10 @@
     /// It has started, or is not to start any more.
     Over,
     /// No worker has room for it.
-    LacksRoom,
+    LacksRoom {
+        /// Whether a smaller task had found none before.
+        is_known: bool,
+    },
     /// It may not start yet.
     Waiting,
 }
@@ -43,22 +49,26 @@
         }
     }
 
-    /// Does the same for all waiting tasks of a job that an earlier owner may have started.
-    pub(super) fn add_restarts(&mut self, now: Millis, id: JobId) {
+    /// Puts waiting tasks of a recovered job before all others if they have most likely lost their run
+    /// at the change of the owner: they have failed or saved progress before, or others of their step run.
+    pub(super) fn add_interrupted(&mut self, now: Millis, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        let steps = waiting_steps(job);
-        let keys: Vec<TaskKey> = steps
-            .into_iter()
-            .flat_map(|step| job.waiting_tasks(step))
-            .collect();
-        for key in &keys {
-            if let Some(task) = job.task_mut(*key) {
-                task.has_run = true;
+        let mut interrupted: Vec<TaskKey> = Vec::new();
+        for id in waiting_steps(job) {
+            let has_runs = job.step(id).is_some_and(|step| step.placed > 0);
+            let waiting: Vec<TaskKey> = job.waiting_tasks(id).collect();
+            for key in waiting {
+                let Some(task) = job.task_mut(key) else {
+                    continue;
+                };
+                task.has_run |=
+                    has_runs || !task.failed_runs.is_empty() || task.checkpoint.is_some();
+                interrupted.push(key);
             }
         }
-        for key in keys {
+        for key in interrupted {
             self.add_restart(now, key);
         }
     }
@@ -74,27 +84,43 @@
         if self.restarts.is_empty() {
             return;
         }
-        let mut lacking_room: Vec<StepId> = Vec::new();
         let mut suspects = self.usable(now, |worker| worker.suspect_until > now.steady);
-        let first: Vec<(Millis, TaskKey)> =
-            self.restarts.iter().take(MAX_RESTARTS).copied().collect();
-        for entry in first {
-            if self.is_starting_full() {
-                return;
+        let mut lacking_room: Vec<StepId> = Vec::new();
+        // Sizes of tasks that found no room in this pass; larger ones need not be tried.
+        let mut unmet: Vec<(Name, Size)> = Vec::new();
+        let cursor = self.restart_cursor.take();
+        let after = cursor.iter().flat_map(|from| self.restarts.range(*from..));
+        let before = self.restarts.iter();
+        let before = before.take_while(|entry| cursor.is_none_or(|from| **entry < from));
+        let entries: Vec<(Millis, TaskKey)> = after.chain(before).copied().collect();
+        let mut searches = 0;
+        for entry in entries {
+            if self.is_starting_full() || searches >= MAX_SEARCHES {
+                self.restart_cursor = Some(entry);
+                break;
             }
             let (since, key) = entry;
-            match self.restart(now, key, candidates, &mut suspects, out) {
+            match self.restart(now, key, candidates, &mut suspects, &mut unmet, out) {
                 Restart::Over => {
                     self.restarts.remove(&entry);
+                    searches += 1;
                 }
-                Restart::LacksRoom if now.steady.since(since) >= SET_ASIDE_WAIT => {
-                    lacking_room.push(key.step);
+                Restart::LacksRoom { is_known } => {
+                    searches += usize::from(!is_known);
+                    if now.steady.since(since) >= SET_ASIDE_WAIT {
+                        lacking_room.push(key.step);
+                    }
                 }
-                Restart::LacksRoom | Restart::Waiting => {}
+                Restart::Waiting => {}
             }
         }
         // The restarts themselves may use these workers: a smaller one must not wait for a larger one.
-        lacking_room.truncate(candidates.len().div_ceil(SET_ASIDE_DIVISOR));
+        lacking_room.truncate(
+            candidates
+                .len()
+                .div_ceil(SET_ASIDE_DIVISOR)
+                .min(MAX_SET_ASIDE),
+        );
         for step in lacking_room {
             self.set_aside(step, candidates);
         }
@@ -107,6 +133,7 @@
         key: TaskKey,
         candidates: &mut Candidates,
         suspects: &mut Candidates,
+        unmet: &mut Vec<(Name, Size)>,
         out: &mut Vec<ShardAction>,
     ) -> Restart {
         let id = key.step.job;
@@ -124,7 +151,9 @@
             return Restart::Over;
         };
         let may_have_run = self.phase != Phase::Active && self.recovered.contains(&id);
-        if may_have_run && !task.is_found || self.orphaned_tasks.contains(&key) {
+        let is_held = may_have_run && !task.is_found || self.orphaned_tasks.contains(&key);
+        let is_permitted = job.start_permit == StartPermit::Granted;
+        if is_held || !is_permitted || !job.is_ready(key.step.turn, key.step.step) {
             return Restart::Waiting;
         }
         let Some(queue) = self.queues.queue(&job.queue) else {
@@ -134,6 +163,11 @@
         let Some(spec) = spec.steps.get(usize::from(key.step.step)) else {
             return Restart::Over;
         };
+        let reserved = spec.reserved();
+        let is_unmet = |(other, size): &(Name, Size)| *other == service && size.fits(&reserved);
+        if unmet.iter().any(is_unmet) {
+            return Restart::LacksRoom { is_known: true };
+        }
         let search = Search {
             only_quiet: self.trial_needs_quiet(now, key) == Some(true),
             ..Search::default()
@@ -143,7 +177,11 @@
         // Waiting is worse for a long-running task than a failed run, which does not count against its
         // attempts.
         let Some(slot) = find(candidates).or_else(|| find(suspects)) else {
-            return Restart::LacksRoom;
+            // Others may find room where these conditions do not hold.
+            if !(search.only_quiet || spec.fills || spec.label.is_some() || spec.spread > 0) {
+                unmet.push((service, reserved));
+            }
+            return Restart::LacksRoom { is_known: false };
         };
         self.start_task(now, slot, spec, key, None, out);
         self.update_candidate(candidates, slot);
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -202,6 +202,8 @@
     pub(super) ready: BTreeSet<OrderKey>,
     /// Long-running tasks whose run has ended, with the time since when they wait.
     pub(super) restarts: BTreeSet<(Millis, TaskKey)>,
+    /// The first of them that the last placement pass did not try.
+    pub(super) restart_cursor: Option<(Millis, TaskKey)>,
     /// Due times, in Unix milliseconds, of the jobs' next turns. A turn is one occurrence of a
     /// repeating job.
     pub(super) upcoming_turns: BTreeSet<(u64, JobId)>,
@@ -268,6 +270,7 @@
             ending: HashMap::new(),
             ready: BTreeSet::new(),
             restarts: BTreeSet::new(),
+            restart_cursor: None,
             upcoming_turns: BTreeSet::new(),
             workers: Workers::default(),
             orphaned_tasks: HashSet::new(),
--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -1,5 +1,7 @@
 //! Explains in the log why long-running tasks wait.
 
+use std::collections::HashSet;
+
 use super::candidates::MAX_WORKER_STARTS;
 use super::reports::STOP_ALLOWANCE;
 use super::shard::{Now, Phase, Shard};
@@ -35,7 +37,9 @@
         }
         self.last_waiting_log = now.steady;
         let waiting: Vec<StepId> = self.waiting_long_running().collect();
-        let previous = std::mem::replace(&mut self.waiting_steps, waiting);
+        let previous: HashSet<StepId> = std::mem::replace(&mut self.waiting_steps, waiting)
+            .into_iter()
+            .collect();
         let mut still_waiting = self.waiting_steps.iter().filter(|id| previous.contains(id));
         let Some(id) = still_waiting.next() else {
             return;
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -282,7 +282,11 @@
 /// has best-effort tasks.
 fn poll_wait(worker: &Worker, best_effort_wait: Millis) -> Millis {
     // Ends that are not acknowledged yet make the worker answer at once in any case.
-    if worker.last_report.is_none() || worker.processed > worker.acknowledged {
+    // After a miss, only an answer lets the next request renew the leases.
+    if worker.last_report.is_none()
+        || worker.unanswered > 0
+        || worker.processed > worker.acknowledged
+    {
         return Millis(0);
     }
     let has_best_effort = worker.runs.values().any(|run| run.fills);
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -103,7 +103,7 @@
     /// Resources reserved by all runs.
     pub committed: Size,
     /// Resources reserved by runs that do not end by themselves.
-    pub long_held: Size,
+    pub long_reserved: Size,
     /// Millicores that all runs together are expected to use.
     expected_use: i64,
     /// Whether it may have room now that it had not in the last placement pass.
@@ -168,7 +168,7 @@
             acknowledged: 0,
             runs: HashMap::new(),
             committed: Size::ZERO,
-            long_held: Size::ZERO,
+            long_reserved: Size::ZERO,
             expected_use: 0,
             has_changed: true,
             pending_starts: 0,
@@ -226,12 +226,13 @@
         Some(clock + now.since(at).0 + length.0)
     }
 
-    /// End, on the worker's clock, of the lease that a start order carries; `length` is that of a
-    /// renewal. It prolongs the lease only if renewals are late, and by half as much as they do: a worker
-    /// may have been lost since its last report, and its other runs would then be held longer.
+    /// End, on the worker's clock, of the lease that a start order carries: that of the last renewal, but
+    /// at least half of `length` and at most `length` from now. A worker may have been lost since its last
+    /// report, and a full lease would hold its other runs longer.
     pub fn start_lease_end(&self, now: Millis, length: Millis) -> Option<u64> {
         let least = self.lease_end(now, Millis(length.0 / 2))?;
-        Some(least.max(self.lease_until))
+        let most = self.lease_end(now, length)?;
+        Some(self.lease_until.clamp(least, most))
     }
 
     /// Whether every lease that this owner granted has expired even if the worker's clock is as
@@ -264,7 +265,7 @@
     pub fn add_run(&mut self, task: TaskKey, run: Run) {
         self.committed = self.committed.saturating_add(&run.reserved);
         if run.lasts {
-            self.long_held = self.long_held.saturating_add(&run.reserved);
+            self.long_reserved = self.long_reserved.saturating_add(&run.reserved);
         }
         self.expected_use += expected_use(run.demand, run.lasts);
         self.has_stops |= matches!(run.state, RunState::Stopping { .. });
@@ -283,7 +284,7 @@
     fn release(&mut self, run: &Run) {
         self.committed = self.committed.saturating_sub(&run.reserved);
         if run.lasts {
-            self.long_held = self.long_held.saturating_sub(&run.reserved);
+            self.long_reserved = self.long_reserved.saturating_sub(&run.reserved);
         }
         self.expected_use -= expected_use(run.demand, run.lasts);
         self.has_changed = true;
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -65,7 +65,7 @@
     /// Whether this owner has found a run of it. As a task has one run at a time, no worker that has
     /// not reported can have another.
     pub is_found: bool,
-    /// Whether a run of it has certainly started.
+    /// Whether a run of it has started, as far as this owner can tell.
     pub has_run: bool,
 }
 
--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -318,3 +318,18 @@
     world.run(3_000);
     assert_eq!(world.config_versions(), [2]);
 }
+
+/// Guards against an owner that goes on renewing leases while it is cut off from the store and from all
+/// other hosts but one. The next owner cannot reach the same workers and waits only for a lease.
+#[test]
+fn an_owner_cut_off_with_another_host_gives_up_the_shard() {
+    let mut world = World::start(2, &mixed_hosts());
+    world.run(4_000);
+    let first = world.owners();
+    let other = (0..3).find(|host| !first.contains(host)).expect("a host");
+    world.cut_hosts = vec![first[0], other];
+    world.silent_hosts = vec![first[0], other];
+    world.run(10_000);
+    let owners = world.owners();
+    assert_eq!(owners.len(), 1, "{first:?} {owners:?}");
+}
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -17,6 +17,7 @@
 
 pub struct Run {
     pub run: u64,
+    pub started: u64,
     /// When it ends by itself.
     ends: u64,
     fails: bool,
@@ -45,8 +46,10 @@
     until: u64,
     /// Highest run of each task that ended or was stopped here; runs up to it are refused.
     closed: HashMap<TaskKey, u64>,
-    /// How far this worker's clock is ahead of the simulated time, in milliseconds.
+    /// Added to the simulated time, modulo 2^64, for this worker's clock.
     offset: u64,
+    /// Whether its clock starts anew with each incarnation, as the platform specifies.
+    pub resets_clock: bool,
     /// Number of its incarnation.
     pub incarnation: u64,
     /// Whether its last entry in the registry says that it is leaving.
@@ -110,6 +113,7 @@
             until: 0,
             closed: HashMap::new(),
             offset: 1_000 * (index as u64 + 1),
+            resets_clock: false,
             incarnation: 1,
             is_leaving: false,
             is_gone: false,
@@ -172,6 +176,9 @@
         worker.until = 0;
         worker.closed.clear();
         worker.incarnation += 1;
+        if worker.resets_clock {
+            worker.offset = 1_000u64.wrapping_sub(now);
+        }
         worker.down_until = now + RESTART_TIME;
     }
 
@@ -190,7 +197,7 @@
         let mut events = Vec::new();
         for (index, worker) in self.workers.iter_mut().enumerate() {
             worker.finish_stops(now);
-            let clock = now + worker.offset;
+            let clock = now.wrapping_add(worker.offset);
             let has_expired = clock > worker.until;
             let over: Vec<TaskKey> = worker
                 .runs
@@ -233,7 +240,7 @@
         runtime: u64,
     ) -> WorkerAnswer {
         let worker = &mut self.workers[index];
-        let clock = now + worker.offset;
+        let clock = now.wrapping_add(worker.offset);
         if token < worker.token {
             return refused(clock, Refusal::Fenced);
         }
@@ -285,7 +292,7 @@
         runtime: u64,
     ) -> WorkerAnswer {
         let task = start.task;
-        let clock = now + self.workers[index].offset;
+        let clock = now.wrapping_add(self.workers[index].offset);
         let worker = &mut self.workers[index];
         if worker
             .runs
@@ -325,6 +332,7 @@
             task,
             Run {
                 run: start.run,
+                started: now,
                 ends,
                 fails,
                 size,
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -1,5 +1,6 @@
 //! Long-running tasks that have to start again while the workers are full.
 
+use jayfork::base::Size;
 use jayfork::request::job::JobId;
 
 use yare::parameterized;
@@ -119,3 +120,140 @@
     assert_eq!(world.running(3), 1);
     world.assert_no_violations();
 }
+
+/// Guards against two runs of a task at once on a worker whose restart the owner has not noticed: the end
+/// of a lease on the earlier clock is shortened only to the longest lease that the worker accepts.
+#[test]
+fn a_lease_from_before_a_restart_is_waited_for() {
+    let mut world = World::new(7, 3, 8_000);
+    for worker in &mut world.fleet.workers {
+        worker.max_lease = 10_000;
+        worker.resets_clock = true;
+    }
+    world.claim();
+    world.run(500);
+    world.submit(1, &long_running(1, 8_000));
+    world.submit(2, &long_running(1, 8_000));
+    world.run(500);
+    let used = [world.holder(1), world.holder(2)];
+    let free = (0..3)
+        .find(|index| !used.contains(index))
+        .expect("a worker");
+    world.fleet.restart(world.now, free);
+    world.fleet.workers[free].down_until = world.now;
+    world.submit(3, &long_running(1, 2_000));
+    world.run(1_000);
+    assert_eq!(world.holder(3), free);
+    world.fleet.workers[free].is_unreachable = true;
+    world.cancel(1);
+    world.run(12_000);
+    world.assert_no_violations();
+    assert_eq!(world.running(3), 1);
+}
+
+/// Guards against a long-running task that fails and does not start again under load, because tasks that
+/// no worker has room for wait before it.
+#[test]
+fn a_restart_does_not_wait_behind_tasks_without_room() {
+    let mut world = World::new(7, 4, 8_000);
+    let first = world.claim();
+    world.run(500);
+    world.runtimes = 600..1_700;
+    world.submit(1, &long_running(2, 5_000));
+    world.run(500);
+    world.submit(2, &long_running(40, 8_000));
+    world.run(500);
+    world.kill(first);
+    world.run(1_000);
+    world.claim();
+    world.run(2_000);
+    for id in 3..=200 {
+        world.submit(id, &chain(&[1], 2_000));
+    }
+    world.run(2_000);
+    assert_eq!(world.running(1), 2);
+    world.fleet.fail_job(world.now, JobId(1));
+    world.run(RESTART_LIMIT);
+    assert_eq!(world.running(1), 2);
+    world.assert_no_violations();
+}
+
+/// The same if the next owner has to wait for that worker.
+#[test]
+fn a_next_owner_waits_for_a_lease_from_before_a_restart() {
+    let mut world = World::new(7, 3, 8_000);
+    for worker in &mut world.fleet.workers {
+        worker.max_lease = 10_000;
+        worker.resets_clock = true;
+    }
+    let first = world.claim();
+    world.run(500);
+    world.submit(1, &long_running(1, 8_000));
+    world.submit(2, &long_running(1, 8_000));
+    world.run(500);
+    let used = [world.holder(1), world.holder(2)];
+    let free = (0..3)
+        .find(|index| !used.contains(index))
+        .expect("a worker");
+    world.fleet.restart(world.now, free);
+    world.fleet.workers[free].down_until = world.now;
+    world.submit(3, &long_running(1, 2_000));
+    world.run(100);
+    assert_eq!(world.holder(3), free);
+    world.fleet.workers[free].is_unreachable = true;
+    world.kill(first);
+    world.claim();
+    world.cancel(1);
+    world.run(500);
+    world.cancel(1);
+    world.run(16_000);
+    world.assert_no_violations();
+    assert_eq!(world.running(3), 1);
+}
+
+/// Guards against a long-running task that lacks memory rather than processors and does not start again,
+/// because another worker is kept free for it in each pass.
+#[test]
+fn a_restart_that_lacks_memory_gets_room_among_small_tasks() {
+    let mut world = World::new(7, 4, 8_000);
+    world.claim();
+    world.run(500);
+    world.runtimes = 600..1_700;
+    let mut long = long_running(1, 1_000);
+    long.steps[0].size = Size::new(1_000, 60_000, 0);
+    world.submit(1, &long);
+    world.run(500);
+    let mut short = chain(&[1], 500);
+    short.steps[0].size = Size::new(500, 10_000, 0);
+    for id in 2..=600 {
+        world.submit(id, &short);
+    }
+    world.run(2_000);
+    let holder = world.holder(1);
+    world.fleet.restart(world.now, holder);
+    world.fleet.workers[holder].is_unreachable = true;
+    world.run(SILENT_WORKER_LIMIT);
+    assert_eq!(world.running(1), 1);
+    world.assert_no_violations();
+}
+
+/// Guards against a backlog that never runs after a change of the owner, because long-running tasks that
+/// have not run yet are placed before it and take up all room for good.
+#[test]
+fn long_running_tasks_that_have_not_run_come_after_a_backlog() {
+    let mut world = World::new(7, 2, 8_000);
+    let first = world.claim();
+    world.run(500);
+    world.runtimes = 600..1_700;
+    for id in 2..=50 {
+        world.submit(id, &chain(&[1], 2_000));
+    }
+    world.submit(1, &long_running(16, 1_000));
+    world.run(1_000);
+    assert_eq!(world.running(1), 0);
+    world.kill(first);
+    world.claim();
+    world.run(30_000);
+    assert_eq!(world.fleet.done.len(), 49);
+    world.assert_no_violations();
+}
