--- a/tests/shard/crash_model.rs
+++ b/tests/shard/crash_model.rs
@@ -15,6 +15,9 @@
 const UNLIST_TIME: u64 = 3_700;
 /// Time from the end of a worker's process to its next start, in milliseconds.
 const RETURN_TIME: u64 = 7_000;
+/// Time after the start of a run in which it may crash its worker, in milliseconds, with the report that
+/// shows that it has not.
+const START_TIME: u64 = 2_500;
 /// Crashes after which a task may start `MAX_LATE_STARTS` times at most.
 const MAX_CRASHES: u32 = 3;
 const MAX_LATE_STARTS: u32 = 2;
@@ -71,6 +74,12 @@
         }
     }
 
+    /// Whether a run started on the worker within the last `START_TIME`.
+    pub fn is_starting(&self, worker: usize) -> bool {
+        let mut runs = self.fleet.workers[worker].runs.values();
+        runs.any(|run| self.now < run.started + START_TIME)
+    }
+
     /// Crashes a worker now.
     pub fn crash(&mut self, worker: usize) {
         self.fleet.crash(self.now, worker);
