Stop waiting for a recovered worker once another answers at its address

Cause: only an announced departure with a refused connection told a new owner that a worker is gone. A refused connection alone proves nothing, but an answer of another worker does.

Change: such an answer marks the worker as gone, which ends the wait for it and loses its runs.

Test: a_new_owner_does_not_wait_for_a_worker_that_another_has_replaced failed before ("left: 1, right: 3" tasks running 1 s after the return).

--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -191,7 +191,8 @@
                 worker.unanswered += 1;
                 let is_refused = matches!(answer, Err(CallError::Refused));
                 let is_replaced = matches!(answer, Ok(WorkerAnswer::WrongWorker));
-                worker.has_left = is_refused && worker.is_draining && !worker.is_listed;
+                let has_gone = is_refused && worker.is_draining && !worker.is_listed;
+                worker.has_left = has_gone || is_replaced;
                 let pause = Millis(POLL_RETRY.0 * u64::from(worker.unanswered.min(10)));
                 worker.next_poll = now.steady + pause.min(MAX_POLL_RETRY);
                 if worker.unanswered == 3 {
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -79,7 +79,8 @@
     pub is_listed: bool,
     /// Whether its last entry in the registry says that it is leaving.
     pub is_draining: bool,
-    /// Whether it has announced that it is leaving, left the registry and refuses connections.
+    /// Whether it has announced that it is leaving, left the registry and refuses connections, or another
+    /// worker answers at its address.
     pub has_left: bool,
     /// Whether its record is stored. A later owner asks every recorded worker for its runs.
     pub is_recorded: bool,
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -257,3 +257,24 @@
     assert_eq!(world.fleet.done.len(), 49);
     world.assert_no_violations();
 }
+
+/// Guards against a new owner that waits a whole lease for a worker although another one answers at its
+/// address, so that its process has certainly ended.
+#[test]
+fn a_new_owner_does_not_wait_for_a_worker_that_another_has_replaced() {
+    let mut world = World::new(7, 3, 8_000);
+    world.renames = true;
+    let first = world.claim();
+    world.run(500);
+    world.submit(1, &long_running(3, 2_000));
+    world.run(2_000);
+    let holder = world.holder(1);
+    world.crash(holder);
+    world.kill(first);
+    world.run(CLAIM_DELAY);
+    world.claim();
+    // The other worker starts 7 s after the crash.
+    world.run(7_000 - CLAIM_DELAY + 1_000);
+    assert_eq!(world.running(1), 3);
+    world.assert_no_violations();
+}
