Read the change again: clearer names and comments for restarts, leases and crashes

No change of behaviour. has_max_pending_starts instead of is_starting_full, WorkerRestart in crashes.rs, since restarts.rs has a Restart of its own; comments say what a value has to fulfil.

--- a/src/process/shard/crashes.rs
+++ b/src/process/shard/crashes.rs
@@ -43,7 +43,7 @@
 
 /// A restart of a worker, as seen by the owner.
 #[derive(Debug, Clone, Copy)]
-pub struct Restart {
+pub struct WorkerRestart {
     /// When the first report of the new incarnation arrived.
     pub seen: Millis,
     /// When the last report of the earlier incarnation arrived.
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -19,8 +19,8 @@
 /// hexadecimal digits, and those of workers with `w/`.
 const RANGE_STARTS: [&str; 9] = ["", "j/4", "j/8", "j/c", "n/", "n/8", "s/", "s/8", "w/"];
 /// How long an owner that reaches neither the store nor a peer keeps renewing leases, in
-/// milliseconds. A new owner waits this much longer for a worker that it cannot reach. Peers send
-/// hellos every 400 ms, and the owner itself appends every 500 ms.
+/// milliseconds: three intervals of its appends. A new owner waits this much longer for a worker that it
+/// cannot reach.
 pub const ISOLATION_TIME: Millis = Millis(1_500);
 /// Longest time that an order can be in transit after its sender stopped, in milliseconds.
 const TRANSIT_TIME: Millis = Millis(500);
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -16,8 +16,8 @@
 /// At most one of this many workers is kept free of other tasks for restarts that find no room, so that
 /// the loss of many workers does not stop all other work.
 const SET_ASIDE_DIVISOR: usize = 16;
-/// How long a restart waits for room before a worker is set aside for it, in milliseconds. Most find
-/// room sooner, and a worker that is set aside stands partly idle.
+/// How long a restart waits for room before a worker is set aside for it, in milliseconds: a worker that
+/// is set aside stands partly idle.
 const SET_ASIDE_WAIT: Millis = Millis(1_000);
 
 /// Whether a task that waits for its restart is to be tried again.
@@ -95,7 +95,7 @@
         let entries: Vec<(Millis, TaskKey)> = after.chain(before).copied().collect();
         let mut searches = 0;
         for entry in entries {
-            if self.is_starting_full() || searches >= MAX_SEARCHES {
+            if self.has_max_pending_starts() || searches >= MAX_SEARCHES {
                 self.restart_cursor = Some(entry);
                 break;
             }
@@ -177,7 +177,7 @@
         // Waiting is worse for a long-running task than a failed run, which does not count against its
         // attempts.
         let Some(slot) = find(candidates).or_else(|| find(suspects)) else {
-            // Others may find room where these conditions do not hold.
+            // A task without these conditions may find room all the same.
             if !(search.only_quiet || spec.fills || spec.label.is_some() || spec.spread > 0) {
                 unmet.push((service, reserved));
             }
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -30,8 +30,7 @@
 
 /// Longest lease that an owner grants, in milliseconds, even if workers accept longer ones. The tasks of
 /// a worker that is lost without a trace wait until its lease has expired, and a new owner waits as
-/// long for a worker that it cannot reach. It exceeds the time from the loss of an owner to the first
-/// renewals of the next one, which is about 3 s, by as much again.
+/// long for a worker that it cannot reach. A shorter lease could expire before the next owner renews it.
 const MAX_LEASE: Millis = Millis(6_000);
 
 /// The time of an event on both clocks.
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -29,7 +29,7 @@
             return;
         }
         self.permit_next_jobs();
-        if self.is_starting_full() {
+        if self.has_max_pending_starts() {
             return;
         }
         let keys: Vec<OrderKey> = self.ready.iter().copied().collect();
@@ -70,7 +70,7 @@
                     self.ready.remove(key);
                 }
             }
-            if self.is_starting_full() {
+            if self.has_max_pending_starts() {
                 return false;
             }
         }
@@ -144,7 +144,7 @@
         }
         let mut is_held = false;
         for task in waiting {
-            if self.is_starting_full() {
+            if self.has_max_pending_starts() {
                 return Some(());
             }
             let trial = match has_trials {
@@ -268,7 +268,7 @@
     }
 
     /// Whether as many start orders wait for an answer as are allowed.
-    pub(super) fn is_starting_full(&self) -> bool {
+    pub(super) fn has_max_pending_starts(&self) -> bool {
         self.pending_starts >= MAX_PENDING_STARTS
     }
 
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -281,8 +281,8 @@
 /// How long the worker may wait for a run to end before it reports; `best_effort_wait` applies if it
 /// has best-effort tasks.
 fn poll_wait(worker: &Worker, best_effort_wait: Millis) -> Millis {
-    // Ends that are not acknowledged yet make the worker answer at once in any case.
-    // After a miss, only an answer lets the next request renew the leases.
+    // Ends that are not acknowledged yet make the worker answer at once in any case. After a miss, no
+    // lease is renewed until the worker has answered.
     if worker.last_report.is_none()
         || worker.unanswered > 0
         || worker.processed > worker.acknowledged
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::crashes::{Restart, SuspectRun};
+use super::crashes::{SuspectRun, WorkerRestart};
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{BestEffortGroup, Headroom, JobId, ServingTask, TaskKey};
 
@@ -138,7 +138,7 @@
     /// When a report was last used to learn the contention between its tasks.
     pub last_learned: Millis,
     /// The newest restart of its process.
-    pub restart: Option<Restart>,
+    pub restart: Option<WorkerRestart>,
     /// Runs that were lost here soon after their start; it is not known yet whether the process ended.
     pub suspects: Vec<SuspectRun>,
     /// Tasks on trial here, which have not survived their start yet. Meanwhile no other task starts
@@ -207,7 +207,7 @@
     /// the new one does not list them.
     pub fn begin_incarnation(&mut self, now: Millis, incarnation: u64, lease_until: u64) {
         if self.incarnation.is_some() {
-            self.restart = Some(Restart {
+            self.restart = Some(WorkerRestart {
                 seen: now,
                 last_report: self.last_report,
             });
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -7,10 +7,11 @@
 
 use super::world::{World, chain, long_running};
 
-/// Time within which a long-running task has to run again after its last run, in milliseconds.
+/// Time within which a long-running task has to run again after its last run if there is room, in
+/// milliseconds.
 const RESTART_LIMIT: u64 = 6_000;
 
-/// The same if its worker is lost without a trace: its lease has to expire first.
+/// The same if room has to become free first, or a lease to expire: 3 s more are allowed.
 const SILENT_WORKER_LIMIT: u64 = 9_000;
 /// Time from the loss of an owner to the claim of the next one, in milliseconds.
 const CLAIM_DELAY: u64 = 2_000;
@@ -178,7 +179,8 @@
     world.assert_no_violations();
 }
 
-/// The same if the next owner has to wait for that worker.
+/// Guards against the same fault when the next owner, which does not know of the restart, has to wait for
+/// that worker.
 #[test]
 fn a_next_owner_waits_for_a_lease_from_before_a_restart() {
     let mut world = World::new(7, 3, 8_000);
