--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -122,16 +122,15 @@
     world.assert_no_violations();
 }
 
-/// Guards against two runs of a task at once on a worker whose restart the owner has not noticed: the end
-/// of a lease on the earlier clock is shortened only to the longest lease that the worker accepts.
-#[test]
-fn a_lease_from_before_a_restart_is_waited_for() {
+/// A simulation in which a worker has just restarted with a new clock and is about to get a start order,
+/// with its owner and that worker. Job 3 waits for it, since jobs 1 and 2 take all other room.
+fn world_with_a_restarted_worker() -> (World, usize, usize) {
     let mut world = World::new(7, 3, 8_000);
     for worker in &mut world.fleet.workers {
         worker.max_lease = 10_000;
         worker.resets_clock = true;
     }
-    world.claim();
+    let owner = world.claim();
     world.run(500);
     world.submit(1, &long_running(1, 8_000));
     world.submit(2, &long_running(1, 8_000));
@@ -143,6 +142,14 @@
     world.fleet.restart(world.now, free);
     world.fleet.workers[free].down_until = world.now;
     world.submit(3, &long_running(1, 2_000));
+    (world, owner, free)
+}
+
+/// Guards against two runs of a task at once on a worker whose restart the owner has not noticed: the end
+/// of a lease on the earlier clock is shortened only to the longest lease that the worker accepts.
+#[test]
+fn a_lease_from_before_a_restart_is_waited_for() {
+    let (mut world, _, free) = world_with_a_restarted_worker();
     world.run(1_000);
     assert_eq!(world.holder(3), free);
     world.fleet.workers[free].is_unreachable = true;
@@ -183,23 +190,7 @@
 /// that worker.
 #[test]
 fn a_next_owner_waits_for_a_lease_from_before_a_restart() {
-    let mut world = World::new(7, 3, 8_000);
-    for worker in &mut world.fleet.workers {
-        worker.max_lease = 10_000;
-        worker.resets_clock = true;
-    }
-    let first = world.claim();
-    world.run(500);
-    world.submit(1, &long_running(1, 8_000));
-    world.submit(2, &long_running(1, 8_000));
-    world.run(500);
-    let used = [world.holder(1), world.holder(2)];
-    let free = (0..3)
-        .find(|index| !used.contains(index))
-        .expect("a worker");
-    world.fleet.restart(world.now, free);
-    world.fleet.workers[free].down_until = world.now;
-    world.submit(3, &long_running(1, 2_000));
+    let (mut world, first, free) = world_with_a_restarted_worker();
     world.run(100);
     assert_eq!(world.holder(3), free);
     world.fleet.workers[free].is_unreachable = true;
