Give up a job only after three crashes if the last start was not confirmed

Cause, seen in the histories: a start order that was carried out late, or never, counted as a crash when its worker ended meanwhile. The owner cannot tell it from a start whose confirmation was lost in the crash, so it cannot leave such starts out: without them the tests of the budget fail.

Change: a start that was not confirmed ends the job only as the third crash, as a run that was past its start does. By count, two starts after the third crash remain allowed.

--- a/src/process/shard/crashes.rs
+++ b/src/process/shard/crashes.rs
@@ -15,7 +15,8 @@
 /// Crashed workers after which a task is given up. The proof of a crash may come after the next start,
 /// and each change of the owner may lose one crash, since starts are not recorded.
 const MAX_CRASHES: usize = 2;
-/// The same if the start of the last run was over before the crash, which may have another cause.
+/// The same if the start of the last run was over before the crash, which may have another cause, or
+/// was not confirmed, so that the order may never have been carried out.
 const MAX_LATE_CRASHES: usize = 3;
 /// A worker that reports this long after a start order has survived the start, in milliseconds. The
 /// order may take up to 700 ms.
@@ -39,6 +40,8 @@
     lost: Millis,
     /// Whether its worker had not reported since its start was over.
     is_recent: bool,
+    /// Whether the worker had confirmed the start.
+    is_confirmed: bool,
 }
 
 /// A restart of a worker, as seen by the owner.
@@ -66,6 +69,7 @@
             started: run.started,
             lost: now.steady,
             is_recent,
+            is_confirmed: run.is_confirmed,
         });
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             job.begin_trial(task, now.steady);
@@ -111,7 +115,7 @@
             if crashes == 0 {
                 continue;
             }
-            let limit = match suspect.is_recent {
+            let limit = match suspect.is_recent && suspect.is_confirmed {
                 true => MAX_CRASHES,
                 false => MAX_LATE_CRASHES,
             };
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -101,6 +101,7 @@
         let is_starting = run.state == RunState::Starting;
         let cause = match answer {
             Ok(WorkerAnswer::Accepted { .. } | WorkerAnswer::Report(_)) => {
+                run.is_confirmed = true;
                 if is_starting {
                     run.state = RunState::Active { since: now.steady };
                 }
@@ -280,6 +281,7 @@
             self.adopt(now, worker_id, listed);
             return;
         };
+        run.is_confirmed = true;
         if run.state == RunState::Starting {
             run.state = RunState::Active { since: now.steady };
         }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -50,6 +50,7 @@
             halted_since: None,
             is_orphaned: false,
             is_adopted: true,
+            is_confirmed: true,
         };
         if let Some(job) = job {
             if let Some(spec) = job.spec.steps.get(usize::from(task_key.step.step)) {
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -362,6 +362,7 @@
         halted_since: None,
         is_orphaned: false,
         is_adopted: false,
+        is_confirmed: false,
     }
 }
 
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -63,6 +63,8 @@
     pub is_orphaned: bool,
     /// Whether it was found in a report, so that its start is over.
     pub is_adopted: bool,
+    /// Whether the worker has confirmed the start or listed the run.
+    pub is_confirmed: bool,
 }
 
 /// One worker, over all its incarnations.
