Log configurations that a host knows of and cannot get

Cause: reads of a stream and requests for a configuration that failed were repeated without a line, so the logs could not tell a host that does not know of a newer configuration from one that cannot get it. Change: a warning at the second, fourth, eighth... failure in a row with the duration of the call, and a line when the stream can be read again.

--- a/src/process/host/config.rs
+++ b/src/process/host/config.rs
@@ -99,6 +99,18 @@
         self.send_hello_for(now, holder, false, true, out);
     }
 
+    /// Logs that a host which has a newer configuration did not answer a call that was sent at `sent`, if
+    /// it was the first, second, fourth, eighth or so on.
+    pub(super) fn config_missed(&self, now: Now, holder: SocketAddr, sent: Millis) {
+        let newer = self.newer_config.filter(|newer| newer.holder == holder);
+        let newer = newer.filter(|newer| newer.asks.is_power_of_two());
+        if let Some(newer) = newer {
+            let (version, asks) = (newer.version, newer.asks);
+            let took = now.steady.since(sent).0;
+            tracing::warn!(%holder, version, asks, took, "no answer from the holder of a newer configuration");
+        }
+    }
+
     /// Applies a configuration if it is newer than the current one.
     pub(super) fn set_config(&mut self, now: Now, config: QueueTable, out: &mut Vec<HostAction>) {
         if config.version <= self.config.version {
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -423,6 +423,7 @@
                 }
                 answer => {
                     let is_refused = matches!(answer, Err(CallError::Refused));
+                    self.config_missed(now, to, sent);
                     self.hello_failed(now, to, is_owner, is_refused);
                 }
             },
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -56,6 +56,8 @@
     due: Millis,
     is_reading: bool,
     interval: Millis,
+    /// Reads that failed since the last answer.
+    failures: u32,
 }
 
 /// Result of a read.
@@ -80,6 +82,7 @@
             due: now,
             is_reading: false,
             interval,
+            failures: 0,
         }
     }
 
@@ -105,9 +108,15 @@
         })
     }
 
-    fn answered(&mut self, now: Millis, answer: Result<StoreAnswer, CallError>) -> ReadResult {
+    fn answered(
+        &mut self,
+        now: Millis,
+        answer: Result<StoreAnswer, CallError>,
+        took: Millis,
+    ) -> ReadResult {
         self.is_reading = false;
         self.due = now + self.interval;
+        self.log_failures(&answer, took);
         match answer {
             Ok(StoreAnswer::Records { records, next }) => {
                 self.next = Some(next);
@@ -143,6 +152,27 @@
             }
         }
     }
+
+    /// Counts consecutive failed reads. Logs the second, fourth, eighth and so on, and the answer that
+    /// ends them.
+    fn log_failures(&mut self, answer: &Result<StoreAnswer, CallError>, took: Millis) {
+        let (stream, took) = (self.stream, took.0);
+        match answer {
+            Ok(_) => {
+                let failures = std::mem::take(&mut self.failures);
+                if failures > 1 {
+                    tracing::info!(stream, failures, took, "stream can be read again");
+                }
+            }
+            Err(error) => {
+                self.failures += 1;
+                let failures = self.failures;
+                if failures > 1 && failures.is_power_of_two() {
+                    tracing::warn!(stream, failures, took, %error, "cannot read a stream");
+                }
+            }
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -291,7 +321,7 @@
                 self.shard_event(now, epoch, ShardEvent::Store(tag, answer), out);
             }
             StorePurpose::Config => {
-                let records = match self.streams.config.answered(now.steady, answer) {
+                let records = match self.streams.config.answered(now.steady, answer, took) {
                     ReadResult::Records(records) | ReadResult::Listing { records, .. } => records,
                     ReadResult::Nothing => return,
                 };
@@ -300,7 +330,7 @@
                 }
             }
             StorePurpose::Hosts => {
-                let records = match self.streams.hosts.answered(now.steady, answer) {
+                let records = match self.streams.hosts.answered(now.steady, answer, took) {
                     ReadResult::Records(records) | ReadResult::Listing { records, .. } => records,
                     ReadResult::Nothing => return,
                 };
@@ -308,7 +338,7 @@
                     self.apply_host(now, &record);
                 }
             }
-            StorePurpose::Registry { epoch } => self.apply_registry(now, epoch, answer, out),
+            StorePurpose::Registry { epoch } => self.apply_registry(now, epoch, answer, took, out),
             StorePurpose::Register => {
                 self.streams.is_registering = false;
                 self.streams.register_at = match answer {
@@ -359,12 +389,13 @@
         now: Now,
         epoch: u64,
         answer: Result<StoreAnswer, CallError>,
+        took: Millis,
         out: &mut Vec<HostAction>,
     ) {
         let Some(reader) = &mut self.streams.registry else {
             return;
         };
-        let changes = match reader.answered(now.steady, answer) {
+        let changes = match reader.answered(now.steady, answer, took) {
             ReadResult::Records(records) => records.iter().filter_map(decode_change).collect(),
             ReadResult::Listing { records, is_last } => {
                 let mut changes: Vec<RegistryChange> =
