Show that large configurations outgrow the time limits of their transfers

Cause: a call to the store or to another host ends at its time limit even while its answer still arrives, and is then repeated from the start; a host may ask several holders for one configuration at once.

--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -333,3 +333,19 @@
     let owners = world.owners();
     assert_eq!(owners.len(), 1, "{first:?} {owners:?}");
 }
+
+/// Guards against hosts that get a large configuration from a peer while the store still sends it to
+/// them: both transfers share a link that is too small for one.
+#[test]
+fn a_host_does_not_ask_a_peer_for_a_configuration_that_the_store_is_sending() {
+    let mut world = World::start(1, &mixed_hosts());
+    world.run(4_000);
+    world.sent_configs.fill(0);
+    world.max_transfers = 0;
+    world.transfer_times[1..].fill(1_500);
+    world.publish(2);
+    world.run(4_000);
+    assert_eq!(world.config_versions(), [2]);
+    assert_eq!(world.max_transfers, 1);
+    assert_eq!(world.sent_configs.iter().sum::<usize>(), 0);
+}
--- a/tests/ownership/scale.rs
+++ b/tests/ownership/scale.rs
@@ -190,3 +190,30 @@
     );
     assert_eq!(world.owners().len(), 1);
 }
+
+/// Guards against transfers of a large configuration that are repeated while they are under way: they
+/// filled the links of small hosts and the one between the regions, and the owner behind it was lost.
+#[test]
+fn a_slow_transfer_of_a_configuration_is_not_repeated() {
+    let mut world = World::start(1, &cluster());
+    world.run(8_000);
+    let owners = world.owners();
+    let claim_count = world.claim_count;
+    world.sent_configs.fill(0);
+    world.read_configs = 0;
+    world.max_transfers = 0;
+    world.transfer_times.fill(2_500);
+    world.publish(2);
+    // One transfer from the store, one from a host that has it, and the hellos that tell of it.
+    world.run(2 * 2_500 + 2_500);
+    assert_eq!(world.config_versions(), [2]);
+    assert_eq!(world.max_transfers, 1);
+    assert!(
+        world.read_configs <= 2 * DATA_CENTRES + 1,
+        "{}",
+        world.read_configs
+    );
+    let sent: usize = world.sent_configs.iter().sum();
+    assert!(sent <= HOSTS, "{sent}");
+    assert_eq!((world.owners(), world.claim_count), (owners, claim_count));
+}
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -91,6 +91,13 @@
     pub sent_configs: Vec<usize>,
     /// Configurations that hosts have read from the store.
     pub read_configs: usize,
+    /// Time that the transfer of a configuration to each host takes beside the delay of a message, in
+    /// milliseconds. Its parts arrive all the while, so no time limit ends it.
+    pub transfer_times: Vec<u64>,
+    /// Configurations on their way to each host.
+    open_transfers: Vec<usize>,
+    /// Most configurations that were on their way to one host at once.
+    pub max_transfers: usize,
 }
 
 impl World {
@@ -113,6 +120,9 @@
             sent_records: 0,
             sent_configs: vec![0; hosts.len()],
             read_configs: 0,
+            transfer_times: vec![0; hosts.len()],
+            open_transfers: vec![0; hosts.len()],
+            max_transfers: 0,
         };
         world.publish(1);
         for (index, (processor, _)) in hosts.iter().enumerate() {
@@ -243,12 +253,13 @@
                     }
                 }
                 HostAction::PeerReply(ticket, reply) => {
-                    if let PeerReply::Hello { config, hosts, .. } = &reply {
+                    if let PeerReply::Hello { hosts, .. } = &reply {
                         self.sent_records += hosts.len();
-                        self.sent_configs[index] += usize::from(config.is_some());
                     }
+                    self.sent_configs[index] += usize::from(carries_config(&reply));
                     if let Some((caller, call)) = self.callers.remove(&ticket) {
-                        let after = self.delay();
+                        let has_config = carries_config(&reply);
+                        let after = self.delay() + self.begin_transfer(caller, has_config);
                         self.send(after, Message::PeerReply(caller, call, Ok(reply)));
                     }
                 }
@@ -275,6 +286,8 @@
                 self.event(to, HostEvent::Peer(ticket, message));
             }
             Message::PeerReply(to, call, answer) => {
+                let has_config = answer.as_ref().is_ok_and(carries_config);
+                self.open_transfers[to] -= usize::from(has_config);
                 self.event(to, HostEvent::PeerAnswer(call, answer));
             }
             Message::Store(from, purpose, call) if self.silent_hosts.contains(&from) => {
@@ -290,11 +303,15 @@
                     true => Err(CallError::Refused),
                     false => Ok(self.serve(&call.request)),
                 };
-                let after = self.store_delays[from] + 4;
-                let took = Millis(2 * self.store_delays[from] + 4);
+                let has_config = purpose == StorePurpose::Config && has_records(&answer);
+                let transfer_time = self.begin_transfer(from, has_config);
+                let after = self.store_delays[from] + 4 + transfer_time;
+                let took = Millis(2 * self.store_delays[from] + 4 + transfer_time);
                 self.send(after, Message::StoreAnswer(from, purpose, answer, took));
             }
             Message::StoreAnswer(to, purpose, answer, took) => {
+                let has_config = purpose == StorePurpose::Config && has_records(&answer);
+                self.open_transfers[to] -= usize::from(has_config);
                 let event = HostEvent::Store {
                     purpose,
                     answer,
@@ -305,6 +322,16 @@
         }
     }
 
+    /// Counts a configuration that is sent to a host, and returns how much longer its transfer takes.
+    fn begin_transfer(&mut self, to: usize, has_config: bool) -> u64 {
+        if !has_config {
+            return 0;
+        }
+        self.open_transfers[to] += 1;
+        self.max_transfers = self.max_transfers.max(self.open_transfers[to]);
+        self.transfer_times[to]
+    }
+
     fn serve(&mut self, request: &StoreRequest) -> StoreAnswer {
         match request {
             StoreRequest::Append {
@@ -352,6 +379,24 @@
     }
 }
 
+fn carries_config(reply: &PeerReply) -> bool {
+    matches!(
+        reply,
+        PeerReply::Hello {
+            config: Some(_),
+            ..
+        }
+    )
+}
+
+fn has_records(answer: &Result<StoreAnswer, CallError>) -> bool {
+    match answer {
+        Ok(StoreAnswer::Records { records, .. }) => !records.is_empty(),
+        Ok(StoreAnswer::Page(page)) => !page.records.is_empty(),
+        _ => false,
+    }
+}
+
 pub fn address(index: usize) -> SocketAddr {
     ([10, 0, 0, 1], index as u16 + 1).into()
 }
