Limit the time between the parts of an answer instead of the time of the whole

Cause: a call ended at its time limit even while its answer arrived. A configuration that takes longer than that on a host's link never arrived, and each repetition began anew.

--- a/src/connection/async_http_client.rs
+++ b/src/connection/async_http_client.rs
@@ -7,8 +7,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::Response;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper_util::rt::TokioIo;
@@ -17,6 +19,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::orders::CallError;
+use super::transfer::TransferLimit;
 
 /// Timeout for opening a connection. Hosts are at most about 30 ms apart, so a server that does
 /// not accept within this time is down.
@@ -65,23 +68,25 @@
         AsyncHttpClient::default()
     }
 
-    /// Sends a request and reads the whole answer.
+    /// Sends a request and reads the whole answer. `time_limit` applies until the answer begins.
     ///
     /// # Errors
     ///
     /// `NotSent` if no connection was opened, `Refused` if no process listens on the port,
-    /// `NoAnswer` if the connection closed or `time_limit` passed before the whole answer arrived,
-    /// `Malformed` if the request is invalid or the answer too large.
+    /// `NoAnswer` if the connection closed, `time_limit` passed or the rest of the answer did not keep
+    /// arriving, `Malformed` if the request is invalid or the answer too large.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: HttpRequest,
         time_limit: Duration,
     ) -> Result<HttpReply> {
-        match timeout(time_limit, self.send(address, request)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(CallError::NoAnswer),
-        }
+        let sent = timeout(time_limit, self.send(address, request)).await;
+        let (answer, sender) = sent.map_err(|_| CallError::NoAnswer)??;
+        let status = answer.status().as_u16();
+        let body = receive(answer.into_body(), time_limit).await?;
+        self.put_back(address, sender);
+        Ok(HttpReply { status, body })
     }
 
     /// Closes all idle connections to an address.
@@ -89,7 +94,12 @@
         self.idle.borrow_mut().remove(&address);
     }
 
-    async fn send(&self, address: SocketAddr, request: HttpRequest) -> Result<HttpReply> {
+    /// Sends a request and waits for the head of the answer.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        request: HttpRequest,
+    ) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>)> {
         let mut sender = match self.take(address) {
             Some(sender) => sender,
             None => connect(address).await?,
@@ -104,14 +114,7 @@
             true => CallError::NotSent,
             false => CallError::NoAnswer,
         })?;
-        let status = answer.status().as_u16();
-        let body = answer.into_body().collect().await;
-        let body = body.map_err(|_| CallError::NoAnswer)?.to_bytes();
-        if body.len() > MAX_ANSWER {
-            return Err(CallError::Malformed);
-        }
-        self.put_back(address, sender);
-        Ok(HttpReply { status, body })
+        Ok((answer, sender))
     }
 
     fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
@@ -164,6 +167,23 @@
     Ok(sender)
 }
 
+/// Reads the body of an answer.
+async fn receive(body: Incoming, time_limit: Duration) -> Result<Bytes> {
+    let mut body = Limited::new(body, MAX_ANSWER);
+    let mut limit = TransferLimit::new(time_limit);
+    let mut data = BytesMut::new();
+    while let Some(frame) = limit.next(body.frame()).await? {
+        let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+            true => CallError::Malformed,
+            false => CallError::NoAnswer,
+        })?;
+        if let Ok(part) = frame.into_data() {
+            data.extend_from_slice(&part);
+        }
+    }
+    Ok(data.freeze())
+}
+
 fn build_request(address: SocketAddr, request: HttpRequest) -> Result<hyper::Request<Full<Bytes>>> {
     let mut builder = hyper::Request::builder()
         .method(request.method)
--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -21,6 +21,7 @@
 
 use super::error::{Error, Result};
 use super::orders::CallError;
+use super::transfer::TransferLimit;
 
 /// Timeout for opening a connection to a peer; long enough for the slowest link between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -70,22 +71,20 @@
         })
     }
 
-    /// Calls a peer and waits for its reply.
+    /// Calls a peer and waits for its reply. `time_limit` applies until the reply begins.
     ///
     /// # Errors
     ///
     /// `NotSent` if the call was not sent, `Refused` if no process listens on the port, `NoAnswer` if
-    /// the connection closed or `time_limit` passed before the reply arrived, `Malformed` if a message cannot be encoded or decoded.
+    /// the connection closed, `time_limit` passed or the rest of the reply did not keep arriving,
+    /// `Malformed` if a message cannot be encoded or decoded.
     pub async fn call(
         &self,
         address: SocketAddr,
         call: &H::Call,
         time_limit: Duration,
     ) -> std::result::Result<H::Reply, CallError> {
-        let answer = match timeout(time_limit, self.exchange(address, call)).await {
-            Ok(answer) => answer,
-            Err(_) => Err(CallError::NoAnswer),
-        };
+        let answer = self.exchange(address, call, time_limit).await;
         if answer.is_err() {
             self.connections.borrow_mut().remove(&address);
         }
@@ -96,7 +95,19 @@
         &self,
         address: SocketAddr,
         call: &H::Call,
+        time_limit: Duration,
     ) -> std::result::Result<H::Reply, CallError> {
+        let sent = timeout(time_limit, self.send_call(address, call)).await;
+        let body = sent.map_err(|_| CallError::NoAnswer)??;
+        decode(&receive(body, TransferLimit::new(time_limit)).await?)
+    }
+
+    /// Sends a call and waits for the begin of the reply.
+    async fn send_call(
+        &self,
+        address: SocketAddr,
+        call: &H::Call,
+    ) -> std::result::Result<RecvStream, CallError> {
         let message = encode(call)?;
         let mut sender = self.connect(address).await?;
         let head = http::Request::post("http://peer/")
@@ -107,7 +118,7 @@
         let (response, mut stream) = sent.map_err(|_| CallError::NotSent)?;
         send(&mut stream, message)?;
         let response = response.await.map_err(|_| CallError::NoAnswer)?;
-        decode(&receive(response.into_body()).await?)
+        Ok(response.into_body())
     }
 
     async fn connect(
@@ -188,7 +199,7 @@
     body: RecvStream,
     mut respond: h2::server::SendResponse<Bytes>,
 ) -> std::result::Result<(), CallError> {
-    let call: H::Call = decode(&receive(body).await?)?;
+    let call: H::Call = decode(&receive(body, TransferLimit::default()).await?)?;
     let reply = handler.serve(call).await;
     let message = encode(&reply)?;
     let response = http::Response::new(());
@@ -210,9 +221,12 @@
         .map_err(|_| CallError::NoAnswer)
 }
 
-async fn receive(mut body: RecvStream) -> std::result::Result<Vec<u8>, CallError> {
+async fn receive(
+    mut body: RecvStream,
+    mut limit: TransferLimit,
+) -> std::result::Result<Vec<u8>, CallError> {
     let mut message = Vec::new();
-    while let Some(chunk) = body.data().await {
+    while let Some(chunk) = limit.next(body.data()).await? {
         let chunk = chunk.map_err(|_| CallError::NoAnswer)?;
         if message.len() + chunk.len() > MAX_MESSAGE {
             return Err(CallError::Malformed);
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -21,6 +21,7 @@
 mod peer;
 mod pool;
 mod stream_store;
+mod transfer;
 pub mod wire;
 mod worker;
 
