Skip records of a stream that cannot be decoded, and read on behind them

What callers saw: one odd record, such as an empty one, one whose key length exceeds it, or an item of a listing whose key or value is missing, null, no text or no base64, made the whole answer of the store malformed. The reader did not advance, so the host followed that stream no more (registry, configuration, hosts), and a new owner read the same page of the shard's records again and again.

Cause: an answer was decoded as a whole.

Why it works: records and items are decoded one by one; those that cannot be are skipped and logged in one line of bounded length for each answer, and count for the next offset. A page names the keys whose value cannot be read, so that the next page starts behind them and a listing does not remove their workers. A page without any readable key ends a listing without removals (the stream is then read from its end); a claim, which needs all records, repeats the request.

--- a/benches/shard.rs
+++ b/benches/shard.rs
@@ -299,6 +299,7 @@
                         StoreRequest::Append { .. } => StoreAnswer::Appended,
                         _ => StoreAnswer::Page(Page {
                             records: Vec::<KeyedRecord>::new(),
+                            unreadable: Vec::new(),
                             has_more: false,
                             end: 0,
                         }),
--- a/src/connection/stream_store.rs
+++ b/src/connection/stream_store.rs
@@ -73,8 +73,18 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Page {
     pub records: Vec<KeyedRecord>,
+    /// Keys of the records on this page whose value can't be read.
+    pub unreadable: Vec<String>,
     /// Whether more keys follow the last one of this page.
     pub has_more: bool,
     /// Offset after the newest record of the partition.
     pub end: u64,
 }
+
+impl Page {
+    /// The last key of this page, also if its value can't be read. Pages are in the order of the keys.
+    pub fn last_key(&self) -> Option<&String> {
+        let last = self.records.last().map(|record| &record.key);
+        last.max(self.unreadable.last())
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -28,3 +28,11 @@
 }
 
 pub type Result<T> = std::result::Result<T, Error>;
+
+/// The beginning of a text, for messages that name it. Other programs may write very long ones.
+fn excerpt(text: &str) -> &str {
+    const MAX_LENGTH: usize = 100;
+    let mut ends = (0..=MAX_LENGTH.min(text.len())).rev();
+    let end = ends.find(|end| text.is_char_boundary(*end));
+    &text[..end.unwrap_or(0)]
+}
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,11 +1,14 @@
 //! Encodes calls to the platform's log and decodes its answers.
 
+use std::borrow::Cow;
+
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::{BufMut, Bytes, BytesMut};
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 
-use super::{Error, Result};
+use super::{Error, Result, excerpt};
 use crate::connection::{
     CallError, HttpReply, HttpRequest, KeyedRecord, Page, Partition, StoreAnswer, StoreRequest,
 };
@@ -94,19 +97,28 @@
 }
 
 #[derive(Deserialize)]
-struct NewestBody {
-    #[serde(default)]
-    items: Vec<ItemBody>,
+struct NewestBody<'a> {
+    /// Decoded one by one, since other programs write to some streams.
+    #[serde(default, borrow)]
+    items: Vec<&'a RawValue>,
     #[serde(default)]
     more: bool,
     end: u64,
 }
 
 #[derive(Deserialize)]
-struct ItemBody {
-    key: String,
-    #[serde(default)]
-    value: String,
+struct ItemBody<'a> {
+    #[serde(borrow)]
+    key: &'a RawValue,
+    /// `None` if it is missing, but not if it is null.
+    #[serde(default, borrow, deserialize_with = "deserialize_present")]
+    value: Option<&'a RawValue>,
+}
+
+fn deserialize_present<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<Option<&'de RawValue>, D::Error> {
+    Deserialize::deserialize(deserializer).map(Some)
 }
 
 /// Decodes the answer to `request`.
@@ -156,49 +168,101 @@
     }
 }
 
+/// Decodes a page of the newest records. One that can't be decoded does not hide the others.
 fn decode_newest(body: &[u8]) -> Result<StoreAnswer> {
-    let body: NewestBody = serde_json::from_slice(body)?;
-    let mut records = Vec::with_capacity(body.items.len());
-    for item in body.items {
-        let value = STANDARD.decode(&item.value).map_err(|_| Error::Field {
-            field: "value",
-            value: item.key.clone(),
-        })?;
-        records.push(KeyedRecord {
-            key: item.key,
-            value: value.into(),
-        });
-    }
-    Ok(StoreAnswer::Page(Page {
-        records,
+    let text = String::from_utf8_lossy(body);
+    let body: NewestBody<'_> = serde_json::from_str(&text)?;
+    let mut page = Page {
+        records: Vec::with_capacity(body.items.len()),
+        unreadable: Vec::new(),
         has_more: body.more,
         end: body.end,
-    }))
+    };
+    let mut skipped = Skipped::default();
+    for item in body.items {
+        match decode_item(item) {
+            Ok((key, Ok(value))) => page.records.push(KeyedRecord { key, value }),
+            Ok((key, Err(error))) => {
+                skipped.add(|| format!("{key}: {error}"));
+                page.unreadable.push(key);
+            }
+            Err(error) => skipped.add(|| error.to_string()),
+        }
+    }
+    skipped.log();
+    Ok(StoreAnswer::Page(page))
+}
+
+/// Decodes an item into its key and its value; the latter may be an error.
+fn decode_item(item: &RawValue) -> Result<(String, Result<Bytes>)> {
+    let item: ItemBody<'_> = serde_json::from_str(item.get())?;
+    let key = serde_json::from_str(item.key.get())?;
+    let value = item.value.map_or(Ok(Bytes::new()), decode_value);
+    Ok((key, value))
+}
+
+fn decode_value(value: &RawValue) -> Result<Bytes> {
+    let text: Cow<'_, str> = serde_json::from_str(value.get())?;
+    let value = STANDARD.decode(&*text);
+    value.map(Bytes::from).map_err(|_| Error::Field {
+        field: "value",
+        value: excerpt(&text).to_owned(),
+    })
 }
 
 /// Decodes an answer to a read: the end and the first retained offset, 8 bytes each, and then the
-/// records.
+/// records. One that can't be decoded is skipped, but counts for the next offset.
 fn decode_read(from: u64, body: &Bytes) -> Result<StoreAnswer> {
     const HEADER_LENGTH: usize = 16;
     let mut rest = body.get(HEADER_LENGTH..).ok_or(Error::Truncated)?;
     let mut records = Vec::new();
+    let mut next = from;
+    let mut skipped = Skipped::default();
     while !rest.is_empty() {
         let length = rest.get(..4).ok_or(Error::Truncated)?;
         let length = u32::from_be_bytes([length[0], length[1], length[2], length[3]]) as usize;
         let record = rest.get(4..4 + length).ok_or(Error::Truncated)?;
-        records.push(decode_record(record)?);
+        match decode_record(record) {
+            Some(record) => records.push(record),
+            None => skipped.add(|| format!("offset {next}: no key of the given length")),
+        }
+        next += 1;
         rest = &rest[4 + length..];
     }
-    let next = from + records.len() as u64;
+    skipped.log();
     Ok(StoreAnswer::Records { records, next })
 }
 
-fn decode_record(record: &[u8]) -> Result<KeyedRecord> {
-    let (&key_length, rest) = record.split_first().ok_or(Error::Truncated)?;
-    let key_length = usize::from(key_length);
-    let key = rest.get(..key_length).ok_or(Error::Truncated)?;
-    Ok(KeyedRecord {
+/// `None` if the record is shorter than its key.
+fn decode_record(record: &[u8]) -> Option<KeyedRecord> {
+    let (&key_length, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(key_length))?;
+    Some(KeyedRecord {
         key: String::from_utf8_lossy(key).into_owned(),
-        value: Bytes::copy_from_slice(&rest[key_length..]),
+        value: Bytes::copy_from_slice(value),
     })
 }
+
+/// The records of one answer that can't be decoded. They are logged together.
+#[derive(Default)]
+struct Skipped {
+    count: usize,
+    /// What is known of the first one.
+    first: String,
+}
+
+impl Skipped {
+    fn add(&mut self, describe: impl FnOnce() -> String) {
+        self.count += 1;
+        if self.count == 1 {
+            self.first = describe();
+        }
+    }
+
+    fn log(&self) {
+        if self.count > 0 {
+            let (count, first) = (self.count, excerpt(&self.first));
+            tracing::warn!(count, first, "skipping records that cannot be decoded");
+        }
+    }
+}
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -69,6 +69,8 @@
     /// A page of the newest records; `is_last` marks the last page.
     Listing {
         records: Vec<KeyedRecord>,
+        /// Keys whose record can't be read.
+        unreadable: Vec<String>,
         is_last: bool,
     },
     Nothing,
@@ -128,8 +130,15 @@
             }
             Ok(StoreAnswer::Page(page)) => {
                 let end = *self.page_end.get_or_insert(page.end);
-                if page.has_more {
-                    self.page_key = page.records.last().map(|record| record.key.clone());
+                let last_key = page.last_key().cloned();
+                // A page whose keys can't be read leads nowhere. What follows it is not listed, so the
+                // listing ends without a last page.
+                let is_stuck = page.has_more && last_key <= self.page_key;
+                if is_stuck {
+                    tracing::error!(stream = self.stream, after = ?self.page_key, "cannot read the keys of a page; reading on at the end");
+                }
+                if page.has_more && !is_stuck {
+                    self.page_key = last_key;
                     self.due = now;
                 } else {
                     self.next = Some(end);
@@ -138,6 +147,7 @@
                 }
                 ReadResult::Listing {
                     records: page.records,
+                    unreadable: page.unreadable,
                     is_last: !page.has_more,
                 }
             }
@@ -410,9 +420,18 @@
         let Some(reader) = &mut self.streams.registry else {
             return;
         };
+        if reader.page_key.is_none() {
+            self.streams.listed_workers.clear();
+        }
         let changes = match reader.answered(now.steady, answer, took) {
             ReadResult::Records(records) => records.iter().filter_map(decode_change).collect(),
-            ReadResult::Listing { records, is_last } => {
+            ReadResult::Listing {
+                records,
+                unreadable,
+                is_last,
+            } => {
+                let unreadable = unreadable.iter().map(|key| key.as_str().into());
+                self.streams.listed_workers.extend(unreadable);
                 let mut changes: Vec<RegistryChange> =
                     records.iter().filter_map(decode_change).collect();
                 for change in &changes {
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -156,6 +156,12 @@
         };
         let end = RANGE_STARTS.get(range + 1).copied();
         load.is_done = !page.has_more;
+        let last_key = page.last_key().cloned();
+        if page.has_more && last_key <= load.key {
+            tracing::error!(after = ?load.key, "cannot read the keys of a page of records");
+            load.retry_at = Some(now.steady + LOAD_RETRY);
+            return;
+        }
         for record in page.records {
             if end.is_some_and(|end| record.key.as_str() > end) {
                 load.is_done = true;
@@ -165,8 +171,8 @@
                 Ok(decoded) => self.loaded_records.push(decoded),
                 Err(error) => tracing::error!(%error, "skipping a record that cannot be decoded"),
             }
-            load.key = Some(record.key);
         }
+        load.key = last_key;
         if !load.is_done {
             self.load_page(range, out);
             return;
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -1,5 +1,6 @@
 //! Ownership of the shard: the cores of several entry hosts with a simulated network and store.
 
 mod cases;
+mod odd_records;
 mod scale;
 mod world;
--- /dev/null
+++ b/tests/ownership/odd_records.rs
@@ -0,0 +1,105 @@
+//! Records in the streams of the store that no host writes.
+
+use jayfork::base::Millis;
+use jayfork::connection::{Page, StoreAnswer, StoreRequest};
+use jayfork::process::host::{Host, HostAction, HostEvent, HostRecord, HostSettings, StorePurpose};
+use jayfork::process::shard::{Now, ShardSettings};
+
+use super::world::{HIGH_CAPACITY, START, STEP, address};
+
+/// A host whose calls the test answers itself.
+struct Lone {
+    host: Host,
+    now: u64,
+}
+
+impl Lone {
+    fn start() -> Self {
+        let settings = HostSettings {
+            record: HostRecord {
+                name: "host-0".into(),
+                boot: 1,
+                control: address(0),
+                data_centre: "centre-0".into(),
+                region: "east".into(),
+                processor: HIGH_CAPACITY,
+            },
+            seeds: Vec::new(),
+            shard: ShardSettings {
+                lease: Millis(6_000),
+                stop_time: Millis(400),
+                status_keep: Millis(120_000),
+            },
+        };
+        let now = Now {
+            steady: Millis(START),
+            wall: START,
+        };
+        Lone {
+            host: Host::new(settings, now),
+            now: START,
+        }
+    }
+
+    fn time(&self) -> Now {
+        Now {
+            steady: Millis(self.now),
+            wall: self.now,
+        }
+    }
+
+    /// The next request for the records of the hosts.
+    fn next_request(&mut self) -> StoreRequest {
+        for _ in 0..2_000 {
+            self.now += STEP;
+            let mut actions = Vec::new();
+            self.host.poll(self.time(), &mut actions);
+            for action in actions {
+                if let HostAction::Store(StorePurpose::Hosts, call) = action {
+                    return call.request;
+                }
+            }
+        }
+        panic!("the host reads the stream no more");
+    }
+
+    fn answer(&mut self, page: Page) {
+        let event = HostEvent::Store {
+            purpose: StorePurpose::Hosts,
+            answer: Ok(StoreAnswer::Page(page)),
+            took: Millis(5),
+        };
+        let now = self.time();
+        self.host.handle(now, event, &mut Vec::new());
+    }
+}
+
+/// A page without a readable record.
+fn unreadable_page(keys: &[&str]) -> Page {
+    Page {
+        unreadable: keys.iter().map(|key| key.to_string()).collect(),
+        has_more: true,
+        end: 40,
+        ..Page::default()
+    }
+}
+
+/// Guards against a listing that reads one page again and again, because it has no readable record.
+#[test]
+fn a_listing_goes_on_behind_unreadable_records() {
+    let mut lone = Lone::start();
+    let first = lone.next_request();
+    assert!(matches!(first, StoreRequest::Newest { after: None, .. }));
+    lone.answer(unreadable_page(&["host/a", "host/b"]));
+    let StoreRequest::Newest { after, .. } = lone.next_request() else {
+        panic!("not a listing");
+    };
+    assert_eq!(after.as_deref(), Some("host/b"));
+    // Without any key the listing cannot go on, but new records can be read.
+    lone.answer(unreadable_page(&[]));
+    let next = lone.next_request();
+    assert!(
+        matches!(next, StoreRequest::Read { offset: 40, .. }),
+        "{next:?}"
+    );
+}
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -360,6 +360,7 @@
                 let stream = self.streams.entry(partition.clone()).or_default();
                 StoreAnswer::Page(Page {
                     records: stream.newest.values().cloned().collect(),
+                    unreadable: Vec::new(),
                     has_more: false,
                     end: stream.log.len() as u64,
                 })
--- a/tests/shard/store.rs
+++ b/tests/shard/store.rs
@@ -32,6 +32,7 @@
                 records.truncate(PAGE);
                 Ok(StoreAnswer::Page(Page {
                     records,
+                    unreadable: Vec::new(),
                     has_more,
                     end: self.end,
                 }))
