Refuse a record whose lengths exceed any memory instead of ending

What callers saw: one record in the stream of hosts, or in that of the shard, whose text claims a huge length ended the process that read it, and each process that read it after a restart.

Cause: the decoder allocates the length that the record claims before it compares it with the bytes that follow, unless it has a limit. Messages between hosts had one; records of streams had none.

Evidence: before, the new tests of tests/ownership/odd_records.rs ended with "memory allocation of bytes failed ... (signal: 6, SIGABRT: process abort signal)"; a length of 64 bits panicked in alloc/src/raw_vec. The cases no_text, empty and crashes passed before.

Why it works: all records of streams are decoded with a limit of 16 MiB, above what the largest append of valid records can decode to. Such a record is then skipped and logged like any other that cannot be decoded.

--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -11,7 +11,7 @@
     CONFIG_KEY, CONFIG_STREAM, REGISTRY_STREAM, decode_config, decode_registry_entry,
 };
 use crate::process::shard::{Now, RegistryChange, ShardEvent};
-use crate::version::ShardRecord;
+use crate::version::{ShardRecord, decode_bounded};
 
 pub(super) const HOSTS_STREAM: &str = "keyed.jayfork-hosts";
 pub(super) const SHARD_STREAM: &str = "keyed.jayfork-shard";
@@ -400,9 +400,8 @@
             }
             return;
         }
-        let config = bincode::config::standard();
-        match bincode::serde::decode_from_slice::<HostRecord, _>(&record.value, config) {
-            Ok((host, _)) => self.peers.add(now.steady, host),
+        match decode_bounded::<HostRecord>(&record.value) {
+            Ok(host) => self.peers.add(now.steady, host),
             Err(error) => {
                 tracing::warn!(key = record.key, %error, "cannot decode the record of a host")
             }
--- a/src/process/node/tasks.rs
+++ b/src/process/node/tasks.rs
@@ -8,7 +8,7 @@
 use crate::connection::wire::{LogRecord, ReadReply, RelayedRecord};
 use crate::process::{OpenSuspicion, telemetry};
 use crate::version::{
-    AppendOutcome, Batch, Journal, Record, RequeueReason, TaskChange, TaskResult,
+    AppendOutcome, Batch, Journal, Record, RequeueReason, TaskChange, TaskResult, decode_bounded,
 };
 
 type Result<T> = std::result::Result<T, Error>;
@@ -138,11 +138,8 @@
         if record.offset < self.ledger.next() {
             return;
         }
-        match bincode::serde::decode_from_slice::<Batch, _>(
-            &record.data,
-            bincode::config::standard(),
-        ) {
-            Ok((batch, _)) => {
+        match decode_bounded::<Batch>(&record.data) {
+            Ok(batch) => {
                 self.journal.confirm(&batch);
                 self.detect_predecessor(&batch);
                 self.track_task_ages(now, record.time, &batch);
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bincode::error::DecodeError;
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -9,6 +10,10 @@
 use crate::base::Name;
 use crate::request::job::{JobId, JobProgress, JobSpec, LearnedImage, Outcome, TaskCrashes};
 
+/// Upper bound of the memory of a decoded record, in bytes. The store takes up to 2 MiB at once, and a
+/// byte becomes a number of 8 bytes at most.
+const MAX_DECODED: usize = 16 << 20;
+
 /// Why a record could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -161,10 +166,17 @@
 }
 
 fn decode_value<T: DeserializeOwned>(key: &str, value: &[u8]) -> Result<T> {
-    bincode::serde::decode_from_slice(value, bincode::config::standard())
-        .map(|(decoded, _)| decoded)
-        .map_err(|error| Error::Value {
-            key: key.to_owned(),
-            reason: error.to_string(),
-        })
+    decode_bounded(value).map_err(|error| Error::Value {
+        key: key.to_owned(),
+        reason: error.to_string(),
+    })
+}
+
+/// Decodes bytes of a stream. Without the limit, a length that they contain would be allocated before
+/// it is compared with the bytes that follow.
+pub(crate) fn decode_bounded<T: DeserializeOwned>(
+    bytes: &[u8],
+) -> std::result::Result<T, DecodeError> {
+    let config = bincode::config::standard().with_limit::<MAX_DECODED>();
+    bincode::serde::decode_from_slice(bytes, config).map(|(decoded, _)| decoded)
 }
--- a/tests/ownership/odd_records.rs
+++ b/tests/ownership/odd_records.rs
@@ -1,9 +1,12 @@
 //! Records in the streams of the store that no host writes.
 
+use bytes::Bytes;
 use jayfork::base::Millis;
-use jayfork::connection::{Page, StoreAnswer, StoreRequest};
+use jayfork::connection::{KeyedRecord, Page, StoreAnswer, StoreRequest};
 use jayfork::process::host::{Host, HostAction, HostEvent, HostRecord, HostSettings, StorePurpose};
 use jayfork::process::shard::{Now, ShardSettings};
+use jayfork::version::ShardRecord;
+use yare::parameterized;
 
 use super::world::{HIGH_CAPACITY, START, STEP, address};
 
@@ -103,3 +106,48 @@
         "{next:?}"
     );
 }
+
+/// Guards against a host that ends at a record whose text claims to be longer than any memory.
+#[parameterized(
+    length_of_64_bits = { &[253, 255, 255, 255, 255, 255, 255, 255, 255] },
+    length_of_62_bits = { &[253, 255, 255, 255, 255, 255, 255, 255, 63] },
+    length_of_44_bits = { &[253, 255, 255, 255, 255, 255, 15, 0, 0] },
+    no_text = { &[3, 0xff, 0xff, 0xff] },
+    empty = { &[] },
+)]
+fn a_record_with_a_false_length_ends_no_host(value: &'static [u8]) {
+    let mut lone = Lone::start();
+    lone.next_request();
+    let keys = ["host/x", "owner", "other"];
+    lone.answer(Page {
+        records: keys.map(|key| record(key, value)).into(),
+        end: 40,
+        ..Page::default()
+    });
+    let next = lone.next_request();
+    assert!(
+        matches!(next, StoreRequest::Read { offset: 40, .. }),
+        "{next:?}"
+    );
+}
+
+/// Guards against an owner that ends while it loads such a record of the shard.
+#[parameterized(
+    owner = { "owner", &[] },
+    contention = { "contention", &[1] },
+    worker = { "w/i-7f", &[0, 10, 0, 0, 1, 80] },
+    job = { "j/5c0e7a21d94b36f8", &[] },
+    state = { "s/5c0e7a21d94b36f8", &[1] },
+    crashes = { "c/5c0e7a21d94b36f8", &[1, 0, 0, 0] },
+)]
+fn a_shard_record_with_a_false_length_is_refused(key: &str, start: &[u8]) {
+    let value = [start, &[253, 255, 255, 255, 255, 255, 255, 255, 63]].concat();
+    assert!(ShardRecord::decode(key, &value).is_err());
+}
+
+fn record(key: &str, value: &'static [u8]) -> KeyedRecord {
+    KeyedRecord {
+        key: key.to_owned(),
+        value: Bytes::from_static(value),
+    }
+}
