Refuse registry entries whose id, names or address no worker can have

What callers saw: an entry of another program, well-formed but with an id, a name or an address that no worker has, became a worker. The owner sent it orders again and again: with an id that is no valid header each opened a new connection and failed; to 0.0.0.0 they reached the owner's own machine.

Cause: the key of an entry was not checked at all, the address only for its form, and no length was limited. Ids that are not UTF-8 were replaced, so that two of them could become one.

Deep nesting, numbers that are too large and ports out of range were refused before; the tests show it.

Why it works: an id consists of 1 to 250 printable ASCII characters, as a header and a key can hold, names have up to 250 bytes and entries up to 100 labels. An address has a port and is that of a single process. Other entries are ignored like malformed ones, with messages of bounded length.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,7 +10,9 @@
 
 pub use client::{ClientCall, ClientRequest, decode_client, encode_backlog, encode_job_state};
 pub use config::{CONFIG_KEY, CONFIG_STREAM, decode_config};
-pub use registry::{REGISTRY_STREAM, RegistryEntry, WorkerState, decode_registry_entry};
+pub use registry::{
+    REGISTRY_STREAM, RegistryEntry, WorkerState, decode_registry_entry, decode_worker_id,
+};
 pub use store::{decode_store_answer, encode_store_request};
 pub use worker::{decode_worker_answer, encode_order};
 
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -9,6 +9,7 @@
 use crate::connection::{CallError, KeyedRecord, Partition, StoreAnswer, StoreCall, StoreRequest};
 use crate::platform::{
     CONFIG_KEY, CONFIG_STREAM, REGISTRY_STREAM, decode_config, decode_registry_entry,
+    decode_worker_id,
 };
 use crate::process::shard::{Now, RegistryChange, ShardEvent};
 use crate::version::{ShardRecord, decode_bounded};
@@ -460,7 +461,13 @@
 }
 
 fn decode_change(record: &KeyedRecord) -> Option<RegistryChange> {
-    let id: Name = record.key.as_str().into();
+    let id = match decode_worker_id(&record.key) {
+        Ok(id) => id,
+        Err(error) => {
+            tracing::debug!(%error, "registry entry belongs to no worker");
+            return None;
+        }
+    };
     if record.value.is_empty() {
         return Some(RegistryChange::Removed(id));
     }
--- a/tests/odd_records.rs
+++ b/tests/odd_records.rs
@@ -5,7 +5,7 @@
 use jayfork::connection::{
     CallError, HttpReply, KeyedRecord, Page, Partition, StoreAnswer, StoreRequest,
 };
-use jayfork::platform::decode_store_answer;
+use jayfork::platform::{decode_registry_entry, decode_store_answer, decode_worker_id};
 use yare::parameterized;
 
 fn partition() -> Partition {
@@ -128,3 +128,103 @@
     assert_eq!(unreadable.last_key().map(String::as_str), Some("b"));
     assert_eq!(Page::default().last_key(), None);
 }
+
+/// The entry of a worker.
+fn entry() -> serde_json::Value {
+    serde_json::json!({"service": "s", "address": "10.0.0.9:80", "zone": "z", "version": "v1",
+        "slots": 8, "state": "ready", "coldRemainingMs": 0, "labels": ["a", "r1-3"], "seq": 4,
+        "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0}, "clockMs": 4, "born": 17})
+}
+
+/// Guards against orders to an address at which no single process can listen, among them the owner's
+/// own ports.
+#[parameterized(
+    no_port = { "10.0.0.9:0", false },
+    port_out_of_range = { "10.0.0.9:65536", false },
+    unspecified = { "0.0.0.0:80", false },
+    unspecified_v6 = { "[::]:80", false },
+    unspecified_as_v6 = { "[::ffff:0.0.0.0]:80", false },
+    multicast = { "224.0.0.1:80", false },
+    multicast_v6 = { "[ff02::1]:80", false },
+    broadcast = { "255.255.255.255:80", false },
+    empty = { "", false },
+    worker = { "10.0.0.9:80", true },
+    worker_v6 = { "[fd00::9]:65535", true },
+    worker_on_this_host = { "127.0.0.1:80", true },
+)]
+fn an_entry_needs_the_address_of_a_process(address: &str, is_valid: bool) {
+    let mut entry = entry();
+    entry["address"] = address.into();
+    let decoded = decode_registry_entry(entry.to_string().as_bytes());
+    assert_eq!(decoded.is_ok(), is_valid, "{decoded:?}");
+}
+
+/// Guards against an entry that takes much memory for as long as it is listed, or whose record the
+/// store refuses for its size.
+#[parameterized(
+    long_service = { "service", "x".repeat(251).into() },
+    long_zone = { "zone", "x".repeat(251).into() },
+    long_label = { "labels", vec!["x".repeat(251)].into() },
+    many_labels = { "labels", vec!["x"; 101].into() },
+)]
+fn an_oversized_entry_is_refused(field: &str, value: serde_json::Value) {
+    let mut entry = entry();
+    assert!(decode_registry_entry(entry.to_string().as_bytes()).is_ok());
+    entry[field] = value;
+    let error = decode_registry_entry(entry.to_string().as_bytes()).expect_err("an error");
+    assert!(error.to_string().len() < 200, "{error}");
+}
+
+/// Guards against numbers that overflow where they are used, or end the decoder.
+#[parameterized(
+    capacity = { "\"cpu\":16000", "\"cpu\":4294967295", true },
+    capacity_too_large = { "\"cpu\":16000", "\"cpu\":4294967296", false },
+    capacity_as_float = { "\"cpu\":16000", "\"cpu\":16000.5", false },
+    negative_capacity = { "\"cpu\":16000", "\"cpu\":-1", false },
+    infinite = { "\"cpu\":16000", "\"cpu\":1e400", false },
+    start_time = { "\"born\":17", "\"born\":18446744073709551615", true },
+    start_time_too_large = { "\"born\":17", "\"born\":18446744073709551616", false },
+    sequence = { "\"seq\":4", "\"seq\":99999999999999999999999999", false },
+    infinite_unknown = { "\"clockMs\":4", "\"clockMs\":1e400", true },
+)]
+fn large_numbers_in_an_entry_are_refused_or_kept(from: &str, to: &str, is_valid: bool) {
+    let entry = entry().to_string();
+    assert!(entry.contains(from));
+    let decoded = decode_registry_entry(entry.replace(from, to).as_bytes());
+    assert_eq!(decoded.is_ok(), is_valid, "{decoded:?}");
+}
+
+/// Guards against a decoder that uses up its stack. A field that is not used may have any depth.
+#[test]
+fn deep_nesting_in_an_entry_ends_no_decoder() {
+    let deep = "[".repeat(200_000) + &"]".repeat(200_000);
+    assert!(decode_registry_entry(deep.as_bytes()).is_err());
+    let entry = entry().to_string();
+    let nested = entry.replace("16000", &deep);
+    assert!(decode_registry_entry(nested.as_bytes()).is_err());
+    let nested = entry.replace("{\"address\"", &format!("{{\"x\":{deep},\"address\""));
+    assert!(nested.len() > entry.len() && decode_registry_entry(nested.as_bytes()).is_ok());
+}
+
+/// Guards against ids that can't be sent in a header, or whose record has a key that the store can't
+/// hold.
+#[test]
+fn only_ids_that_can_be_sent_and_stored_name_a_worker() {
+    let long = "x".repeat(250);
+    for id in ["i-7f", "a/b:c", long.as_str()] {
+        assert_eq!(&*decode_worker_id(id).expect("an id"), id);
+    }
+    let too_long = "x".repeat(251);
+    for id in [
+        "",
+        " ",
+        "a b",
+        "a\n",
+        "a\0",
+        "\u{fffd}",
+        "é",
+        too_long.as_str(),
+    ] {
+        assert!(decode_worker_id(id).is_err(), "{id:?}");
+    }
+}
--- a/tests/ownership/odd_records.rs
+++ b/tests/ownership/odd_records.rs
@@ -8,7 +8,7 @@
 use jayfork::version::ShardRecord;
 use yare::parameterized;
 
-use super::world::{HIGH_CAPACITY, START, STEP, address};
+use super::world::{HIGH_CAPACITY, START, STEP, World, address};
 
 /// A host whose calls the test answers itself.
 struct Lone {
@@ -151,3 +151,41 @@
         value: Bytes::from_static(value),
     }
 }
+
+const ENTRY: &str = r#"{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":8,
+    "state":"ready","coldRemainingMs":0,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},
+    "labels":["a","r1-3"],"clockMs":4,"seq":4,"born":17}"#;
+
+/// Guards against an owner that follows the registry no more, or sends orders to an address at which
+/// no worker can be, because of one entry of another program.
+#[parameterized(
+    no_id = { "", ENTRY },
+    long_id = { &"x".repeat(254), ENTRY },
+    longer_id = { &"x".repeat(700), ENTRY },
+    line_break_in_id = { "x\r\ny", ENTRY },
+    space_in_id = { "x ", ENTRY },
+    id_not_utf8 = { "x\u{fffd}", ENTRY },
+    no_port = { "x", &ENTRY.replace(":80", ":0") },
+    port_out_of_range = { "x", &ENTRY.replace(":80", ":65536") },
+    unspecified_address = { "x", &ENTRY.replace("10.0.0.9", "0.0.0.0") },
+    multicast_address = { "x", &ENTRY.replace("10.0.0.9", "224.0.0.1") },
+    number_too_large = { "x", &ENTRY.replace("16000", "1e400") },
+    deeply_nested = { "x", &("[".repeat(100_000) + &"]".repeat(100_000)) },
+    deeply_nested_field = { "x", &ENTRY.replace("16000", &("[".repeat(100_000) + &"]".repeat(100_000))) },
+    long_service = { "x", &ENTRY.replace("\"s\"", &format!("\"{}\"", "s".repeat(262_000))) },
+    not_json = { "x", "\0\u{1}" },
+)]
+fn an_odd_entry_names_no_worker(key: &str, value: &str) {
+    let mut world = World::start(1, &[(HIGH_CAPACITY, 2); 3]);
+    world.register(key, value);
+    world.run(4_000);
+    world.register(key, value);
+    world.register("i-7f", ENTRY);
+    world.run(2_000);
+    assert_eq!(world.owners().len(), 1);
+    let ordered: Vec<&str> = world.ordered_workers.iter().map(|(id, _)| &**id).collect();
+    assert_eq!(ordered, ["i-7f"]);
+    let keys = world.journal_keys();
+    let is_odd = |key: &&String| key.starts_with("w/") && *key != "w/i-7f";
+    assert_eq!(keys.iter().find(is_odd), None);
+}
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -1,17 +1,18 @@
 //! Simulates the network and the store between the cores of several entry hosts.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-use jayfork::base::Millis;
+use jayfork::base::{Millis, Name};
 use jayfork::connection::{
     CallError, Fence, KeyedRecord, Page, Partition, StoreAnswer, StoreCall, StoreRequest,
+    WorkerAnswer,
 };
-use jayfork::platform::{CONFIG_KEY, CONFIG_STREAM};
+use jayfork::platform::{CONFIG_KEY, CONFIG_STREAM, REGISTRY_STREAM};
 use jayfork::process::host::{
     Host, HostAction, HostEvent, HostRecord, HostSettings, PeerCall, PeerReply, StorePurpose,
 };
-use jayfork::process::shard::{Now, ShardSettings};
+use jayfork::process::shard::{Now, ShardSettings, WorkerTag};
 
 /// Data centres, among which the hosts are spread.
 pub const DATA_CENTRES: usize = 6;
@@ -58,6 +59,8 @@
     /// Caller, its ID of the call, and the answer.
     PeerReply(usize, u64, Result<PeerReply, CallError>),
     Store(usize, StorePurpose, StoreCall),
+    /// Owner, its epoch, the order's tag and the answer.
+    WorkerAnswer(usize, u64, WorkerTag, Result<WorkerAnswer, CallError>),
     /// The last field is the duration of the call.
     StoreAnswer(usize, StorePurpose, Result<StoreAnswer, CallError>, Millis),
 }
@@ -98,6 +101,8 @@
     open_transfers: Vec<usize>,
     /// Most configurations that were on their way to one host at once.
     pub max_transfers: usize,
+    /// Workers to which hosts have sent orders, with the addresses. None of them answers.
+    pub ordered_workers: BTreeSet<(Name, SocketAddr)>,
 }
 
 impl World {
@@ -123,6 +128,7 @@
             transfer_times: vec![0; hosts.len()],
             open_transfers: vec![0; hosts.len()],
             max_transfers: 0,
+            ordered_workers: BTreeSet::new(),
         };
         world.publish(1);
         for (index, (processor, _)) in hosts.iter().enumerate() {
@@ -143,6 +149,25 @@
         self.stream(CONFIG_STREAM).append(&[config], None);
     }
 
+    /// Stores an entry in the registry of workers.
+    pub fn register(&mut self, key: &str, value: &str) {
+        let entry = KeyedRecord {
+            key: key.to_owned(),
+            value: value.to_owned().into(),
+        };
+        self.stream(REGISTRY_STREAM).append(&[entry], None);
+    }
+
+    /// Keys of the newest records in the shard's journal.
+    pub fn journal_keys(&mut self) -> Vec<String> {
+        let stream = self.stream("keyed.jayfork-shard");
+        let kept = stream
+            .newest
+            .values()
+            .filter(|record| !record.value.is_empty());
+        kept.map(|record| record.key.clone()).collect()
+    }
+
     /// The versions of the configuration that are in force on any host, in order.
     pub fn config_versions(&self) -> Vec<u64> {
         let hosts = self.hosts.iter().flatten();
@@ -268,10 +293,13 @@
                     self.send(after, Message::Store(index, purpose, call));
                 }
                 HostAction::Exit => self.hosts[index] = None,
-                HostAction::Worker { .. }
-                | HostAction::Answer(..)
-                | HostAction::Ready(_)
-                | HostAction::Drain => {}
+                HostAction::Worker { epoch, tag, call } => {
+                    self.ordered_workers.insert((call.worker, call.address));
+                    let answer = Err(CallError::NoAnswer);
+                    let message = Message::WorkerAnswer(index, epoch, tag, answer);
+                    self.send(call.timeout.0, message);
+                }
+                HostAction::Answer(..) | HostAction::Ready(_) | HostAction::Drain => {}
             }
         }
     }
@@ -290,6 +318,9 @@
                 self.open_transfers[to] -= usize::from(has_config);
                 self.event(to, HostEvent::PeerAnswer(call, answer));
             }
+            Message::WorkerAnswer(to, epoch, tag, answer) => {
+                self.event(to, HostEvent::Worker { epoch, tag, answer });
+            }
             Message::Store(from, purpose, call) if self.silent_hosts.contains(&from) => {
                 let after = call.timeout.0.saturating_sub(self.store_delays[from]);
                 let answer = Err(CallError::NoAnswer);
