Record a worker once it has reported, so that no owner waits for others

What callers saw: a well-formed entry of another program, under an id or an address where no worker is, delayed each later owner by up to 8.1 s: waiting tasks of recovered jobs did not start meanwhile.

Cause: each listed worker was recorded at once, and a later owner waits until every recorded worker has reported or can hold no lease any more. A worker that has not reported to an owner has got no start from it, so there is nothing to wait for.

A start still needs the stored record; the model of the shard now checks this for every start order.

--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -9,7 +9,7 @@
 use crate::request::job::{Ending, JobId, TaskKey};
 use crate::version::{ShardRecord, WorkerRecord};
 
-use super::journal::Commit;
+use super::journal::{Commit, Journal};
 
 /// Interval of the periodic work, in milliseconds.
 const SWEEP_INTERVAL: Millis = Millis(100);
@@ -169,23 +169,16 @@
             let is_done = is_idle && !worker.awaits_proof(now.steady);
             if !worker.is_listed && is_done && self.phase == Phase::Active {
                 removed.push(worker.id.clone());
-            } else if worker.is_listed && !worker.is_recording && worker.needs_record() {
-                worker.is_recording = true;
-                worker.recorded_leaving = worker.is_draining;
-                let record = WorkerRecord {
-                    address: worker.address,
-                    service: worker.service.clone(),
-                    is_leaving: worker.is_draining,
-                };
-                self.journal.push(
-                    &ShardRecord::Worker(worker.id.clone(), Some(record)),
-                    Some(Commit::Worker(worker.id.clone())),
-                );
+            } else {
+                worker.record(&mut self.journal);
             }
         }
         for id in removed {
-            self.workers.remove(&id);
-            self.journal.push(&ShardRecord::Worker(id, None), None);
+            if let Some(worker) = self.workers.remove(&id) {
+                if worker.is_recorded || worker.is_recording {
+                    self.journal.push(&ShardRecord::Worker(id, None), None);
+                }
+            }
         }
     }
 
@@ -253,9 +246,27 @@
 }
 
 impl Worker {
-    /// Whether its record is missing or outdated.
-    fn needs_record(&self) -> bool {
-        !self.is_recorded || self.recorded_leaving != self.is_draining
+    /// Records it if its record is missing or outdated. One that has not reported has got no orders to
+    /// start anything and may not exist, so a later owner need not wait for it.
+    pub(super) fn record(&mut self, journal: &mut Journal) {
+        let is_outdated = match self.is_recorded {
+            true => self.recorded_leaving != self.is_draining,
+            false => self.first_report.is_some(),
+        };
+        if !self.is_listed || self.is_recording || !is_outdated {
+            return;
+        }
+        self.is_recording = true;
+        self.recorded_leaving = self.is_draining;
+        let record = WorkerRecord {
+            address: self.address,
+            service: self.service.clone(),
+            is_leaving: self.is_draining,
+        };
+        journal.push(
+            &ShardRecord::Worker(self.id.clone(), Some(record)),
+            Some(Commit::Worker(self.id.clone())),
+        );
     }
 
     /// Whether a report is needed at once. A confirmed stop must have ended its run by now, or a run on
--- a/src/process/shard/workers.rs
+++ b/src/process/shard/workers.rs
@@ -49,11 +49,10 @@
         self.slots[slot].get_or_insert_with(create)
     }
 
-    pub fn remove(&mut self, id: &Name) {
-        if let Some(slot) = self.slot_of.remove(id) {
-            self.slots[slot] = None;
-            self.vacant.push(slot);
-        }
+    pub fn remove(&mut self, id: &Name) -> Option<Worker> {
+        let slot = self.slot_of.remove(id)?;
+        self.vacant.push(slot);
+        self.slots.get_mut(slot)?.take()
     }
 
     pub fn iter(&self) -> impl Iterator<Item = &Worker> {
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -34,7 +34,7 @@
     pub epoch: u64,
 }
 
-/// A worker to which the owner has sent orders or is about to send one.
+/// A worker that has reported to the owner. It gets no order to start a task before it is recorded.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
     pub address: SocketAddr,
--- a/tests/shard/crash_model.rs
+++ b/tests/shard/crash_model.rs
@@ -109,6 +109,25 @@
         }
     }
 
+    /// Lets a worker announce that it leaves.
+    pub fn drain(&mut self, worker: usize) {
+        self.fleet.workers[worker].is_leaving = true;
+        let change = self.entry(worker);
+        if let Some(owner) = self.owner() {
+            self.event(owner, ShardEvent::Registry(vec![change]));
+        }
+    }
+
+    /// Ends a worker's process with its runs and removes it from the registry.
+    pub fn leave(&mut self, worker: usize) {
+        self.fleet.restart(self.now, worker);
+        self.fleet.workers[worker].is_gone = true;
+        let change = RegistryChange::Removed(self.worker_name(worker));
+        if let Some(owner) = self.owner() {
+            self.event(owner, ShardEvent::Registry(vec![change]));
+        }
+    }
+
     /// Announces a worker in the registry again.
     pub fn refresh(&mut self, worker: usize) {
         let change = self.entry(worker);
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod fleet;
 mod random;
+mod registry;
 mod restarts;
 mod store;
 mod wide_jobs;
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -186,25 +186,6 @@
         RegistryChange::Set(self.worker_name(worker), entry)
     }
 
-    /// Lets a worker announce that it leaves.
-    pub fn drain(&mut self, worker: usize) {
-        self.fleet.workers[worker].is_leaving = true;
-        let change = self.entry(worker);
-        if let Some(owner) = self.owner() {
-            self.event(owner, ShardEvent::Registry(vec![change]));
-        }
-    }
-
-    /// Ends a worker's process with its runs and removes it from the registry.
-    pub fn leave(&mut self, worker: usize) {
-        self.fleet.restart(self.now, worker);
-        self.fleet.workers[worker].is_gone = true;
-        let change = RegistryChange::Removed(self.worker_name(worker));
-        if let Some(owner) = self.owner() {
-            self.event(owner, ShardEvent::Registry(vec![change]));
-        }
-    }
-
     pub fn kill(&mut self, owner: usize) {
         self.owners[owner] = None;
     }
@@ -336,6 +317,7 @@
         };
         if matches!(call.order, Order::Start(_)) {
             self.count_start(&call.worker);
+            self.check_record(&call.worker);
         }
         let timeout = call.timeout.0;
         if is_late || is_lost {
