Bound the numbers of reports and records where they are added up

What callers saw: nothing yet; found by reading. One answer of a worker with a clock near 2^64 ends the owner in a build with overflow checks, and in a release build lets it order leases that end at once. A clock, a start time or a number of an end that is too large also hides all that follow, since each is compared with the one before: the worker's later reports or ends do not count. A record with a time far ahead ends each owner that loads it in the same way.

Cause: sums of numbers of other programs that are not checked.

Why it works: the sums saturate, so that such a lease or outcome lasts for ever. A report with a clock, a start time or a number of an end above 2^53 is not decoded, as if it had not come, so the next one counts.

--- a/src/platform/worker.rs
+++ b/src/platform/worker.rs
@@ -5,13 +5,17 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, Result};
+use super::{Error, Result, excerpt};
 use crate::connection::{
     CallError, EndReport, HttpReply, HttpRequest, Order, Refusal, RunReport, WorkerAnswer,
     WorkerCall, WorkerReport,
 };
 use crate::request::job::Ending;
 
+/// Upper bound of a clock, a start time and the number of an end. A larger one would hide all that
+/// follow, since each is compared with the one before it.
+const MAX_NUMBER: u64 = 1 << 53;
+
 /// Header with the id of the worker that the call is meant for.
 const WORKER_HEADER: &str = "X-Expected-Instance";
 
@@ -160,7 +164,8 @@
     decode(call, reply).map_err(|error| {
         let body = String::from_utf8_lossy(&reply.body[..reply.body.len().min(200)]).into_owned();
         let worker = &call.worker;
-        tracing::warn!(%worker, %error, status = reply.status, body, "cannot decode the answer of a worker");
+        let error = error.to_string();
+        tracing::warn!(%worker, error = excerpt(&error), status = reply.status, body, "cannot decode the answer of a worker");
         CallError::Malformed
     })
 }
@@ -192,12 +197,13 @@
         field: "clockMs",
         value: String::new(),
     })?;
+    let clock = bounded("clockMs", clock)?;
     if !matches!(call.order, Order::Renew { .. }) {
         return Ok(WorkerAnswer::Accepted { clock });
     }
     let mut report = WorkerReport {
         clock,
-        start_time: body.born,
+        start_time: bounded("born", body.born)?,
         ..WorkerReport::default()
     };
     for row in body.running {
@@ -209,6 +215,16 @@
     Ok(WorkerAnswer::Report(report))
 }
 
+fn bounded(field: &'static str, number: u64) -> Result<u64> {
+    match number <= MAX_NUMBER {
+        true => Ok(number),
+        false => Err(Error::Field {
+            field,
+            value: number.to_string(),
+        }),
+    }
+}
+
 fn decode_refusal(reason: Option<&str>) -> Refusal {
     match reason {
         Some("fence") => Refusal::Fenced,
@@ -253,7 +269,7 @@
             }
         };
         Ok(EndReport {
-            number: row.0,
+            number: bounded("ended", row.0)?,
             task: row.1.parse()?,
             run: row.2,
             ending,
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -235,7 +235,7 @@
             }
             // The runs that this incarnation lists may hold a lease of the greatest length: if it started
             // anew, orders that were meant for the earlier incarnation ended far ahead of its clock.
-            let lease_until = report.clock + self.settings.lease.0;
+            let lease_until = report.clock.saturating_add(self.settings.lease.0);
             worker.begin_incarnation(now.steady, report.start_time, lease_until);
         }
         if worker.is_stale(report.clock) {
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -138,7 +138,7 @@
         let old: Vec<JobId> = self
             .ended
             .iter()
-            .filter(|(_, ended)| ended.at + keep < now.wall)
+            .filter(|(_, ended)| ended.at.saturating_add(keep) < now.wall)
             .map(|(id, _)| *id)
             .collect();
         for id in old {
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -226,7 +226,8 @@
     /// End, on the worker's clock, of a lease of `length` from now; `None` before its first answer.
     pub fn lease_end(&self, now: Millis, length: Millis) -> Option<u64> {
         let (clock, at) = self.clock?;
-        Some(clock + now.since(at).0 + length.0)
+        let elapsed = now.since(at);
+        Some(clock.saturating_add(elapsed.0).saturating_add(length.0))
     }
 
     /// End, on the worker's clock, of the lease that a start order carries: that of the last renewal, but
@@ -245,7 +246,7 @@
             return false;
         };
         let elapsed = now.since(at).0 * SLOWEST_CLOCK / 100;
-        clock + elapsed > self.lease_until + ROUNDING_ALLOWANCE
+        clock.saturating_add(elapsed) > self.lease_until.saturating_add(ROUNDING_ALLOWANCE)
     }
 
     /// Whether all runs here are known. A run that an earlier owner has stopped is listed neither as
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -65,10 +65,11 @@
         .steps
         .get(usize::from(step.step))
         .is_some_and(|step| step.lasts);
-    let objective = (spec.critical_path() as f64 * queue.stretch) as u64 + queue.objective;
+    let objective =
+        ((spec.critical_path() as f64 * queue.stretch) as u64).saturating_add(queue.objective);
     let remaining = spec.critical_path_from(step.step);
-    let on_time_end = start + objective;
-    let late_end = start + objective * OVERDUE_FACTOR;
+    let on_time_end = start.saturating_add(objective);
+    let late_end = start.saturating_add(objective.saturating_mul(OVERDUE_FACTOR));
     let lead = remaining * LEAD_FACTOR;
     let (status, due, expires) = match now + remaining {
         // Long-running tasks are useful however late they start.
--- a/tests/odd_records.rs
+++ b/tests/odd_records.rs
@@ -2,10 +2,14 @@
 //! name no worker.
 
 use bytes::Bytes;
+use jayfork::base::Millis;
 use jayfork::connection::{
-    CallError, HttpReply, KeyedRecord, Page, Partition, StoreAnswer, StoreRequest,
+    CallError, HttpReply, KeyedRecord, Order, Page, Partition, StoreAnswer, StoreRequest,
+    WorkerCall,
+};
+use jayfork::platform::{
+    decode_registry_entry, decode_store_answer, decode_worker_answer, decode_worker_id,
 };
-use jayfork::platform::{decode_registry_entry, decode_store_answer, decode_worker_id};
 use yare::parameterized;
 
 fn partition() -> Partition {
@@ -228,3 +232,29 @@
         assert!(decode_worker_id(id).is_err(), "{id:?}");
     }
 }
+
+/// Guards against a clock, a start or an end that hides all later ones of the worker, because none of
+/// them can be larger.
+#[parameterized(
+    clock = { r#""clockMs":18446744073709551615"# },
+    clock_too_large = { r#""clockMs":18446744073709551616"# },
+    clock_as_float = { r#""clockMs":1.5"# },
+    start_time = { r#""clockMs":9,"born":18446744073709551615"# },
+    number_of_end = { r#""clockMs":9,"ended":[[18446744073709551615,"5c0e7a21d94b36f8.0.1.17",1,"done",""]]"# },
+    percent = { r#""clockMs":9,"running":[["5c0e7a21d94b36f8.0.1.17",1,"",1e400]]"# },
+)]
+fn a_report_with_an_impossible_number_is_refused(fields: &str) {
+    let call = WorkerCall {
+        worker: "i-7f".into(),
+        address: "10.0.0.9:80".parse().expect("an address"),
+        epoch: 7,
+        order: Order::Renew {
+            lease_end: None,
+            acknowledged: 57,
+            wait: Millis(1_000),
+        },
+        timeout: Millis(100),
+    };
+    let answer = decode_worker_answer(&call, &reply(format!("{{{fields}}}")));
+    assert_eq!(answer, Err(CallError::Malformed));
+}
--- a/tests/shard/registry.rs
+++ b/tests/shard/registry.rs
@@ -1,9 +1,13 @@
 //! Entries in the registry that belong to no worker, or not to the one under whose id they are.
 
-use jayfork::process::shard::{Reply, ShardEvent};
-use jayfork::request::job::Outcome;
+use jayfork::base::{Millis, Name};
+use jayfork::connection::{EndReport, RunReport, WorkerAnswer, WorkerReport};
+use jayfork::process::shard::{Reply, ShardEvent, WorkerTag};
+use jayfork::request::job::{Ending, JobId, Outcome, TaskKey};
+use jayfork::version::{JobRecord, JobStateRecord, ShardRecord};
+use yare::parameterized;
 
-use super::world::{World, chain};
+use super::world::{QUEUE, World, chain};
 
 /// A simulation with one owner and three workers, the last of which does not exist, though it is
 /// listed.
@@ -69,3 +73,81 @@
         }
     }
 }
+
+/// Guards against an owner that ends, or follows the other workers no more, because of a number in
+/// the report of one of them.
+#[parameterized(
+    clock = { u64::MAX, 1, 1, 1 },
+    clock_before_lease = { u64::MAX - 3_000, 1, 1, 1 },
+    start_time = { 5_000, u64::MAX, 1, 1 },
+    number_of_end = { 5_000, 1, u64::MAX, 1 },
+    run = { 5_000, 1, 1, u64::MAX },
+)]
+fn a_large_number_in_a_report_ends_no_owner(clock: u64, start_time: u64, end: u64, run: u64) {
+    let mut world = World::new(5, 3, 8_000);
+    world.claim();
+    let task: TaskKey = "5c0e7a21d94b36f8.0.0.1".parse().expect("a task");
+    let report = WorkerReport {
+        clock,
+        start_time,
+        running: vec![RunReport {
+            task,
+            run,
+            checkpoint: None,
+            percent: 255,
+            measurement: Some(u64::MAX),
+        }],
+        ended: vec![EndReport {
+            number: end,
+            task,
+            run,
+            ending: Ending::Failed,
+            checkpoint: None,
+        }],
+    };
+    for at in [500, 1_500] {
+        world.run(at);
+        let tag = WorkerTag::Poll {
+            worker: "worker-0".into(),
+            sent: Millis(world.now),
+            is_immediate: false,
+        };
+        let answer = Ok(WorkerAnswer::Report(report.clone()));
+        world.event(0, ShardEvent::Worker(tag, answer));
+    }
+    world.submit(1, &chain(&[8, 8], 1_000));
+    world.run(12_000);
+    world.assert_no_violations();
+    assert_eq!(world.fleet.done.len(), 16);
+}
+
+/// Guards against an owner that ends when it loads a record with a time far ahead.
+#[test]
+fn records_with_times_far_ahead_end_no_owner() {
+    let mut world = World::new(5, 3, 8_000);
+    let queue: Name = QUEUE.into();
+    let job = JobRecord {
+        queue: queue.clone(),
+        accepted: u64::MAX,
+        spec: chain(&[2], 1_000),
+    };
+    let ended = JobStateRecord::Ended {
+        queue,
+        outcome: Outcome::Completed,
+        at: u64::MAX,
+    };
+    let records = [
+        ShardRecord::Job(JobId(7), Some(job)),
+        ShardRecord::State(JobId(8), Some(ended)),
+    ];
+    for record in records {
+        world.store.records.insert(record.key(), record.value());
+    }
+    world.submit(7, &chain(&[2], 1_000));
+    world.claim();
+    world.run(3_000);
+    world.assert_no_violations();
+    assert_eq!(world.fleet.done.len(), 2);
+    let state = world.state(8);
+    assert!(matches!(state, Some(Reply::State { .. })), "{state:?}");
+}
