Do not take another worker's answer for the end of a worker's process

What callers saw: an entry of another program under the id of a worker, with the address of another worker, ended runs. The owner asked there for reports, was told that another worker answers, and counted all runs of the worker as lost while they went on.

Cause: the address in the newest entry was used at once, and an answer from it counted as one from the place of the worker's process.

Evidence: before, an_odd_entry_of_a_worker_ends_no_run failed for another_worker_listens with 'left: (0, 6) right: (6, 6)': of six long-running tasks none was left 8 s after the worker's own entry was back. The cases nothing_listens and unknown_service, the same entries while the worker is cut off or right after a claim, and a_worker_is_found_after_an_odd_entry passed before. The model of the shard now delivers calls by their address.

Why it works: a worker that answers keeps its address; that of its entry is used once a request for a report fails, or before the first report. Only a refused connection or another worker's answer at the address of the last report, or of the record, to a request that was sent there, shows that its process has ended. An entry that moves a known worker to a service that the configuration does not name is ignored: no worker does that, and its own entry comes back with its next report.

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -5,9 +5,9 @@
 use super::requests::Ended;
 use super::shard::{Now, Phase, RegistryChange, Shard, ShardAction, StoreTag, store_call};
 use super::worker::Worker;
-use crate::base::Millis;
+use crate::base::{Millis, Name};
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
-use crate::platform::WorkerState;
+use crate::platform::{RegistryEntry, WorkerState};
 use crate::request::job::{Job, JobId, StartPermit, TaskCrashes};
 use crate::version::{JobStateRecord, ShardRecord};
 
@@ -208,6 +208,7 @@
                     let worker = self.workers.get_or_insert(&id, || {
                         Worker::new(id.clone(), record.address, record.service, now.steady)
                     });
+                    worker.reported_address = Some(record.address);
                     worker.is_recorded = true;
                     worker.is_recovered = true;
                     worker.is_draining = record.is_leaving;
@@ -299,10 +300,14 @@
     pub(super) fn apply_registry_change(&mut self, now: Now, change: RegistryChange) {
         match change {
             RegistryChange::Set(id, entry) => {
+                if self.is_foreign(&id, &entry) {
+                    tracing::debug!(worker = %id, service = %entry.service, "entry of a worker names no known service");
+                    return;
+                }
                 let worker = self.workers.get_or_insert(&id, || {
                     Worker::new(id.clone(), entry.address, entry.service.clone(), now.steady)
                 });
-                worker.address = entry.address;
+                worker.list_at(now.steady, entry.address);
                 worker.service = entry.service;
                 worker.capacity = entry.capacity;
                 worker.labels = entry.labels;
@@ -326,4 +331,12 @@
             }
         }
     }
+
+    /// Whether another program has written the entry of a known worker: no worker changes to a service
+    /// that does not exist.
+    fn is_foreign(&mut self, id: &Name, entry: &RegistryEntry) -> bool {
+        let known = self.workers.get_mut(id);
+        known.is_some_and(|worker| worker.service != entry.service)
+            && !self.queues.has_service(&entry.service)
+    }
 }
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -190,8 +190,10 @@
             }
             answer => {
                 worker.unanswered += 1;
-                let is_refused = matches!(answer, Err(CallError::Refused));
-                let is_replaced = matches!(answer, Ok(WorkerAnswer::WrongWorker));
+                let is_in_place = worker.was_asked_in_place(sent);
+                let is_refused = is_in_place && matches!(answer, Err(CallError::Refused));
+                let is_replaced = is_in_place && matches!(answer, Ok(WorkerAnswer::WrongWorker));
+                worker.use_listed_address(now.steady);
                 let has_gone = is_refused && worker.is_draining && !worker.is_listed;
                 worker.has_left = has_gone || is_replaced;
                 let pause = Millis(POLL_RETRY.0 * u64::from(worker.unanswered.min(10)));
@@ -243,6 +245,7 @@
         }
         worker.set_clock(report.clock, now.steady);
         worker.last_report = Some(now.steady);
+        worker.report_from(sent);
         let is_first = worker.first_report.is_none();
         worker.first_report.get_or_insert(now.steady);
         worker.next_poll = now.steady;
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -230,12 +230,13 @@
 
     /// Loses the runs of the workers that had the address of a new worker before.
     pub(super) fn lose_runs_at_address(&mut self, now: Now, new_id: &Name) {
-        let Some(address) = self.workers.get_mut(new_id).map(|worker| worker.address) else {
+        let new = self.workers.get_mut(new_id);
+        let Some(address) = new.and_then(|worker| worker.reported_address) else {
             return;
         };
         let is_replaced = |worker: &&Worker| {
             let is_empty = worker.runs.is_empty() && worker.suspects.is_empty();
-            worker.address == address && worker.id != *new_id && !is_empty
+            worker.is_at(address) && worker.id != *new_id && !is_empty
         };
         let replaced = self.workers.iter().filter(is_replaced);
         let ids: Vec<Name> = replaced.map(|worker| worker.id.clone()).collect();
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -259,7 +259,7 @@
         self.is_recording = true;
         self.recorded_leaving = self.is_draining;
         let record = WorkerRecord {
-            address: self.address,
+            address: self.reported_address.unwrap_or(self.address),
             service: self.service.clone(),
             is_leaving: self.is_draining,
         };
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -71,7 +71,15 @@
 #[derive(Debug)]
 pub struct Worker {
     pub id: Name,
+    /// Where it gets its orders.
     pub address: SocketAddr,
+    /// The address in its last entry. An entry of another program under its id must not redirect
+    /// orders, so a new address is used once the worker does not answer at the old one.
+    listed_address: SocketAddr,
+    /// When `address` last changed.
+    address_since: Millis,
+    /// Where it last reported, to this owner or to the one that recorded it.
+    pub reported_address: Option<SocketAddr>,
     pub service: Name,
     pub capacity: Size,
     pub labels: Vec<Name>,
@@ -153,6 +161,9 @@
         Worker {
             id,
             address,
+            listed_address: address,
+            address_since: now,
+            reported_address: None,
             service,
             capacity: Size::ZERO,
             labels: Vec::new(),
@@ -193,6 +204,40 @@
         }
     }
 
+    /// Sets the address of its entry.
+    pub fn list_at(&mut self, now: Millis, address: SocketAddr) {
+        self.listed_address = address;
+        if self.first_report.is_none() || self.unanswered > 0 {
+            self.use_listed_address(now);
+        }
+    }
+
+    /// Sends further orders to the address in its entry.
+    pub fn use_listed_address(&mut self, now: Millis) {
+        if self.address != self.listed_address {
+            self.address = self.listed_address;
+            self.address_since = now;
+        }
+    }
+
+    /// Remembers where the report came from that was requested at `sent`.
+    pub fn report_from(&mut self, sent: Millis) {
+        if sent >= self.address_since {
+            self.reported_address = Some(self.address);
+        }
+    }
+
+    /// Whether a call that was sent at `sent` went to the address where the worker last reported, so that
+    /// the answer of another process means that the worker's has ended.
+    pub fn was_asked_in_place(&self, sent: Millis) -> bool {
+        sent >= self.address_since && self.is_at(self.address)
+    }
+
+    /// Whether it last reported from this address, if it has reported.
+    pub fn is_at(&self, address: SocketAddr) -> bool {
+        self.reported_address.unwrap_or(self.address) == address
+    }
+
     /// Whether a reading of the worker's clock is older than the newest one.
     pub fn is_stale(&self, clock: u64) -> bool {
         self.clock.is_some_and(|(seen, _)| clock < seen)
--- a/src/version/queues.rs
+++ b/src/version/queues.rs
@@ -72,6 +72,13 @@
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.table.queues.get(*self.positions.get(name)?)
     }
+
+    /// Whether the configuration names a service.
+    pub fn has_service(&self, name: &str) -> bool {
+        let table = &self.table;
+        table.services.iter().any(|service| &*service.name == name)
+            || table.queues.iter().any(|queue| &*queue.service == name)
+    }
 }
 
 impl From<Arc<QueueTable>> for QueueIndex {
--- a/tests/shard/registry.rs
+++ b/tests/shard/registry.rs
@@ -2,12 +2,13 @@
 
 use jayfork::base::{Millis, Name};
 use jayfork::connection::{EndReport, RunReport, WorkerAnswer, WorkerReport};
-use jayfork::process::shard::{Reply, ShardEvent, WorkerTag};
+use jayfork::platform::RegistryEntry;
+use jayfork::process::shard::{RegistryChange, Reply, ShardEvent, WorkerTag};
 use jayfork::request::job::{Ending, JobId, Outcome, TaskKey};
 use jayfork::version::{JobRecord, JobStateRecord, ShardRecord};
 use yare::parameterized;
 
-use super::world::{QUEUE, World, chain};
+use super::world::{QUEUE, World, chain, long_running};
 
 /// A simulation with one owner and three workers, the last of which does not exist, though it is
 /// listed.
@@ -151,3 +152,73 @@
     let state = world.state(8);
     assert!(matches!(state, Some(Reply::State { .. })), "{state:?}");
 }
+
+/// Changes an entry as another program may write it.
+fn altered(world: &World, worker: usize, alter: impl FnOnce(&mut RegistryEntry)) -> ShardEvent {
+    let RegistryChange::Set(id, mut entry) = world.entry(worker) else {
+        panic!("no entry");
+    };
+    alter(&mut entry);
+    ShardEvent::Registry(vec![RegistryChange::Set(id, entry)])
+}
+
+/// Guards against runs that end or start twice because another program writes an entry under the id of
+/// their worker, until the worker writes its own again.
+#[parameterized(
+    nothing_listens = { "10.0.0.99:80", "assembly" },
+    another_worker_listens = { "10.0.0.2:80", "assembly" },
+    unknown_service = { "10.0.0.1:80", "other" },
+)]
+fn an_odd_entry_of_a_worker_ends_no_run(address: &str, service: &str) {
+    for (cut_off, takes_over) in [(false, false), (true, false), (false, true)] {
+        let mut world = World::new(5, 3, 8_000);
+        let mut owner = world.claim();
+        world.run(500);
+        world.submit(1, &long_running(6, 4_000));
+        world.run(1_000);
+        assert_eq!((world.running(1), world.fleet.starts), (6, 6));
+        // The entry may come just when the owner cannot reach the worker.
+        world.fleet.workers[0].is_unreachable = cut_off;
+        world.run(1_000);
+        if takes_over {
+            world.kill(owner);
+            owner = world.claim();
+        }
+        for _ in 0..2 {
+            let address = address.parse().expect("an address");
+            let event = altered(&world, 0, |entry| {
+                entry.address = address;
+                entry.service = service.into();
+            });
+            world.event(owner, event);
+            world.run(500);
+        }
+        world.fleet.workers[0].is_unreachable = false;
+        let entry = world.entry(0);
+        world.event(owner, ShardEvent::Registry(vec![entry]));
+        world.run(8_000);
+        world.assert_no_violations();
+        assert_eq!(
+            (world.running(1), world.fleet.starts),
+            (6, 6),
+            "{cut_off} {takes_over}"
+        );
+    }
+}
+
+/// Guards against a worker that is never asked for a report, because the first entry under its id was
+/// that of another program.
+#[test]
+fn a_worker_is_found_after_an_odd_entry() {
+    let mut world = World::new(5, 1, 8_000);
+    let owner = world.claim();
+    let wrong = "10.0.0.99:80".parse().expect("an address");
+    let event = altered(&world, 0, |entry| entry.address = wrong);
+    world.event(owner, event);
+    world.run(2_000);
+    let entry = world.entry(0);
+    world.event(owner, ShardEvent::Registry(vec![entry]));
+    world.submit(1, &chain(&[3], 1_000));
+    world.run(3_000);
+    assert_eq!(world.fleet.done.len(), 3);
+}
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -2,6 +2,7 @@
 //! delivered late.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 
@@ -332,7 +333,8 @@
             true => Delivery::Unanswered,
             false => Delivery::Answered,
         };
-        let incarnation = self.fleet.workers[worker_index(&call.worker)].incarnation;
+        let target = self.fleet.workers.get(worker_index(&call));
+        let incarnation = target.map_or(0, |worker| worker.incarnation);
         self.send(
             after,
             Message::Order(owner, tag, call, delivery, incarnation),
@@ -367,8 +369,12 @@
                 self.event(owner, ShardEvent::Store(tag, answer));
             }
             Message::Order(owner, tag, call, delivery, incarnation) => {
-                let worker = worker_index(&call.worker);
-                let target = &self.fleet.workers[worker];
+                let worker = worker_index(&call);
+                let Some(target) = self.fleet.workers.get(worker) else {
+                    let answer = Err(CallError::Refused);
+                    self.send(5, Message::Answer(owner, tag, answer));
+                    return;
+                };
                 if target.is_gone || target.returns_at.is_some() {
                     let answer = Err(CallError::Refused);
                     self.send(5, Message::Answer(owner, tag, answer));
@@ -454,11 +460,12 @@
     }
 }
 
-fn worker_index(name: &str) -> usize {
-    name.rsplit('-')
-        .next()
-        .and_then(|index| index.parse().ok())
-        .expect("a worker's name")
+/// Index of the worker at the address of a call.
+fn worker_index(call: &WorkerCall) -> usize {
+    match call.address {
+        SocketAddr::V4(address) => usize::from(address.ip().octets()[3]) - 1,
+        SocketAddr::V6(_) => usize::MAX,
+    }
 }
 
 /// A job with one step for each count; each step depends on the one before it.
