Ignore an owner's record with an epoch that no owner can have

What callers saw: nothing yet; found by reading. One record in the stream of hosts with an epoch of 2^52 or more makes each later claim take a higher one. Numbers of runs contain the epoch above 12 more bits, so they lose its high bits and begin anew, below those that workers have seen.

Cause: the epoch of such a record was not checked.

The case all_bits passed before, as the next epoch wrapped around.

Why it works: such a record is skipped and logged.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -56,6 +56,8 @@
 const MANY_SILENT_TIME: Millis = Millis(2_000);
 /// Number of low bits of an epoch that are random, so that two claims with the same ordinal differ.
 const EPOCH_BITS: u32 = 16;
+/// No owner has a higher epoch than this: the numbers of runs contain the epoch and 12 more bits.
+pub(super) const MAX_EPOCH: u64 = u64::MAX >> 12;
 
 /// State of the search for an owner, of the claim and of a handover.
 #[derive(Debug, Default)]
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashSet;
 
+use super::claim::MAX_EPOCH;
 use super::host::{Host, HostAction, StorePurpose};
 use super::message::HostRecord;
 use crate::base::{Millis, Name};
@@ -394,10 +395,10 @@
     fn apply_host(&mut self, now: Now, record: &KeyedRecord) {
         if record.key == OWNER_KEY {
             match ShardRecord::decode(&record.key, &record.value) {
-                Ok(ShardRecord::Owner(owner)) => {
+                Ok(ShardRecord::Owner(owner)) if owner.epoch <= MAX_EPOCH => {
                     self.claim.max_epoch = self.claim.max_epoch.max(owner.epoch);
                 }
-                other => tracing::warn!(?other, "cannot decode the owner's record"),
+                other => tracing::warn!(?other, "skipping an owner's record"),
             }
             return;
         }
--- a/tests/ownership/odd_records.rs
+++ b/tests/ownership/odd_records.rs
@@ -5,7 +5,7 @@
 use jayfork::connection::{KeyedRecord, Page, StoreAnswer, StoreRequest};
 use jayfork::process::host::{Host, HostAction, HostEvent, HostRecord, HostSettings, StorePurpose};
 use jayfork::process::shard::{Now, ShardSettings};
-use jayfork::version::ShardRecord;
+use jayfork::version::{OwnerRecord, ShardRecord};
 use yare::parameterized;
 
 use super::world::{HIGH_CAPACITY, START, STEP, World, address};
@@ -216,3 +216,33 @@
     world.run(1_000);
     assert_eq!(world.listed_workers(), ["a"]);
 }
+
+/// Guards against a shard that nobody owns any more, because a record claims an epoch that no claim can
+/// exceed.
+#[parameterized(
+    all_bits = { u64::MAX },
+    highest_bit = { 1 << 63 },
+    run_numbers_overflow = { 1 << 52 },
+)]
+fn an_owner_with_an_impossible_epoch_keeps_nobody_from_claiming(epoch: u64) {
+    let mut world = World::start(1, &[(HIGH_CAPACITY, 2); 3]);
+    world.run(4_000);
+    let owners = world.owners();
+    let odd = ShardRecord::Owner(OwnerRecord {
+        host: "nobody".into(),
+        boot: 1,
+        epoch,
+    });
+    world.store_host_record(KeyedRecord {
+        key: odd.key(),
+        value: odd.value(),
+    });
+    world.run(4_000);
+    assert_eq!(world.owners(), owners);
+    world.hosts[owners[0]] = None;
+    world.run(6_000);
+    assert_eq!(world.owners().len(), 1);
+    let epochs = world.hosts.iter().flatten().filter_map(Host::shard);
+    let epochs: Vec<u64> = epochs.map(|shard| shard.epoch()).collect();
+    assert!(epochs[0] < 1 << 32, "{epochs:?}");
+}
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -160,6 +160,11 @@
         self.stream(REGISTRY_STREAM).append(&[entry], None);
     }
 
+    /// Stores a record in the stream of hosts.
+    pub fn store_host_record(&mut self, record: KeyedRecord) {
+        self.stream("keyed.jayfork-hosts").append(&[record], None);
+    }
+
     /// Lets the next read of the registry find that its records have expired.
     pub fn expire_registry(&mut self) {
         self.stream(REGISTRY_STREAM).has_expired = true;
