Stop only as many long-running tasks of a leaving worker as find room elsewhere

What callers saw: when a worker left, all of its long-running tasks were stopped, also if the others had room for one of them only; the rest stayed down although their worker still ran. Cause: each task was checked against the same room, and the room that tasks on their way need was not counted. Evidence: a_leaving_worker_keeps_tasks_that_have_no_room_elsewhere failed before; found while looking for stopped runs that do not start again. Why it works: room is reserved for each task that is moved, and before that for those that are being stopped or wait for their restart.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -97,12 +97,12 @@
         }
     }
 
-    /// Whether one of the candidates has room for another run of a running task.
-    pub(super) fn has_room_elsewhere(
+    /// Reserves room for another run of a task among the candidates; returns whether one has room.
+    pub(super) fn reserve_room(
         &self,
         now: Now,
         task: TaskKey,
-        candidates: &Candidates,
+        candidates: &mut Candidates,
     ) -> bool {
         let Some(job) = self.jobs.get(&task.step.job) else {
             return false;
@@ -114,8 +114,14 @@
             return false;
         };
         let (service, step) = (&queue.service, task.step);
-        self.find_worker(now, service, spec, step, candidates, Search::default())
-            .is_some()
+        let found = self.find_worker(now, service, spec, step, candidates, Search::default());
+        let mut others = candidates.iter_mut();
+        let candidate = others.find(|candidate| Some(candidate.slot) == found);
+        let Some(candidate) = candidate else {
+            return false;
+        };
+        candidate.free = candidate.free.saturating_sub(&spec.reserved());
+        true
     }
 
     /// Returns the slot of the best candidate for a task of a step, or `None` if no worker has room.
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -93,25 +93,31 @@
         }
     }
 
-    /// Moves long-running tasks off workers that are leaving, as far as others have room.
+    /// Moves long-running tasks off workers that are leaving, as far as others have room. A task that is
+    /// stopped without room elsewhere would be down while its worker still runs.
     fn evacuate(&mut self, now: Now) {
-        let leaving: Vec<(Name, TaskKey)> =
-            self.workers
-                .iter()
-                .filter(|worker| worker.is_listed && !worker.is_ready)
-                .flat_map(|worker| {
-                    let long_running = worker.runs.iter().filter(|(_, run)| {
-                        run.lasts && matches!(run.state, RunState::Active { .. })
-                    });
-                    long_running.map(|(task, _)| (worker.id.clone(), *task))
-                })
-                .collect();
+        let mut leaving: Vec<(Name, TaskKey)> = Vec::new();
+        let mut moving: Vec<TaskKey> = Vec::new();
+        let workers = self.workers.iter();
+        for worker in workers.filter(|worker| worker.is_listed && !worker.is_ready) {
+            for (task, run) in worker.runs.iter().filter(|(_, run)| run.lasts) {
+                match run.state {
+                    RunState::Active { .. } => leaving.push((worker.id.clone(), *task)),
+                    RunState::Stopping { .. } if !run.is_orphaned => moving.push(*task),
+                    RunState::Starting | RunState::Stopping { .. } => {}
+                }
+            }
+        }
         if leaving.is_empty() {
             return;
         }
-        let candidates = self.candidates(now);
+        moving.extend(self.restarts.iter().map(|(_, task)| *task));
+        let mut candidates = self.candidates(now);
+        for task in moving {
+            self.reserve_room(now, task, &mut candidates);
+        }
         for (worker_id, task) in leaving {
-            if !self.has_room_elsewhere(now, task, &candidates) {
+            if !self.reserve_room(now, task, &mut candidates) {
                 continue;
             }
             tracing::info!(%task, worker = %worker_id, "moving a long-running task off a leaving worker");
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -271,3 +271,34 @@
     assert_eq!(world.running(1), 3);
     world.assert_no_violations();
 }
+
+/// Guards against long-running tasks that are all stopped on a worker that leaves although others have room
+/// for one of them only: the rest stayed down while their worker still ran on.
+#[test]
+fn a_leaving_worker_keeps_tasks_that_have_no_room_elsewhere() {
+    let mut world = World::new(7, 3, 8_000);
+    world.claim();
+    world.run(500);
+    world.submit(1, &long_running(1, 8_000));
+    world.submit(2, &long_running(1, 6_000));
+    world.run(500);
+    world.submit(3, &long_running(5, 2_000));
+    world.run(500);
+    let leaving = (0..3)
+        .find(|index| ![world.holder(1), world.holder(2)].contains(index))
+        .expect("a worker");
+    assert_eq!(world.fleet.workers[leaving].runs.len(), 4);
+    world.cancel(2);
+    world.run(1_000);
+    world.submit(4, &long_running(1, 4_000));
+    world.run(1_000);
+    let before = world.running(3);
+    world.drain(leaving);
+    for _ in 0..40 {
+        world.run(100);
+        // One task at a time is stopped and starts elsewhere.
+        assert!(world.running(3) + 1 >= before);
+    }
+    assert_eq!(world.running(3), before);
+    world.assert_no_violations();
+}
