Limit the time of the whole answer again, except for configurations

What callers saw: nothing yet; found by the review. A worker whose report trickles would keep its request pending for up to 10 s. Meanwhile no lease is renewed, and the owner, which needs an unanswered call, does not take the runs for lost: its tasks stay down. Cause: the limit for each part was given to all calls, although only configurations have no bound on their size. Why it works: each call has either limit; orders, hellos, appends and pages of records have the one for the whole.

--- a/src/connection/async_http_client.rs
+++ b/src/connection/async_http_client.rs
@@ -19,7 +19,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::orders::CallError;
-use super::transfer::TransferLimit;
+use super::transfer::{Deadline, TimeLimit};
 
 /// Timeout for opening a connection. Hosts are at most about 30 ms apart, so a server that does
 /// not accept within this time is down.
@@ -68,23 +68,23 @@
         AsyncHttpClient::default()
     }
 
-    /// Sends a request and reads the whole answer. `time_limit` applies until the answer begins.
+    /// Sends a request and reads the whole answer.
     ///
     /// # Errors
     ///
     /// `NotSent` if no connection was opened, `Refused` if no process listens on the port,
-    /// `NoAnswer` if the connection closed, `time_limit` passed or the rest of the answer did not keep
-    /// arriving, `Malformed` if the request is invalid or the answer too large.
+    /// `NoAnswer` if the connection closed or `limit` passed before the whole answer arrived,
+    /// `Malformed` if the request is invalid or the answer too large.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: HttpRequest,
-        time_limit: Duration,
+        limit: TimeLimit,
     ) -> Result<HttpReply> {
-        let sent = timeout(time_limit, self.send(address, request)).await;
-        let (answer, sender) = sent.map_err(|_| CallError::NoAnswer)??;
+        let mut deadline = Deadline::start(limit);
+        let (answer, sender) = deadline.wait(self.send(address, request)).await??;
         let status = answer.status().as_u16();
-        let body = receive(answer.into_body(), time_limit).await?;
+        let body = receive(answer.into_body(), deadline).await?;
         self.put_back(address, sender);
         Ok(HttpReply { status, body })
     }
@@ -168,11 +168,10 @@
 }
 
 /// Reads the body of an answer.
-async fn receive(body: Incoming, time_limit: Duration) -> Result<Bytes> {
+async fn receive(body: Incoming, mut deadline: Deadline) -> Result<Bytes> {
     let mut body = Limited::new(body, MAX_ANSWER);
-    let mut limit = TransferLimit::new(time_limit);
     let mut data = BytesMut::new();
-    while let Some(frame) = limit.next(body.frame()).await? {
+    while let Some(frame) = deadline.wait(body.frame()).await? {
         let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
             true => CallError::Malformed,
             false => CallError::NoAnswer,
--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -21,12 +21,14 @@
 
 use super::error::{Error, Result};
 use super::orders::CallError;
-use super::transfer::TransferLimit;
+use super::transfer::{Deadline, TimeLimit};
 
 /// Timeout for opening a connection to a peer; long enough for the slowest link between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum size of a message in bytes. The largest message is a configuration with many queues.
 const MAX_MESSAGE: usize = 4 << 20;
+/// Longest time in which a peer's call arrives.
+const MAX_CALL_TIME: Duration = Duration::from_secs(5);
 /// Length of the kernel's queue of connections to be accepted.
 const BACKLOG: u32 = 256;
 
@@ -71,20 +73,20 @@
         })
     }
 
-    /// Calls a peer and waits for its reply. `time_limit` applies until the reply begins.
+    /// Calls a peer and waits for its reply.
     ///
     /// # Errors
     ///
     /// `NotSent` if the call was not sent, `Refused` if no process listens on the port, `NoAnswer` if
-    /// the connection closed, `time_limit` passed or the rest of the reply did not keep arriving,
-    /// `Malformed` if a message cannot be encoded or decoded.
+    /// the connection closed or `limit` passed before the whole reply arrived, `Malformed` if a message
+    /// cannot be encoded or decoded.
     pub async fn call(
         &self,
         address: SocketAddr,
         call: &H::Call,
-        time_limit: Duration,
+        limit: TimeLimit,
     ) -> std::result::Result<H::Reply, CallError> {
-        let answer = self.exchange(address, call, time_limit).await;
+        let answer = self.exchange(address, call, limit).await;
         if answer.is_err() {
             self.connections.borrow_mut().remove(&address);
         }
@@ -95,11 +97,11 @@
         &self,
         address: SocketAddr,
         call: &H::Call,
-        time_limit: Duration,
+        limit: TimeLimit,
     ) -> std::result::Result<H::Reply, CallError> {
-        let sent = timeout(time_limit, self.send_call(address, call)).await;
-        let body = sent.map_err(|_| CallError::NoAnswer)??;
-        decode(&receive(body, TransferLimit::new(time_limit)).await?)
+        let mut deadline = Deadline::start(limit);
+        let body = deadline.wait(self.send_call(address, call)).await??;
+        decode(&receive(body, deadline).await?)
     }
 
     /// Sends a call and waits for the begin of the reply.
@@ -199,7 +201,8 @@
     body: RecvStream,
     mut respond: h2::server::SendResponse<Bytes>,
 ) -> std::result::Result<(), CallError> {
-    let call: H::Call = decode(&receive(body, TransferLimit::default()).await?)?;
+    let call: H::Call =
+        decode(&receive(body, Deadline::start(TimeLimit::whole(MAX_CALL_TIME))).await?)?;
     let reply = handler.serve(call).await;
     let message = encode(&reply)?;
     let response = http::Response::new(());
@@ -223,10 +226,10 @@
 
 async fn receive(
     mut body: RecvStream,
-    mut limit: TransferLimit,
+    mut deadline: Deadline,
 ) -> std::result::Result<Vec<u8>, CallError> {
     let mut message = Vec::new();
-    while let Some(chunk) = limit.next(body.data()).await? {
+    while let Some(chunk) = deadline.wait(body.data()).await? {
         let chunk = chunk.map_err(|_| CallError::NoAnswer)?;
         if message.len() + chunk.len() > MAX_MESSAGE {
             return Err(CallError::Malformed);
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -43,4 +43,5 @@
 pub use peer::{PeerCall, PeerHandler, PeerLinks};
 pub use pool::{BlockingJob, ThreadPool};
 pub use stream_store::{Fence, KeyedRecord, Page, Partition, StoreAnswer, StoreCall, StoreRequest};
+pub use transfer::TimeLimit;
 pub use worker::{Command, HttpWorkers, StartError, WorkerClient};
--- a/src/connection/transfer.rs
+++ b/src/connection/transfer.rs
@@ -1,4 +1,4 @@
-//! Time limits of answers that arrive in parts.
+//! Time limits of calls and of answers that arrive in parts.
 
 use std::future::Future;
 use std::time::Duration;
@@ -13,36 +13,58 @@
 /// Longest time for all parts together; for connections that carry next to nothing.
 const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
 
-/// Limits the time between the parts of an answer instead of the time of the whole. An answer that is
-/// larger than a slow link carries in a fixed time would never arrive, and its repetition fill the link.
-pub(crate) struct TransferLimit {
-    part_time: Duration,
-    end: Instant,
+/// How long a call may take.
+#[derive(Debug, Clone, Copy)]
+pub struct TimeLimit {
+    /// Time until the answer begins, and between its parts.
+    part: Duration,
+    total: Duration,
 }
 
-impl Default for TransferLimit {
-    fn default() -> Self {
-        TransferLimit::new(MAX_PART_TIME)
+impl TimeLimit {
+    /// Limits the time of the whole call.
+    pub fn whole(limit: Duration) -> Self {
+        TimeLimit {
+            part: limit,
+            total: limit,
+        }
+    }
+
+    /// Limits the time until the answer begins and, 700 ms at most, until each further part. For answers
+    /// that grow with the system: one that is larger than a slow link carries in a fixed time would never
+    /// arrive, and its repetition fill the link.
+    pub fn parts(limit: Duration) -> Self {
+        TimeLimit {
+            part: limit,
+            total: limit + MAX_TRANSFER_TIME,
+        }
     }
 }
 
-impl TransferLimit {
-    /// `time_limit` is the time limit for the begin of the answer; a part may not take longer.
-    pub fn new(time_limit: Duration) -> Self {
-        TransferLimit {
-            part_time: time_limit.min(MAX_PART_TIME),
-            end: Instant::now() + MAX_TRANSFER_TIME,
+/// The times at which a call that has begun is given up.
+pub(crate) struct Deadline {
+    part: Duration,
+    end: Instant,
+}
+
+impl Deadline {
+    pub fn start(limit: TimeLimit) -> Self {
+        Deadline {
+            part: limit.part,
+            end: Instant::now() + limit.total,
         }
     }
 
-    /// Waits for the next part.
+    /// Waits until the answer begins, or for its next part.
     ///
     /// # Errors
     ///
-    /// `NoAnswer` if it does not arrive in time.
-    pub async fn next<T>(&mut self, part: impl Future<Output = T>) -> Result<T, CallError> {
-        let deadline = self.end.min(Instant::now() + self.part_time);
+    /// `NoAnswer` if that takes too long.
+    pub async fn wait<T>(&mut self, part: impl Future<Output = T>) -> Result<T, CallError> {
+        let deadline = self.end.min(Instant::now() + self.part);
         let part = timeout_at(deadline, part).await;
+        // The time limit of the call applies to the begin of the answer alone.
+        self.part = self.part.min(MAX_PART_TIME);
         part.map_err(|_| CallError::NoAnswer)
     }
 }
--- a/src/process/host/io.rs
+++ b/src/process/host/io.rs
@@ -16,7 +16,7 @@
 use crate::base::Millis;
 use crate::connection::{
     AsyncHttpClient, FrontReply, FrontRequest, FrontServer, Mesh, MeshHandler, Order, StoreCall,
-    WorkerCall,
+    TimeLimit, WorkerCall,
 };
 use crate::platform::{
     decode_store_answer, decode_worker_answer, encode_order, encode_store_request,
@@ -179,7 +179,9 @@
     fn call_peer(&self, call: u64, address: SocketAddr, message: PeerCall, timeout: Millis) {
         let (mesh, events) = (self.mesh.clone(), self.events.clone());
         spawn_local(async move {
-            let answer = mesh.call(address, &message, to_duration(timeout)).await;
+            let answer = mesh
+                .call(address, &message, message.time_limit(timeout))
+                .await;
             send_event(&events, HostEvent::PeerAnswer(call, answer));
         });
     }
@@ -192,7 +194,7 @@
             let sent = clock.now();
             let request = encode_store_request(&call.request);
             let reply = http_client
-                .call(store, request, to_duration(call.timeout))
+                .call(store, request, purpose.time_limit(call.timeout))
                 .await;
             let answer = reply.and_then(|reply| decode_store_answer(&call.request, &reply));
             let took = clock.now().since(sent);
@@ -213,8 +215,8 @@
         counter!(WORKER_ORDERS, "order" => order_label(&call.order)).increment(1);
         spawn_local(async move {
             let request = encode_order(&call);
-            let time = to_duration(call.timeout);
-            let reply = http_client.call(call.address, request, time).await;
+            let limit = TimeLimit::whole(to_duration(call.timeout));
+            let reply = http_client.call(call.address, request, limit).await;
             let answer = reply.and_then(|reply| decode_worker_answer(&call, &reply));
             send_event(&events, HostEvent::Worker { epoch, tag, answer });
         });
@@ -252,7 +254,29 @@
     }
 }
 
+impl PeerCall {
+    /// Only a configuration has no bound on its size.
+    fn time_limit(&self, timeout: Millis) -> TimeLimit {
+        let timeout = to_duration(timeout);
+        match self {
+            PeerCall::Hello {
+                wants_config: true, ..
+            } => TimeLimit::parts(timeout),
+            _ => TimeLimit::whole(timeout),
+        }
+    }
+}
+
 impl StorePurpose {
+    /// Pages of records have a bound on their size, unlike a configuration.
+    fn time_limit(&self, timeout: Millis) -> TimeLimit {
+        let timeout = to_duration(timeout);
+        match self {
+            StorePurpose::Config => TimeLimit::parts(timeout),
+            _ => TimeLimit::whole(timeout),
+        }
+    }
+
     fn label(&self) -> &'static str {
         match self {
             StorePurpose::Shard { .. } => "shard",
--- a/tests/async_http.rs
+++ b/tests/async_http.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
-use jayfork::connection::{AsyncHttpClient, CallError, HttpReply, HttpRequest};
+use jayfork::connection::{AsyncHttpClient, CallError, HttpReply, HttpRequest, TimeLimit};
 
 /// Length of the endless answer, in bytes, in case that nobody stops it.
 const ANSWER: usize = 256 << 20;
@@ -50,7 +50,7 @@
     let local = tokio::task::LocalSet::new();
     let client = AsyncHttpClient::new();
     let time = Duration::from_secs(20);
-    runtime.block_on(local.run_until(client.call(address, request, time)))
+    runtime.block_on(local.run_until(client.call(address, request, TimeLimit::whole(time))))
 }
 
 /// Guards against a host that runs out of memory: an entry of another program may name any address, and
--- a/tests/transfers.rs
+++ b/tests/transfers.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use jayfork::connection::{
     AsyncHttpClient, CallError, FrontReply, FrontServer, HttpReply, HttpRequest, Mesh, MeshHandler,
+    TimeLimit,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -90,7 +91,10 @@
 }
 
 /// Reads a large answer of an HTTP server behind a slow link.
-async fn read_from_server(is_stopped: Rc<Cell<bool>>) -> Result<HttpReply, CallError> {
+async fn read_from_server(
+    is_stopped: Rc<Cell<bool>>,
+    limit: TimeLimit,
+) -> Result<HttpReply, CallError> {
     let any_port = "127.0.0.1:0".parse().expect("an address");
     let server = FrontServer::bind(any_port, |_| async {
         FrontReply {
@@ -108,15 +112,15 @@
         body: Bytes::new(),
     };
     let client = AsyncHttpClient::new();
-    client.call(address, request, TIME_LIMIT).await
+    client.call(address, request, limit).await
 }
 
 /// Gets a large answer of a peer behind a slow link.
-async fn ask_peer(is_stopped: Rc<Cell<bool>>) -> Result<Vec<u8>, CallError> {
+async fn ask_peer(is_stopped: Rc<Cell<bool>>, limit: TimeLimit) -> Result<Vec<u8>, CallError> {
     let target = free_address();
     let mesh = Mesh::bind(target, LargeReply).expect("a mesh");
     let address = slow_link(target, is_stopped).await;
-    mesh.call(address, &7, TIME_LIMIT).await
+    mesh.call(address, &7, limit).await
 }
 
 /// Guards against a host that never gets a configuration that takes longer than the time limit on its
@@ -124,7 +128,7 @@
 #[test]
 fn a_large_answer_of_the_store_arrives_over_a_slow_link() {
     run(async {
-        let reply = read_from_server(Rc::default()).await;
+        let reply = read_from_server(Rc::default(), TimeLimit::parts(TIME_LIMIT)).await;
         assert_eq!(reply.map(|reply| reply.body.len()).ok(), Some(ANSWER_SIZE));
     });
 }
@@ -133,7 +137,7 @@
 #[test]
 fn a_large_answer_of_a_peer_arrives_over_a_slow_link() {
     run(async {
-        let reply = ask_peer(Rc::default()).await;
+        let reply = ask_peer(Rc::default(), TimeLimit::parts(TIME_LIMIT)).await;
         assert_eq!(reply.map(|reply| reply.len()).ok(), Some(ANSWER_SIZE));
     });
 }
@@ -155,14 +159,28 @@
         let is_stopped = Rc::default();
         stop_soon(&is_stopped);
         let started = Instant::now();
-        let reply = read_from_server(is_stopped).await;
+        let reply = read_from_server(is_stopped, TimeLimit::parts(TIME_LIMIT)).await;
         assert!(matches!(reply, Err(CallError::NoAnswer)));
         assert!(started.elapsed() < 3 * TIME_LIMIT);
 
         let is_stopped = Rc::default();
         stop_soon(&is_stopped);
         let started = Instant::now();
-        let reply = ask_peer(is_stopped).await;
+        let reply = ask_peer(is_stopped, TimeLimit::parts(TIME_LIMIT)).await;
+        assert_eq!(reply.err(), Some(CallError::NoAnswer));
+        assert!(started.elapsed() < 3 * TIME_LIMIT);
+    });
+}
+
+/// Guards against a worker whose report trickles: its leases are not renewed while the owner waits for it,
+/// and a clock that arrives late makes them shorter.
+#[test]
+fn an_answer_with_a_limit_for_the_whole_is_given_up_while_it_arrives() {
+    run(async {
+        let started = Instant::now();
+        let reply = read_from_server(Rc::default(), TimeLimit::whole(TIME_LIMIT)).await;
+        assert!(matches!(reply, Err(CallError::NoAnswer)));
+        let reply = ask_peer(Rc::default(), TimeLimit::whole(TIME_LIMIT)).await;
         assert_eq!(reply.err(), Some(CallError::NoAnswer));
         assert!(started.elapsed() < 3 * TIME_LIMIT);
     });
