Get configurations past sources that fail or are slow, and past a storm of them

Causes: (1) a host kept asking the peer that had told it of a version first, also once that one was dead and the store refused the host itself. (2) A source that was killed counted as one that the store answers. (3) A transfer from a slow source kept the host from all other ways. (4) The first four hosts of a data centre counted as sources for 120 s after they were gone. (5) After a common restart, hosts read the store although their sources were getting the configuration. (6) After a pause the whole configuration was read again. (7) A read returns 1 MiB, so hosts went through all versions of a quick succession, one in 0.9 s. Why it works: the holder follows the source, a failed call makes a source suspect for 10 s, a transfer of more than 3 s no longer keeps others off, a paused reader goes on where it was, and one that is behind takes the newest record.

--- a/src/connection/stream_store.rs
+++ b/src/connection/stream_store.rs
@@ -63,6 +63,8 @@
         records: Vec<KeyedRecord>,
         /// Offset from which to continue.
         next: u64,
+        /// End of the partition; larger than `next` if it has more records.
+        end: u64,
     },
     /// The store no longer retains the record at the requested offset.
     Expired,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -143,6 +143,7 @@
         (StoreRequest::Read { offset, .. }, 404) => Ok(StoreAnswer::Records {
             records: Vec::new(),
             next: *offset,
+            end: *offset,
         }),
         (_, status) => Err(Error::Field {
             field: "status",
@@ -214,6 +215,8 @@
 /// records. One that can't be decoded is skipped, but counts for the next offset.
 fn decode_read(from: u64, body: &Bytes) -> Result<StoreAnswer> {
     const HEADER_LENGTH: usize = 16;
+    let (end, _) = body.split_first_chunk().ok_or(Error::Truncated)?;
+    let end = u64::from_be_bytes(*end);
     let mut rest = body.get(HEADER_LENGTH..).ok_or(Error::Truncated)?;
     let mut records = Vec::new();
     let mut next = from;
@@ -230,7 +233,7 @@
         rest = &rest[4 + length..];
     }
     skipped.log();
-    Ok(StoreAnswer::Records { records, next })
+    Ok(StoreAnswer::Records { records, next, end })
 }
 
 /// `None` if the record is shorter than its key.
--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -164,6 +164,7 @@
         is_owner: bool,
         is_refused: bool,
     ) {
+        self.peers.set_failed(now.steady, to);
         if !is_owner || self.owner_address() != Some(to) {
             return;
         }
--- a/src/process/host/hello.rs
+++ b/src/process/host/hello.rs
@@ -38,7 +38,7 @@
             };
             self.peers.forget_silent(now.steady);
             self.config_source = self.find_config_source(now);
-            let sources = [self.config_source, self.possible_source()];
+            let sources = [self.config_source, self.possible_source(now.steady)];
             for source in sources.into_iter().flatten() {
                 self.send_hello(now, source, false, out);
             }
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -185,8 +185,8 @@
     pub(super) config_source: Option<SocketAddr>,
     /// A newer configuration that a peer has.
     pub(super) newer_config: Option<NewerConfig>,
-    /// Whether a peer was asked for it and has not answered, or is sending it.
-    pub(super) is_getting_config: bool,
+    /// When a peer was asked for it that has not answered yet, or is sending it.
+    pub(super) config_asked: Option<Millis>,
     is_ready: bool,
     /// When the host was asked to stop.
     pub(super) stopping: Option<Millis>,
@@ -216,7 +216,7 @@
             peer_hello: now.steady,
             config_source: None,
             newer_config: None,
-            is_getting_config: false,
+            config_asked: None,
             is_ready: false,
             stopping: None,
         }
--- a/src/process/host/peers.rs
+++ b/src/process/host/peers.rs
@@ -20,6 +20,8 @@
 const CONFIG_SOURCES: usize = 2;
 /// A host may be one of them if its last message is not older than this, in milliseconds.
 const SOURCE_AGE: Millis = Millis(2_500);
+/// A host that has failed to answer is not asked to be one of them for this long, in milliseconds.
+const FAILED_TIME: Millis = Millis(10_000);
 /// Hosts that are tried in turn while none of them answers.
 const PROBED_SOURCES: usize = 4;
 /// Records of other hosts in the answer to a hello.
@@ -37,6 +39,8 @@
     /// When `presence` arrived.
     pub last_heard: Option<Millis>,
     pub presence: Option<Presence>,
+    /// When it last failed to answer a call; `None` once it has sent a message.
+    failed: Option<Millis>,
     /// When this host first heard of it.
     added: Millis,
 }
@@ -116,6 +120,7 @@
                     record: record.clone(),
                     last_heard: None,
                     presence: None,
+                    failed: None,
                     added: now,
                 };
                 self.by_name.insert(record.name, peer);
@@ -134,11 +139,20 @@
         }
     }
 
+    /// Records that a host has not answered a call.
+    pub fn set_failed(&mut self, now: Millis, address: SocketAddr) {
+        let mut peers = self.by_name.values_mut();
+        if let Some(peer) = peers.find(|peer| peer.record.control == address) {
+            peer.failed = Some(now);
+        }
+    }
+
     /// Records the state that a known host has sent.
     pub fn set_presence(&mut self, now: Millis, presence: Presence) {
         if let Some(peer) = self.by_name.get_mut(&presence.host.name) {
             peer.last_heard = Some(now);
             peer.presence = Some(presence);
+            peer.failed = None;
         }
     }
 
@@ -193,7 +207,7 @@
     /// Address of the host from which `own` gets new configurations; `None` if it reads them from the
     /// store itself.
     pub fn config_source(&self, now: Millis, own: &HostRecord) -> Option<SocketAddr> {
-        let sources = self.possible_sources(own);
+        let sources = self.possible_sources(now, own);
         let is_alive = |peer: &&&Peer| {
             let heard = peer.last_heard;
             heard.is_some_and(|at| now.since(at) <= SOURCE_AGE)
@@ -211,11 +225,12 @@
     /// answered, another one for each `index`; `None` if there is no better one.
     pub fn possible_source(
         &self,
+        now: Millis,
         own: &HostRecord,
         source: Option<SocketAddr>,
         index: usize,
     ) -> Option<SocketAddr> {
-        let sources = self.possible_sources(own);
+        let sources = self.possible_sources(now, own);
         let mut first = sources.iter().take(CONFIG_SOURCES);
         if first.any(|peer| Some(peer.record.control) == source) {
             return None;
@@ -227,13 +242,14 @@
     /// The hosts of the same data centre that may be the source of new configurations for `own`, the best
     /// one first: those with a large processor, then by name. The first `CONFIG_SOURCES` of them all read
     /// the store: from one to the next, a large configuration would take twice as long.
-    fn possible_sources(&self, own: &HostRecord) -> Vec<&Peer> {
+    fn possible_sources(&self, now: Millis, own: &HostRecord) -> Vec<&Peer> {
         let rank = |record: &HostRecord| (Reverse(record.processor), record.name.clone());
         let own_rank = rank(own);
         let mut before: Vec<&Peer> = self
             .values()
             .filter(|peer| peer.record.data_centre == own.data_centre)
             .filter(|peer| rank(&peer.record) < own_rank)
+            .filter(|peer| peer.failed.is_none_or(|at| now.since(at) > FAILED_TIME))
             .collect();
         if self.is_small_cluster() || before.len() < CONFIG_SOURCES {
             return Vec::new();
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -60,6 +60,8 @@
     asked: Millis,
     is_reading: bool,
     interval: Millis,
+    /// Whether older records of a key are of no use.
+    only_newest: bool,
     /// Reads that failed since the last answer.
     failures: u32,
 }
@@ -89,6 +91,7 @@
             asked: now,
             is_reading: false,
             interval,
+            only_newest: stream == CONFIG_STREAM,
             failures: 0,
         }
     }
@@ -126,8 +129,13 @@
         self.due = now + self.interval;
         self.log_failures(&answer, took);
         match answer {
-            Ok(StoreAnswer::Records { records, next }) => {
+            Ok(StoreAnswer::Records { records, next, end }) => {
                 self.next = Some(next);
+                if next < end {
+                    self.due = now;
+                    // The newest record of each key is one read away, the records up to it may be many.
+                    self.next = self.next.filter(|_| !self.only_newest);
+                }
                 ReadResult::Records(records)
             }
             Ok(StoreAnswer::Page(page)) => {
@@ -222,20 +230,18 @@
         }
     }
 
-    /// Pauses the reading of the configuration. After a pause it begins with the newest record, since
-    /// those in between need not be read.
+    /// Pauses the reading of the configuration. After a pause it goes on at the next record, so that a
+    /// configuration that this host has got otherwise is read again at most once.
     fn pause_config(&mut self, now: Millis, is_paused: bool) {
         if std::mem::replace(&mut self.is_config_paused, is_paused) && !is_paused {
-            self.config.next = None;
-            self.config.page_key = None;
-            self.config.page_end = None;
             self.config.due = now;
         }
     }
 
-    /// Whether the store is to answer a read of the configuration, or is sending the answer.
-    pub fn is_reading_config(&self) -> bool {
-        self.config.is_reading
+    /// Whether the store is to answer a read of the configuration, or is sending the answer, and was asked
+    /// no longer than `limit` ago.
+    pub fn is_reading_config(&self, now: Millis, limit: Millis) -> bool {
+        self.config.is_reading && now.since(self.config.asked) <= limit
     }
 
     /// Brings the next read of the configuration forward to `now`.
@@ -269,7 +275,7 @@
         let pauses_config =
             self.leaves_config_to_source(steady) || self.awaits_first_config(steady);
         self.streams.pause_config(steady, pauses_config);
-        if self.streams.is_reading_config() {
+        if self.streams.config.is_reading {
             // While a large configuration arrives, others must see that the store answers this host.
             let hosts = &mut self.streams.hosts;
             hosts.due = hosts.due.min(hosts.asked + ONLY_READ_INTERVAL);
--- a/tests/odd_records.rs
+++ b/tests/odd_records.rs
@@ -63,7 +63,7 @@
 )]
 fn a_record_without_a_key_hides_no_other(odd: &[u8]) {
     let answer = read(&[b"\x02abc", odd, b"\x02xyz"]);
-    let Ok(StoreAnswer::Records { records, next }) = answer else {
+    let Ok(StoreAnswer::Records { records, next, .. }) = answer else {
         panic!("no records: {answer:?}");
     };
     assert_eq!((keys(&records), next), (vec!["ab", "xy"], 843));
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -1,6 +1,7 @@
 //! Ownership of the shard: the cores of several entry hosts with a simulated network and store.
 
 mod cases;
+mod config_sources;
 mod odd_records;
 mod scale;
 mod world;
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -22,6 +22,8 @@
 pub const STEP: u64 = 5;
 /// Time after `START` during which messages between hosts are slow, in milliseconds.
 const SLOW_START_TIME: u64 = 2_000;
+/// Timeout of a call to a host that ends while the call is on its way, in milliseconds.
+const HELLO_TIMEOUT: u64 = 600;
 /// Processors of hosts, in thousandths of a core.
 pub const HIGH_CAPACITY: u32 = 500;
 pub const LOW_CAPACITY: u32 = 69;
@@ -103,6 +105,10 @@
     open_transfers: Vec<usize>,
     /// Most configurations that were on their way to one host at once.
     pub max_transfers: usize,
+    /// Hosts whose transfers of a configuration end after 10 s without success.
+    pub slow_senders: Vec<usize>,
+    /// Most configurations that one read of the store returns.
+    pub max_read: usize,
     /// Workers to which hosts have sent orders, with the addresses. None of them answers.
     pub ordered_workers: BTreeSet<(Name, SocketAddr)>,
 }
@@ -130,6 +136,8 @@
             transfer_times: vec![0; hosts.len()],
             open_transfers: vec![0; hosts.len()],
             max_transfers: 0,
+            slow_senders: Vec::new(),
+            max_read: usize::MAX,
             ordered_workers: BTreeSet::new(),
         };
         world.publish(1);
@@ -308,6 +316,11 @@
                     self.sent_configs[index] += usize::from(carries_config(&reply));
                     if let Some((caller, call)) = self.callers.remove(&ticket) {
                         let has_config = carries_config(&reply);
+                        if has_config && self.slow_senders.contains(&index) {
+                            let answer = Err(CallError::NoAnswer);
+                            self.send(10_000, Message::PeerReply(caller, call, answer));
+                            continue;
+                        }
                         let after = self.delay() + self.begin_transfer(caller, has_config);
                         self.send(after, Message::PeerReply(caller, call, Ok(reply)));
                     }
@@ -330,6 +343,10 @@
 
     fn deliver(&mut self, message: Message) {
         match message {
+            Message::PeerCall(caller, to, call, _) if self.hosts[to].is_none() => {
+                let answer = Err(CallError::NoAnswer);
+                self.send(HELLO_TIMEOUT, Message::PeerReply(caller, call, answer));
+            }
             Message::PeerCall(caller, to, call, message) => {
                 self.next_id += 1;
                 self.received_calls[to] += 1;
@@ -407,11 +424,14 @@
                 if std::mem::take(&mut stream.has_expired) {
                     return StoreAnswer::Expired;
                 }
-                let records = stream.log[*offset as usize..].to_vec();
-                let next = stream.log.len() as u64;
                 let is_config = &*partition.stream == CONFIG_STREAM;
+                let most = if is_config { self.max_read } else { usize::MAX };
+                let rest = &stream.log[*offset as usize..];
+                let records = rest[..rest.len().min(most)].to_vec();
+                let next = *offset + records.len() as u64;
+                let end = stream.log.len() as u64;
                 self.read_configs += if is_config { records.len() } else { 0 };
-                StoreAnswer::Records { records, next }
+                StoreAnswer::Records { records, next, end }
             }
             StoreRequest::Newest { partition, .. } => {
                 self.read_configs += usize::from(&*partition.stream == CONFIG_STREAM);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -297,7 +297,8 @@
         status: 200,
         body: body.into(),
     };
-    let Ok(StoreAnswer::Records { records, next }) = decode_store_answer(&read(), &answer) else {
+    let Ok(StoreAnswer::Records { records, next, .. }) = decode_store_answer(&read(), &answer)
+    else {
         panic!("no records");
     };
     assert_eq!(next, 842);
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -302,3 +302,25 @@
     assert_eq!(world.running(3), before);
     world.assert_no_violations();
 }
+
+/// Guards against a task that stays down as long as owners change, because each of them waits anew for the
+/// worker that was lost with it.
+#[test]
+fn a_lost_worker_is_not_waited_for_anew_by_each_owner() {
+    let mut world = World::new(7, 3, 8_000);
+    world.claim();
+    world.run(500);
+    world.submit(1, &long_running(1, 6_000));
+    world.run(3_000);
+    let holder = world.holder(1);
+    world.fleet.restart(world.now, holder);
+    world.fleet.workers[holder].is_unreachable = true;
+    for _ in 0..3 {
+        let owner = world.owner().expect("an owner");
+        world.kill(owner);
+        world.claim();
+        world.run(5_000);
+    }
+    assert_eq!(world.running(1), 1);
+    world.assert_no_violations();
+}
--- a/tests/shard/store.rs
+++ b/tests/shard/store.rs
@@ -40,6 +40,7 @@
             StoreRequest::Read { offset, .. } => Ok(StoreAnswer::Records {
                 records: Vec::new(),
                 next: *offset,
+                end: *offset,
             }),
         }
     }
