Lend quota only to a data centre that follows the same contract version

What operators would see: nothing yet, lending is not wired; the sum of the data centres' limits could exceed a customer's quota. Cause: a borrower that followed a new version asked a lender that did not yet. The lender granted from the share that it had lost under the new version, and the borrower, whose requests are dropped only when it changes its own version, accepted: it counted the share and the loan of it. Why it works: a request names the borrower's version, and a loan is granted only from the share of the same version; a borrower drops its requests when the list of data centres changes.

--- a/src/request/quota.rs
+++ b/src/request/quota.rs
@@ -29,6 +29,8 @@
     /// Data centre that requests the loan.
     pub borrower: Name,
     pub size: Size,
+    /// Version of the contract that the borrower follows.
+    pub version: u64,
 }
 
 /// Record of a loan in the lender's task stream. The borrower receives a copy once the lender has
@@ -239,18 +241,21 @@
             customer: customer.clone(),
             borrower: self.data_centre.clone(),
             size,
+            version: entry.version,
         })
     }
 
-    /// The loan to append for a request; `None` if the unused share is too small or the request is
-    /// invalid.
+    /// The loan to append for a request; `None` if the unused share is too small, the request is invalid,
+    /// or the borrower follows another version of the contract: the share that is lent may belong to
+    /// the borrower already.
     pub fn grant_loan(&self, request: &LoanRequest, running: Size) -> Option<Loan> {
         let entry = self.customers.get(&request.customer)?;
         let is_known = entry.lent.contains_key(&request.id);
         let may_borrow = entry.data_centres.contains(&request.borrower);
         let free = entry.effective_share().saturating_sub(&entry.lent_size());
         let free = free.saturating_sub(&running);
-        if is_known || !may_borrow || request.borrower == self.data_centre {
+        let is_same_version = request.version == entry.version;
+        if is_known || !may_borrow || !is_same_version || request.borrower == self.data_centre {
             return None;
         }
         request.size.fits(&free).then(|| Loan {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -156,6 +156,20 @@
     assert_eq!(a.grant_loan(&request, cores(running)), None);
 }
 
+/// Guards against a loan from a share that belongs to the borrower under a newer contract: both would count
+/// it once the lender follows.
+#[parameterized(
+    ahead = { 2, 1 },
+    behind = { 1, 2 },
+)]
+fn a_data_centre_that_follows_another_version_does_not_lend(lender: u64, borrower: u64) {
+    let (mut a, mut b) = (quotas("a"), quotas("b"));
+    a.set_contract(&customer(), lender, cores(90), &names(&["a", "b"]));
+    b.set_contract(&customer(), borrower, cores(90), &names(&["a", "b"]));
+    let request = b.request_loan(Millis(0), &customer(), cores(20)).unwrap();
+    assert_eq!(a.grant_loan(&request, cores(0)), None);
+}
+
 /// Guards against two hosts of a data centre that lend the same share: both grant a loan before
 /// either reads the other's record. Only the loan that is read first may be passed on.
 #[test]
