--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -104,7 +104,7 @@
         decode(&receive(body, deadline).await?)
     }
 
-    /// Sends a call and waits for the begin of the reply.
+    /// Sends a call and waits until the reply begins.
     async fn send_call(
         &self,
         address: SocketAddr,
@@ -201,8 +201,8 @@
     body: RecvStream,
     mut respond: h2::server::SendResponse<Bytes>,
 ) -> std::result::Result<(), CallError> {
-    let call: H::Call =
-        decode(&receive(body, Deadline::start(TimeLimit::whole(MAX_CALL_TIME))).await?)?;
+    let deadline = Deadline::start(TimeLimit::whole(MAX_CALL_TIME));
+    let call: H::Call = decode(&receive(body, deadline).await?)?;
     let reply = handler.serve(call).await;
     let message = encode(&reply)?;
     let response = http::Response::new(());
--- a/src/connection/transfer.rs
+++ b/src/connection/transfer.rs
@@ -16,7 +16,7 @@
 /// How long a call may take.
 #[derive(Debug, Clone, Copy)]
 pub struct TimeLimit {
-    /// Time until the answer begins, and between its parts.
+    /// Time until the answer begins, and the upper bound of the time between its parts.
     part: Duration,
     total: Duration,
 }
@@ -63,7 +63,7 @@
     pub async fn wait<T>(&mut self, part: impl Future<Output = T>) -> Result<T, CallError> {
         let deadline = self.end.min(Instant::now() + self.part);
         let part = timeout_at(deadline, part).await;
-        // The time limit of the call applies to the begin of the answer alone.
+        // From here on, parts follow each other closely.
         self.part = self.part.min(MAX_PART_TIME);
         part.map_err(|_| CallError::NoAnswer)
     }
--- a/src/process/host/config.rs
+++ b/src/process/host/config.rs
@@ -62,6 +62,7 @@
             if is_from_source {
                 newer.ask_at = newer.ask_at.min(now.steady);
             }
+            // The known holder may be dead.
             if newer.failures > 0 && version >= newer.version {
                 newer.holder = holder;
             }
--- a/src/process/host/peers.rs
+++ b/src/process/host/peers.rs
@@ -99,6 +99,7 @@
         self.by_name.get(name)
     }
 
+    /// The host that listens for peers at `address`.
     pub fn at(&self, address: SocketAddr) -> Option<&Peer> {
         self.values().find(|peer| peer.record.control == address)
     }
