Add a stand-in of the users' platform and a load

`standin platform` serves the store (append with fence, read, newest) and many workers (start, stop, hold, pace, lease, fence) on threads of their own; `standin load` submits short, best-effort and serving jobs and asks for their states.

Not modelled yet: checkpoints, gangs, failed tasks, advice, interference between images, limits of calls, network faults, a worker that leaves or restarts.

--- a/examples/standin/main.rs
+++ b/examples/standin/main.rs
@@ -1,7 +1,7 @@
-//! Stand-ins for the platform: log, host list, workers and service instances.
+//! Stand-ins for the platform: log, host list, workers and service instances, and the users' platform.
 //!
-//! Each subcommand serves HTTP on 127.0.0.1, prints one JSON line with its addresses, logs to
-//! stderr and exits on SIGTERM.
+//! Each subcommand but `load` serves HTTP on 127.0.0.1, prints one JSON line with its addresses, logs to
+//! stderr and exits on SIGTERM. `load` submits jobs and prints one JSON line with a summary.
 
 mod clock;
 mod error;
@@ -11,6 +11,7 @@
 mod lease;
 mod log;
 mod net;
+mod platform;
 mod process;
 mod recorder;
 mod switches;
@@ -39,12 +40,16 @@
         .subcommand(process::with_common_args(hosts::command()))
         .subcommand(process::with_common_args(workers::command()))
         .subcommand(process::with_common_args(instances::command()))
+        .subcommand(process::with_common_args(platform::command()))
+        .subcommand(platform::load_command())
         .get_matches();
     match matches.subcommand() {
         Some(("log", matches)) => log::run(matches),
         Some(("hosts", matches)) => hosts::run(matches),
         Some(("workers", matches)) => workers::run(matches),
         Some(("instances", matches)) => instances::run(matches),
+        Some(("platform", matches)) => platform::run(matches),
+        Some(("load", matches)) => platform::run_load(matches),
         _ => unreachable!("clap requires one of the subcommands"),
     }
 }
