Test jayforkd --on-platform with real processes

The new tests start three processes with settings rendered from deploy/entry.ini beside `standin platform`, submit jobs, kill the owner with SIGKILL in three situations, and compare with what the workers saw: each task done once, never two runs of one task at once.

--- /dev/null
+++ b/tests/on_platform.rs
@@ -0,0 +1,191 @@
+//! `jayforkd --on-platform` as real processes, beside the stand-in of the users' platform.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::{
+    Client, Process, Standin, TestDir, free_port, jayforkd, wait_until, wait_until_ready,
+};
+use yare::parameterized;
+
+/// Time limit for jobs of a few seconds; long enough for a change of the owner on a loaded machine.
+const JOB_LIMIT: Duration = Duration::from_secs(60);
+/// Hosts of each test, all of which can own the shard.
+const HOSTS: usize = 3;
+/// Steps of each job, and tasks of each step.
+const STEPS: usize = 2;
+const WIDTH: usize = 3;
+
+struct Host {
+    name: String,
+    front: String,
+    process: Process,
+}
+
+/// Entry hosts and the platform that they run on.
+struct Deployment {
+    // Fields are dropped in this order, so the programs end before the platform and the directory.
+    hosts: Vec<Host>,
+    platform: Standin,
+    client: Client,
+    _dir: TestDir,
+}
+
+impl Deployment {
+    /// Starts everything and waits until the hosts serve.
+    fn start(test: &str) -> Self {
+        let dir = TestDir::new(test);
+        let platform = Standin::start(&dir, "platform", &["--workers", "4", "--data-centres", "3"]);
+        let addresses: Vec<[String; 4]> = (0..HOSTS)
+            .map(|_| [(); 4].map(|()| format!("127.0.0.1:{}", free_port())))
+            .collect();
+        let seeds: Vec<&str> = addresses.iter().map(|[_, _, peer, _]| &**peer).collect();
+        let start_host = |(index, [front, ready, peer, metrics]): (usize, &[String; 4])| {
+            let name = format!("edge-{index}");
+            let settings = render_template(&[
+                ("{{nodeName}}", &name),
+                ("{{zone}}", &format!("dc-{index}")),
+                ("{{region}}", "region"),
+                ("{{limits.cpuShare}}", "0.5"),
+                ("{{listen.front}}", front),
+                ("{{listen.ready}}", ready),
+                ("{{listen.control}}", peer),
+                ("{{ip}}:{{portRange.0}}", metrics),
+                ("{{seeds}}", &seeds.join(",")),
+                ("{{platform.address}}", &platform.service),
+                ("{{bounds.holdMaxMs}}", "10000"),
+                ("{{bounds.stopMs}}", "400"),
+                ("{{bounds.status_s}}", "120"),
+            ]);
+            let path = dir.join(&format!("{name}.ini"));
+            std::fs::write(&path, settings).expect("the directory is writable");
+            let path = path.to_str().expect("a path in UTF-8");
+            let process = jayforkd(&dir, &name, ["--on-platform", "--settings", path]);
+            Host {
+                name,
+                front: front.clone(),
+                process,
+            }
+        };
+        let hosts = addresses.iter().enumerate().map(start_host).collect();
+        for [_, ready, _, _] in &addresses {
+            wait_until_ready(ready);
+        }
+        Deployment {
+            hosts,
+            platform,
+            client: Client::new(),
+            _dir: dir,
+        }
+    }
+
+    /// Submits jobs to the hosts in turn; each task runs for `run_ms`. Returns the paths of the jobs.
+    fn submit(&self, count: usize, run_ms: u64) -> Vec<String> {
+        let step = json!({ "count": WIDTH, "cpu": 500, "memMb": 256, "estRuntimeMs": run_ms });
+        let mut steps = vec![step; STEPS];
+        for (index, step) in steps.iter_mut().enumerate().skip(1) {
+            step["dependsOn"] = json!([index - 1]);
+        }
+        let body = json!({ "spec": json!({ "run_ms": run_ms }).to_string(), "steps": steps });
+        let paths = (0..count).map(|index| {
+            let path = format!("/proofs/{index:016x}");
+            let front = &self.hosts[index % HOSTS].front;
+            // The same id may be sent again after any answer but an acceptance.
+            wait_until(&format!("acceptance of {path}"), JOB_LIMIT, || {
+                let reply = self.client.post_json(front, &path, &body);
+                reply.is_ok_and(|reply| (200..300).contains(&reply.status))
+            });
+            path
+        });
+        paths.collect()
+    }
+
+    /// Waits until a host shows each of the jobs as completed.
+    fn wait_for_completion(&self, front: &str, paths: &[String]) {
+        for path in paths {
+            wait_until(&format!("completion of {path}"), JOB_LIMIT, || {
+                let reply = self.client.get(front, path);
+                reply.is_ok_and(|reply| {
+                    reply.status == 200 && reply.json::<Value>()["state"] == "completed"
+                })
+            });
+        }
+    }
+
+    /// What the workers saw of all runs.
+    fn runs(&self) -> Value {
+        let reply = self.client.get(&self.platform.control, "/runs");
+        reply.expect("the stand-in answers").json()
+    }
+
+    fn assert_done_once(&self, jobs: usize) {
+        let runs = self.runs();
+        let expected = json!(jobs * STEPS * WIDTH);
+        assert_eq!(
+            (&runs["tasks"], &runs["done"]),
+            (&expected, &expected),
+            "{runs}"
+        );
+        assert_eq!(runs["done_twice"], json!([]), "{runs}");
+        assert_eq!(runs["ran_twice_at_once"], json!([]), "{runs}");
+    }
+
+    /// Index of the shard's owner, by the log of the first host.
+    fn owner(&self) -> usize {
+        loop {
+            let line = self.hosts[0].process.ready_line();
+            let owner = match line["message"].as_str() {
+                Some("records of the shard are read") => &self.hosts[0].name,
+                Some("shard has a new owner") => line["owner"].as_str().expect("a name"),
+                _ => continue,
+            };
+            let mut hosts = self.hosts.iter();
+            return hosts
+                .position(|host| host.name == owner)
+                .expect("the owner is one of the hosts");
+        }
+    }
+}
+
+/// Fills in the template of the deployment.
+fn render_template(values: &[(&str, &str)]) -> String {
+    let template = include_str!("../deploy/entry.ini").to_owned();
+    let rendered = values.iter().fold(template, |text, (placeholder, value)| {
+        assert!(text.contains(placeholder), "{placeholder} is not in use");
+        text.replace(placeholder, value)
+    });
+    assert!(!rendered.contains("{{"), "{rendered}");
+    rendered
+}
+
+/// Guards against an adapter, a client or a loop of the process that the tests of the cores leave out:
+/// jobs that are not accepted, not run, run again or not shown as completed.
+#[test]
+fn jobs_run_once_and_are_shown_as_completed() {
+    let deployment = Deployment::start("on-platform-jobs");
+    let jobs = deployment.submit(6, 100);
+    for host in &deployment.hosts {
+        deployment.wait_for_completion(&host.front, &jobs);
+    }
+    deployment.assert_done_once(jobs.len());
+}
+
+/// Guards against accepted jobs that a killed owner takes with it, and against tasks that the next owner
+/// runs again.
+#[parameterized(
+    while_tasks_run = { 1_500, 500 },
+    while_tasks_start = { 1_500, 0 },
+    while_tasks_end = { 50, 0 },
+)]
+fn accepted_jobs_complete_after_the_owner_is_killed(run_ms: u64, pause_ms: u64) {
+    let mut deployment = Deployment::start("on-platform-kill");
+    let owner = deployment.owner();
+    let jobs = deployment.submit(6, run_ms);
+    std::thread::sleep(Duration::from_millis(pause_ms));
+    deployment.hosts[owner].process.kill();
+    let other = &deployment.hosts[(owner + 1) % HOSTS].front;
+    deployment.wait_for_completion(other, &jobs);
+    deployment.assert_done_once(jobs.len());
+}
