Send the owner's orders to workers through hosts of their data centre

Cause: one owner on half a core makes all calls to 1,100 workers, two a start. The profile of the owner shows HTTP, sockets, tokio and JSON at some 60% of its time, the shard core at 37 to 40%, the mesh of 147 hosts at 4% (CAPACITY.md); a micro benchmark gave 47 us a call.

Change: in clusters of more than 25 hosts the owner decides and journals, and up to two large hosts of each data centre make its calls, in batches of 20 ms. To the shard a relay is a slower network, so the bounds of lost answers, lost relays and hand-overs stay as they are.

The tests of relays.rs need calls that did not exist before; an owner of the code before makes all calls itself.

--- a/src/connection/orders.rs
+++ b/src/connection/orders.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 use crate::base::{Millis, Name};
 use crate::request::job::{Ending, TaskKey};
 
@@ -55,7 +57,7 @@
 }
 
 /// How a worker answered an order.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum WorkerAnswer {
     Accepted {
         clock: u64,
@@ -72,7 +74,7 @@
 }
 
 /// Why a worker refused an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The worker knows an owner with a higher epoch.
     Fenced,
@@ -87,7 +89,7 @@
     Malformed,
 }
 
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker's clock in milliseconds.
     pub clock: u64,
@@ -97,7 +99,7 @@
     pub ended: Vec<EndReport>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunReport {
     pub task: TaskKey,
     pub run: u64,
@@ -108,7 +110,7 @@
     pub measurement: Option<u64>,
 }
 
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EndReport {
     /// Ordinal within the current incarnation of the worker.
     pub number: u64,
@@ -119,7 +121,7 @@
 }
 
 /// Why a call returned no usable answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
 pub enum CallError {
     /// The call was not sent, so nothing was done.
     #[error("not connected")]
--- a/src/process/host/handover.rs
+++ b/src/process/host/handover.rs
@@ -179,6 +179,7 @@
         self.claim.is_handing_over = false;
         self.claim.round_started = None;
         self.streams.leave_registry();
+        self.order_links.clear();
         self.release_requests(now, out);
     }
 }
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -9,6 +9,7 @@
 use super::forward::PendingRequest;
 use super::message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
 use super::peers::Peers;
+use super::relay::{OrderLinks, RelaySessions, RelayedOrder, SentBatch};
 use super::streams::Streams;
 use crate::base::{Millis, Name};
 use crate::connection::{
@@ -19,6 +20,11 @@
 };
 use crate::version::QueueTable;
 
+/// A host that has not run for longer than this has been paused, in milliseconds; it is polled every
+/// 50 ms.
+const PAUSE_TIME: Millis = Millis(400);
+/// How long after a pause messages may arrive that were sent before its end, in milliseconds.
+const STALE_TIME: Millis = Millis(200);
 /// Pause between a failed hello to the owner and the next one, in milliseconds.
 const HELLO_RETRY_TIME: Millis = Millis(100);
 /// A host reports that it isn't ready once the last message from the owner is older than this, in
@@ -76,8 +82,7 @@
         took: Millis,
     },
     Worker {
-        epoch: u64,
-        tag: WorkerTag,
+        origin: OrderOrigin,
         answer: Result<WorkerAnswer, CallError>,
     },
     /// SIGTERM or SIGINT.
@@ -98,8 +103,7 @@
     },
     Store(StorePurpose, StoreCall),
     Worker {
-        epoch: u64,
-        tag: WorkerTag,
+        origin: OrderOrigin,
         call: WorkerCall,
     },
     /// Sets the answer to readiness checks.
@@ -110,6 +114,15 @@
     Exit,
 }
 
+/// Who waits for the worker's answer to an order.
+#[derive(Debug, Clone)]
+pub enum OrderOrigin {
+    /// The own shard with this epoch.
+    Shard { epoch: u64, tag: WorkerTag },
+    /// The owner of the shard, for which this host makes the call.
+    Relayed(RelayedOrder),
+}
+
 /// Who waits for the shard's answer, with the ticket of the request.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Origin {
@@ -138,6 +151,8 @@
     TakeOver {
         epoch: u64,
     },
+    /// Orders to workers.
+    Orders(SentBatch),
 }
 
 /// The newest owner that this host knows of.
@@ -169,6 +184,10 @@
     /// Origins of the requests that the own shard has not answered, by the ID given to the shard.
     pub(super) origins: HashMap<u64, Origin>,
     pub(super) peer_calls: HashMap<u64, PeerPurpose>,
+    /// Orders of the own shard that other hosts send to workers.
+    pub(super) order_links: OrderLinks,
+    /// Orders of the owner that this host sends to workers.
+    pub(super) relay_sessions: RelaySessions,
     pub(super) next_id: u64,
     /// When the store last answered.
     pub(super) store_heard: Option<Millis>,
@@ -187,6 +206,10 @@
     pub(super) newer_config: Option<NewerConfig>,
     /// When a peer was asked for it that has not answered yet, or is sending it.
     pub(super) config_asked: Option<Millis>,
+    /// When the host last handled an event or was polled.
+    last_run: Now,
+    /// When it last ran on after a pause.
+    resumed: Option<Millis>,
     is_ready: bool,
     /// When the host was asked to stop.
     pub(super) stopping: Option<Millis>,
@@ -207,6 +230,8 @@
             pending_requests: HashMap::new(),
             origins: HashMap::new(),
             peer_calls: HashMap::new(),
+            order_links: OrderLinks::default(),
+            relay_sessions: RelaySessions::default(),
             next_id: 0,
             store_heard: None,
             store_failed: None,
@@ -217,12 +242,15 @@
             config_source: None,
             newer_config: None,
             config_asked: None,
+            last_run: now,
+            resumed: None,
             is_ready: false,
             stopping: None,
         }
     }
 
     pub fn handle(&mut self, now: Now, event: HostEvent, out: &mut Vec<HostAction>) {
+        self.note_pause(now);
         match event {
             HostEvent::Client(ticket, request) => self.handle_client(now, ticket, &request, out),
             HostEvent::Peer(ticket, call) => self.handle_peer_call(now, ticket, call, out),
@@ -232,15 +260,19 @@
                 answer,
                 took,
             } => self.handle_store_answer(now, purpose, answer, took, out),
-            HostEvent::Worker { epoch, tag, answer } => {
-                self.shard_event(now, epoch, ShardEvent::Worker(tag, answer), out);
-            }
+            HostEvent::Worker { origin, answer } => match origin {
+                OrderOrigin::Shard { epoch, tag } => {
+                    self.shard_event(now, epoch, ShardEvent::Worker(tag, answer), out);
+                }
+                OrderOrigin::Relayed(order) => self.relay_sessions.add_answer(order, answer),
+            },
             HostEvent::Terminate => self.terminate(now, out),
         }
     }
 
     /// Does everything that is due. Call it after each batch of events and at least every 50 ms.
     pub fn poll(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        self.note_pause(now);
         self.poll_streams(now, out);
         self.send_due_hellos(now, out);
         self.ask_for_config(now, out);
@@ -250,11 +282,30 @@
             shard.poll(now, &mut actions);
         }
         self.perform_shard_actions(now, actions, out);
+        self.poll_order_links(now, out);
+        self.relay_sessions.poll(now.steady, out);
         self.poll_pending_requests(now, out);
         self.check_ready(now, out);
         self.check_stop(now, out);
     }
 
+    /// Notes the end of a pause. The steady clock stands still while the machine is suspended.
+    fn note_pause(&mut self, now: Now) {
+        let last = std::mem::replace(&mut self.last_run, now);
+        let wall = Millis(now.wall.saturating_sub(last.wall));
+        let passed = now.steady.since(last.steady).max(wall);
+        if passed > PAUSE_TIME {
+            self.resumed = Some(now.steady);
+        }
+    }
+
+    /// Whether a message that has just arrived may have been sent before the end of a pause, so that
+    /// its sender no longer waits for it.
+    pub(super) fn may_be_stale(&self, now: Now) -> bool {
+        self.resumed
+            .is_some_and(|at| now.steady.since(at) <= STALE_TIME)
+    }
+
     pub fn shard(&self) -> Option<&Shard> {
         self.shard.as_ref()
     }
@@ -303,9 +354,7 @@
                 ShardAction::Store(tag, call) => {
                     out.push(HostAction::Store(StorePurpose::Shard { epoch, tag }, call));
                 }
-                ShardAction::Worker(tag, call) => {
-                    out.push(HostAction::Worker { epoch, tag, call });
-                }
+                ShardAction::Worker(tag, call) => self.send_order(now, epoch, tag, call, out),
                 ShardAction::StepDown => self.give_up_shard(now, out),
             }
         }
@@ -400,6 +449,7 @@
                 let accepts = self.take_over(now, epoch, out);
                 out.push(HostAction::PeerReply(ticket, PeerReply::TakeOver(accepts)));
             }
+            PeerCall::Orders(batch) => self.relay_orders(now, ticket, batch, out),
         }
     }
 
@@ -439,6 +489,7 @@
                 let accepted = matches!(answer, Ok(PeerReply::TakeOver(true)));
                 self.handle_take_over_answer(now, epoch, accepted, out);
             }
+            PeerPurpose::Orders(sent) => self.handle_batch_answer(now, sent, answer, out),
         }
     }
 
--- a/src/process/host/io.rs
+++ b/src/process/host/io.rs
@@ -11,7 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
-use super::host::{HostAction, HostEvent, StorePurpose};
+use super::host::{HostAction, HostEvent, OrderOrigin, StorePurpose};
 use super::message::{PeerCall, PeerReply};
 use crate::base::Millis;
 use crate::connection::{
@@ -22,10 +22,10 @@
     decode_store_answer, decode_worker_answer, encode_order, encode_store_request,
 };
 use crate::process::runtime::Clock;
-use crate::process::shard::WorkerTag;
 
 pub const CLIENT_ANSWERS: &str = "jayfork_client_answers_total";
 pub const WORKER_ORDERS: &str = "jayfork_worker_orders_total";
+pub const RELAYED_ORDERS: &str = "jayfork_relayed_orders_total";
 pub const STORE_CALLS: &str = "jayfork_store_calls_total";
 pub const STORE_TIME: &str = "jayfork_store_call_seconds";
 
@@ -168,7 +168,7 @@
                 timeout,
             } => self.call_peer(call, address, message, timeout),
             HostAction::Store(purpose, call) => self.call_store(purpose, call),
-            HostAction::Worker { epoch, tag, call } => self.call_worker(epoch, tag, call),
+            HostAction::Worker { origin, call } => self.call_worker(origin, call),
             HostAction::Ready(is_ready) => self.is_ready.set(is_ready),
             HostAction::Drain => self.front.drain(),
             HostAction::Exit => return true,
@@ -178,6 +178,9 @@
 
     fn call_peer(&self, call: u64, address: SocketAddr, message: PeerCall, timeout: Millis) {
         let (mesh, events) = (self.mesh.clone(), self.events.clone());
+        if let PeerCall::Orders(batch) = &message {
+            counter!(RELAYED_ORDERS).increment(batch.len() as u64);
+        }
         spawn_local(async move {
             let answer = mesh
                 .call(address, &message, message.time_limit(timeout))
@@ -210,7 +213,7 @@
         });
     }
 
-    fn call_worker(&self, epoch: u64, tag: WorkerTag, call: WorkerCall) {
+    fn call_worker(&self, origin: OrderOrigin, call: WorkerCall) {
         let (http_client, events) = (self.http_client.clone(), self.events.clone());
         counter!(WORKER_ORDERS, "order" => order_label(&call.order)).increment(1);
         spawn_local(async move {
@@ -218,7 +221,7 @@
             let limit = TimeLimit::whole(to_duration(call.timeout));
             let reply = http_client.call(call.address, request, limit).await;
             let answer = reply.and_then(|reply| decode_worker_answer(&call, &reply));
-            send_event(&events, HostEvent::Worker { epoch, tag, answer });
+            send_event(&events, HostEvent::Worker { origin, answer });
         });
     }
 }
--- a/src/process/host/message.rs
+++ b/src/process/host/message.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::relay::{OrderBatch, RelayedAnswer};
 use crate::base::Name;
 use crate::process::shard::{Reply, Request};
 use crate::version::QueueTable;
@@ -59,6 +60,8 @@
     TakeOver {
         epoch: u64,
     },
+    /// The owner asks the receiver to send these orders to workers, and to reply once some are answered.
+    Orders(OrderBatch),
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -77,4 +80,6 @@
     Unknown,
     /// Whether the host takes over the shard.
     TakeOver(bool),
+    /// Answers of workers to orders of the session, also of earlier calls.
+    Answers(Vec<RelayedAnswer>),
 }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -13,9 +13,11 @@
 mod message;
 mod peers;
 mod rank;
+mod relay;
 mod runtime;
 mod streams;
 
-pub use host::{Host, HostAction, HostEvent, HostSettings, StorePurpose};
+pub use host::{Host, HostAction, HostEvent, HostSettings, OrderOrigin, StorePurpose};
 pub use message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
+pub use relay::{OrderBatch, RelayedAnswer, RelayedOrder, SessionId};
 pub use runtime::{Error, Result, run};
--- /dev/null
+++ b/src/process/host/relay/links.rs
@@ -0,0 +1,409 @@
+//! The owner's side: which hosts relay its orders, and the orders that wait for an answer.
+
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+
+use super::super::host::{Host, HostAction, OrderOrigin, PeerPurpose};
+use super::super::message::{PeerCall, PeerReply};
+use super::super::peers::{Peer, Peers};
+use super::super::rank::is_low_capacity;
+use super::{OrderBatch, SessionId};
+use crate::base::{Millis, Name};
+use crate::connection::{CallError, WorkerAnswer, WorkerCall};
+use crate::process::shard::{Now, ShardEvent, WorkerTag};
+
+/// Relays of a data centre. With a second one, the loss of a relay holds up half as many workers.
+const CENTRE_RELAYS: usize = 2;
+/// A host may relay if its last message is not older than this, in milliseconds; it sends one every
+/// 400 ms.
+const RELAY_AGE: Millis = Millis(1_200);
+/// Interval at which the relays are chosen anew, in milliseconds. A host that has failed is probed
+/// that often.
+const CHOICE_INTERVAL: Millis = Millis(250);
+/// Shortest time between two batches to a relay, in milliseconds; close to that between two placement
+/// passes.
+const BATCH_INTERVAL: Millis = Millis(20);
+/// Batches of a relay that may be without an answer at the same time.
+const MAX_OPEN_BATCHES: usize = 16;
+/// Timeout of a batch, in milliseconds: the longest time that the relay holds it without an answer of
+/// a worker, and a round trip between regions with slow hosts at its ends.
+const BATCH_TIMEOUT: Millis = Millis(600);
+/// How much longer a relayed order may take than a call to the worker, in milliseconds.
+const RELAY_ALLOWANCE: Millis = Millis(400);
+/// Interval of the search for orders that have waited too long, in milliseconds.
+const EXPIRY_INTERVAL: Millis = Millis(50);
+
+/// An order that has no answer yet.
+#[derive(Debug)]
+pub(in super::super) struct PendingOrder {
+    pub tag: WorkerTag,
+    pub call: WorkerCall,
+    deadline: Millis,
+    /// The batch that it was sent with; `None` until then.
+    batch: Option<u64>,
+}
+
+/// The connection to one relay.
+#[derive(Debug)]
+struct Link {
+    address: SocketAddr,
+    session: u64,
+    /// Whether the host has answered a batch of this session. Until then it gets no orders.
+    is_proven: bool,
+    pending: HashMap<u64, PendingOrder>,
+    /// Numbers of the orders for the next batch.
+    outbox: Vec<u64>,
+    open_batches: usize,
+    last_batch: Millis,
+}
+
+impl Link {
+    fn is_due(&self, now: Millis) -> bool {
+        if self.open_batches == 0 && !(self.is_proven && self.pending.is_empty()) {
+            return true;
+        }
+        !self.outbox.is_empty()
+            && now.since(self.last_batch) >= BATCH_INTERVAL
+            && self.open_batches < MAX_OPEN_BATCHES
+    }
+}
+
+/// Orders that this host sends to workers through other hosts while it owns the shard.
+#[derive(Debug, Default)]
+pub(in super::super) struct OrderLinks {
+    links: HashMap<Name, Link>,
+    /// Proven relays by data centre.
+    by_centre: HashMap<Name, Vec<Name>>,
+    last_choice: Option<Millis>,
+    last_expiry: Millis,
+    /// Counts orders, sessions and batches.
+    last_number: u64,
+}
+
+impl OrderLinks {
+    fn new_number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+
+    /// Forgets all relays and orders.
+    pub fn clear(&mut self) {
+        self.links.clear();
+        self.by_centre.clear();
+        self.last_choice = None;
+    }
+
+    /// Chooses the relays of each data centre among the large hosts that are alive. A proven relay
+    /// stays as long as it qualifies.
+    fn choose(&mut self, now: Millis, peers: &Peers, max_processor: u32) {
+        if self
+            .last_choice
+            .is_some_and(|at| now.since(at) < CHOICE_INTERVAL)
+        {
+            return;
+        }
+        self.last_choice = Some(now);
+        let mut by_centre: HashMap<Name, Vec<&Peer>> = HashMap::new();
+        for peer in peers.values().filter(|_| !peers.is_small_cluster()) {
+            if may_relay(peer, now, max_processor) {
+                let centre = peer.record.data_centre.clone();
+                by_centre.entry(centre).or_default().push(peer);
+            }
+        }
+        let mut chosen: HashSet<Name> = HashSet::new();
+        let mut proven: HashMap<Name, Vec<Name>> = HashMap::new();
+        for (centre, mut hosts) in by_centre {
+            hosts.sort_unstable_by_key(|peer| {
+                let record = &peer.record;
+                let link = self.links.get(&record.name);
+                let is_proven = link.is_some_and(|link| link.is_proven);
+                (!is_proven, Reverse(record.processor), record.name.clone())
+            });
+            // While there are too few proven relays, the other hosts are probed all at once.
+            let proven_count = hosts
+                .iter()
+                .filter(|peer| self.is_proven(&peer.record.name))
+                .take(CENTRE_RELAYS)
+                .count();
+            let count = match proven_count < CENTRE_RELAYS {
+                true => hosts.len(),
+                false => CENTRE_RELAYS,
+            };
+            for peer in &hosts[..count] {
+                chosen.insert(peer.record.name.clone());
+                self.open(peer);
+            }
+            let relays: Vec<Name> = hosts[..proven_count]
+                .iter()
+                .map(|peer| peer.record.name.clone())
+                .collect();
+            if !relays.is_empty() {
+                proven.insert(centre, relays);
+            }
+        }
+        self.links
+            .retain(|host, link| chosen.contains(host) || !link.pending.is_empty());
+        for (centre, relays) in &proven {
+            if self.by_centre.get(centre) != Some(relays) {
+                tracing::info!(data_centre = %centre, ?relays, "relays of a data centre have changed");
+            }
+        }
+        for centre in self.by_centre.keys() {
+            if !proven.contains_key(centre) {
+                tracing::warn!(data_centre = %centre, "data centre has no relay; sending its orders directly");
+            }
+        }
+        self.by_centre = proven;
+    }
+
+    fn is_proven(&self, host: &Name) -> bool {
+        self.links.get(host).is_some_and(|link| link.is_proven)
+    }
+
+    fn open(&mut self, peer: &Peer) {
+        let record = &peer.record;
+        if self.links.contains_key(&record.name) {
+            return;
+        }
+        let link = Link {
+            address: record.control,
+            session: self.new_number(),
+            is_proven: false,
+            pending: HashMap::new(),
+            outbox: Vec::new(),
+            open_batches: 0,
+            last_batch: Millis(0),
+        };
+        self.links.insert(record.name.clone(), link);
+    }
+
+    /// Queues an order for a relay of the data centre; returns it if there is none.
+    fn queue(
+        &mut self,
+        now: Millis,
+        centre: Option<&Name>,
+        tag: WorkerTag,
+        call: WorkerCall,
+    ) -> Option<(WorkerTag, WorkerCall)> {
+        let relays = centre.and_then(|centre| self.by_centre.get(centre));
+        let host = relays.and_then(|relays| relays.get(hash(&call.worker) % relays.len()));
+        let number = self.last_number + 1;
+        let Some(link) = host.and_then(|host| self.links.get_mut(host)) else {
+            return Some((tag, call));
+        };
+        self.last_number = number;
+        let deadline = now + call.timeout + RELAY_ALLOWANCE;
+        let order = PendingOrder {
+            tag,
+            call,
+            deadline,
+            batch: None,
+        };
+        link.pending.insert(number, order);
+        link.outbox.push(number);
+        None
+    }
+
+    /// Removes and returns the orders that have waited too long.
+    fn expired(&mut self, now: Millis) -> Vec<PendingOrder> {
+        if now.since(self.last_expiry) < EXPIRY_INTERVAL {
+            return Vec::new();
+        }
+        self.last_expiry = now;
+        let mut expired = Vec::new();
+        for link in self.links.values_mut() {
+            let pending = link.pending.iter();
+            let late = pending.filter(|(_, order)| order.deadline <= now);
+            let late: Vec<u64> = late.map(|(number, _)| *number).collect();
+            expired.extend(late.iter().filter_map(|number| link.pending.remove(number)));
+            link.outbox.retain(|number| !late.contains(number));
+        }
+        expired
+    }
+
+    /// The next batches, with the host, its address and the number of the batch.
+    fn due_batches(&mut self, now: Millis, epoch: u64) -> Vec<(Name, SocketAddr, u64, OrderBatch)> {
+        let mut batches = Vec::new();
+        for (host, link) in &mut self.links {
+            if !link.is_due(now) {
+                continue;
+            }
+            self.last_number += 1;
+            let batch = self.last_number;
+            link.open_batches += 1;
+            link.last_batch = now;
+            let outbox = std::mem::take(&mut link.outbox);
+            for number in &outbox {
+                if let Some(order) = link.pending.get_mut(number) {
+                    order.batch = Some(batch);
+                }
+            }
+            let calls = outbox
+                .iter()
+                .filter_map(|number| Some((*number, &link.pending.get(number)?.call)));
+            let session = SessionId {
+                epoch,
+                number: link.session,
+            };
+            let message = OrderBatch::new(session, calls);
+            batches.push((host.clone(), link.address, batch, message));
+        }
+        batches
+    }
+
+    /// The link of a host, if it is still in this session.
+    fn link(&mut self, host: &Name, session: u64) -> Option<&mut Link> {
+        let link = self.links.get_mut(host)?;
+        (link.session == session).then_some(link)
+    }
+
+    /// Ends a session after a failed batch and returns its orders without an answer.
+    fn fail(&mut self, host: &Name, session: u64) -> Vec<PendingOrder> {
+        if self.link(host, session).is_none() {
+            return Vec::new();
+        }
+        for relays in self.by_centre.values_mut() {
+            relays.retain(|relay| relay != host);
+        }
+        self.by_centre.retain(|_, relays| !relays.is_empty());
+        let Some(link) = self.links.remove(host) else {
+            return Vec::new();
+        };
+        link.pending.into_values().collect()
+    }
+}
+
+/// A batch that was sent to a relay.
+#[derive(Debug, Clone)]
+pub(in super::super) struct SentBatch {
+    pub host: Name,
+    pub session: u64,
+    pub batch: u64,
+    pub sent: Millis,
+}
+
+impl Host {
+    /// Sends an order of the own shard through a relay, or directly if there is none.
+    pub(in super::super) fn send_order(
+        &mut self,
+        now: Now,
+        epoch: u64,
+        tag: WorkerTag,
+        call: WorkerCall,
+        out: &mut Vec<HostAction>,
+    ) {
+        let shard = self.shard.as_ref();
+        let centre = shard.and_then(|shard| shard.data_centre(&call.worker));
+        if let Some((tag, call)) = self.order_links.queue(now.steady, centre, tag, call) {
+            let origin = OrderOrigin::Shard { epoch, tag };
+            out.push(HostAction::Worker { origin, call });
+        }
+    }
+
+    /// Chooses the relays, sends the batches that are due and ends orders that have waited too long.
+    pub(in super::super) fn poll_order_links(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        let Some(epoch) = self.shard.as_ref().map(|shard| shard.epoch()) else {
+            return;
+        };
+        let max_processor = self.max_processor();
+        self.order_links
+            .choose(now.steady, &self.peers, max_processor);
+        for order in self.order_links.expired(now.steady) {
+            self.order_answered(now, epoch, order.tag, Err(CallError::NoAnswer), out);
+        }
+        for (host, address, batch, message) in self.order_links.due_batches(now.steady, epoch) {
+            let purpose = PeerPurpose::Orders(SentBatch {
+                host,
+                session: message.session.number,
+                batch,
+                sent: now.steady,
+            });
+            let message = PeerCall::Orders(message);
+            self.call_peer(purpose, address, message, BATCH_TIMEOUT, out);
+        }
+    }
+
+    pub(in super::super) fn handle_batch_answer(
+        &mut self,
+        now: Now,
+        sent: SentBatch,
+        answer: Result<PeerReply, CallError>,
+        out: &mut Vec<HostAction>,
+    ) {
+        let Some(epoch) = self.shard.as_ref().map(|shard| shard.epoch()) else {
+            return;
+        };
+        let error = match answer {
+            Ok(PeerReply::Answers(answers)) => {
+                for answer in answers {
+                    let Some(link) = self.order_links.link(&sent.host, sent.session) else {
+                        return;
+                    };
+                    if let Some(order) = link.pending.remove(&answer.order) {
+                        self.order_answered(now, epoch, order.tag, answer.answer, out);
+                    }
+                }
+                if let Some(link) = self.order_links.link(&sent.host, sent.session) {
+                    link.is_proven = true;
+                    link.open_batches = link.open_batches.saturating_sub(1);
+                }
+                return;
+            }
+            Ok(PeerReply::NotOwner { owner }) => {
+                if let Some(reported) = owner {
+                    self.update_owner(now, &reported, Some(sent.sent), out);
+                }
+                CallError::Refused
+            }
+            Ok(_) => CallError::Malformed,
+            Err(error) => error,
+        };
+        let orders = self.order_links.fail(&sent.host, sent.session);
+        if !orders.is_empty() {
+            tracing::warn!(host = %sent.host, orders = orders.len(), %error, "a relay does not answer");
+        }
+        let is_unsent = matches!(error, CallError::NotSent | CallError::Refused);
+        for order in orders {
+            let was_in_batch = order.batch == Some(sent.batch);
+            if order.batch.is_none() || was_in_batch && is_unsent {
+                let origin = OrderOrigin::Shard {
+                    epoch,
+                    tag: order.tag,
+                };
+                let call = order.call;
+                out.push(HostAction::Worker { origin, call });
+            } else {
+                self.order_answered(now, epoch, order.tag, Err(CallError::NoAnswer), out);
+            }
+        }
+    }
+
+    fn order_answered(
+        &mut self,
+        now: Now,
+        epoch: u64,
+        tag: WorkerTag,
+        answer: Result<WorkerAnswer, CallError>,
+        out: &mut Vec<HostAction>,
+    ) {
+        self.shard_event(now, epoch, ShardEvent::Worker(tag, answer), out);
+    }
+}
+
+/// Whether a host may relay: it has a large processor, is alive and is not stopping.
+fn may_relay(peer: &Peer, now: Millis, max_processor: u32) -> bool {
+    let is_alive = peer.last_heard.is_some_and(|at| now.since(at) <= RELAY_AGE);
+    let is_staying = peer
+        .presence
+        .as_ref()
+        .is_some_and(|presence| !presence.is_stopping);
+    is_alive && is_staying && !is_low_capacity(peer.record.processor, max_processor)
+}
+
+/// Spreads the workers of a data centre over its relays.
+fn hash(worker: &Name) -> usize {
+    worker.bytes().fold(0, |hash: usize, byte| {
+        hash.wrapping_mul(31).wrapping_add(usize::from(byte))
+    })
+}
--- /dev/null
+++ b/src/process/host/relay/mod.rs
@@ -0,0 +1,22 @@
+//! Orders to workers that the owner of the shard sends through other hosts, so that one processor
+//! does not have to make all calls.
+//!
+//! The owner decides and keeps all state. A relay only makes the calls, under the owner's epoch and
+//! leases, and returns the answers. To the shard it is a slower network: an order that the relay may
+//! have received counts as one without an answer, which the worker may still carry out.
+
+mod batch;
+mod links;
+mod sessions;
+
+pub use batch::{OrderBatch, RelayedAnswer, SessionId};
+pub(super) use links::{OrderLinks, SentBatch};
+pub(super) use sessions::RelaySessions;
+
+/// An order that this host sends to a worker for the owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayedOrder {
+    pub session: SessionId,
+    /// Number of the order in the session.
+    pub order: u64,
+}
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -309,6 +309,7 @@
                 });
                 worker.list_at(now.steady, entry.address);
                 worker.service = entry.service;
+                worker.data_centre = Some(entry.data_centre);
                 worker.capacity = entry.capacity;
                 worker.labels = entry.labels;
                 let was_listed = std::mem::replace(&mut worker.is_listed, true);
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -358,6 +358,11 @@
             .map(|worker| &worker.id)
     }
 
+    /// Data centre of a worker, if its entry in the registry is known.
+    pub fn data_centre(&self, worker: &Name) -> Option<&Name> {
+        self.workers.get(worker)?.data_centre.as_ref()
+    }
+
     pub fn epoch(&self) -> u64 {
         self.owner.epoch
     }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -81,6 +81,8 @@
     /// Where it last reported, to this owner or to the one that recorded it.
     pub reported_address: Option<SocketAddr>,
     pub service: Name,
+    /// `None` until its entry in the registry is known.
+    pub data_centre: Option<Name>,
     pub capacity: Size,
     pub labels: Vec<Name>,
     /// Whether the registry lists it as ready.
@@ -165,6 +167,7 @@
             address_since: now,
             reported_address: None,
             service,
+            data_centre: None,
             capacity: Size::ZERO,
             labels: Vec::new(),
             is_ready: false,
--- a/src/process/shard/workers.rs
+++ b/src/process/shard/workers.rs
@@ -20,6 +20,10 @@
         self.slot_of.len()
     }
 
+    pub fn get(&self, id: &Name) -> Option<&Worker> {
+        self.at(*self.slot_of.get(id)?)
+    }
+
     pub fn get_mut(&mut self, id: &Name) -> Option<&mut Worker> {
         self.at_mut(*self.slot_of.get(id)?)
     }
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -28,7 +28,7 @@
 }
 
 /// How a run of a task ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
     Done,
     /// The task or its worker caused the failure.
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -3,5 +3,6 @@
 mod cases;
 mod config_sources;
 mod odd_records;
+mod relays;
 mod scale;
 mod world;
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -5,14 +5,15 @@
 
 use jayfork::base::{Millis, Name};
 use jayfork::connection::{
-    CallError, Fence, KeyedRecord, Page, Partition, StoreAnswer, StoreCall, StoreRequest,
-    WorkerAnswer,
+    CallError, Fence, KeyedRecord, Order, Page, Partition, StoreAnswer, StoreCall, StoreRequest,
+    WorkerAnswer, WorkerReport,
 };
 use jayfork::platform::{CONFIG_KEY, CONFIG_STREAM, REGISTRY_STREAM};
 use jayfork::process::host::{
-    Host, HostAction, HostEvent, HostRecord, HostSettings, PeerCall, PeerReply, StorePurpose,
+    Host, HostAction, HostEvent, HostRecord, HostSettings, OrderOrigin, PeerCall, PeerReply,
+    StorePurpose,
 };
-use jayfork::process::shard::{Now, ShardSettings, WorkerTag};
+use jayfork::process::shard::{Now, ShardSettings};
 
 /// Data centres, among which the hosts are spread.
 pub const DATA_CENTRES: usize = 6;
@@ -63,12 +64,20 @@
     /// Caller, its ID of the call, and the answer.
     PeerReply(usize, u64, Result<PeerReply, CallError>),
     Store(usize, StorePurpose, StoreCall),
-    /// Owner, its epoch, the order's tag and the answer.
-    WorkerAnswer(usize, u64, WorkerTag, Result<WorkerAnswer, CallError>),
+    /// The host that called the worker, who waits for the answer, and the answer.
+    WorkerAnswer(usize, OrderOrigin, Result<WorkerAnswer, CallError>),
     /// The last field is the duration of the call.
     StoreAnswer(usize, StorePurpose, Result<StoreAnswer, CallError>, Millis),
 }
 
+/// An order that a host has sent to a worker.
+#[derive(Debug, Clone)]
+pub struct SentOrder {
+    pub at: u64,
+    pub host: usize,
+    pub worker: Name,
+}
+
 pub struct World {
     pub now: u64,
     /// `None` for hosts that do not run.
@@ -109,8 +118,15 @@
     pub slow_senders: Vec<usize>,
     /// Most configurations that one read of the store returns.
     pub max_read: usize,
-    /// Workers to which hosts have sent orders, with the addresses. None of them answers.
+    /// Workers to which hosts have sent orders, with the addresses.
     pub ordered_workers: BTreeSet<(Name, SocketAddr)>,
+    /// Workers that answer their orders.
+    pub answering_workers: BTreeSet<Name>,
+    pub sent_orders: Vec<SentOrder>,
+    /// Hosts that stand still; what they receive is delivered once they run on.
+    pub frozen_hosts: Vec<usize>,
+    /// Hosts that do not understand a request to send orders.
+    pub old_hosts: Vec<usize>,
 }
 
 impl World {
@@ -139,6 +155,10 @@
             slow_senders: Vec::new(),
             max_read: usize::MAX,
             ordered_workers: BTreeSet::new(),
+            answering_workers: BTreeSet::new(),
+            sent_orders: Vec::new(),
+            frozen_hosts: Vec::new(),
+            old_hosts: Vec::new(),
         };
         world.publish(1);
         for (index, (processor, _)) in hosts.iter().enumerate() {
@@ -256,6 +276,9 @@
                 self.deliver(message);
             }
             for index in 0..self.hosts.len() {
+                if self.frozen_hosts.contains(&index) {
+                    continue;
+                }
                 let time = self.time();
                 let mut out = Vec::new();
                 if let Some(host) = &mut self.hosts[index] {
@@ -330,19 +353,59 @@
                     self.send(after, Message::Store(index, purpose, call));
                 }
                 HostAction::Exit => self.hosts[index] = None,
-                HostAction::Worker { epoch, tag, call } => {
+                HostAction::Worker { origin, call } => {
+                    self.sent_orders.push(SentOrder {
+                        at: self.now,
+                        host: index,
+                        worker: call.worker.clone(),
+                    });
+                    let (after, answer) = match self.answering_workers.contains(&call.worker) {
+                        true => self.answer_order(&call.order),
+                        false => (call.timeout.0, Err(CallError::NoAnswer)),
+                    };
                     self.ordered_workers.insert((call.worker, call.address));
-                    let answer = Err(CallError::NoAnswer);
-                    let message = Message::WorkerAnswer(index, epoch, tag, answer);
-                    self.send(call.timeout.0, message);
+                    self.send(after, Message::WorkerAnswer(index, origin, answer));
                 }
                 HostAction::Answer(..) | HostAction::Ready(_) | HostAction::Drain => {}
             }
         }
     }
 
+    /// A worker's answer, and the time until it arrives.
+    fn answer_order(&mut self, order: &Order) -> (u64, Result<WorkerAnswer, CallError>) {
+        let delay = self.rng.u64(1..4);
+        match order {
+            Order::Renew { wait, .. } => {
+                let report = WorkerReport {
+                    clock: self.now,
+                    start_time: 1,
+                    ..WorkerReport::default()
+                };
+                (delay + wait.0, Ok(WorkerAnswer::Report(report)))
+            }
+            _ => (delay, Ok(WorkerAnswer::Accepted { clock: self.now })),
+        }
+    }
+
     fn deliver(&mut self, message: Message) {
+        let receiver = match &message {
+            Message::PeerCall(_, to, ..)
+            | Message::PeerReply(to, ..)
+            | Message::WorkerAnswer(to, ..)
+            | Message::StoreAnswer(to, ..) => Some(to),
+            Message::Store(..) => None,
+        };
+        if receiver.is_some_and(|to| self.frozen_hosts.contains(to)) {
+            self.send(STEP, message);
+            return;
+        }
         match message {
+            Message::PeerCall(caller, to, call, PeerCall::Orders(_))
+                if self.old_hosts.contains(&to) =>
+            {
+                let answer = Err(CallError::NoAnswer);
+                self.send(1, Message::PeerReply(caller, call, answer));
+            }
             Message::PeerCall(caller, to, call, _) if self.hosts[to].is_none() => {
                 let answer = Err(CallError::NoAnswer);
                 self.send(HELLO_TIMEOUT, Message::PeerReply(caller, call, answer));
@@ -359,8 +422,8 @@
                 self.open_transfers[to] -= usize::from(has_config);
                 self.event(to, HostEvent::PeerAnswer(call, answer));
             }
-            Message::WorkerAnswer(to, epoch, tag, answer) => {
-                self.event(to, HostEvent::Worker { epoch, tag, answer });
+            Message::WorkerAnswer(to, origin, answer) => {
+                self.event(to, HostEvent::Worker { origin, answer });
             }
             Message::Store(from, purpose, call) if self.silent_hosts.contains(&from) => {
                 let after = call.timeout.0.saturating_sub(self.store_delays[from]);
