Jobs without room no longer keep those behind them from starting

Seen by callers: best-effort jobs were accepted and none of their tasks started, although workers had room for them.

Cause: only the first 64 jobs that have not started, in the order of placement, get a permit to start (their record 'not started' is deleted ahead of the start). Jobs that had the permit and found no room kept counting. Once 64 jobs of a higher priority waited for room, no job behind them got a permit, whatever it needed.

Change: jobs whose requirements found no room in the last pass are counted apart from the others, each up to 64.

Test: blocked_jobs::a_job_with_room_starts_while_many_before_it_have_none failed before (the job that has room is not completed).

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -35,6 +35,19 @@
     pub is_new: bool,
 }
 
+impl UnmetRequirements {
+    /// Whether a task of the step needs the same or more.
+    pub(super) fn cover(&self, service: &Name, spec: &StepSpec, step: StepId) -> bool {
+        self.service == *service
+            && self.fills == spec.fills
+            && self.lasts == spec.lasts
+            && self.demand <= spec.size.processors
+            && (!spec.fills || self.image == spec.image)
+            && self.reserved.fits(&spec.reserved())
+            && self.step.is_none_or(|only| only == step)
+    }
+}
+
 /// Limits on the workers that `find_worker` considers.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Search<'a> {
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -1,13 +1,14 @@
 //! The turns and steps of jobs (a turn is one occurrence of a repeating job): which steps can be
 //! placed, and the record of a job's progress.
 
+use super::candidates::UnmetRequirements;
 use super::journal::Commit;
 use super::shard::{Now, Phase, Shard};
 use crate::request::job::{Job, JobId, OrderKey, StartPermit, StepId, order_key};
-use crate::version::{JobStateRecord, ShardRecord};
+use crate::version::{JobStateRecord, QueueIndex, ShardRecord};
 
-/// Jobs in the order of placement that may start without waiting for the store. The jobs behind them
-/// are recorded as not started.
+/// Jobs in the order of placement that may start without waiting for the store, of those that found no
+/// room in the last pass and of the others. The jobs behind them are recorded as not started.
 const START_PERMITS: usize = 64;
 
 impl Shard {
@@ -60,9 +61,10 @@
     }
 
     /// Deletes this record of the jobs that come first in the order of placement, ahead of their
-    /// starts.
+    /// starts. Jobs that wait for room do not keep back those behind them.
     pub(super) fn permit_next_jobs(&mut self) {
         let mut permits = 0;
+        let mut blocked = 0;
         let mut last = None;
         for key in &self.ready {
             let id = key.step.job;
@@ -75,11 +77,16 @@
             if last.replace(id) == Some(id) {
                 continue;
             }
-            permits += 1;
+            let count = match lacks_room(&self.queues, &self.unmet, job, key.step) {
+                true => &mut blocked,
+                false => &mut permits,
+            };
+            *count += 1;
+            let is_next = *count <= START_PERMITS;
             if permits > START_PERMITS {
                 return;
             }
-            if job.start_permit == StartPermit::Deferred {
+            if is_next && job.start_permit == StartPermit::Deferred {
                 job.start_permit = StartPermit::Requested;
                 let record = ShardRecord::Deferred(id, false);
                 self.journal.push(&record, Some(Commit::MayStart(id)));
@@ -125,6 +132,16 @@
     }
 }
 
+/// Whether no worker had room for a task of a step in the last pass.
+fn lacks_room(queues: &QueueIndex, unmet: &[UnmetRequirements], job: &Job, step: StepId) -> bool {
+    let spec = job.spec.steps.get(usize::from(step.step));
+    let queue = queues.queue(&job.queue);
+    spec.zip(queue).is_some_and(|(spec, queue)| {
+        let mut unmet = unmet.iter();
+        unmet.any(|known| known.cover(&queue.service, spec, step))
+    })
+}
+
 /// Steps with waiting tasks whose dependencies are done.
 pub(super) fn waiting_steps(job: &Job) -> Vec<StepId> {
     let mut steps = Vec::new();
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -105,15 +105,7 @@
         let spec = job.spec.clone();
         let spec = spec.steps.get(usize::from(key.step.step))?;
         let reserved = spec.reserved();
-        let is_unmet = |known: &UnmetRequirements| {
-            known.service == service
-                && known.fills == spec.fills
-                && known.lasts == spec.lasts
-                && known.demand <= spec.size.processors
-                && (!spec.fills || known.image == spec.image)
-                && known.reserved.fits(&reserved)
-                && known.step.is_none_or(|step| step == key.step)
-        };
+        let is_unmet = |known: &UnmetRequirements| known.cover(&service, spec, key.step);
         if unmet.iter().any(|known| known.is_new && is_unmet(known)) {
             return Some(());
         }
