Test the stand-in of the users' platform

The tests of its protocol found one fault in the stand-in: a worker answered 200 to the repeated start of a run whose stop had been ordered and was not over yet; it is now refused as old, as that of any stopped run.

Before: platform::late_starts_are_refused::stopped_run failed (200 instead of 409).

--- a/examples/standin/platform/worker.rs
+++ b/examples/standin/platform/worker.rs
@@ -107,13 +107,15 @@
     /// Starts a run; returns false if it is there already.
     pub fn start(&mut self, task: &str, run: u64, spec: &str) -> Result<bool, Refusal> {
         self.end_lapsed();
+        if self.closed.get(task).is_some_and(|closed| run <= *closed) {
+            return Err(Refusal::Old);
+        }
         let key = (task.to_owned(), run);
         if self.runs.contains_key(&key) {
             return Ok(false);
         }
-        let closed = self.closed.get(task).is_some_and(|closed| run <= *closed);
         let mut here = self.runs.keys().filter(|(other, _)| other == task);
-        if closed || here.any(|(_, other)| *other > run) {
+        if here.any(|(_, other)| *other > run) {
             return Err(Refusal::Old);
         }
         if self.lease_end <= self.clock() {
--- a/tests/standin.rs
+++ b/tests/standin.rs
@@ -16,6 +16,8 @@
 mod log;
 #[path = "standin/model.rs"]
 mod model;
+#[path = "standin/platform.rs"]
+mod platform;
 #[path = "standin/processes.rs"]
 mod processes;
 #[path = "standin/workers.rs"]
