Record that a restarted worker may hold a longer lease

Cause: a start order that reaches a worker after its restart carries a lease end on the earlier clock. The worker shortens it to the longest lease that it accepts (10 s), but the next owner, which cannot reach the worker, waits for the 6 s that owners grant. Change: the owner notices the restart by the clock in the answer to the start or by the next report, and records it under `l/ID` until its own renewals outlast that lease. A later owner waits for the longest lease of these workers only, so the wait for other silent workers stays as it was. Conclusion: an owner that is lost within 70 ms of the restart leaves no record.

--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod jobs;
 mod journal;
+mod leases;
 mod recovery;
 mod reports;
 mod requests;
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -9,7 +9,7 @@
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
 use crate::platform::{RegistryEntry, WorkerState};
 use crate::request::job::{Job, JobId, StartPermit, TaskCrashes};
-use crate::version::{JobStateRecord, ShardRecord};
+use crate::version::{JobStateRecord, LeaseRecord, ShardRecord};
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
 const LOAD_RETRY: Millis = Millis(100);
@@ -23,7 +23,7 @@
 /// cannot reach.
 pub const ISOLATION_TIME: Millis = Millis(1_500);
 /// Longest time that an order can be in transit after its sender stopped, in milliseconds.
-const TRANSIT_TIME: Millis = Millis(500);
+pub(super) const TRANSIT_TIME: Millis = Millis(500);
 
 /// Progress of reading one range of keys.
 #[derive(Debug)]
@@ -193,6 +193,7 @@
         let mut states: Vec<(JobId, JobStateRecord)> = Vec::new();
         let mut deferred: Vec<JobId> = Vec::new();
         let mut crashes: Vec<(JobId, Vec<TaskCrashes>)> = Vec::new();
+        let mut leases: Vec<(Name, LeaseRecord)> = Vec::new();
         for record in records {
             match record {
                 ShardRecord::Job(id, Some(job)) => {
@@ -214,7 +215,9 @@
                     worker.is_draining = record.is_leaving;
                     worker.recorded_leaving = record.is_leaving;
                 }
+                ShardRecord::Lease(id, Some(lease)) => leases.push((id, lease)),
                 ShardRecord::Owner(_)
+                | ShardRecord::Lease(_, None)
                 | ShardRecord::Job(_, None)
                 | ShardRecord::State(_, None)
                 | ShardRecord::Deferred(_, false)
@@ -222,6 +225,7 @@
                 | ShardRecord::Worker(_, None) => {}
             }
         }
+        self.restore_leases(leases);
         for (id, state) in states {
             match state {
                 JobStateRecord::Open(progress) => {
@@ -269,17 +273,18 @@
         if self.phase != Phase::Recovering {
             return;
         }
-        // True time that a lease lasts on the slowest allowed clock, at 98 % of true time.
-        let lease = Millis(self.settings.granted_lease().0 * 100 / 98);
-        let deadline = self.claimed_at + ISOLATION_TIME + lease + TRANSIT_TIME;
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
-        let missing = self
+        let missing_workers = self
             .workers
             .iter()
             .filter(|worker| !worker.is_settled(now.steady, stop_time))
-            .filter(|worker| !worker.has_left)
-            .count();
-        if missing > 0 && now.steady < deadline {
+            .filter(|worker| !worker.has_left);
+        let (mut missing, mut is_over) = (0, true);
+        for worker in missing_workers {
+            missing += 1;
+            is_over &= now.steady >= self.claimed_at + self.lease_wait(worker);
+        }
+        if !is_over {
             return;
         }
         tracing::info!(
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -43,7 +43,13 @@
             return;
         }
         match tag {
-            WorkerTag::Start { worker, task, run } => {
+            WorkerTag::Start {
+                worker,
+                task,
+                run,
+                lease_end,
+            } => {
+                self.apply_start_clock(now, &worker, lease_end, &answer);
                 self.handle_start_answer(now, &worker, task, run, answer);
             }
             WorkerTag::Stop { worker, task, run } => {
@@ -86,10 +92,8 @@
         };
         worker.pending_starts = worker.pending_starts.saturating_sub(1);
         worker.has_changed = true;
-        match &answer {
-            Ok(WorkerAnswer::Accepted { clock }) => worker.set_clock(*clock, now.steady),
-            Ok(_) => {}
-            Err(_) => worker.unanswered += 1,
+        if answer.is_err() {
+            worker.unanswered += 1;
         }
         let Some(run) = worker
             .runs
@@ -238,12 +242,15 @@
             // The runs that this incarnation lists may hold a lease of the greatest length: if it started
             // anew, orders that were meant for the earlier incarnation ended far ahead of its clock.
             let lease_until = report.clock.saturating_add(self.settings.lease.0);
+            worker.has_long_lease |= worker.incarnation.is_some();
             worker.begin_incarnation(now.steady, report.start_time, lease_until);
         }
         if worker.is_stale(report.clock) {
             return;
         }
         worker.set_clock(report.clock, now.steady);
+        let granted = self.settings.granted_lease();
+        worker.record_lease(now.steady, granted, &mut self.journal);
         worker.last_report = Some(now.steady);
         worker.report_from(sent);
         let is_first = worker.first_report.is_none();
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -111,6 +111,8 @@
         worker: Name,
         task: TaskKey,
         run: u64,
+        /// End of the lease that the order carries.
+        lease_end: u64,
     },
     Stop {
         worker: Name,
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -321,6 +321,7 @@
             worker: worker.id.clone(),
             task,
             run,
+            lease_end: until,
         };
         let order = StartOrder {
             task,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -7,7 +7,7 @@
 use crate::base::{Millis, Name};
 use crate::connection::{Order, WorkerCall};
 use crate::request::job::{Ending, JobId, TaskKey};
-use crate::version::{ShardRecord, WorkerRecord};
+use crate::version::{LeaseRecord, ShardRecord, WorkerRecord};
 
 use super::journal::{Commit, Journal};
 
@@ -170,6 +170,7 @@
     /// Records new and changed workers, and drops those that are gone.
     fn record_workers(&mut self, now: Now) {
         let mut removed: Vec<Name> = Vec::new();
+        let granted = self.settings.granted_lease();
         for worker in self.workers.iter_mut() {
             let is_idle = worker.runs.is_empty() && worker.acknowledged == worker.processed;
             let is_done = is_idle && !worker.awaits_proof(now.steady);
@@ -177,10 +178,15 @@
                 removed.push(worker.id.clone());
             } else {
                 worker.record(&mut self.journal);
+                worker.record_lease(now.steady, granted, &mut self.journal);
             }
         }
         for id in removed {
             if let Some(worker) = self.workers.remove(&id) {
+                if worker.recorded_lease != LeaseRecord::default() {
+                    let record = ShardRecord::Lease(id.clone(), None);
+                    self.journal.push(&record, None);
+                }
                 if worker.is_recorded || worker.is_recording {
                     self.journal.push(&ShardRecord::Worker(id, None), None);
                 }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -7,6 +7,7 @@
 use super::crashes::{SuspectRun, WorkerRestart};
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{BestEffortGroup, Headroom, JobId, ServingTask, TaskKey};
+use crate::version::LeaseRecord;
 
 /// Slowest allowed clock of a worker, in percent of true time.
 const SLOWEST_CLOCK: u64 = 98;
@@ -106,6 +107,11 @@
     clock: Option<(u64, Millis)>,
     /// Latest lease end that any order carried, on the worker's clock.
     pub lease_until: u64,
+    /// Whether it may hold a lease that is longer than owners grant: it has restarted, and an order with
+    /// a lease end on its earlier clock may have reached it.
+    pub has_long_lease: bool,
+    /// The newest record of its lease.
+    pub recorded_lease: LeaseRecord,
     /// Highest number of an end that has been applied to its job.
     pub processed: u64,
     /// Highest number of an end whose effects are recorded.
@@ -178,6 +184,8 @@
             incarnation: None,
             clock: None,
             lease_until: 0,
+            has_long_lease: false,
+            recorded_lease: LeaseRecord::default(),
             processed: 0,
             acknowledged: 0,
             runs: HashMap::new(),
@@ -287,11 +295,43 @@
     /// Whether every lease that this owner granted has expired even if the worker's clock is as
     /// slow as allowed.
     pub fn has_expired(&self, now: Millis) -> bool {
-        let Some((clock, at)) = self.clock else {
-            return false;
-        };
+        let clock = self.least_clock(now);
+        clock.is_some_and(|clock| clock > self.lease_until.saturating_add(ROUNDING_ALLOWANCE))
+    }
+
+    /// What its clock shows by now even if it is as slow as allowed.
+    fn least_clock(&self, now: Millis) -> Option<u64> {
+        let (clock, at) = self.clock?;
         let elapsed = now.since(at).0 * SLOWEST_CLOCK / 100;
-        clock.saturating_add(elapsed) > self.lease_until.saturating_add(ROUNDING_ALLOWANCE)
+        Some(clock.saturating_add(elapsed))
+    }
+
+    /// Whether a lease of `length` from now certainly ends after every lease that was granted.
+    pub fn outlasts_leases(&self, now: Millis, length: Millis) -> bool {
+        let clock = self.least_clock(now);
+        clock.is_some_and(|clock| {
+            clock.saturating_add(length.0 + ROUNDING_ALLOWANCE) >= self.lease_until
+        })
+    }
+
+    /// Applies the clock in the answer to a start order that carried `lease_end`. A lease end that is
+    /// further ahead of the clock than the `granted` length was meant for an earlier incarnation. The
+    /// worker shortens such a lease to the `longest` one that it accepts.
+    pub fn answer_start(
+        &mut self,
+        now: Millis,
+        clock: u64,
+        lease_end: u64,
+        granted: Millis,
+        longest: Millis,
+    ) {
+        if clock.saturating_add(granted.0 + ROUNDING_ALLOWANCE) >= lease_end {
+            self.set_clock(clock, now);
+            return;
+        }
+        self.clock = Some((clock, now));
+        self.lease_until = clock.saturating_add(longest.0);
+        self.has_long_lease = true;
     }
 
     /// Whether all runs here are known. A run that an earlier owner has stopped is listed neither as
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -26,6 +26,7 @@
 pub use retain::RestatementSchedule;
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
-    Error as ShardRecordError, JobRecord, JobStateRecord, OwnerRecord, ShardRecord, WorkerRecord,
+    Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord, ShardRecord,
+    WorkerRecord,
 };
 pub use suspicion::Suspicion;
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -44,6 +44,13 @@
     pub is_leaving: bool,
 }
 
+/// What a later owner must know of the lease of a worker that it cannot reach.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Whether it may be longer than owners grant.
+    pub is_long: bool,
+}
+
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -70,6 +77,9 @@
 pub enum ShardRecord {
     Owner(OwnerRecord),
     Worker(Name, Option<WorkerRecord>),
+    /// It has a record of its own, since hosts of earlier versions skip unknown keys but could not decode
+    /// another form of the worker's record.
+    Lease(Name, Option<LeaseRecord>),
     Job(JobId, Option<JobRecord>),
     State(JobId, Option<JobStateRecord>),
     /// Whether the job is known not to have started: true until its first start is permitted. Jobs
@@ -90,6 +100,7 @@
         match self {
             ShardRecord::Owner(_) => OWNER.to_owned(),
             ShardRecord::Worker(id, _) => format!("w/{id}"),
+            ShardRecord::Lease(id, _) => format!("l/{id}"),
             ShardRecord::Job(id, _) => format!("j/{id}"),
             ShardRecord::State(id, _) => format!("s/{id}"),
             ShardRecord::Deferred(id, _) => format!("n/{id}"),
@@ -103,6 +114,7 @@
         match self {
             ShardRecord::Owner(owner) => encode(owner),
             ShardRecord::Worker(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Lease(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Job(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::State(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Deferred(_, true) => Bytes::from_static(&[1]),
@@ -129,6 +141,7 @@
         let (kind, id) = key.split_once('/').ok_or_else(unknown)?;
         match kind {
             "w" => Ok(ShardRecord::Worker(id.into(), decode_optional(key, value)?)),
+            "l" => Ok(ShardRecord::Lease(id.into(), decode_optional(key, value)?)),
             "j" => Ok(ShardRecord::Job(
                 id.parse().map_err(|_| unknown())?,
                 decode_optional(key, value)?,
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -2,6 +2,7 @@
 
 use jayfork::base::Size;
 use jayfork::request::job::JobId;
+use jayfork::version::{LeaseRecord, ShardRecord};
 
 use yare::parameterized;
 
@@ -124,8 +125,8 @@
 
 /// A simulation in which a worker has just restarted with a new clock and is about to get a start order,
 /// with its owner and that worker. Job 3 waits for it, since jobs 1 and 2 take all other room.
-fn world_with_a_restarted_worker() -> (World, usize, usize) {
-    let mut world = World::new(7, 3, 8_000);
+fn world_with_a_restarted_worker(seed: u64) -> (World, usize, usize) {
+    let mut world = World::new(seed, 3, 8_000);
     for worker in &mut world.fleet.workers {
         worker.max_lease = 10_000;
         worker.resets_clock = true;
@@ -149,7 +150,7 @@
 /// of a lease on the earlier clock is shortened only to the longest lease that the worker accepts.
 #[test]
 fn a_lease_from_before_a_restart_is_waited_for() {
-    let (mut world, _, free) = world_with_a_restarted_worker();
+    let (mut world, _, free) = world_with_a_restarted_worker(7);
     world.run(1_000);
     assert_eq!(world.holder(3), free);
     world.fleet.workers[free].is_unreachable = true;
@@ -190,7 +191,7 @@
 /// that worker.
 #[test]
 fn a_next_owner_waits_for_a_lease_from_before_a_restart() {
-    let (mut world, first, free) = world_with_a_restarted_worker();
+    let (mut world, first, free) = world_with_a_restarted_worker(7);
     world.run(100);
     assert_eq!(world.holder(3), free);
     world.fleet.workers[free].is_unreachable = true;
@@ -324,3 +325,70 @@
     assert_eq!(world.running(1), 1);
     world.assert_no_violations();
 }
+
+/// Loses a worker and its owner `delay` milliseconds after the worker's restart, and lets the next owner
+/// start job 3 elsewhere. Returns the simulation, or `None` if the worker has got no start order by then.
+fn world_after_loss(seed: u64, delay: u64) -> Option<World> {
+    let (mut world, first, free) = world_with_a_restarted_worker(seed);
+    world.run(delay);
+    if world.running(3) == 0 || world.holder(3) != free {
+        return None;
+    }
+    world.fleet.workers[free].is_unreachable = true;
+    world.kill(first);
+    world.claim();
+    world.cancel(1);
+    world.run(500);
+    world.cancel(1);
+    world.run(16_000);
+    Some(world)
+}
+
+/// Guards against two runs of a task at once because the record of a worker's restart comes late or is
+/// deleted too early.
+#[parameterized(
+    soon = { 100 },
+    later = { 300 },
+    before_the_next_renewals = { 1_000 },
+    after_the_lease = { 5_000 },
+)]
+fn a_restart_is_known_to_the_next_owner(delay: u64) {
+    for seed in 0..20 {
+        let world = world_after_loss(seed, delay).expect("a start on the restarted worker");
+        world.assert_no_violations();
+        assert_eq!(world.running(3), 1, "seed {seed}");
+    }
+}
+
+/// Guards against the same fault when the owner is lost before it has recorded the restart.
+#[test]
+fn a_restart_just_before_the_loss_of_the_owner_is_known_to_the_next() {
+    for seed in 0..20 {
+        if let Some(world) = world_after_loss(seed, 40) {
+            world.assert_no_violations();
+        }
+    }
+}
+
+/// Guards against next owners that wait for the longest lease although the worker's renewals have long
+/// covered it.
+#[test]
+fn the_record_of_a_long_lease_is_deleted_after_its_end() {
+    let (mut world, _, _) = world_with_a_restarted_worker(7);
+    let has_record = |world: &World| world.store.records.keys().any(|key| key.starts_with("l/"));
+    world.run(100);
+    assert!(has_record(&world));
+    world.run(5_000);
+    assert!(!has_record(&world));
+}
+
+/// Guards against leases that a later owner reads differently than they were recorded.
+#[test]
+fn recorded_leases_are_read_back() {
+    let lease = LeaseRecord { is_long: true };
+    for value in [Some(lease), None] {
+        let record = ShardRecord::Lease("worker-1".into(), value);
+        let decoded = ShardRecord::decode(&record.key(), &record.value());
+        assert_eq!(decoded, Ok(record));
+    }
+}
