Give up the shard if a part of the hosts is cut off with its owner

Cause: an owner that the store did not answer kept the shard as long as any host answered it. Cut off together with one other host, it went on renewing leases while the rest claimed, and the next owner waits only 8.1 s for the workers that it cannot reach. Change: without the store, the owner gives up after 1.5 s if more than half of the hosts that were alive when the store last answered are silent, or all of a data centre with two or more. In an outage of the store for all hosts they go on sending messages, so it stays. Conclusion: a part with half of the hosts and one of each data centre can still keep its owner while a host outside it reaches the store; an outage of the store together with the loss of a data centre leaves no owner.

--- a/src/process/host/handover.rs
+++ b/src/process/host/handover.rs
@@ -1,10 +1,13 @@
 //! How the owner of the shard hands it over or gives it up.
 
+use std::collections::HashMap;
+
 use super::claim::{OWNER_AGE, STORE_AGE, is_candidate};
 use super::host::{Host, HostAction, PeerPurpose};
 use super::message::PeerCall;
+use super::peers::Peer;
 use super::rank::{Rank, is_low_capacity};
-use crate::base::Millis;
+use crate::base::{Millis, Name};
 use crate::process::shard::{ISOLATION_TIME, Now};
 
 /// The owner hands over the shard after its appends have failed for this long, in milliseconds.
@@ -23,6 +26,9 @@
 /// Minimum time from the claim until a low-capacity owner hands over to a high-capacity host, in
 /// milliseconds.
 const MIN_OWNERSHIP_TIME: Millis = Millis(1_500);
+/// A host counts as alive at some time if its last message is not older than this, in milliseconds. An
+/// owner that is cut off from the hosts but not from the store notices a claim of theirs within this time.
+const LIVE_AGE: Millis = Millis(10_000);
 
 impl Host {
     /// Checks whether this host, as the owner, gives up the shard or hands it over.
@@ -42,13 +48,10 @@
         }
         let store_age = self.store_heard.map(|at| now.steady.since(at));
         let is_store_lost = store_age.is_none_or(|age| age > ISOLATION_TIME);
-        let last_peer_message = self.peers.values().filter_map(|peer| peer.last_heard).max();
-        let are_peers_lost =
-            last_peer_message.is_some_and(|at| now.steady.since(at) > ISOLATION_TIME);
-        if is_store_lost && are_peers_lost {
+        if is_store_lost && self.may_be_replaced(now) {
             tracing::warn!(
                 epoch,
-                "neither the store nor any peer is reachable; giving up the shard"
+                "neither the store nor enough peers are reachable; giving up the shard"
             );
             self.give_up_shard(now, out);
             return;
@@ -79,6 +82,36 @@
         }
     }
 
+    /// Whether another host may claim the shard unnoticed while this one does not reach the store: too
+    /// many hosts are silent that were alive when the store last answered. In an outage of the store for
+    /// all hosts, they go on sending messages and none can claim.
+    fn may_be_replaced(&self, now: Now) -> bool {
+        let is_silent =
+            |at: Option<Millis>| at.is_none_or(|at| now.steady.since(at) > ISOLATION_TIME);
+        let last_peer_message = self.peers.values().filter_map(|peer| peer.last_heard).max();
+        if last_peer_message.is_some() && is_silent(last_peer_message) {
+            return true;
+        }
+        let store_heard = self.store_heard.unwrap_or(now.steady);
+        let was_alive = |peer: &&Peer| {
+            let presence = peer.presence.as_ref();
+            let is_stopping = presence.is_some_and(|presence| presence.is_stopping);
+            let heard = peer.last_heard;
+            !is_stopping && heard.is_some_and(|at| at + LIVE_AGE >= store_heard)
+        };
+        let mut hosts = Presences::default();
+        let mut by_centre: HashMap<&Name, Presences> = HashMap::new();
+        for peer in self.peers.values().filter(was_alive) {
+            let is_silent = is_silent(peer.last_heard);
+            hosts.add(is_silent);
+            let centre = by_centre.entry(&peer.record.data_centre).or_default();
+            centre.add(is_silent);
+        }
+        // A single host is rather dead than cut off together with its data centre.
+        let is_cut = |centre: &Presences| centre.alive > 1 && centre.silent == centre.alive;
+        hosts.silent * 2 > hosts.alive || by_centre.values().any(is_cut)
+    }
+
     /// Whether the store has failed to answer a call that this host sent after the store had answered
     /// another host. At the end of an outage for all hosts, the owner may be the last to notice it.
     fn is_ignored_by_store(&mut self, now: Now, failing_for: Option<Millis>) -> bool {
@@ -183,6 +216,21 @@
     }
 }
 
+/// Counts hosts that were alive when the store last answered.
+#[derive(Debug, Default)]
+struct Presences {
+    alive: usize,
+    /// Those that are silent now.
+    silent: usize,
+}
+
+impl Presences {
+    fn add(&mut self, is_silent: bool) {
+        self.alive += 1;
+        self.silent += usize::from(is_silent);
+    }
+}
+
 /// Which hosts the owner may hand the shard over to.
 #[derive(Debug, Clone, Copy)]
 enum Successor {
--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -334,6 +334,63 @@
     assert_eq!(owners.len(), 1, "{first:?} {owners:?}");
 }
 
+/// Guards against two owners when the hosts that are cut off from the others and the store are not a
+/// minority, and when the store is lost to them later than the others.
+#[parameterized(
+    region_of_most_hosts = { &[0, 1, 2, 3, 6, 7, 8], 0 },
+    with_another_host_later = { &[0, 1], 2_000 },
+    region_of_most_hosts_later = { &[0, 1, 2, 3, 6, 7, 8], 2_000 },
+)]
+fn a_part_without_the_store_has_no_owner_for_long(part: &[usize], delay: u64) {
+    for seed in 0..6 {
+        let mut world = World::start(seed, &[(HIGH_CAPACITY, 4); 12]);
+        world.run(4_000);
+        let first = world.owners();
+        assert_eq!(first.len(), 1, "seed {seed}: {first:?}");
+        // The owner trades its place with the first host unless it is part of them.
+        let mut part = part.to_vec();
+        if !part.contains(&first[0]) {
+            part[0] = first[0];
+        }
+        world.cut_hosts.clone_from(&part);
+        world.run(delay);
+        world.silent_hosts.clone_from(&part);
+        // The next owner expects the last order 1.5 s after its claim at the latest.
+        world.run(1_700);
+        let owners = world.owners();
+        assert!(
+            owners.iter().all(|owner| !part.contains(owner)),
+            "seed {seed}: {part:?} {owners:?}"
+        );
+        world.run(7_800);
+        assert_eq!(world.owners().len(), 1, "seed {seed}");
+    }
+}
+
+/// Guards against an owner that gives up in an outage of the store because hosts have been killed: no other
+/// could claim the shard.
+#[parameterized(
+    with_the_outage = { 0 },
+    before_the_outage = { 12_000 },
+)]
+fn the_owner_stays_in_an_outage_without_killed_hosts(delay: u64) {
+    for seed in 0..6 {
+        let mut world = World::start(seed, &[(HIGH_CAPACITY, 4); 12]);
+        world.run(4_000);
+        let owners = world.owners();
+        assert_eq!(owners.len(), 1, "seed {seed}: {owners:?}");
+        let killed = (0..12).filter(|host| !owners.contains(host)).take(4);
+        for host in killed {
+            world.hosts[host] = None;
+        }
+        world.run(delay);
+        let owners = world.owners();
+        world.refused_hosts = (0..12).collect();
+        world.run(6_000);
+        assert_eq!(world.owners(), owners, "seed {seed}");
+    }
+}
+
 /// Guards against hosts that get a large configuration from a peer while the store still sends it to
 /// them: both transfers share a link that is too small for one.
 #[test]
