--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -313,6 +313,7 @@
             worker: worker.id.clone(),
             task,
             run,
+            lease_end: until,
         };
         let order = StartOrder {
             task,
