Finish jobs that have begun before new ones of their priority

Callers saw, in an overload, that the largest jobs of a class were served far less often than all of it. Cause: the order of steps looked at the objective alone. A wide job got its first tasks at once, then gave way to newer jobs as soon as its objective could not be met, and the rest of its tasks waited.

Change: a turn with a placed task comes before new turns of its priority, until it is overdue. The key of a waiting turn is replaced when its first task is placed.

tests/surge.rs and tests/job_order.rs pass the new argument; their checks are unchanged.

Some small jobs end later, and more of them fail.

--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -3,7 +3,7 @@
 
 use super::journal::Commit;
 use super::shard::{Now, Phase, Shard};
-use crate::request::job::{Job, JobId, OrderKey, StartPermit, StepId, order_key};
+use crate::request::job::{Job, JobId, OrderKey, StartPermit, StepId, TurnState, order_key};
 use crate::version::{JobStateRecord, ShardRecord};
 
 /// Jobs in the order of placement that may start without waiting for the store. The jobs behind them
@@ -28,6 +28,11 @@
 
     /// Adds all steps of a job that have tasks to place to `ready`.
     pub(super) fn enqueue(&mut self, id: JobId) {
+        self.insert_steps(id);
+        self.needs_placement = true;
+    }
+
+    fn insert_steps(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id).filter(|_| self.accepted.contains(&id)) else {
             return;
         };
@@ -40,10 +45,25 @@
                 0 => job.accepted,
                 _ => job.due(step.turn),
             };
-            let key = order_key(queue, &job.spec, start, self.wall, step);
+            let turn = TurnState {
+                start,
+                has_begun: job.has_begun(step.turn),
+            };
+            let key = order_key(queue, &job.spec, turn, self.wall, step);
             self.ready.insert(key);
         }
-        self.needs_placement = true;
+    }
+
+    /// Replaces the order keys of a turn that has begun since `key` was made.
+    pub(super) fn replace_new_key(&mut self, key: OrderKey) {
+        let StepId { job: id, turn, .. } = key.step;
+        let has_begun = |job: &Job| job.has_begun(turn);
+        if !key.gives_way() || !self.jobs.get(&id).is_some_and(has_begun) {
+            return;
+        }
+        self.ready
+            .retain(|other| other.step.job != id || other.step.turn != turn);
+        self.insert_steps(id);
     }
 
     /// Whether a new job has to wait for others to start.
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -70,6 +70,7 @@
                     self.ready.remove(key);
                 }
             }
+            self.replace_new_key(*key);
             if self.has_max_pending_starts() {
                 return false;
             }
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -98,6 +98,8 @@
 #[derive(Debug, Clone)]
 pub struct Turn {
     pub steps: Vec<Step>,
+    /// Whether any of its tasks has been placed.
+    pub has_begun: bool,
 }
 
 /// One accepted job.
@@ -182,6 +184,7 @@
             let steps = self.spec.steps.iter().map(|step| Step::new(step.count));
             let turn = Turn {
                 steps: steps.collect(),
+                has_begun: false,
             };
             self.turns.insert(self.next_turn, turn);
             opened.push(self.next_turn);
@@ -198,6 +201,11 @@
         has_next.then(|| self.due(self.next_turn))
     }
 
+    /// Whether any task of an open turn has been placed.
+    pub fn has_begun(&self, turn: u32) -> bool {
+        self.turns.get(&turn).is_some_and(|turn| turn.has_begun)
+    }
+
     /// Whether all steps that `step` depends on are done.
     pub fn is_ready(&self, turn: u32, step: u16) -> bool {
         let Some(open_turn) = self.turns.get(&turn) else {
@@ -260,7 +268,10 @@
 
     /// Sets the state of a task and updates the counts of its step.
     pub fn set_state(&mut self, key: TaskKey, state: TaskState) {
-        let Some(step) = self.step_mut(key.step) else {
+        let Some(turn) = self.turns.get_mut(&key.step.turn) else {
+            return;
+        };
+        let Some(step) = turn.steps.get_mut(usize::from(key.step.step)) else {
             return;
         };
         let Some(task) = step.tasks.get_mut(usize::from(key.index)) else {
@@ -277,6 +288,7 @@
             TaskState::Done => step.done += 1,
         }
         task.state = state;
+        turn.has_begun |= state != TaskState::Waiting;
     }
 
     /// Removes the turn if all its steps are done; returns whether the whole job is done.
@@ -318,7 +330,8 @@
             for (step, saved) in steps.iter_mut().zip(&saved.steps) {
                 restore_step(step, saved);
             }
-            self.turns.insert(saved.turn, Turn { steps });
+            let has_begun = steps.iter().any(|step| step.done > 0);
+            self.turns.insert(saved.turn, Turn { steps, has_begun });
         }
     }
 }
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -29,6 +29,9 @@
     /// Long-running tasks come after the others of the same priority, because they hold their
     /// resources until they are cancelled.
     is_long_running: bool,
+    /// Turns with tasks that have been placed come first, since that work is wasted if the others end
+    /// too late.
+    is_new: bool,
     status: ObjectiveStatus,
     /// Orders jobs of the same status, in Unix milliseconds: the deadline that applies in it, or
     /// the start of an overdue job.
@@ -38,23 +41,45 @@
     pub expires: u64,
 }
 
-/// Sort key at `now` of a step whose job is measured from `start`; both in Unix milliseconds.
+impl OrderKey {
+    /// Whether the key would come earlier if the turn had begun.
+    pub fn gives_way(&self) -> bool {
+        self.is_new && !self.is_long_running && self.status != ObjectiveStatus::Overdue
+    }
+}
+
+/// State of the turn that a step belongs to.
+#[derive(Debug, Clone, Copy)]
+pub struct TurnState {
+    /// Time from which the turn is measured, in Unix milliseconds.
+    pub start: u64,
+    /// Whether any of its tasks has been placed.
+    pub has_begun: bool,
+}
+
+/// Sort key at `now`, in Unix milliseconds, of a step of `turn`.
 ///
 /// Within a priority the earliest objective comes first. A job that can no longer meet its
 /// objective gives way to those that can, until it has to start to be of any use. Ordering by
 /// objective alone would finish every job of the backlog after a surge slightly too late. Overdue
 /// jobs run once the backlog is gone.
+///
+/// A job that has begun is finished before a new one begins, unless it is overdue. The more tasks a
+/// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
+/// would be wasted, and most of all that of the largest jobs.
 pub fn order_key(
     queue: Option<&Queue>,
     spec: &JobSpec,
-    start: u64,
+    turn: TurnState,
     now: u64,
     step: StepId,
 ) -> OrderKey {
+    let start = turn.start;
     let Some(queue) = queue else {
         return OrderKey {
             priority: u8::MAX,
             is_long_running: false,
+            is_new: !turn.has_begun,
             status: ObjectiveStatus::StartNow,
             due: start,
             step,
@@ -94,6 +119,7 @@
     OrderKey {
         priority: queue.priority,
         is_long_running,
+        is_new: !turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue,
         status,
         due,
         step,
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -2,7 +2,8 @@
 
 use jayfork::base::{Name, Size};
 use jayfork::request::job::{
-    CandidateWorker, JobId, JobSpec, StepId, StepSpec, TaskRequirements, choose_worker, order_key,
+    CandidateWorker, JobId, JobSpec, StepId, StepSpec, TaskRequirements, TurnState, choose_worker,
+    order_key,
 };
 use jayfork::version::Queue;
 use yare::parameterized;
@@ -60,7 +61,11 @@
 ) {
     let key = |(priority, runtime, lasts, start): (u8, u32, bool, u64), job| {
         let queue = queue(priority, 2.0);
-        order_key(Some(&queue), &spec(runtime, lasts), start, start, step(job))
+        let turn = TurnState {
+            start,
+            has_begun: false,
+        };
+        order_key(Some(&queue), &spec(runtime, lasts), turn, start, step(job))
     };
     // The job id decides between equal keys, so the ids are in the opposite order.
     assert!(key(first, 2) < key(second, 1));
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -9,6 +9,7 @@
 mod random;
 mod registry;
 mod restarts;
+mod sizes;
 mod store;
 mod wide_jobs;
 mod world;
--- a/tests/surge.rs
+++ b/tests/surge.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use jayfork::base::Size;
-use jayfork::request::job::{JobId, JobSpec, OrderKey, StepId, StepSpec, order_key};
+use jayfork::request::job::{JobId, JobSpec, OrderKey, StepId, StepSpec, TurnState, order_key};
 use jayfork::version::Queue;
 use yare::parameterized;
 
@@ -98,7 +98,11 @@
     };
     match order {
         Order::ObjectiveStatus => {
-            let key = order_key(Some(&queue()), &spec(), open.arrived, now, step);
+            let turn = TurnState {
+                start: open.arrived,
+                has_begun: open.step > 0 || open.waiting < TASKS_PER_STEP,
+            };
+            let key = order_key(Some(&queue()), &spec(), turn, now, step);
             (Some(key), 0)
         }
         Order::Objective => (None, open.arrived + objective()),
