--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -35,6 +35,7 @@
             return;
         }
         let queue = self.queues.queue(&job.queue);
+        let mut is_ready = false;
         for step in waiting_steps(job) {
             let start = match job.spec.turns {
                 0 => job.accepted,
@@ -42,6 +43,10 @@
             };
             let key = order_key(queue, &job.spec, start, self.wall, step);
             self.ready.insert(key);
+            is_ready = true;
+        }
+        if let Some(job) = self.jobs.get_mut(&id).filter(|_| is_ready) {
+            job.waits.begin(self.wall);
         }
         self.needs_placement = true;
     }
