--- a/tests/surge_sizes.rs
+++ b/tests/surge_sizes.rs
@@ -217,6 +217,8 @@
 #[parameterized(
     over_by_a_fifth = { 1.2 },
     over_by_half = { 1.5 },
+    over_by_four_fifths = { 1.8 },
+    twice = { 2.0 },
 )]
 fn the_largest_jobs_are_served_at_least_half_as_often_as_all(load: f64) {
     let mut all = Vec::new();
