--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -26,7 +26,6 @@
     /// Places waiting tasks in the order of `ready` as far as workers have room.
     pub(super) fn place(&mut self, now: Now, out: &mut Vec<ShardAction>) {
         if self.ready.is_empty() {
-            self.unmet.clear();
             return;
         }
         self.permit_next_jobs();
--- a/src/process/shard/throttle.rs
+++ b/src/process/shard/throttle.rs
@@ -1,12 +1,11 @@
 //! Throttles best-effort tasks that run beside serving tasks, by what reports show of their
 //! contention.
 
-use super::candidates::UnmetRequirements;
 use super::shard::{Now, Shard, ShardAction, WorkerTag};
 use super::worker::{RunState, Worker};
 use crate::base::{Millis, Name};
 use crate::connection::{Order, WorkerCall};
-use crate::request::job::{OVER_BOUND_SHARE, TaskKey, is_slowed, next_speed_limit, shift_halt};
+use crate::request::job::{OVER_BOUND_SHARE, TaskKey, next_speed_limit};
 
 /// Timeout of a throttle order, in milliseconds.
 const THROTTLE_TIMEOUT: Millis = Millis(800);
@@ -69,21 +68,12 @@
             };
             let elapsed = now.steady.since(run.limited_at);
             run.limited_at = now.steady;
-            let former = run.speed_limit;
-            run.paced.0 += elapsed.0 * u64::from(100 - former.min(100)) / 100;
-            let limit = next_speed_limit(former, limit);
-            let is_unmet = |known: &UnmetRequirements| {
-                known.fills && known.image == run.image && known.demand <= run.demand
+            run.paced.0 += elapsed.0 * u64::from(100 - run.speed_limit.min(100)) / 100;
+            run.halted_since = match limit {
+                0 => run.halted_since.or(Some(now.steady)),
+                _ => None,
             };
-            let may_move = limit == 0 || !self.unmet.iter().any(is_unmet);
-            let job = self.jobs.get(&task.step.job);
-            let step = job.and_then(|job| job.spec.steps.get(usize::from(task.step.step)));
-            let runtime = step.map_or(0, |step| u64::from(step.runtime));
-            let remaining = runtime * u64::from(100 - run.percent.min(100)) / 100;
-            run.halted_since = (may_move && is_slowed(remaining, limit)).then(|| {
-                let since = run.halted_since.unwrap_or(now.steady);
-                shift_halt(since, elapsed, former).min(now.steady)
-            });
+            let limit = next_speed_limit(run.speed_limit, limit);
             if run.speed_limit != limit {
                 run.speed_limit = limit;
                 orders.push((*task, run.run, limit));
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -6,7 +6,6 @@
 #[allow(clippy::module_inception)]
 mod job;
 mod order;
-mod pace;
 mod progress;
 mod regression;
 mod spec;
@@ -20,7 +19,6 @@
 pub use fit::{CandidateWorker, TaskRequirements, choose_worker, lacking};
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
 pub use order::{ObjectiveStatus, OrderKey, order_key};
-pub use pace::{is_slowed, shift_halt};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
 pub use trials::{TaskCrashes, Trial};
