--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -7,8 +7,7 @@
 use super::worker::Worker;
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{
-    CandidateWorker, ImageInterference, StepId, StepSpec, TaskKey, TaskRequirements, WaitCause,
-    choose_worker, lacking,
+    CandidateWorker, ImageInterference, StepId, StepSpec, TaskKey, TaskRequirements, choose_worker,
 };
 
 /// A worker whose last report is older than this gets no tasks, in milliseconds.
@@ -30,8 +29,6 @@
     pub lasts: bool,
     pub image: Option<Name>,
     pub service: Name,
-    /// What most workers with room lacked.
-    pub cause: WaitCause,
     /// The only step that it applies to, if the step restricts its workers further.
     pub step: Option<StepId>,
     /// Whether it was found in this pass, so that no worker needs to be checked again.
@@ -150,7 +147,15 @@
         candidates: &Candidates,
         search: Search<'_>,
     ) -> Option<usize> {
-        let requirements = requirements(spec);
+        let requirements = TaskRequirements {
+            reserved: spec.reserved(),
+            demand: spec.size.processors,
+            fills: spec.fills,
+            lasts: spec.lasts,
+            image: spec.image.as_ref(),
+            label: spec.label.as_ref(),
+            rack: spec.rack.as_ref(),
+        };
         let interference = self.contention.interference(
             now.steady,
             requirements.image.filter(|_| requirements.fills),
@@ -194,44 +199,6 @@
         choose_worker(&requirements, workers, limit)
     }
 
-    /// What most candidates with room lack for a task of a step that found no worker.
-    pub(super) fn wait_cause(
-        &self,
-        now: Now,
-        service: &Name,
-        spec: &StepSpec,
-        step: StepId,
-        candidates: &Candidates,
-    ) -> WaitCause {
-        let requirements = requirements(spec);
-        let interference = self
-            .contention
-            .interference(now.steady, requirements.image.filter(|_| spec.fills));
-        let mut counts = [0_usize; WaitCause::ALL.len()];
-        for candidate in candidates {
-            let Some(worker) = self.workers.at(candidate.slot) else {
-                continue;
-            };
-            if worker.service != *service || !requirements.reserved.fits(&candidate.free) {
-                continue;
-            }
-            let described =
-                describe_candidate(&requirements, worker, candidate.free, &interference);
-            let lacks = match lacking(&requirements, &described) {
-                Some(cause) => cause,
-                None if !worker.allows(step, spec) => WaitCause::Restricted,
-                None => WaitCause::Starts,
-            };
-            counts[lacks as usize] += 1;
-        }
-        let causes = WaitCause::ALL.iter().zip(counts);
-        let most = causes.max_by_key(|(_, count)| *count);
-        match most {
-            Some((cause, count)) if count > 0 => *cause,
-            _ => WaitCause::Room,
-        }
-    }
-
     /// Removes the worker that lacks least for a task of the step from `candidates`, so
     /// that the room of the runs that end there is kept for it. Room that long-running tasks hold does
     /// not become free.
@@ -320,18 +287,6 @@
     }
 }
 
-fn requirements(spec: &StepSpec) -> TaskRequirements<'_> {
-    TaskRequirements {
-        reserved: spec.reserved(),
-        demand: spec.size.processors,
-        fills: spec.fills,
-        lasts: spec.lasts,
-        image: spec.image.as_ref(),
-        label: spec.label.as_ref(),
-        rack: spec.rack.as_ref(),
-    }
-}
-
 /// Describes a worker as the placement rules need it.
 fn describe_candidate<'a>(
     requirements: &TaskRequirements<'_>,
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -41,7 +41,6 @@
             return;
         }
         let queue = self.queues.queue(&job.queue);
-        let mut is_ready = false;
         for step in waiting_steps(job) {
             let start = match job.spec.turns {
                 0 => job.accepted,
@@ -53,10 +52,6 @@
             };
             let key = order_key(queue, &job.spec, turn, self.wall, step);
             self.ready.insert(key);
-            is_ready = true;
-        }
-        if let Some(job) = self.jobs.get_mut(&id).filter(|_| is_ready) {
-            job.waits.begin(self.wall);
         }
     }
 
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -155,7 +155,7 @@
         if !job.trials.is_empty() {
             self.journal.push(&ShardRecord::Crashes(id, None), None);
         }
-        self.log_job(id, Some(outcome));
+        tracing::info!(job = %id, ?outcome, "job ends");
     }
 
     /// Applies the acceptance of a job once it is stored.
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -47,8 +47,6 @@
             checkpoint: listed.checkpoint.clone(),
             saves: false,
             speed_limit: 100,
-            paced: Millis(0),
-            limited_at: now.steady,
             halted_since: None,
             is_orphaned: false,
             is_adopted: true,
@@ -131,18 +129,6 @@
             self.orphaned_tasks.remove(&end.task);
         }
         let is_current = removed.is_some() && !was_orphaned;
-        if let (Some(run), Some(job)) = (&removed, self.jobs.get_mut(&end.task.step.job)) {
-            let age = now.steady.since(run.started).0;
-            match end.ending {
-                Ending::Done if age > job.waits.longest_run => {
-                    job.waits.longest_run = age;
-                    job.waits.longest_paced = run.paced.0;
-                }
-                Ending::Done => {}
-                Ending::Failed => job.waits.failed += 1,
-                _ => job.waits.stopped += 1,
-            }
-        }
         self.apply_end(now, worker_id, end, is_current);
         if was_orphaned {
             self.enqueue(end.task.step.job);
@@ -238,10 +224,6 @@
             }
         }
         let age = now.steady.since(run.started).0;
-        if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            job.waits.lost += 1;
-            job.waits.oldest_lost = job.waits.oldest_lost.max(age);
-        }
         tracing::info!(%task, run = run.run, worker = %worker_id, ?ending, age, "run lost");
         self.requeue(now, task);
     }
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -5,7 +5,7 @@
 use super::worker::{Run, RunState};
 use crate::base::{Millis, Name};
 use crate::connection::{Order, StartOrder, WorkerCall};
-use crate::request::job::{OrderKey, StartPermit, StepSpec, Task, TaskKey, TaskState, WaitCause};
+use crate::request::job::{OrderKey, StartPermit, StepSpec, Task, TaskKey, TaskState};
 
 /// Timeout of a start order, in milliseconds. A worker answers within a few milliseconds plus the
 /// network delay. A run whose start was not confirmed in time is stopped before the task starts
@@ -64,14 +64,10 @@
         out: &mut Vec<ShardAction>,
     ) -> bool {
         for key in keys {
-            let cause = self.place_step(now, *key, candidates, unmet, out);
-            if cause.is_none() {
-                self.ready.remove(key);
-            }
-            if let Some(job) = self.jobs.get_mut(&key.step.job) {
-                match cause {
-                    Some(cause) => job.waits.note(self.wall, cause),
-                    None => job.waits.end(self.wall),
+            match self.place_step(now, *key, candidates, unmet, out) {
+                Some(()) => {}
+                None => {
+                    self.ready.remove(key);
                 }
             }
             self.replace_new_key(*key);
@@ -82,8 +78,8 @@
         true
     }
 
-    /// Places the waiting tasks of one step. Returns what the others wait for, or `None` if none is
-    /// left, so that the step leaves `ready`.
+    /// Places the waiting tasks of one step. Returns `None` if none is left, so that the step
+    /// leaves `ready`.
     fn place_step(
         &mut self,
         now: Now,
@@ -91,7 +87,7 @@
         candidates: &mut Candidates,
         unmet: &mut Vec<UnmetRequirements>,
         out: &mut Vec<ShardAction>,
-    ) -> Option<WaitCause> {
+    ) -> Option<()> {
         if self.ending.contains_key(&key.step.job) {
             return None;
         }
@@ -101,19 +97,18 @@
             return None;
         }
         if job.start_permit != StartPermit::Granted {
-            return Some(WaitCause::Store);
+            return Some(());
         }
         let Some(queue) = self.queues.queue(&job.queue) else {
-            return Some(WaitCause::Restricted);
+            return Some(());
         };
         let service = queue.service.clone();
         let spec = job.spec.clone();
         let spec = spec.steps.get(usize::from(key.step.step))?;
         let reserved = spec.reserved();
         let is_unmet = |known: &UnmetRequirements| known.cover(&service, spec, key.step);
-        let mut known = unmet.iter();
-        if let Some(known) = known.find(|known| known.is_new && is_unmet(known)) {
-            return Some(known.cause);
+        if unmet.iter().any(|known| known.is_new && is_unmet(known)) {
+            return Some(());
         }
         let known_unmet = unmet.iter().position(is_unmet);
         let has_trials = !job.trials.is_empty();
@@ -132,21 +127,18 @@
             .filter(|task| !self.orphaned_tasks.contains(task))
             .collect();
         if waiting.is_empty() {
-            return Some(match only_found {
-                true => WaitCause::Recovery,
-                false => WaitCause::EarlierRun,
-            });
+            return Some(());
         }
         if spec.gang {
             if waiting.len() == usize::from(spec.count) {
                 self.place_gang(now, &service, spec, &waiting, candidates, out);
             }
-            return Some(WaitCause::Room);
+            return Some(());
         }
         let mut is_held = false;
         for task in waiting {
             if self.has_max_pending_starts() {
-                return Some(WaitCause::Starts);
+                return Some(());
             }
             let trial = match has_trials {
                 true => self.trial_needs_quiet(now, task),
@@ -172,32 +164,25 @@
             }
             let Some(slot) = found else {
                 let known = known_unmet.and_then(|index| unmet.get_mut(index));
-                if let Some(known) = known {
-                    known.is_new = true;
-                    return Some(known.cause);
+                match known {
+                    Some(known) => known.is_new = true,
+                    None => unmet.push(UnmetRequirements {
+                        reserved,
+                        demand: spec.size.processors,
+                        fills: spec.fills,
+                        lasts: spec.lasts,
+                        image: spec.image.clone(),
+                        service,
+                        step: (spec.label.is_some() || spec.spread > 0).then_some(step),
+                        is_new: true,
+                    }),
                 }
-                let cause = self.wait_cause(now, &service, spec, step, candidates);
-                unmet.push(UnmetRequirements {
-                    reserved,
-                    demand: spec.size.processors,
-                    fills: spec.fills,
-                    lasts: spec.lasts,
-                    image: spec.image.clone(),
-                    service,
-                    cause,
-                    step: (spec.label.is_some() || spec.spread > 0).then_some(step),
-                    is_new: true,
-                });
-                return Some(cause);
+                return Some(());
             };
             self.start_task(now, slot, spec, task, None, out);
             self.update_candidate(candidates, slot);
         }
-        match (is_held, only_found) {
-            (true, _) => Some(WaitCause::Trial),
-            (false, true) => Some(WaitCause::Recovery),
-            (false, false) => None,
-        }
+        (only_found || is_held).then_some(())
     }
 
     /// Places all tasks of a gang, or none.
@@ -368,8 +353,6 @@
         checkpoint: None,
         saves: spec.saves,
         speed_limit: 100,
-        paced: Millis(0),
-        limited_at: now,
         halted_since: None,
         is_orphaned: false,
         is_adopted: false,
--- a/src/process/shard/throttle.rs
+++ b/src/process/shard/throttle.rs
@@ -66,9 +66,6 @@
                     .find(|(image, _)| *image == run.image)
                     .map_or(100, |(_, limit)| *limit),
             };
-            let elapsed = now.steady.since(run.limited_at);
-            run.limited_at = now.steady;
-            run.paced.0 += elapsed.0 * u64::from(100 - run.speed_limit.min(100)) / 100;
             run.halted_since = match limit {
                 0 => run.halted_since.or(Some(now.steady)),
                 _ => None,
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -58,10 +58,6 @@
     pub saves: bool,
     /// Speed limit that was last ordered, in percent of full speed.
     pub speed_limit: u8,
-    /// When its speed limit was last determined.
-    pub limited_at: Millis,
-    /// Time by which speed limits have delayed the run.
-    pub paced: Millis,
     /// Since when the speed limit is 0.
     pub halted_since: Option<Millis>,
     /// Whether the run is not the current one of its task, so that it only has to end.
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -1,6 +1,5 @@
 //! Choice of the worker for a task of a job.
 
-use super::waits::WaitCause;
 use crate::base::{Name, Size};
 
 /// What a task requires of a worker.
@@ -77,38 +76,21 @@
     best.map(|(_, index)| index)
 }
 
-/// What the worker lacks for the task; `None` if the task may be placed on it.
-pub fn lacking(task: &TaskRequirements<'_>, worker: &CandidateWorker<'_>) -> Option<WaitCause> {
+fn score(task: &TaskRequirements<'_>, worker: &CandidateWorker<'_>) -> Option<i64> {
     if !task.reserved.fits(&worker.free) {
-        return Some(WaitCause::Room);
+        return None;
     }
     if task
         .label
         .is_some_and(|label| !worker.labels.contains(label))
     {
-        return Some(WaitCause::Restricted);
-    }
-    if !task.fills {
         return None;
     }
     let capacity = i64::from(worker.capacity.processors.max(1));
     let idle = worker.idle - i64::from(task.demand);
-    if idle < -capacity * MAX_OVERCOMMIT_PERCENT / 100 {
-        return Some(WaitCause::Processors);
-    }
-    match worker.headroom {
-        f64::NEG_INFINITY => Some(WaitCause::Unknown),
-        headroom if headroom < 0.0 => Some(WaitCause::Interference),
-        _ => None,
-    }
-}
-
-fn score(task: &TaskRequirements<'_>, worker: &CandidateWorker<'_>) -> Option<i64> {
-    if lacking(task, worker).is_some() {
+    if task.fills && (worker.headroom < 0.0 || idle < -capacity * MAX_OVERCOMMIT_PERCENT / 100) {
         return None;
     }
-    let capacity = i64::from(worker.capacity.processors.max(1));
-    let idle = worker.idle - i64::from(task.demand);
     let is_remote = task.rack.is_some_and(|rack| !worker.labels.contains(rack));
     let penalty = if is_remote { REMOTE_RACK_PENALTY } else { 0 };
     let free = i64::from(worker.free.processors) - i64::from(task.reserved.processors);
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -8,7 +8,6 @@
 use super::progress::{JobProgress, StepProgress, TurnProgress};
 use super::spec::{JobId, JobSpec, StepId, TaskKey};
 use super::trials::Trial;
-use super::waits::Waits;
 use crate::base::Name;
 
 /// Most failed runs that are remembered for one task; older ones are dropped.
@@ -121,8 +120,6 @@
     pub start_permit: StartPermit,
     /// Tasks whose newest run may have crashed its worker.
     pub trials: BTreeMap<TaskKey, Trial>,
-    /// What it has waited for since this owner knows it.
-    pub waits: Waits,
 }
 
 /// Whether tasks of a job may start. The record that a job has not started has to be deleted before
@@ -150,7 +147,6 @@
             has_started: false,
             start_permit: StartPermit::default(),
             trials: BTreeMap::new(),
-            waits: Waits::default(),
         }
     }
 
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -10,16 +10,14 @@
 mod regression;
 mod spec;
 mod trials;
-mod waits;
 
 pub use contention::{
     BestEffortGroup, Contention, Headroom, ImageInterference, LearnedImage, LearnedSlope,
     OVER_BOUND_SHARE, ServingTask, next_speed_limit,
 };
-pub use fit::{CandidateWorker, TaskRequirements, choose_worker, lacking};
+pub use fit::{CandidateWorker, TaskRequirements, choose_worker};
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
 pub use order::{ObjectiveStatus, OrderKey, TurnState, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
 pub use trials::{TaskCrashes, Trial};
-pub use waits::{WaitCause, Waits};
