Bound what a relay does late, and pass by one that reaches no worker

A fresh review of the relays found, and its tests or reading showed: - A relay that answers the owner and reaches no worker was kept for good, since only a failed batch ended its session: no renewal in 12 s for leases of 6 s. Now a worker's orders take the next way after a call without an answer, the direct one last, and stay there for 10 s. - Nothing bounded the age of a batch at a live relay. A batch now carries the time on the relay's clock after which it refuses; late orders are answered as not sent. - A relay forgot an epoch once its owner had given up, and took orders of an earlier one.

Not mended: a lost reply still ends the session, so that its orders count as unanswered; see docs/PLATFORM.md, decision 11.

--- a/src/process/host/message.rs
+++ b/src/process/host/message.rs
@@ -81,5 +81,9 @@
     /// Whether the host takes over the shard.
     TakeOver(bool),
     /// Answers of workers to orders of the session, also of earlier calls.
-    Answers(Vec<RelayedAnswer>),
+    Answers {
+        /// The sender's steady clock in milliseconds.
+        clock: u64,
+        answers: Vec<RelayedAnswer>,
+    },
 }
--- a/src/process/host/relay/batch.rs
+++ b/src/process/host/relay/batch.rs
@@ -22,6 +22,9 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct OrderBatch {
     pub session: SessionId,
+    /// Time on the receiver's steady clock after which it must not carry out the orders, in
+    /// milliseconds.
+    pub not_after: u64,
     payloads: Vec<Arc<str>>,
     orders: Vec<WireOrder>,
 }
@@ -82,6 +85,7 @@
     /// Collects orders with their numbers.
     pub fn new<'a>(
         session: SessionId,
+        not_after: u64,
         calls: impl IntoIterator<Item = (u64, &'a WorkerCall)>,
     ) -> Self {
         let mut payloads = Payloads::default();
@@ -97,11 +101,17 @@
             .collect();
         OrderBatch {
             session,
+            not_after,
             payloads: payloads.all,
             orders,
         }
     }
 
+    /// Numbers of the orders.
+    pub(in super::super) fn numbers(&self) -> impl Iterator<Item = u64> {
+        self.orders.iter().map(|order| order.number)
+    }
+
     /// Number of orders.
     pub(in super::super) fn len(&self) -> usize {
         self.orders.len()
@@ -164,6 +174,7 @@
             session,
             payloads,
             orders,
+            ..
         } = batch;
         let decode = |order: WireOrder| {
             let call = WorkerCall {
--- a/src/process/host/relay/sessions.rs
+++ b/src/process/host/relay/sessions.rs
@@ -15,6 +15,8 @@
 const HOLD_TIME: Millis = Millis(150);
 /// A session without a call of the owner for this long has ended, in milliseconds.
 const SESSION_TIME: Millis = Millis(5_000);
+/// Most answers in one reply, so that its size is bounded.
+const MAX_ANSWERS: usize = 256;
 /// Sessions at the same time. There is one owner, but each failed call begins a new session.
 const MAX_SESSIONS: usize = 64;
 
@@ -53,7 +55,7 @@
             last_reply: Millis(0),
         });
         session.last_call = now;
-        while session.calls.len() > 0 {
+        while !session.calls.is_empty() {
             session.reply(now, out);
         }
         session.calls.push_back((ticket, now));
@@ -95,14 +97,17 @@
             return;
         };
         self.last_reply = now;
-        let reply = PeerReply::Answers(std::mem::take(&mut self.answers));
+        let rest = self.answers.split_off(self.answers.len().min(MAX_ANSWERS));
+        let answers = std::mem::replace(&mut self.answers, rest);
+        let clock = now.0;
+        let reply = PeerReply::Answers { clock, answers };
         out.push(HostAction::PeerReply(ticket, reply));
     }
 }
 
 impl Host {
-    /// Handles orders of the owner, unless a newer owner is known or the orders may be from before a
-    /// pause of this host.
+    /// Handles orders of the owner, unless its epoch has ended or the orders are late, for example
+    /// because this host was paused.
     pub(in super::super) fn relay_orders(
         &mut self,
         now: Now,
@@ -114,17 +119,35 @@
         let newer = self
             .known_owner(now.steady)
             .filter(|owner| owner.epoch > session.epoch);
-        // Orders from before a pause may have been given up, and given anew, in the meantime.
-        if newer.is_some() || self.may_be_stale(now) {
+        if newer.is_some() || session.epoch <= self.claim.ended_epoch {
+            let newer_epoch = newer.as_ref().map(|owner| owner.epoch);
             tracing::info!(
                 epoch = session.epoch,
-                newer = newer.as_ref().map(|owner| owner.epoch),
-                "orders refused"
+                newer_epoch,
+                "orders of an earlier owner refused"
             );
             let reply = PeerReply::NotOwner { owner: newer };
             out.push(HostAction::PeerReply(ticket, reply));
             return;
         }
+        // The owner may have given these orders up, and others in their place.
+        if batch.len() > 0 && (self.may_be_stale(now) || now.steady.0 > batch.not_after) {
+            tracing::info!(
+                epoch = session.epoch,
+                orders = batch.len(),
+                "late orders refused"
+            );
+            let answers = batch.numbers().map(|order| RelayedAnswer {
+                order,
+                answer: Err(CallError::NotSent),
+            });
+            let reply = PeerReply::Answers {
+                clock: now.steady.0,
+                answers: answers.collect(),
+            };
+            out.push(HostAction::PeerReply(ticket, reply));
+            return;
+        }
         let orders = match Vec::<(u64, WorkerCall)>::try_from(batch) {
             Ok(orders) => orders,
             Err(error) => {
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -23,7 +23,7 @@
 pub use journal::{Commit, Journal};
 pub use recovery::ISOLATION_TIME;
 pub use shard::{
-    Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag,
-    WorkerTag,
+    Now, RegistryChange, Reply, Request, Route, Shard, ShardAction, ShardEvent, ShardSettings,
+    StoreTag, WorkerTag,
 };
 pub use worker::{Run, RunState, Worker};
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -93,7 +93,7 @@
         worker.pending_starts = worker.pending_starts.saturating_sub(1);
         worker.has_changed = true;
         if answer.is_err() {
-            worker.unanswered += 1;
+            worker.note_miss(now.steady);
         }
         let Some(run) = worker
             .runs
@@ -151,7 +151,7 @@
             }
             Ok(_) => false,
             Err(_) => {
-                worker.unanswered += 1;
+                worker.note_miss(now.steady);
                 false
             }
         };
@@ -193,7 +193,7 @@
                 self.handle_report(now, worker_id, sent, report, out)
             }
             answer => {
-                worker.unanswered += 1;
+                worker.note_miss(now.steady);
                 let is_in_place = worker.was_asked_in_place(sent);
                 let is_refused = is_in_place && matches!(answer, Err(CallError::Refused));
                 let is_replaced = is_in_place && matches!(answer, Ok(WorkerAnswer::WrongWorker));
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -143,6 +143,14 @@
     },
 }
 
+/// What decides the way of orders to a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Route<'a> {
+    pub data_centre: &'a Name,
+    /// Number of ways to the worker that have failed lately.
+    pub detour: u32,
+}
+
 #[derive(Debug, Clone)]
 pub enum RegistryChange {
     Set(Name, RegistryEntry),
@@ -360,9 +368,13 @@
             .map(|worker| &worker.id)
     }
 
-    /// Data centre of a worker, if its entry in the registry is known.
-    pub fn data_centre(&self, worker: &Name) -> Option<&Name> {
-        self.workers.get(worker)?.data_centre.as_ref()
+    /// What decides the way of orders to a worker, if its entry in the registry is known.
+    pub fn route(&self, now: Millis, worker: &Name) -> Option<Route<'_>> {
+        let worker = self.workers.get(worker)?;
+        Some(Route {
+            data_centre: worker.data_centre.as_ref()?,
+            detour: worker.detour(now),
+        })
     }
 
     pub fn epoch(&self) -> u64 {
