Do not claim on the return of a host from a cut if others have heard the owner

Cause: a host that is cut off from the others searches for an owner all the while. On its return, the first answers tell of an owner that was heard 0.5 to 1 s ago, which is too old for a host whose own hellos to the owner have failed, and its search has lasted longer than the 2.5 s after which an owner counts as unreachable. So it claimed the shard beside a live owner.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -324,7 +324,11 @@
         let idle_time = match self.claim.responders.is_empty() {
             _ if self.peers.is_empty() => return true,
             true => IDLE_JOURNAL_TIME,
-            false if self.is_owner_gone() || waited >= UNREACHABLE_OWNER_TIME => return true,
+            false if self.is_owner_gone() => return true,
+            // Hosts that have answered may have heard from it, if this host was cut off until now.
+            false if waited >= UNREACHABLE_OWNER_TIME && !self.has_heard_lately(now) => {
+                return true;
+            }
             false => IDLE_OWNER_TIME,
         };
         let journal_end = self.claim.journal_end;
@@ -335,6 +339,12 @@
         false
     }
 
+    /// Whether any host has heard from the owner within the longest interval of hellos.
+    fn has_heard_lately(&self, now: Now) -> bool {
+        let heard = self.owner.as_ref().and_then(|owner| owner.last_heard);
+        heard.is_some_and(|at| now.steady.since(at) <= RARE_OWNER_AGE)
+    }
+
     /// Whether the owner has certainly ended: it said so, or nothing listens at its address.
     fn is_owner_gone(&self) -> bool {
         self.owner.as_ref().is_none_or(|owner| owner.is_refusing)
