--- a/src/process/host/relay/batch.rs
+++ b/src/process/host/relay/batch.rs
@@ -108,12 +108,12 @@
     }
 
     /// Numbers of the orders.
-    pub(in super::super) fn numbers(&self) -> impl Iterator<Item = u64> {
+    pub(in crate::process::host) fn numbers(&self) -> impl Iterator<Item = u64> {
         self.orders.iter().map(|order| order.number)
     }
 
     /// Number of orders.
-    pub(in super::super) fn len(&self) -> usize {
+    pub(in crate::process::host) fn len(&self) -> usize {
         self.orders.len()
     }
 }
--- a/src/process/host/relay/links.rs
+++ b/src/process/host/relay/links.rs
@@ -4,13 +4,13 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-use super::super::host::{Host, HostAction, OrderOrigin, PeerPurpose};
-use super::super::message::{PeerCall, PeerReply};
-use super::super::peers::{Peer, Peers};
-use super::super::rank::is_low_capacity;
 use super::{OrderBatch, SessionId};
 use crate::base::{Millis, Name};
 use crate::connection::{CallError, WorkerAnswer, WorkerCall};
+use crate::process::host::host::{Host, HostAction, OrderOrigin, PeerPurpose};
+use crate::process::host::message::{PeerCall, PeerReply};
+use crate::process::host::peers::{Peer, Peers};
+use crate::process::host::rank::is_low_capacity;
 use crate::process::shard::{Now, Route, ShardEvent, WorkerTag};
 
 /// Relays of a data centre. With a second one, the loss of a relay holds up half as many workers.
@@ -18,8 +18,7 @@
 /// A host may relay if its last message is not older than this, in milliseconds; it sends one every
 /// 400 ms.
 const RELAY_AGE: Millis = Millis(1_200);
-/// Interval at which the relays are chosen anew, in milliseconds. A host that has failed is probed
-/// that often.
+/// Interval at which the relays are chosen anew, in milliseconds.
 const CHOICE_INTERVAL: Millis = Millis(250);
 /// Shortest time between two batches to a relay, in milliseconds.
 const BATCH_INTERVAL: Millis = Millis(20);
@@ -106,7 +105,7 @@
 
 /// Orders that this host sends to workers through other hosts while it owns the shard.
 #[derive(Debug, Default)]
-pub(in super::super) struct OrderLinks {
+pub(in crate::process::host) struct OrderLinks {
     links: HashMap<Name, Link>,
     /// Proven relays by data centre.
     by_centre: HashMap<Name, Vec<Name>>,
@@ -118,6 +117,7 @@
 }
 
 impl OrderLinks {
+    /// A number that no order, session or batch has had.
     fn new_number(&mut self) -> u64 {
         self.last_number += 1;
         self.last_number
@@ -201,6 +201,7 @@
         self.links.get(host).is_some_and(Link::is_proven)
     }
 
+    /// Opens a link to a host, unless there is one.
     fn open(&mut self, peer: &Peer) {
         let record = &peer.record;
         if self.links.contains_key(&record.name) {
@@ -218,20 +219,13 @@
         self.links.insert(record.name.clone(), link);
     }
 
-    /// Queues an order for the relay that serves the worker; returns it if it has to go directly.
-    fn queue(
-        &mut self,
-        now: Millis,
-        route: Option<Route<'_>>,
-        tag: WorkerTag,
-        call: WorkerCall,
-    ) -> Option<(WorkerTag, WorkerCall)> {
-        let host = route.and_then(|route| self.relay_for(route, &call.worker));
-        let number = self.last_number + 1;
-        let Some(link) = host.and_then(|host| self.links.get_mut(&host)) else {
-            return Some((tag, call));
+    /// Queues an order for a relay.
+    fn queue(&mut self, now: Millis, host: &Name, tag: WorkerTag, call: WorkerCall) {
+        let number = self.new_number();
+        let Some(link) = self.links.get_mut(host) else {
+            tracing::error!(%host, worker = %call.worker, "an order has no link to its relay");
+            return;
         };
-        self.last_number = number;
         let deadline = now + call.timeout + RELAY_ALLOWANCE;
         let order = PendingOrder {
             tag,
@@ -241,7 +235,6 @@
         };
         link.pending.insert(number, order);
         link.outbox.push(number);
-        None
     }
 
     /// The relay for the next order to a worker; `None` if it goes directly. After each call without an
@@ -251,7 +244,8 @@
         let first = spread(worker) % relays.len();
         // The last way is the direct one.
         let index = (first + route.detour as usize) % (relays.len() + 1);
-        relays.get(index).cloned()
+        let relay = relays.get(index)?;
+        self.is_proven(relay).then(|| relay.clone())
     }
 
     /// Removes and returns the orders that have waited too long.
@@ -308,7 +302,7 @@
     }
 
     /// Ends a session after a failed batch and returns its orders without an answer.
-    fn fail(&mut self, now: Millis, host: &Name, session: u64) -> Vec<PendingOrder> {
+    fn end_session(&mut self, now: Millis, host: &Name, session: u64) -> Vec<PendingOrder> {
         if self.link(host, session).is_none() {
             return Vec::new();
         }
@@ -331,7 +325,7 @@
 
 /// A batch that was sent to a relay.
 #[derive(Debug, Clone)]
-pub(in super::super) struct SentBatch {
+pub(in crate::process::host) struct SentBatch {
     pub host: Name,
     pub session: u64,
     pub number: u64,
@@ -340,7 +334,7 @@
 
 impl Host {
     /// Sends an order of the own shard through a relay, or directly if there is none.
-    pub(in super::super) fn send_order(
+    pub(in crate::process::host) fn send_order(
         &mut self,
         now: Now,
         epoch: u64,
@@ -350,14 +344,21 @@
     ) {
         let shard = self.shard.as_ref();
         let route = shard.and_then(|shard| shard.route(now.steady, &call.worker));
-        if let Some((tag, call)) = self.order_links.queue(now.steady, route, tag, call) {
-            let origin = OrderOrigin::Shard { epoch, tag };
-            out.push(HostAction::Worker { origin, call });
+        let relay = route.and_then(|route| self.order_links.relay_for(route, &call.worker));
+        if let Some(relay) = relay {
+            self.order_links.queue(now.steady, &relay, tag, call);
+            return;
         }
+        let origin = OrderOrigin::Shard { epoch, tag };
+        out.push(HostAction::Worker { origin, call });
     }
 
     /// Chooses the relays, sends the batches that are due and ends orders that have waited too long.
-    pub(in super::super) fn poll_order_links(&mut self, now: Now, out: &mut Vec<HostAction>) {
+    pub(in crate::process::host) fn poll_order_links(
+        &mut self,
+        now: Now,
+        out: &mut Vec<HostAction>,
+    ) {
         let Some(epoch) = self.shard.as_ref().map(|shard| shard.epoch()) else {
             return;
         };
@@ -383,7 +384,7 @@
         }
     }
 
-    pub(in super::super) fn handle_batch_answer(
+    pub(in crate::process::host) fn handle_batch_answer(
         &mut self,
         now: Now,
         sent: SentBatch,
@@ -420,7 +421,9 @@
             Ok(_) => CallError::Malformed,
             Err(error) => error,
         };
-        let orders = self.order_links.fail(now.steady, &sent.host, sent.session);
+        let orders = self
+            .order_links
+            .end_session(now.steady, &sent.host, sent.session);
         if !orders.is_empty() {
             tracing::warn!(host = %sent.host, orders = orders.len(), %error, "a relay does not answer");
         }
--- a/src/process/host/relay/sessions.rs
+++ b/src/process/host/relay/sessions.rs
@@ -2,18 +2,18 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::super::host::{Host, HostAction, OrderOrigin};
-use super::super::message::PeerReply;
 use super::{OrderBatch, RelayedAnswer, RelayedOrder, SessionId};
 use crate::base::Millis;
 use crate::connection::{CallError, WorkerAnswer, WorkerCall};
+use crate::process::host::host::{Host, HostAction, OrderOrigin};
+use crate::process::host::message::PeerReply;
 use crate::process::shard::Now;
 
 /// Shortest time between two replies with answers of workers in a session, in milliseconds.
 const REPLY_INTERVAL: Millis = Millis(20);
 /// How long a call of the owner is held while no worker answers, in milliseconds.
 const HOLD_TIME: Millis = Millis(150);
-/// A session without a call of the owner for this long has ended, in milliseconds.
+/// A session is forgotten if its owner has not called for this long, in milliseconds.
 const SESSION_TIME: Millis = Millis(5_000);
 /// Most answers in one reply, so that its size is bounded.
 const MAX_ANSWERS: usize = 256;
@@ -32,7 +32,7 @@
 
 /// Orders that this host sends to workers for owners of the shard.
 #[derive(Debug, Default)]
-pub(in super::super) struct RelaySessions {
+pub(in crate::process::host) struct RelaySessions {
     sessions: HashMap<SessionId, Session>,
 }
 
@@ -108,7 +108,7 @@
 impl Host {
     /// Handles orders of the owner, unless its epoch has ended or the orders are late, for example
     /// because this host was paused.
-    pub(in super::super) fn relay_orders(
+    pub(in crate::process::host) fn relay_orders(
         &mut self,
         now: Now,
         ticket: u64,
