--- a/src/process/host/relay/links.rs
+++ b/src/process/host/relay/links.rs
@@ -73,8 +73,10 @@
     /// Time on the relay's clock after which it refuses a batch that is sent now. The reading was on its
     /// way for a while, so the relay's clock is ahead of this estimate.
     fn not_after(&self, now: Millis) -> u64 {
-        let estimate = self.clock.map(|(clock, at)| clock + now.since(at).0);
-        estimate.unwrap_or(0) + MAX_BATCH_AGE.0
+        let (clock, at) = self.clock.unwrap_or((0, now));
+        clock
+            .saturating_add(now.since(at).0)
+            .saturating_add(MAX_BATCH_AGE.0)
     }
 
     fn is_due(&self, now: Millis) -> bool {
