Keep an order only until it is sent to its relay; rank hosts only when relays are chosen

Since orders of a failed batch go back to the shard as not sent, nobody reads them after the batch has left, and yet each stayed in `pending` until its answer. The outbox holds them now, and `pending` only what the answer needs. The largest processor was looked for among all hosts in each poll; now only every 250 ms, when the relays are chosen.

--- a/src/process/host/relay/links.rs
+++ b/src/process/host/relay/links.rs
@@ -44,7 +44,6 @@
 #[derive(Debug)]
 struct PendingOrder {
     tag: WorkerTag,
-    call: WorkerCall,
     deadline: Millis,
     /// Number of the batch that it was sent with; `None` until then.
     batch: Option<u64>,
@@ -59,8 +58,8 @@
     /// answered a batch of this session; until then it gets no orders.
     clock: Option<(u64, Millis)>,
     pending: HashMap<u64, PendingOrder>,
-    /// Numbers of the orders for the next batch.
-    outbox: Vec<u64>,
+    /// Orders for the next batch, with their numbers.
+    outbox: Vec<(u64, WorkerCall)>,
     open_batches: usize,
     last_batch: Millis,
 }
@@ -133,15 +132,14 @@
         self.last_choice = None;
     }
 
+    fn is_choice_due(&self, now: Millis) -> bool {
+        self.last_choice
+            .is_none_or(|at| now.since(at) >= CHOICE_INTERVAL)
+    }
+
     /// Chooses the relays of each data centre among the large hosts that are alive. A proven relay
     /// stays as long as it qualifies.
     fn choose(&mut self, now: Millis, peers: &Peers, max_processor: u32) {
-        if self
-            .last_choice
-            .is_some_and(|at| now.since(at) < CHOICE_INTERVAL)
-        {
-            return;
-        }
         self.last_choice = Some(now);
         self.failures
             .retain(|_, failure| now.since(failure.last) < SOUND_TIME);
@@ -231,12 +229,11 @@
         let deadline = now + call.timeout + RELAY_ALLOWANCE;
         let order = PendingOrder {
             tag,
-            call,
             deadline,
             batch: None,
         };
         link.pending.insert(number, order);
-        link.outbox.push(number);
+        link.outbox.push((number, call));
     }
 
     /// The relay for the next order to a worker; `None` if it goes directly. After each call without an
@@ -262,7 +259,7 @@
             let late = pending.filter(|(_, order)| order.deadline <= now);
             let late: Vec<u64> = late.map(|(number, _)| *number).collect();
             expired.extend(late.iter().filter_map(|number| link.pending.remove(number)));
-            link.outbox.retain(|number| !late.contains(number));
+            link.outbox.retain(|(number, _)| !late.contains(number));
         }
         expired
     }
@@ -279,14 +276,12 @@
             link.open_batches += 1;
             link.last_batch = now;
             let outbox = std::mem::take(&mut link.outbox);
-            for number in &outbox {
+            for (number, _) in &outbox {
                 if let Some(order) = link.pending.get_mut(number) {
                     order.batch = Some(batch);
                 }
             }
-            let calls = outbox
-                .iter()
-                .filter_map(|number| Some((*number, &link.pending.get(number)?.call)));
+            let calls = outbox.iter().map(|(number, call)| (*number, call));
             let session = SessionId {
                 epoch,
                 number: link.session,
@@ -364,9 +359,11 @@
         let Some(epoch) = self.shard.as_ref().map(|shard| shard.epoch()) else {
             return;
         };
-        let max_processor = self.max_processor();
-        self.order_links
-            .choose(now.steady, &self.peers, max_processor);
+        if self.order_links.is_choice_due(now.steady) {
+            let max_processor = self.max_processor();
+            self.order_links
+                .choose(now.steady, &self.peers, max_processor);
+        }
         for order in self.order_links.expired(now.steady) {
             let error = match order.batch {
                 Some(_) => CallError::NoAnswer,
