--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -212,18 +212,19 @@
 
     /// Whether the known owner's last message is recent enough.
     fn has_owner(&self, now: Now) -> bool {
-        let Some(owner) = &self.owner else {
-            return false;
-        };
-        let Some(heard) = owner.last_heard else {
-            return false;
-        };
-        let limit = match owner.failed_hellos {
+        let failed_hellos = self.owner.as_ref().map_or(0, |owner| owner.failed_hellos);
+        let limit = match failed_hellos {
             0 | 1 if self.hears_owner_rarely() => RARE_OWNER_AGE,
             0 | 1 => OWNER_AGE,
             _ => FAILED_HELLO_AGE,
         };
-        now.steady.since(heard) <= limit
+        self.has_heard_owner(now, limit)
+    }
+
+    /// Whether this host or a peer has heard from the owner within `limit`.
+    pub(super) fn has_heard_owner(&self, now: Now, limit: Millis) -> bool {
+        let heard = self.owner.as_ref().and_then(|owner| owner.last_heard);
+        heard.is_some_and(|at| now.steady.since(at) <= limit)
     }
 
     /// Sends a hello to all peers, or in a large cluster to the best-ranked ones that have not
@@ -326,7 +327,10 @@
             true => IDLE_JOURNAL_TIME,
             false if self.is_owner_gone() => return true,
             // Hosts that have answered may have heard from it, if this host was cut off until now.
-            false if waited >= UNREACHABLE_OWNER_TIME && !self.has_heard_lately(now) => {
+            false
+                if waited >= UNREACHABLE_OWNER_TIME
+                    && !self.has_heard_owner(now, RARE_OWNER_AGE) =>
+            {
                 return true;
             }
             false => IDLE_OWNER_TIME,
@@ -339,12 +343,6 @@
         false
     }
 
-    /// Whether any host has heard from the owner within the longest interval of hellos.
-    fn has_heard_lately(&self, now: Now) -> bool {
-        let heard = self.owner.as_ref().and_then(|owner| owner.last_heard);
-        heard.is_some_and(|at| now.steady.since(at) <= RARE_OWNER_AGE)
-    }
-
     /// Whether the owner has certainly ended: it said so, or nothing listens at its address.
     fn is_owner_gone(&self) -> bool {
         self.owner.as_ref().is_none_or(|owner| owner.is_refusing)
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -494,12 +494,7 @@
     }
 
     fn check_ready(&mut self, now: Now, out: &mut Vec<HostAction>) {
-        let knows_owner = self.shard.is_some()
-            || self
-                .owner
-                .as_ref()
-                .and_then(|owner| owner.last_heard)
-                .is_some_and(|at| now.steady.since(at) <= READY_AGE);
+        let knows_owner = self.shard.is_some() || self.has_heard_owner(now, READY_AGE);
         let is_ready = self.stopping.is_none() && self.config.version > 0 && knows_owner;
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
