Move the detection of pauses and the origin of orders out of the host's main file

PauseWatch is a type of its own; OrderOrigin and the way of a worker's answer are in relay/, which they belong to. No change of behaviour.

--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -8,23 +8,17 @@
 use super::config::NewerConfig;
 use super::forward::PendingRequest;
 use super::message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
+use super::pause::PauseWatch;
 use super::peers::Peers;
-use super::relay::{OrderLinks, RelaySessions, RelayedOrder, SentBatch};
+use super::relay::{OrderLinks, OrderOrigin, RelaySessions, SentBatch};
 use super::streams::Streams;
 use crate::base::{Millis, Name};
 use crate::connection::{
     CallError, FrontReply, FrontRequest, StoreAnswer, StoreCall, WorkerAnswer, WorkerCall,
 };
-use crate::process::shard::{
-    Now, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag, WorkerTag,
-};
+use crate::process::shard::{Now, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag};
 use crate::version::QueueTable;
 
-/// A host that has not run for longer than this has been paused, in milliseconds; it is polled every
-/// 50 ms.
-const PAUSE_TIME: Millis = Millis(400);
-/// How long after a pause messages may arrive that were sent before its end, in milliseconds.
-const STALE_TIME: Millis = Millis(200);
 /// Pause between a failed hello to the owner and the next one, in milliseconds.
 const HELLO_RETRY_TIME: Millis = Millis(100);
 /// A host reports that it isn't ready once the last message from the owner is older than this, in
@@ -114,15 +108,6 @@
     Exit,
 }
 
-/// Who waits for the worker's answer to an order.
-#[derive(Debug, Clone)]
-pub enum OrderOrigin {
-    /// The own shard with this epoch.
-    Shard { epoch: u64, tag: WorkerTag },
-    /// The owner of the shard, for which this host makes the call.
-    Relayed(RelayedOrder),
-}
-
 /// Who waits for the shard's answer, with the ticket of the request.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum Origin {
@@ -206,10 +191,7 @@
     pub(super) newer_config: Option<NewerConfig>,
     /// When a peer was asked for it that has not answered yet, or is sending it.
     pub(super) config_asked: Option<Millis>,
-    /// When the host last handled an event or was polled.
-    last_run: Now,
-    /// When it last ran on after a pause.
-    resumed: Option<Millis>,
+    pub(super) pause_watch: PauseWatch,
     is_ready: bool,
     /// When the host was asked to stop.
     pub(super) stopping: Option<Millis>,
@@ -242,15 +224,14 @@
             config_source: None,
             newer_config: None,
             config_asked: None,
-            last_run: now,
-            resumed: None,
+            pause_watch: PauseWatch::start(now),
             is_ready: false,
             stopping: None,
         }
     }
 
     pub fn handle(&mut self, now: Now, event: HostEvent, out: &mut Vec<HostAction>) {
-        self.note_pause(now);
+        self.pause_watch.note(now);
         match event {
             HostEvent::Client(ticket, request) => self.handle_client(now, ticket, &request, out),
             HostEvent::Peer(ticket, call) => self.handle_peer_call(now, ticket, call, out),
@@ -260,19 +241,16 @@
                 answer,
                 took,
             } => self.handle_store_answer(now, purpose, answer, took, out),
-            HostEvent::Worker { origin, answer } => match origin {
-                OrderOrigin::Shard { epoch, tag } => {
-                    self.shard_event(now, epoch, ShardEvent::Worker(tag, answer), out);
-                }
-                OrderOrigin::Relayed(order) => self.relay_sessions.add_answer(order, answer),
-            },
+            HostEvent::Worker { origin, answer } => {
+                self.handle_worker_answer(now, origin, answer, out);
+            }
             HostEvent::Terminate => self.terminate(now, out),
         }
     }
 
     /// Does everything that is due. Call it after each batch of events and at least every 50 ms.
     pub fn poll(&mut self, now: Now, out: &mut Vec<HostAction>) {
-        self.note_pause(now);
+        self.pause_watch.note(now);
         self.poll_streams(now, out);
         self.send_due_hellos(now, out);
         self.ask_for_config(now, out);
@@ -289,23 +267,6 @@
         self.check_stop(now, out);
     }
 
-    /// Notes the end of a pause. The steady clock stands still while the machine is suspended.
-    fn note_pause(&mut self, now: Now) {
-        let last = std::mem::replace(&mut self.last_run, now);
-        let wall = Millis(now.wall.saturating_sub(last.wall));
-        let passed = now.steady.since(last.steady).max(wall);
-        if passed > PAUSE_TIME {
-            self.resumed = Some(now.steady);
-        }
-    }
-
-    /// Whether a message that has just arrived may have been sent before the end of a pause, so that
-    /// its sender no longer waits for it.
-    pub(super) fn may_be_stale(&self, now: Now) -> bool {
-        self.resumed
-            .is_some_and(|at| now.steady.since(at) <= STALE_TIME)
-    }
-
     pub fn shard(&self) -> Option<&Shard> {
         self.shard.as_ref()
     }
--- a/src/process/host/io.rs
+++ b/src/process/host/io.rs
@@ -11,8 +11,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
-use super::host::{HostAction, HostEvent, OrderOrigin, StorePurpose};
+use super::host::{HostAction, HostEvent, StorePurpose};
 use super::message::{PeerCall, PeerReply};
+use super::relay::OrderOrigin;
 use crate::base::Millis;
 use crate::connection::{
     AsyncHttpClient, FrontReply, FrontRequest, FrontServer, Mesh, MeshHandler, Order, StoreCall,
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -11,13 +11,14 @@
 mod io;
 mod log_writer;
 mod message;
+mod pause;
 mod peers;
 mod rank;
 mod relay;
 mod runtime;
 mod streams;
 
-pub use host::{Host, HostAction, HostEvent, HostSettings, OrderOrigin, StorePurpose};
+pub use host::{Host, HostAction, HostEvent, HostSettings, StorePurpose};
 pub use message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
-pub use relay::{OrderBatch, RelayedAnswer, RelayedOrder, SessionId};
+pub use relay::{OrderBatch, OrderOrigin, RelayedAnswer, RelayedOrder, SessionId};
 pub use runtime::{Error, Result, run};
--- a/src/process/host/relay/links.rs
+++ b/src/process/host/relay/links.rs
@@ -4,10 +4,10 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
-use super::{OrderBatch, SessionId};
+use super::{OrderBatch, OrderOrigin, SessionId};
 use crate::base::{Millis, Name};
 use crate::connection::{CallError, WorkerAnswer, WorkerCall};
-use crate::process::host::host::{Host, HostAction, OrderOrigin, PeerPurpose};
+use crate::process::host::host::{Host, HostAction, PeerPurpose};
 use crate::process::host::message::{PeerCall, PeerReply};
 use crate::process::host::peers::{Peer, Peers};
 use crate::process::host::rank::is_low_capacity;
@@ -383,6 +383,20 @@
         }
     }
 
+    /// Passes the answer of a worker that this host has called to whoever gave the order.
+    pub(in crate::process::host) fn handle_worker_answer(
+        &mut self,
+        now: Now,
+        origin: OrderOrigin,
+        answer: Result<WorkerAnswer, CallError>,
+        out: &mut Vec<HostAction>,
+    ) {
+        match origin {
+            OrderOrigin::Shard { epoch, tag } => self.order_answered(now, epoch, tag, answer, out),
+            OrderOrigin::Relayed(order) => self.relay_sessions.add_answer(order, answer),
+        }
+    }
+
     pub(in crate::process::host) fn handle_batch_answer(
         &mut self,
         now: Now,
--- a/src/process/host/relay/mod.rs
+++ b/src/process/host/relay/mod.rs
@@ -9,6 +9,8 @@
 mod links;
 mod sessions;
 
+use crate::process::shard::WorkerTag;
+
 pub use batch::{OrderBatch, RelayedAnswer, SessionId};
 pub(super) use links::{OrderLinks, SentBatch};
 pub(super) use sessions::RelaySessions;
@@ -20,3 +22,12 @@
     /// Number of the order in the session.
     pub order: u64,
 }
+
+/// Who waits for the worker's answer to an order.
+#[derive(Debug, Clone)]
+pub enum OrderOrigin {
+    /// The own shard with this epoch.
+    Shard { epoch: u64, tag: WorkerTag },
+    /// The owner of the shard, for which this host makes the call.
+    Relayed(RelayedOrder),
+}
--- a/src/process/host/relay/sessions.rs
+++ b/src/process/host/relay/sessions.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use super::{OrderBatch, RelayedAnswer, RelayedOrder, SessionId};
+use super::{OrderBatch, OrderOrigin, RelayedAnswer, RelayedOrder, SessionId};
 use crate::base::Millis;
 use crate::connection::{CallError, WorkerAnswer, WorkerCall};
-use crate::process::host::host::{Host, HostAction, OrderOrigin};
+use crate::process::host::host::{Host, HostAction};
 use crate::process::host::message::PeerReply;
 use crate::process::shard::Now;
 
@@ -131,7 +131,8 @@
             return;
         }
         // The owner may have given these orders up, and others in their place.
-        if batch.len() > 0 && (self.may_be_stale(now) || now.steady.0 > batch.not_after) {
+        if batch.len() > 0 && (self.pause_watch.may_be_stale(now) || now.steady.0 > batch.not_after)
+        {
             tracing::info!(
                 epoch = session.epoch,
                 orders = batch.len(),
