--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -3,6 +3,7 @@
 mod cases;
 mod config_sources;
 mod odd_records;
+mod relay_host;
 mod relays;
 mod scale;
 mod world;
--- a/tests/ownership/odd_records.rs
+++ b/tests/ownership/odd_records.rs
@@ -4,11 +4,11 @@
 use jayfork::base::Millis;
 use jayfork::connection::{KeyedRecord, Page, StoreAnswer, StoreRequest};
 use jayfork::process::host::{Host, HostAction, HostEvent, HostRecord, HostSettings, StorePurpose};
-use jayfork::process::shard::{Now, ShardSettings};
+use jayfork::process::shard::Now;
 use jayfork::version::{OwnerRecord, ShardRecord};
 use yare::parameterized;
 
-use super::world::{HIGH_CAPACITY, START, STEP, World, address};
+use super::world::{HIGH_CAPACITY, START, STEP, World, address, shard_settings};
 
 /// A host whose calls the test answers itself.
 struct Lone {
@@ -28,11 +28,7 @@
                 processor: HIGH_CAPACITY,
             },
             seeds: Vec::new(),
-            shard: ShardSettings {
-                lease: Millis(6_000),
-                stop_time: Millis(400),
-                status_keep: Millis(120_000),
-            },
+            shard: shard_settings(),
         };
         let now = Now {
             steady: Millis(START),
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -25,6 +25,8 @@
 const SLOW_START_TIME: u64 = 2_000;
 /// Timeout of a call to a host that ends while the call is on its way, in milliseconds.
 const HELLO_TIMEOUT: u64 = 600;
+/// Longest lease that workers accept, in milliseconds.
+pub const LEASE: u64 = 6_000;
 /// Processors of hosts, in thousandths of a core.
 pub const HIGH_CAPACITY: u32 = 500;
 pub const LOW_CAPACITY: u32 = 69;
@@ -253,11 +255,7 @@
                 processor,
             },
             seeds: (0..3).map(address).collect(),
-            shard: ShardSettings {
-                lease: Millis(6_000),
-                stop_time: Millis(400),
-                status_keep: Millis(120_000),
-            },
+            shard: shard_settings(),
         };
         self.hosts[index] = Some(Host::new(settings, self.time()));
     }
@@ -554,6 +552,14 @@
     }
 }
 
+pub fn shard_settings() -> ShardSettings {
+    ShardSettings {
+        lease: Millis(LEASE),
+        stop_time: Millis(400),
+        status_keep: Millis(120_000),
+    }
+}
+
 pub fn address(index: usize) -> SocketAddr {
     ([10, 0, 0, 1], index as u16 + 1).into()
 }
