Measure the delay of the host list's stand-in on a monotonic clock

The stand-in cut the time of a change to whole milliseconds and added the delay to that, so a change became visible up to 1 ms early. A request that is answered faster than that sees it. The test is right.

Change: the stand-in adds the delay to an Instant. A new test makes 50 changes with a delay of 10 ms and polls without a pause.

Ruled out: the other stand-ins' delays are sleeps or Instants; times that tests subtract from each other come from one clock.

--- a/examples/standin/hosts/mod.rs
+++ b/examples/standin/hosts/mod.rs
@@ -4,6 +4,7 @@
 mod service;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command};
 
@@ -29,7 +30,7 @@
 }
 
 pub fn run(matches: &ArgMatches) -> Result<()> {
-    let mut list = DelayedList::new(get_number(matches, "lag-ms"));
+    let mut list = DelayedList::new(Duration::from_millis(get_number(matches, "lag-ms")));
     if let Some(file) = matches.get_one::<String>("file") {
         list.replace(serde_json::from_slice(&std::fs::read(file)?)?);
     }
--- a/examples/standin/hosts/service.rs
+++ b/examples/standin/hosts/service.rs
@@ -1,6 +1,7 @@
 //! HTTP interface of the host list.
 
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use http::{Method, StatusCode};
 use jayfork::connection::wire::HostList;
@@ -62,7 +63,10 @@
         for (name, value) in patch {
             match name.as_str() {
                 "down" => self.lock().down = parse(name, value)?,
-                "lag_ms" => self.lock().list.set_delay(parse(name, value)?),
+                "lag_ms" => {
+                    let delay = Duration::from_millis(parse(name, value)?);
+                    self.lock().list.set_delay(delay);
+                }
                 _ if self.faults.set(name, value)? => {}
                 _ => return Err(Error::UnknownSwitch(name.clone())),
             }
--- a/tests/standin/hosts.rs
+++ b/tests/standin/hosts.rs
@@ -46,6 +46,32 @@
     assert!(changed.elapsed() >= Duration::from_millis(300));
 }
 
+// Guards against a delay that is cut to whole milliseconds of the clock, so that it may end early.
+#[test]
+fn no_change_is_visible_before_the_delay() {
+    const DELAY: Duration = Duration::from_millis(10);
+    let dir = TestDir::new("hosts-lag-repeated");
+    let hosts = Standin::start(&dir, "hosts", &["--lag-ms", "10"]);
+    hosts.put_hosts(&[worker_entry(HostState::Live)]);
+    let client = Client::new();
+    for next in [HostState::Leaving, HostState::Live].repeat(25) {
+        let changed = Instant::now();
+        hosts.put_hosts(&[worker_entry(next)]);
+        loop {
+            let list: HostList = client
+                .get(&hosts.service, "/hosts")
+                .expect("an answer")
+                .ok();
+            let answered = changed.elapsed();
+            assert!(answered < WAIT_LIMIT, "the change is never visible");
+            if list.hosts[0].state == next {
+                assert!(answered >= DELAY, "visible after {answered:?}");
+                break;
+            }
+        }
+    }
+}
+
 // Guards against a `--file` that is ignored.
 #[test]
 fn initial_list_is_read_from_the_file() {
