Restart long-running tasks that were lost with a worker and the owner together

Cause: after a change of the owner a waiting long-running task counts as interrupted, and so comes before the backlog, only if it has failed or saved progress before or if others of its step run. If all tasks of a step ran on one worker, and that worker and the owner are lost together, none of these holds: the tasks wait behind the whole backlog.

Change: they also count as interrupted if the new owner has given up waiting for a worker.

Before: the new case only_task_with_the_next_owner fails (0 of 1 task runs at the limit, 199 jobs wait).

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -296,7 +296,7 @@
         );
         self.phase = Phase::Active;
         for id in std::mem::take(&mut self.recovered) {
-            self.add_interrupted(now.steady, id);
+            self.add_interrupted(now.steady, id, missing > 0);
         }
         self.needs_placement = true;
     }
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -50,8 +50,9 @@
     }
 
     /// Puts waiting tasks of a recovered job before all others if they have most likely lost their run
-    /// at the change of the owner: they have failed or saved progress before, or others of their step run.
-    pub(super) fn add_interrupted(&mut self, now: Millis, id: JobId) {
+    /// at the change of the owner: a worker is lost, they have failed or saved progress before, or others of
+    /// their step run.
+    pub(super) fn add_interrupted(&mut self, now: Millis, id: JobId, has_lost_worker: bool) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -63,8 +64,10 @@
                 let Some(task) = job.task_mut(key) else {
                     continue;
                 };
-                task.has_run |=
-                    has_runs || !task.failed_runs.is_empty() || task.checkpoint.is_some();
+                task.has_run |= has_lost_worker
+                    || has_runs
+                    || !task.failed_runs.is_empty()
+                    || task.checkpoint.is_some();
                 interrupted.push(key);
             }
         }
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -70,17 +70,22 @@
 /// Guards against long-running tasks that wait for the longest lease that workers accept when a worker
 /// is lost without a trace, alone or together with the owner.
 #[parameterized(
-    with_the_same_owner = { false, SILENT_WORKER_LIMIT },
-    with_the_next_owner = { true, CLAIM_DELAY + SILENT_WORKER_LIMIT },
+    with_the_same_owner = { 3, false, SILENT_WORKER_LIMIT },
+    with_the_next_owner = { 3, true, CLAIM_DELAY + SILENT_WORKER_LIMIT },
+    only_task_with_the_next_owner = { 1, true, CLAIM_DELAY + SILENT_WORKER_LIMIT },
 )]
-fn tasks_of_a_silent_worker_do_not_wait_for_the_longest_lease(is_owner_lost: bool, limit: u64) {
+fn tasks_of_a_silent_worker_do_not_wait_for_the_longest_lease(
+    tasks: u16,
+    is_owner_lost: bool,
+    limit: u64,
+) {
     let mut world = World::new(7, 3, 8_000);
     for worker in &mut world.fleet.workers {
         worker.max_lease = 10_000;
     }
     let first = world.claim();
     world.run(500);
-    world.submit(1, &long_running(3, 2_000));
+    world.submit(1, &long_running(tasks, 2_000));
     world.run(2_000);
     for id in 2..=200 {
         world.submit(id, &chain(&[1], 1_000));
@@ -96,7 +101,7 @@
         world.claim();
     }
     world.run(end - world.now);
-    assert_eq!(world.running(1), 3);
+    assert_eq!(world.running(1), usize::from(tasks));
     world.assert_no_violations();
 }
 
