Place long-running tasks on the best worker though others answer sooner

Cause: a worker gets at most two start orders without an answer. Long-running tasks that arrive at once, as after the start of a deployment, therefore went to the next workers, although the best one (of the same image, with the least room to spare) would have answered within milliseconds. They stay there for minutes: nearly all workers held several images, each of which keeps off other best-effort images.

Change: a long-running task that is placed for the first time is chosen a worker without regard to its unanswered starts, and waits if that worker has two. A worker that doesn't answer is unusable after the timeout of a start, so the wait is bounded.

Before: long_running_tasks_that_arrive_at_once_are_packed fails (seven tasks on several workers). After: it passes.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -57,6 +57,8 @@
     pub only_changed: bool,
     /// Whether to leave out the workers with recent starts.
     pub only_quiet: bool,
+    /// Whether to include the workers with as many unanswered starts as are allowed.
+    pub includes_starting: bool,
 }
 
 /// A worker that one placement pass may use.
@@ -110,6 +112,12 @@
         }
     }
 
+    /// Whether a candidate has as many start orders without an answer as it may have.
+    pub(super) fn has_max_starts(candidates: &Candidates, slot: usize) -> bool {
+        let candidate = candidates.iter().find(|candidate| candidate.slot == slot);
+        candidate.is_some_and(|candidate| candidate.starts >= MAX_WORKER_STARTS)
+    }
+
     /// Reserves room for another run of a task among the candidates; returns whether one has room.
     pub(super) fn reserve_room(
         &self,
@@ -160,7 +168,7 @@
             now.steady,
             requirements.image.filter(|_| requirements.fills),
         );
-        let max_starts = match spec.gang {
+        let max_starts = match search.includes_starting {
             true => usize::MAX,
             false => MAX_WORKER_STARTS,
         };
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -148,6 +148,7 @@
                 rack: None,
                 only_changed: known_unmet.is_some() && trial.is_none(),
                 only_quiet: trial == Some(true),
+                includes_starting: spec.lasts,
             };
             let step = key.step;
             let mut found = self.find_worker(now, &service, spec, step, candidates, search);
@@ -162,6 +163,10 @@
                 is_held = true;
                 continue;
             }
+            if spec.lasts && found.is_some_and(|slot| Self::has_max_starts(candidates, slot)) {
+                // It would stay for long on a worker that is worse; the best one answers soon.
+                return Some(());
+            }
             let Some(slot) = found else {
                 let known = known_unmet.and_then(|index| unmet.get_mut(index));
                 match known {
@@ -213,6 +218,7 @@
                     rack: rack.as_ref(),
                     only_changed: false,
                     only_quiet: needs_quiet,
+                    includes_starting: true,
                 };
                 let found = self.find_worker(now, service, spec, step, candidates, search);
                 let Some(slot) = found else {
--- a/tests/shard/wide_jobs.rs
+++ b/tests/shard/wide_jobs.rs
@@ -3,7 +3,7 @@
 use jayfork::process::shard::Reply;
 use jayfork::request::job::Outcome;
 
-use super::world::{World, chain};
+use super::world::{World, chain, long_running};
 
 const WORKERS: usize = 250;
 const JOBS: u64 = 30;
@@ -38,3 +38,20 @@
     }
     world.assert_no_violations();
 }
+
+/// Guards against long-running tasks of one image that are spread over all workers, because they arrive
+/// at once and a worker gets few start orders at a time.
+#[test]
+fn long_running_tasks_that_arrive_at_once_are_packed() {
+    let mut world = World::new(7, 4, 16_000);
+    world.claim();
+    world.run(500);
+    for job in 1..=7 {
+        world.submit(job, &long_running(1, 2_000));
+    }
+    world.run(2_000);
+    let first = world.holder(1);
+    for job in 2..=7 {
+        assert_eq!(world.holder(job), first, "job {job}");
+    }
+}
