Move serving tasks together for best-effort tasks that interfere with most of them

Cause: of nine best-effort images only five wait; each raises the tail latency of four of the five serving images steeply (slopes 3 to 6). Beside these a worker bears one such task at 40% of its speed; what the serving tasks bear was used up (20 processors on 30 of 48 workers). No worker is without serving tasks, though 150 of 896 processors are not reserved: they are spread in small parts.

Change: once best-effort tasks have waited for 2 s, workers are rated by the share that these could use. All other tasks leave that room to them if others have room. If what waits would fill a worker, the serving tasks of the worker that gains most are moved to others that exclude the same images already.

Before: serving_tasks_are_moved_together_for_best_effort_ones fails.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -64,9 +64,9 @@
 /// A worker that one placement pass may use.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Candidate {
-    slot: usize,
+    pub(super) slot: usize,
     /// Capacity that no run reserves, kept here so that full workers are passed over quickly.
-    free: Size,
+    pub(super) free: Size,
     /// Start orders that it has not answered.
     starts: usize,
     /// Whether it may have room now that it had not in the last pass.
@@ -194,7 +194,7 @@
             }
             Some((
                 candidate.slot,
-                describe_candidate(&requirements, worker, free, &interference),
+                describe_candidate(now.steady, &requirements, worker, free, &interference),
             ))
         });
         // A few workers may be much better than the others for these tasks.
@@ -297,6 +297,7 @@
 
 /// Describes a worker as the placement rules need it.
 fn describe_candidate<'a>(
+    now: Millis,
     requirements: &TaskRequirements<'_>,
     worker: &'a Worker,
     free: Size,
@@ -317,5 +318,7 @@
             true => worker.other_images(requirements.image),
             false => 0,
         },
+        sought: worker.sought,
+        is_cleared: worker.cleared_until > now,
     }
 }
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -2,6 +2,7 @@
 //! durable.
 
 mod candidates;
+mod clearing;
 mod crashes;
 mod jobs;
 mod journal;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::candidates::UnmetRequirements;
+use super::clearing::WaitingDemand;
 use super::journal::Journal;
 use super::recovery::LoadRange;
 use super::requests::Ended;
@@ -241,6 +242,12 @@
     pub(super) unmet: Vec<UnmetRequirements>,
     /// When a placement pass last checked all workers.
     pub(super) last_full_pass: Millis,
+    /// Best-effort tasks that wait for a worker.
+    pub(super) waiting_demand: WaitingDemand,
+    /// When `waiting_demand` was last summed up.
+    pub(super) last_rating: Millis,
+    /// When serving tasks were last moved for best-effort tasks.
+    pub(super) last_clearing: Millis,
     /// Start orders without an answer.
     pub(super) pending_starts: usize,
     pub(super) last_poll: Millis,
@@ -295,6 +302,9 @@
             placement_passes: 0,
             unmet: Vec::new(),
             last_full_pass: Millis(0),
+            waiting_demand: WaitingDemand::default(),
+            last_rating: Millis(0),
+            last_clearing: Millis(0),
             pending_starts: 0,
             last_poll: Millis(0),
             last_sweep: now.steady,
--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -81,7 +81,7 @@
         })
     }
 
-    fn step_spec(&self, id: StepId) -> Option<(&Job, &StepSpec)> {
+    pub(super) fn step_spec(&self, id: StepId) -> Option<(&Job, &StepSpec)> {
         let job = self.jobs.get(&id.job)?;
         Some((job, job.spec.steps.get(usize::from(id.step))?))
     }
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -61,6 +61,7 @@
         self.finish_recovery(now);
         self.expire_runs(now);
         self.evacuate(now);
+        self.make_room_for_best_effort(now);
         self.open_due(now);
         self.replace_expired_keys();
         self.expire_outcomes(now);
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -136,6 +136,11 @@
     pub has_stops: bool,
     /// Headroom for more best-effort tasks as of the last report, less those started since.
     pub headroom: Vec<Headroom>,
+    /// Share of the worker that waiting best-effort tasks could use beside its serving tasks.
+    pub sought: f64,
+    /// Until when it gets long-running tasks only if no other worker has room, because its own were
+    /// moved away.
+    pub cleared_until: Millis,
     /// When the pending long poll was sent: the worker answers it once a run ends or its wait is
     /// over.
     pub long_poll: Option<Millis>,
@@ -205,6 +210,8 @@
             pending_starts: 0,
             has_stops: false,
             headroom: Vec::new(),
+            sought: 0.0,
+            cleared_until: Millis(0),
             long_poll: None,
             immediate_poll: None,
             next_poll: now,
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -247,6 +247,20 @@
         image.map_or(PRIOR_SLOPE, |image| image.slope(best_effort))
     }
 
+    /// Share of a worker that best-effort tasks of an image may use beside serving tasks of the images
+    /// `serving` at their usual load. Pairs that are not known count as if they did not interfere.
+    pub fn usable_share(&self, serving: &[&Name], best_effort: &Name) -> f64 {
+        let headroom = (TARGET_TAIL / MIN_PLACEMENT_BASELINE).ln();
+        let shares = serving.iter().map(|name| {
+            let image_index = self.image_indices.get(*name);
+            let image = image_index.and_then(|image_index| self.images.get(*image_index));
+            let known = image.filter(|image| image.is_known(Some(best_effort)));
+            let slope = known.map_or(0.0, |image| image.slope(Some(best_effort)));
+            headroom / slope.max(headroom)
+        });
+        shares.fold(1.0, f64::min)
+    }
+
     /// Rise of the logarithm of a serving task's tail latency caused by the best-effort tasks
     /// beside it.
     fn current_interference(&self, serving: &ServingTask, best_effort: &[BestEffortGroup]) -> f64 {
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -34,6 +34,10 @@
     pub has_same_image: bool,
     /// Number of other images of long-running tasks on the worker.
     pub other_images: u32,
+    /// Share of the worker that waiting best-effort tasks could use.
+    pub sought: f64,
+    /// Whether its long-running tasks were moved away for best-effort tasks a short time ago.
+    pub is_cleared: bool,
 }
 
 /// Percentage of a worker's processors that best-effort tasks may demand beyond the idle ones. The
@@ -54,13 +58,19 @@
 const OTHER_IMAGE_PENALTY: i64 = 1_500;
 /// Cost of a worker outside the rack that holds the data, in thousandths of a worker's processors.
 const REMOTE_RACK_PENALTY: i64 = 2_000;
+/// Cost of a worker that waiting best-effort tasks could use as a whole, in thousandths. More than the
+/// score of any headroom, since only few workers may be left for the tasks that wait.
+const SOUGHT_PENALTY: f64 = 4_000.0;
+/// Cost of a cleared worker for a long-running task, in thousandths; more than all others together.
+const CLEARED_PENALTY: i64 = 100_000;
 
 /// Returns the index of the best worker for `task`, or `None` if no worker has room for it.
 ///
 /// Best-effort tasks go to the worker with the most headroom and idle processors. Long-running
 /// tasks are packed by image, so that each best-effort image finds workers on which it interferes
-/// with no image. Other tasks go to the worker with the largest free share of its processors. At most
-/// `limit` workers with room are compared.
+/// with no image. Other tasks go to the worker with the largest free share of its processors. All of
+/// them leave the workers to waiting best-effort tasks that these could use, if others have room. At
+/// most `limit` workers with room are compared.
 pub fn choose_worker<'a>(
     task: &TaskRequirements<'_>,
     workers: impl Iterator<Item = (usize, CandidateWorker<'a>)>,
@@ -109,5 +119,10 @@
         }
         (false, false) => free * 1_000 / capacity,
     };
-    Some(preference - penalty)
+    let sought = (worker.sought * SOUGHT_PENALTY) as i64;
+    let cleared = match task.lasts && worker.is_cleared {
+        true => CLEARED_PENALTY,
+        false => 0,
+    };
+    Some(preference - penalty - sought - cleared)
 }
--- a/tests/contention.rs
+++ b/tests/contention.rs
@@ -77,6 +77,22 @@
     assert!(remaining("light", 0.3) > 0.0);
 }
 
+/// Guards against serving tasks that are moved for best-effort tasks that could run beside them, or that
+/// have not been tried beside them.
+#[test]
+fn usable_share_is_small_only_beside_an_image_known_to_interfere() {
+    let contention = trained(6.0);
+    let share = |serving: &[&str], best_effort: &str| {
+        let serving: Vec<Name> = serving.iter().map(|image| Name::from(*image)).collect();
+        contention.usable_share(&serving.iter().collect::<Vec<_>>(), &best_effort.into())
+    };
+    assert!(share(&["search"], "heavy") < 0.2);
+    assert!(share(&["unknown", "search"], "heavy") < 0.2);
+    assert!(share(&["search"], "light") > 0.9);
+    assert_eq!(share(&["search"], "fresh"), 1.0);
+    assert_eq!(share(&[], "heavy"), 1.0);
+}
+
 /// Guards against a throttle of an image that does not interfere, when another image does and the
 /// tail latency of a serving task comes close to its bound.
 #[test]
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -80,6 +80,8 @@
         headroom,
         has_same_image: false,
         other_images: 0,
+        sought: 0.0,
+        is_cleared: false,
     }
 }
 
@@ -159,6 +161,42 @@
     assert_eq!(choice, Some(2));
 }
 
+/// Guards against tasks on workers that only few best-effort tasks can use, while these wait and others
+/// have room.
+#[parameterized(
+    best_effort = { true, false },
+    long_running = { false, true },
+    other = { false, false },
+)]
+fn room_that_best_effort_tasks_wait_for_is_left_to_them(fills: bool, lasts: bool) {
+    let task = task(2_000, fills, lasts);
+    let mut sought = worker(&[], 15_000, 15_000, 2.0);
+    sought.sought = 0.9;
+    let busy = worker(&[], 4_000, 4_000, 0.1);
+    let choice = |workers: Vec<CandidateWorker<'_>>| {
+        choose_worker(&task, workers.into_iter().enumerate(), usize::MAX)
+    };
+    assert_eq!(choice(vec![sought.clone(), busy]), Some(1));
+    assert_eq!(choice(vec![sought]), Some(0));
+}
+
+/// Guards against long-running tasks that return at once to a worker that was cleared of them, and against
+/// tasks that are down because only such a worker has room.
+#[test]
+fn long_running_tasks_use_cleared_workers_last() {
+    let task = task(2_000, false, true);
+    let mut cleared = worker(&[], 4_000, 0, 1.0);
+    cleared.is_cleared = true;
+    cleared.has_same_image = true;
+    let mut other = worker(&[], 16_000, 0, 1.0);
+    other.other_images = 4;
+    let choice = |workers: Vec<CandidateWorker<'_>>| {
+        choose_worker(&task, workers.into_iter().enumerate(), usize::MAX)
+    };
+    assert_eq!(choice(vec![cleared.clone(), other]), Some(1));
+    assert_eq!(choice(vec![cleared]), Some(0));
+}
+
 /// Guards against a worker without the required label, and against a worker outside the rack that
 /// holds the data while one inside has room. Many jobs may prefer the same rack.
 #[test]
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -11,6 +11,7 @@
 use jayfork::request::job::{Ending, JobId, JobSpec, TaskKey};
 
 use super::crash_model::CRASH_DELAY;
+use super::pace::Pace;
 
 /// Time that a worker takes to stop a run, in milliseconds.
 const STOP_TIME: u64 = 400;
@@ -22,6 +23,7 @@
     ends: u64,
     fails: bool,
     size: Size,
+    pub pace: Pace,
 }
 
 /// A run that is being stopped: it takes room, but the worker lists it neither as running nor as ended.
@@ -70,6 +72,9 @@
     pub renamed: u64,
     /// Its capacity before the newest change, and when the change counts for starts.
     pub former: (Size, u64),
+    /// Tail latency of its serving tasks without best-effort ones, as a share of the bound; reports
+    /// contain no measurements without it.
+    pub quiet_tail: Option<f64>,
 }
 
 /// Time that a worker's process takes to start, in milliseconds; longer than an owner's pause
@@ -124,6 +129,7 @@
             returns_at: None,
             renamed: 0,
             former: (Size::ZERO, 0),
+            quiet_tail: None,
         });
         Fleet {
             workers: workers.collect(),
@@ -199,16 +205,17 @@
             worker.finish_stops(now);
             let clock = now.wrapping_add(worker.offset);
             let has_expired = clock > worker.until;
+            worker.runs.values_mut().for_each(|run| run.pace.advance());
             let over: Vec<TaskKey> = worker
                 .runs
                 .iter()
-                .filter(|(_, run)| has_expired || run.ends <= now)
+                .filter(|(_, run)| has_expired || run.is_over(now))
                 .map(|(task, _)| *task)
                 .collect();
             for task in over {
                 let ending = match worker.runs.get(&task) {
-                    Some(run) if run.ends <= now && run.fails => Ending::Failed,
-                    Some(run) if run.ends <= now => Ending::Done,
+                    Some(run) if run.is_over(now) && run.fails => Ending::Failed,
+                    Some(run) if run.is_over(now) => Ending::Done,
                     _ => Ending::Lapsed,
                 };
                 match ending {
@@ -276,9 +283,13 @@
                     );
                     self.log_event(end.task, text);
                 }
-                return WorkerAnswer::Report(self.workers[index].report(clock));
+                return WorkerAnswer::Report(self.workers[index].report(now, clock));
+            }
+            Order::Throttle { task, percent, .. } => {
+                if let Some(run) = worker.runs.get_mut(task) {
+                    run.pace.limit = *percent;
+                }
             }
-            Order::Throttle { .. } => {}
         }
         WorkerAnswer::Accepted { clock }
     }
@@ -324,6 +335,7 @@
             true => u64::MAX,
             false => now + runtime,
         };
+        let pace = Pace::new(step, runtime);
         let worker = &mut self.workers[index];
         if self.crashing.contains(&task.step.job) {
             worker.crash_at.get_or_insert(now + CRASH_DELAY);
@@ -336,6 +348,7 @@
                 ends,
                 fails,
                 size,
+                pace,
             },
         );
         let running = worker.runs.values().map(|run| &run.size);
@@ -385,6 +398,12 @@
     }
 }
 
+impl Run {
+    fn is_over(&self, now: u64) -> bool {
+        self.ends.saturating_add(self.pace.added()) <= now
+    }
+}
+
 impl Worker {
     /// Extends the lease, by at most `max_lease` from now.
     fn extend(&mut self, clock: u64, until: Option<u64>) {
@@ -447,13 +466,15 @@
         self.next_end += 1;
     }
 
-    fn report(&self, clock: u64) -> WorkerReport {
+    fn report(&self, now: u64, clock: u64) -> WorkerReport {
+        let used: u32 = self.runs.values().map(|run| run.pace.used()).sum();
+        let share = f64::from(used) / f64::from(self.capacity.processors);
         let running = self.runs.iter().map(|(task, run)| RunReport {
             task: *task,
             run: run.run,
             checkpoint: None,
-            percent: 100,
-            measurement: None,
+            percent: run.pace.percent(now - run.started),
+            measurement: run.pace.measurement(self.quiet_tail, share),
         });
         WorkerReport {
             clock,
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -7,6 +7,7 @@
 mod crash_model;
 mod crashes;
 mod fleet;
+mod pace;
 mod random;
 mod registry;
 mod restarts;
--- /dev/null
+++ b/tests/shard/pace.rs
@@ -0,0 +1,142 @@
+//! Best-effort tasks beside serving tasks.
+
+use jayfork::process::shard::Reply;
+use jayfork::request::job::{JobSpec, Outcome, StepSpec};
+
+use super::world::{STEP, World, chain, long_running};
+
+/// Rise of the logarithm of the tail latency of serving tasks if best-effort ones take a whole worker.
+const SLOPE: f64 = 2.0;
+
+/// Speed and measurements of one run.
+pub struct Pace {
+    runtime: u64,
+    demand: u32,
+    fills: bool,
+    /// Bound of the tail latency of a serving task.
+    tail_bound: u32,
+    /// Speed limit in percent.
+    pub limit: u8,
+    /// Hundredths of a millisecond that speed limits have added to the run time.
+    added: u64,
+}
+
+impl Pace {
+    pub fn new(step: &StepSpec, runtime: u64) -> Pace {
+        Pace {
+            runtime,
+            demand: step.size.processors,
+            fills: step.fills,
+            tail_bound: step.tail_bound,
+            limit: 100,
+            added: 0,
+        }
+    }
+
+    /// Accounts for `STEP` milliseconds.
+    pub fn advance(&mut self) {
+        self.added += STEP * u64::from(100 - self.limit);
+    }
+
+    /// Milliseconds that speed limits have added.
+    pub fn added(&self) -> u64 {
+        self.added / 100
+    }
+
+    /// Millicores that a best-effort task uses.
+    pub fn used(&self) -> u32 {
+        match self.fills {
+            true => self.demand * u32::from(self.limit) / 100,
+            false => 0,
+        }
+    }
+
+    /// Progress in percent after `elapsed` milliseconds.
+    pub fn percent(&self, elapsed: u64) -> u8 {
+        match self.fills {
+            true => (elapsed.saturating_sub(self.added()) * 100 / self.runtime).min(99) as u8,
+            false => 100,
+        }
+    }
+
+    /// What a report says, if serving tasks have `quiet_tail` of their bound without others and best-effort
+    /// tasks use `share` of the worker.
+    pub fn measurement(&self, quiet_tail: Option<f64>, share: f64) -> Option<u64> {
+        let tail = quiet_tail? * (SLOPE * share).exp();
+        match self.fills {
+            true => Some(u64::from(self.used())),
+            false if self.tail_bound > 0 => Some((f64::from(self.tail_bound) * tail) as u64),
+            false => None,
+        }
+    }
+}
+
+fn serving(image: &str, processors: u32) -> JobSpec {
+    let mut spec = long_running(1, processors);
+    spec.steps[0].tail_bound = 1_000;
+    spec.steps[0].image = Some(image.into());
+    spec
+}
+
+fn best_effort(count: u16, processors: u32) -> JobSpec {
+    let mut spec = chain(&[count], processors);
+    spec.steps[0].fills = true;
+    spec.steps[0].image = Some("merge".into());
+    spec
+}
+
+/// Guards against serving tasks that each hold one worker, although they fit on one together, while many
+/// best-effort tasks wait that interfere with all of them.
+#[test]
+fn serving_tasks_are_moved_together_for_best_effort_ones() {
+    let mut world = World::new(7, 2, 16_000);
+    world.runtimes = 3_000..3_001;
+    world.claim();
+    world.run(500);
+    world.submit(1, &serving("search", 4_000));
+    world.run(300);
+    world.submit(2, &serving("map", 4_000));
+    world.run(300);
+    assert_ne!(world.holder(1), world.holder(2));
+    for worker in &mut world.fleet.workers {
+        worker.quiet_tail = Some(0.5);
+    }
+    world.run(1_500);
+    world.submit(3, &best_effort(20, 3_000));
+    world.run(15_000);
+    assert_eq!(world.holder(1), world.holder(2));
+    world.run(11_000);
+    let state = world.state(3);
+    let is_completed = matches!(
+        state,
+        Some(Reply::State {
+            outcome: Some(Outcome::Completed),
+            ..
+        })
+    );
+    assert!(is_completed, "{state:?}");
+    world.assert_no_violations();
+}
+
+/// Guards against moves while no best-effort task waits for long.
+#[test]
+fn serving_tasks_stay_while_best_effort_ones_find_room() {
+    let mut world = World::new(7, 2, 16_000);
+    world.runtimes = 500..501;
+    world.claim();
+    world.run(500);
+    world.submit(1, &serving("search", 4_000));
+    world.run(300);
+    world.submit(2, &serving("map", 4_000));
+    world.run(300);
+    let holders = (world.holder(1), world.holder(2));
+    for worker in &mut world.fleet.workers {
+        worker.quiet_tail = Some(0.4);
+    }
+    for job in 0..12 {
+        world.submit(3 + job, &best_effort(1, 3_000));
+        world.run(1_500);
+    }
+    assert_eq!((world.holder(1), world.holder(2)), holders);
+    world.assert_no_violations();
+}
