Hand the recent request ids of a stopping host to its peers before it exits

Cause, traced on the test a_drain_leaves_no_at_most_once_request_unknown with added log lines: (a) recent_ids_lost. The stopping host exits. 2 s later its peers count it as lost, as after a kill: Handover::set_hosts enters it in `lost`. Handover::loss_effect then answers RecentIdsLost, for ten class deadlines, for each new id whose first host in rendezvous order it was, since the peers do not know which ids it ran. UrgentRouter::advance refuses these with 503, ran "unknown". (b) interrupted. After Action::Exit the host stays up until its API is closed (here 0.48 s) and answers relays with Unavailable. The peers still count it as the home and repeat each relay every 100 ms. When NodeActor stops, PeerLinks is dropped and its connections break, with relays on their way (sent at 32.1302, stop at 32.1305, "broken pipe" at 32.1327). The peer gets Error::Broken, so relay_answered(None) answers 502, ran "unknown", though nothing ran.

Change: when its work has ended and its leases are given back, the host refuses all requests as misdirected, and tells each live peer of its data centre the ids that it remembers, in frames of 4096, at most 64. A peer that has all frames no longer counts the host as the home of any id, and confirms the hand-over once none of its messages to the host is unanswered. The host exits when all have confirmed it, or after 2 s. The message says also - whether nothing may be running for the host; if so, peers need not wait for reports of instances; - how long ago ids were lost that the host should have remembered (it was restarted, or took over from a host that was killed); ids stay refused for the rest of that time. A peer without the hand-over (lost, late, malformed, an older version) refuses as before. A hand-over that arrives after the loss ends the refusals, as the host ran nothing after it was made. One of an earlier process only adds ids.

New in tests/node/drain.rs: each id sent to two hosts at once, and 1 s and 5 s later, around a stop with the hand-over delivered, lost to one or all, unanswered, late before and after the loss, repeated; 13 malformed messages; incomplete frames; frames of an earlier process; a host that lost its ids itself; several frames. The random model urgent_interleavings stops hosts too, with hand-overs that may arrive after the exit. The fake links in tests/node now use each call's own time limit while the peer lives; all calls failed after 1 s.

--- a/src/connection/wire/mod.rs
+++ b/src/connection/wire/mod.rs
@@ -21,9 +21,9 @@
 pub use lease::{Ack, LeaseRefusal, LeaseReply, LeaseRequest, ReleaseRequest};
 pub use log::{AppendReply, LogRecord, ReadReply};
 pub use peer::{
-    Answer, ContractsReply, ContractsRequest, Forward, HeldLease, Hello, JobCall, PeerReply,
-    PeerRequest, RelayedContract, RelayedRecord, RunningReport, ServiceLoad, TailReply,
-    TailRequest,
+    Answer, ContractsReply, ContractsRequest, DepartureFrame, DepartureReply, Forward, HeldLease,
+    Hello, JobCall, PeerReply, PeerRequest, RelayedContract, RelayedRecord, RunningReport,
+    ServiceLoad, TailReply, TailRequest,
 };
 pub use request::{ErrorBody, JobState, JobSubmission, TaskSummary};
 pub use status::{
--- a/src/connection/wire/peer.rs
+++ b/src/connection/wire/peer.rs
@@ -15,6 +15,8 @@
     Forward(Forward),
     Job(JobCall),
     Tail(TailRequest),
+    /// Hosts that do not know this message answer nothing.
+    Departure(DepartureFrame),
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -26,6 +28,7 @@
     Tail(TailReply),
     /// The peer is starting or draining and did nothing.
     Unavailable,
+    Departure(DepartureReply),
 }
 
 /// Heartbeat between entry hosts.
@@ -142,6 +145,32 @@
     List { customer: Name },
 }
 
+/// Part of what a stopping host tells a peer about the requests that it ran. Frames are sent one
+/// after the other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureFrame {
+    pub host: Name,
+    pub incarnation: u64,
+    /// Index of this frame, from 0 on.
+    pub frame: u32,
+    /// Number of frames; the same in each of them.
+    pub frames: u32,
+    /// As in `request::Departure`, in ms.
+    pub loss_age: Option<u64>,
+    /// As in `request::Departure`.
+    pub is_clear: bool,
+    /// Keys of recent ids of at-most-once classes, each with the time left in ms.
+    pub ids: Vec<(Name, u64)>,
+}
+
+/// Answer to a `DepartureFrame`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartureReply {
+    /// Index of the frame to send next; `None` once the receiver has all of them and sends no more
+    /// requests to the stopping host.
+    pub next: Option<u32>,
+}
+
 /// Asks for the raw records of the data centre's task stream from `from` on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TailRequest {
--- a/src/process/node/mod.rs
+++ b/src/process/node/mod.rs
@@ -5,6 +5,7 @@
 mod api;
 mod backends;
 mod contracts;
+mod departure;
 mod event;
 mod jobs;
 #[allow(clippy::module_inception)]
--- a/src/process/node/node.rs
+++ b/src/process/node/node.rs
@@ -5,6 +5,7 @@
 
 use super::action::Action;
 use super::contracts::Proposal;
+use super::departure::{Receiving, Sending};
 use super::event::Event;
 use super::jobs::Submission;
 use super::peers::PeerPurpose;
@@ -137,6 +138,10 @@
     /// Since when no majority has answered; `None` while one does.
     pub(super) minority_since: Option<Millis>,
     pub(super) draining: bool,
+    /// What this host still has to tell its peers; `None` until all its work has ended.
+    pub(super) sending: Option<Sending>,
+    /// What stopping peers have told this host.
+    pub(super) departures: HashMap<Name, Receiving>,
     pub(super) exited: bool,
 }
 
@@ -194,6 +199,8 @@
             had_majority: false,
             minority_since: None,
             draining: false,
+            sending: None,
+            departures: HashMap::new(),
             exited: false,
             identity,
             timing,
@@ -302,7 +309,8 @@
     /// Whether new urgent requests are refused because this host is stopping.
     pub(super) fn refuses_callers(&self, now: Millis) -> bool {
         let drain_time = self.task_log.drain_time;
-        self.exited || drain_time.is_some_and(|at| now.since(at) >= DRAIN_NOTICE)
+        let is_departing = self.exited || self.sending.is_some();
+        is_departing || drain_time.is_some_and(|at| now.since(at) >= DRAIN_NOTICE)
     }
 
     /// Whether the task stream was read within `max_age`, directly or through a peer.
@@ -325,7 +333,7 @@
     }
 
     /// While draining: waits until the work in progress has ended, then gives back the leases, then
-    /// lets the process exit.
+    /// tells the peers which requests it ran, then lets the process exit.
     fn poll_exit(&mut self, now: Millis, out: &mut Vec<Action>) {
         if !self.draining || self.exited {
             return;
@@ -340,7 +348,7 @@
         }
         self.leases.drain(now);
         let is_flushed = self.journal.backlog() == 0 || !self.journal.is_healthy();
-        if self.leases.is_drained() && is_flushed {
+        if self.leases.is_drained() && is_flushed && self.depart(now, out) {
             self.exited = true;
             out.push(Action::Exit);
         }
--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -5,7 +5,7 @@
 
 use super::action::Action;
 use super::node::Node;
-use crate::base::{Millis, Name, Offset, TaskId};
+use crate::base::{Millis, Name, Offset};
 use crate::connection::Error;
 use crate::connection::wire::{
     Answer, ContractsRequest, Hello, HostKind, PeerReply, PeerRequest, RunningReport, TailReply,
@@ -16,7 +16,7 @@
 use crate::request::{DispatchId, UrgentAnswer};
 
 /// Time limit of heartbeats and of requests for log records or contracts.
-const CONTROL_TIMEOUT: Millis = Millis(1_000);
+pub(super) const CONTROL_TIMEOUT: Millis = Millis(1_000);
 /// Largest number of blocked tasks (pending ones that can't run) that one heartbeat lists in
 /// `misfits`.
 const MAX_BLOCKED_TASKS: usize = 16;
@@ -39,6 +39,8 @@
     Records { host: Name, sent: Millis },
     /// An urgent request that the router forwards.
     Forward { dispatch: DispatchId, attach: bool },
+    /// The frame with this index of what this host tells its peers before it exits.
+    Departure { host: Name, frame: usize },
     /// A job call for the API caller with this ticket.
     Job { ticket: u64, host: Name },
 }
@@ -90,6 +92,7 @@
         let is_reachable = |peer: &&Peer| {
             peer.data_centre == self.identity.data_centre
                 && self.membership.is_live(now, &peer.name)
+                && !self.has_departed(&peer.name)
         };
         let mut reachable: Vec<Name> = self
             .peers
@@ -343,6 +346,9 @@
                 let answer = forward_answer(attach, result);
                 self.on_forward_answer(now, dispatch, answer, out);
             }
+            (PeerPurpose::Departure { host, frame }, result) => {
+                self.on_departure_answer(now, &host, frame, result);
+            }
             (PeerPurpose::Job { ticket, .. }, result) => self.on_job_answer(ticket, result, out),
             (purpose, result) => {
                 tracing::debug!(
@@ -388,6 +394,7 @@
             PeerRequest::Tail(request) => self.records_reply(now, request.from),
             PeerRequest::Forward(_) if self.exited => PeerReply::Unavailable,
             PeerRequest::Forward(forward) => return self.on_forward(now, ticket, forward, out),
+            PeerRequest::Departure(frame) => self.on_departure(now, frame, out),
             PeerRequest::Job(call) => return self.on_job_call(now, ticket, call, out),
         };
         out.push(Action::ReplyPeer { ticket, reply });
@@ -410,21 +417,6 @@
         }
     }
 
-    /// Why a pending task cannot run, as found by this host or a live peer.
-    pub(super) fn blocked_reason(&self, now: Millis, id: &TaskId) -> Option<Name> {
-        let own = self.dispatcher.blocked_reason(id).cloned();
-        own.or_else(|| {
-            let hellos = self
-                .live_hosts
-                .iter()
-                .filter_map(|host| self.live_hello(now, host));
-            let mut blocked_tasks = hellos.flat_map(|hello| &hello.misfits);
-            blocked_tasks
-                .find(|(task, _)| task == id)
-                .map(|(_, reason)| reason.clone())
-        })
-    }
-
     /// Last heartbeat of the peer if it is live.
     pub(super) fn live_hello(&self, now: Millis, host: &str) -> Option<&Hello> {
         self.hellos
@@ -457,8 +449,8 @@
             PeerPurpose::Contracts(host) => ("contracts", host),
             PeerPurpose::Records { host, .. } => ("tail", host),
             PeerPurpose::Job { host, .. } => ("job", host),
-            // Urgent requests are forwarded only within the data centre.
-            PeerPurpose::Forward { .. } => return,
+            // These calls are made only within the data centre.
+            PeerPurpose::Forward { .. } | PeerPurpose::Departure { .. } => return,
         };
         let is_remote = self
             .peers
--- a/src/process/node/status.rs
+++ b/src/process/node/status.rs
@@ -2,7 +2,7 @@
 
 use super::api::text_response;
 use super::node::Node;
-use crate::base::{Millis, Name};
+use crate::base::{Millis, Name, TaskId};
 use crate::connection::ApiResponse;
 use crate::connection::wire::{
     ContractsStatus, EntryState, EntryStatus, HostEntry, HostKind, HostState, InstanceStatus,
@@ -47,6 +47,21 @@
             && instances.all(|entry| self.leases.usable(now, &entry.name).is_none())
     }
 
+    /// Why a pending task cannot run, as found by this host or a live peer.
+    pub(super) fn blocked_reason(&self, now: Millis, id: &TaskId) -> Option<Name> {
+        let own = self.dispatcher.blocked_reason(id).cloned();
+        own.or_else(|| {
+            let hellos = self
+                .live_hosts
+                .iter()
+                .filter_map(|host| self.live_hello(now, host));
+            let mut blocked_tasks = hellos.flat_map(|hello| &hello.misfits);
+            blocked_tasks
+                .find(|(task, _)| task == id)
+                .map(|(_, reason)| reason.clone())
+        })
+    }
+
     pub(super) fn status(&self, now: Millis) -> Status {
         let mut entries: Vec<EntryStatus> = self
             .peers
--- a/src/process/node/urgent.rs
+++ b/src/process/node/urgent.rs
@@ -486,7 +486,7 @@
             .backends_of(HostKind::Instance)
             .map(|entry| &entry.name)
             .filter(|name| self.leases.usable(now, name).is_none())
-            .filter(|name| self.membership.holder(now, name).is_none())
+            .filter(|name| self.peer_holder(now, name).is_none())
             .cloned()
             .collect();
         for host in lost {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -32,6 +32,6 @@
 pub use quota::{Loan, LoanId, LoanRequest, LoanTiming, Quotas};
 pub use tracked_worker::{AttemptState, TrackedAttempt, TrackedWorker};
 pub use urgent::{
-    DispatchId, InstanceResult, MessageEpoch, OwnedInstance, Ticket, UrgentAction, UrgentAnswer,
-    UrgentForward, UrgentLimits, UrgentRequest, UrgentRouter,
+    Departure, DispatchId, InstanceResult, MessageEpoch, OwnedInstance, Ticket, UrgentAction,
+    UrgentAnswer, UrgentForward, UrgentLimits, UrgentRequest, UrgentRouter,
 };
--- a/src/request/urgent.rs
+++ b/src/request/urgent.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod ask;
+mod departure;
 mod handover;
 mod instances;
 mod peers;
@@ -33,6 +34,7 @@
 use takeovers::Takeovers;
 use types::Refusal;
 
+pub use departure::Departure;
 pub use types::{
     DispatchId, InstanceResult, MessageEpoch, OwnedInstance, Ticket, UrgentAction, UrgentAnswer,
     UrgentForward, UrgentLimits, UrgentRequest,
@@ -74,6 +76,8 @@
     recent_ids: RecentIds,
     takeovers: Takeovers,
     next_dispatch: u64,
+    /// Whether this host has told its peers that it runs no more requests.
+    departing: bool,
     /// Time of the latest call of this router.
     last_event: Option<Millis>,
 }
@@ -98,6 +102,7 @@
             recent_ids: RecentIds::default(),
             takeovers: Takeovers::default(),
             next_dispatch: 0,
+            departing: false,
             last_event: None,
             limits,
         }
@@ -218,6 +223,9 @@
         if request.attach {
             return self.answer_attach(now, &key, request, out);
         }
+        if self.departing {
+            return refuse(request.ticket, Refusal::Misdirected, Ran::NotRun, out);
+        }
         if let Some(run) = self.runs.get(&key) {
             let home = request.forwarded_by.as_ref().filter(|_| request.hops >= 2);
             let cannot_join = |home: &Name| !run.can_join(home, self.handover.outranks(&key, home));
--- a/src/request/urgent/handover.rs
+++ b/src/request/urgent/handover.rs
@@ -4,6 +4,7 @@
 
 use crate::base::{Millis, Name, rank, top_ranked};
 
+use super::departure::Departure;
 use super::types::MessageEpoch;
 
 /// Host that is no longer live, or an earlier process of this host, with the instances on which its
@@ -13,11 +14,27 @@
     since: Millis,
     /// Instances that have not reported since the loss; `None` until `await_reports` names them.
     unreported: Option<HashSet<Name>>,
+    /// When recent ids were lost with it or before; `None` if it has handed all of them over.
+    ids_lost: Option<Millis>,
+    /// Whether it told this host that it runs no more requests.
+    has_departed: bool,
+    /// Whether no instance is running a request for it.
+    is_clear: bool,
 }
 
 impl LostHost {
+    fn new(now: Millis) -> Self {
+        LostHost {
+            since: now,
+            unreported: None,
+            ids_lost: Some(now),
+            has_departed: false,
+            is_clear: false,
+        }
+    }
+
     fn all_reported(&self) -> bool {
-        self.unreported.as_ref().is_some_and(HashSet::is_empty)
+        self.is_clear || self.unreported.as_ref().is_some_and(HashSet::is_empty)
     }
 }
 
@@ -85,11 +102,8 @@
         let lost_hosts: Vec<Name> = self.live.keys().filter(is_lost).cloned().collect();
         for name in &lost_hosts {
             self.live.remove(name);
-            let lost = LostHost {
-                since: now,
-                unreported: None,
-            };
-            self.lost.entry(name.clone()).or_insert(lost);
+            let lost = self.lost.entry(name.clone());
+            lost.or_insert_with(|| LostHost::new(now));
         }
         let mut changed = !lost_hosts.is_empty();
         for name in hosts.iter().filter(|name| **name != self.host) {
@@ -133,13 +147,51 @@
 
     /// Records that `host` is lost and may be running requests on `instances`.
     pub fn await_reports(&mut self, now: Millis, host: &Name, instances: Vec<Name>) {
-        let lost = self.lost.entry(host.clone()).or_insert(LostHost {
-            since: now,
-            unreported: None,
-        });
+        let lost = self.lost.entry(host.clone());
+        let lost = lost.or_insert_with(|| LostHost::new(now));
+        if lost.is_clear {
+            return;
+        }
         lost.unreported.get_or_insert_default().extend(instances);
     }
 
+    /// Records that `host` runs no more requests and that its recent ids are known here.
+    pub fn host_departed(&mut self, now: Millis, host: &Name, departure: &Departure) {
+        self.live.remove(host);
+        let lost = self.lost.entry(host.clone());
+        let lost = lost.or_insert_with(|| LostHost::new(now));
+        lost.has_departed = true;
+        lost.ids_lost = departure.loss_age.map(|age| now - age);
+        lost.is_clear = departure.is_clear;
+        if lost.is_clear {
+            lost.unreported = None;
+        }
+    }
+
+    pub fn has_departed(&self, host: &Name) -> bool {
+        self.lost.get(host).is_some_and(|lost| lost.has_departed)
+    }
+
+    /// When recent ids were last lost that this host should remember as the home of ids; `None` if
+    /// none were.
+    pub fn ids_lost(&self, now: Millis) -> Option<Millis> {
+        let own = match self.lost.get(&self.host) {
+            _ if self.is_first => None,
+            Some(lost) => lost.ids_lost,
+            None => Some(now),
+        };
+        let others = self.lost.iter().filter(|(host, _)| **host != self.host);
+        others.filter_map(|(_, lost)| lost.ids_lost).max().max(own)
+    }
+
+    /// Whether no instance may be running an id for a lost host or an earlier holder.
+    pub fn is_clear(&self) -> bool {
+        let knows_predecessor = self.is_first || self.lost.contains_key(&self.host);
+        knows_predecessor
+            && self.blocked.is_empty()
+            && self.lost.values().all(LostHost::all_reported)
+    }
+
     pub fn lost_hosts(&self) -> Vec<Name> {
         self.lost.keys().cloned().collect()
     }
@@ -188,7 +240,8 @@
                 return LossEffect::AwaitingReports;
             }
             let had_recent_ids = !self.is_first || *host != self.host;
-            if outranks && had_recent_ids && now.since(lost.since) < window {
+            let is_recent = |at: Millis| now.since(at) < window;
+            if outranks && had_recent_ids && lost.ids_lost.is_some_and(is_recent) {
                 effect = LossEffect::RecentIdsLost;
             }
         }
--- a/src/request/urgent/recent.rs
+++ b/src/request/urgent/recent.rs
@@ -20,6 +20,21 @@
         self.by_expiry.insert((expiry, key.clone()));
     }
 
+    /// Remembers an id at least until `expiry`.
+    pub fn extend(&mut self, key: &Name, expiry: Millis) {
+        if self.expiry.get(key).is_none_or(|known| *known < expiry) {
+            self.insert(key, expiry);
+        }
+    }
+
+    /// The ids in order of expiry, each with the time left until then.
+    pub fn remaining(&self, now: Millis) -> Vec<(Name, Millis)> {
+        let entries = self.by_expiry.iter().filter(|(expiry, _)| *expiry > now);
+        entries
+            .map(|(expiry, key)| (key.clone(), expiry.since(now)))
+            .collect()
+    }
+
     pub fn contains(&self, now: Millis, key: &str) -> bool {
         self.expiry.get(key).is_some_and(|expiry| *expiry > now)
     }
--- a/src/request/urgent/relay.rs
+++ b/src/request/urgent/relay.rs
@@ -18,6 +18,12 @@
     is_retry: bool,
 }
 
+impl Relay {
+    pub fn is_sent_to(&self, host: &Name) -> bool {
+        self.sent.as_ref().is_some_and(|(_, to)| to == host)
+    }
+}
+
 impl UrgentRouter {
     /// Relays the request of a caller, or adds the caller to the relay of its id.
     pub(super) fn start_relay(
@@ -86,6 +92,12 @@
             return self.refuse_relay(now, key, Refusal::Expired, out);
         }
         let home = self.handover.home(now, key).clone();
+        if self.handover.has_departed(&home) {
+            // This host still leaves the id to `home`, which will not answer any more.
+            self.relay_timers
+                .insert((now + self.limits.retry_delay, key.clone()));
+            return;
+        }
         if home == self.host || self.runs.contains_key(key) {
             return self.convert_to_run(now, key, out);
         }
--- a/tests/node/backend.rs
+++ b/tests/node/backend.rs
@@ -204,6 +204,8 @@
     /// Largest number of requests that ran at the same time.
     pub max_running: usize,
     pub served: u64,
+    /// Id of each request that it has run.
+    pub starts: Vec<Name>,
 }
 
 impl FakeInstance {
@@ -227,6 +229,7 @@
         self.running.push((request.clone(), ends));
         self.max_running = self.max_running.max(self.running.len());
         self.served += 1;
+        self.starts.push(request.clone());
         Some(ends)
     }
 
--- a/tests/node/delivery.rs
+++ b/tests/node/delivery.rs
@@ -1,10 +1,11 @@
 //! Carries out the actions of nodes and passes their messages to the fakes and to other nodes.
 
 use jayfork::base::{Millis, Offset};
-use jayfork::connection::wire::{LeaseReply, PeerReply};
+use jayfork::connection::wire::{LeaseReply, PeerReply, PeerRequest};
 use jayfork::connection::{Error, InstanceOutcome};
 use jayfork::process::node::{Action, Event, LeaseCall};
 
+use super::faults::DepartureFault;
 use super::world::{DELAY, Delivery, EPOCH, NodeId, TIMEOUT, World, connection_lost};
 
 impl World {
@@ -36,21 +37,33 @@
                     call,
                     address,
                     request,
-                    ..
+                    timeout,
                 } => {
                     let to = address.port() as usize - 1;
-                    let request = Box::new(request);
-                    let call = Delivery::PeerCall {
-                        from: node,
-                        incarnation,
-                        to,
-                        call,
-                        request,
+                    let fault = match request {
+                        PeerRequest::Departure(_) => self.faults.departure,
+                        _ => DepartureFault::None,
                     };
-                    self.push(self.now + DELAY, call);
+                    let (delays, is_answered) = fault.delays(to);
+                    if !is_answered {
+                        self.fail_call(node, incarnation, call, TIMEOUT);
+                    }
+                    for delay in delays {
+                        let call = Delivery::PeerCall {
+                            from: node,
+                            incarnation,
+                            to,
+                            // No call has the number 0.
+                            call: if is_answered { call } else { 0 },
+                            request: Box::new(request.clone()),
+                            timeout: timeout.as_millis() as u64,
+                        };
+                        self.push(self.now + DELAY + delay, call);
+                    }
                 }
                 Action::ReplyPeer { ticket, reply } => self.deliver_reply(node, ticket, reply),
-                Action::RespondMetrics { .. } | Action::Exit => {}
+                Action::Exit => self.kill(node),
+                Action::RespondMetrics { .. } => {}
                 action => {
                     let action = Box::new(action);
                     self.push(
@@ -78,10 +91,26 @@
                     self.now + DELAY,
                     Delivery::Event(from, incarnation, Box::new(event)),
                 );
+            } else {
+                self.fail_call(from, incarnation, call, TIMEOUT);
             }
         }
     }
 
+    /// Fails a call to a peer after `delay` ms. The node ignores this event if the call was answered
+    /// before.
+    pub fn fail_call(&mut self, from: NodeId, incarnation: u64, call: u64, delay: u64) {
+        let event = Event::PeerAnswered {
+            call,
+            result: Err(connection_lost()),
+            bytes: 0,
+        };
+        self.push(
+            self.now + delay,
+            Delivery::Event(from, incarnation, Box::new(event)),
+        );
+    }
+
     fn is_connected(&self, a: NodeId, b: NodeId) -> bool {
         let cut = &self.faults.cut_from_peers;
         !cut.contains(&a) && !cut.contains(&b)
@@ -146,21 +175,12 @@
                 to,
                 call,
                 request,
+                timeout,
             } => {
-                // Fails the call after the timeout. The node ignores this event if the call was
-                // answered before.
-                let event = Event::PeerAnswered {
-                    call,
-                    result: Err(connection_lost()),
-                    bytes: 0,
-                };
-                self.push(
-                    self.now + TIMEOUT,
-                    Delivery::Event(from, incarnation, Box::new(event)),
-                );
                 if !self.is_connected(from, to) || self.hosts[to].node.is_none() {
-                    return;
+                    return self.fail_call(from, incarnation, call, TIMEOUT);
                 }
+                self.fail_call(from, incarnation, call, timeout);
                 self.ticket += 1;
                 let ticket = self.ticket;
                 self.hosts[to]
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,8 @@
 
 mod backend;
 mod delivery;
+mod drain;
+mod faults;
 mod world;
 
 use jayfork::base::TaskId;
@@ -16,6 +18,8 @@
   "quota": { "processors": 64000, "memory": 262144, "accelerators": 0 },
   "classes": [
     { "name": "proof", "urgency": "urgent", "service": "service", "deadline": 7300 },
+    { "name": "check", "urgency": "urgent", "service": "service", "deadline": 7300,
+      "at_most_once": true },
     { "name": "merge", "urgency": "deferrable", "at_most_once": true },
     { "name": "index", "urgency": "background" }
   ]
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -14,6 +14,7 @@
 use jayfork::{base::Millis, process::node::Identity};
 
 use super::backend::{FakeInstance, FakeWorker};
+use super::faults::Faults;
 
 /// One-way delay of every message in ms.
 pub const DELAY: u64 = 1;
@@ -23,7 +24,7 @@
 const READ_INTERVAL: u64 = 100;
 /// Time between two reads of the host list in ms.
 const LIST_INTERVAL: u64 = 1_000;
-/// Time in ms after which a call without an answer fails.
+/// Time in ms after which a call fails whose receiver is dead or out of reach.
 pub const TIMEOUT: u64 = 1_000;
 /// Wall-clock time at simulated time zero, in ms since the Unix epoch.
 pub const EPOCH: u64 = 1_800_000_000_000;
@@ -59,6 +60,8 @@
         to: NodeId,
         call: u64,
         request: Box<PeerRequest>,
+        /// In ms.
+        timeout: u64,
     },
 }
 
@@ -79,19 +82,6 @@
     pub calls: HashMap<u64, (NodeId, u64, u64)>,
 }
 
-/// The faults that are active.
-#[derive(Debug, Default)]
-pub struct Faults {
-    /// No host can reach the log.
-    pub log_down: bool,
-    /// Appends take effect, but their answers are lost.
-    pub lose_answers: bool,
-    /// Hosts that can't reach the log.
-    pub cut_from_log: Vec<NodeId>,
-    /// Hosts that can't reach any other entry host.
-    pub cut_from_peers: Vec<NodeId>,
-}
-
 pub struct World {
     pub now: u64,
     pub faults: Faults,
@@ -227,6 +217,9 @@
         host.node = None;
         host.incarnation += 1;
         host.deferred.clear();
+        for (_, (from, incarnation, call)) in std::mem::take(&mut host.calls) {
+            self.fail_call(from, incarnation, call, TIMEOUT);
+        }
     }
 
     pub fn freeze(&mut self, node: NodeId) {
@@ -247,6 +240,18 @@
 
     /// Calls the API of a host; returns the ticket under which `responses` will have the answer.
     pub fn call_api(&mut self, node: NodeId, method: ApiMethod, path: &str, body: &str) -> u64 {
+        self.call_with_id(node, method, path, body, None)
+    }
+
+    /// As `call_api`, with a request id.
+    pub fn call_with_id(
+        &mut self,
+        node: NodeId,
+        method: ApiMethod,
+        path: &str,
+        body: &str,
+        request_id: Option<Name>,
+    ) -> u64 {
         self.ticket += 1;
         let ticket = self.ticket;
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
@@ -254,7 +259,7 @@
             method,
             path: path.to_owned(),
             query: query.to_owned(),
-            request_id: None,
+            request_id,
             body: Bytes::from(body.to_owned()),
         };
         let incarnation = self.hosts[node].incarnation;
--- a/tests/urgent_interleavings.rs
+++ b/tests/urgent_interleavings.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use jayfork::base::{Millis, Name, Ran, Token, top_ranked};
 use jayfork::request::{
-    DispatchId, InstanceResult, MessageEpoch, OwnedInstance, Ticket, UrgentAction, UrgentAnswer,
-    UrgentForward, UrgentLimits, UrgentRequest, UrgentRouter,
+    Departure, DispatchId, InstanceResult, MessageEpoch, OwnedInstance, Ticket, UrgentAction,
+    UrgentAnswer, UrgentForward, UrgentLimits, UrgentRequest, UrgentRouter,
 };
 use proptest::prelude::*;
 
@@ -50,6 +50,8 @@
     Tick(u64),
     Kill(usize),
     Restart(usize),
+    /// Begins the planned stop of a host.
+    Drain(usize),
     /// Stops a host without ending its process.
     Freeze(usize),
     /// Continues a frozen host.
@@ -76,6 +78,7 @@
         1 => (20..50_u64).prop_map(Op::Tick),
         1 => (0..HOSTS).prop_map(Op::Kill),
         1 => (0..HOSTS).prop_map(Op::Restart),
+        1 => (0..HOSTS).prop_map(Op::Drain),
         1 => (0..HOSTS).prop_map(Op::Freeze),
         2 => (0..HOSTS).prop_map(Op::Thaw),
         1 => (0..HOSTS, 0..HOSTS).prop_map(|(a, b)| Op::Link(a, b)),
@@ -99,6 +102,13 @@
     incarnation: u64,
     is_alive: bool,
     is_frozen: bool,
+    is_draining: bool,
+    /// What it tells its peers, once it runs no more requests, and since when.
+    departure: Option<(Departure, u64)>,
+    /// Peers that have to confirm it before the host exits.
+    unconfirmed: BTreeSet<usize>,
+    /// By peer, the process that has told this host of its departure.
+    departed: BTreeMap<usize, u64>,
     /// Time of the latest heartbeat from each host.
     last_heard: [Option<u64>; HOSTS],
     /// Hosts that this host counts as live, including itself.
@@ -214,6 +224,10 @@
             incarnation: 0,
             is_alive: true,
             is_frozen: false,
+            is_draining: false,
+            departure: None,
+            unconfirmed: BTreeSet::new(),
+            departed: BTreeMap::new(),
             last_heard: [None; HOSTS],
             live: vec![host],
             leases: BTreeMap::new(),
@@ -260,6 +274,7 @@
             Op::Tick(steps) => self.tick(steps),
             Op::Kill(host) => self.kill(host),
             Op::Restart(host) => self.restart(host),
+            Op::Drain(host) => self.hosts[host].is_draining = self.hosts[host].is_alive,
             Op::Freeze(host) => self.hosts[host].is_frozen = true,
             Op::Thaw(host) => self.hosts[host].is_frozen = false,
             Op::Link(a, b) => toggle(&mut self.cut_links, (a.min(b), a.max(b))),
@@ -275,7 +290,8 @@
     }
 
     fn submit(&mut self, host: usize, id: usize) {
-        if !self.hosts[host].is_running() {
+        // A departing host refuses its callers.
+        if !self.hosts[host].is_running() || self.hosts[host].departure.is_some() {
             return;
         }
         let kind = if id % 3 == 0 { 'o' } else { 'i' };
@@ -662,6 +678,9 @@
         this_host.incarnation += 1;
         this_host.router = new_router(host, this_host.incarnation);
         this_host.is_alive = true;
+        this_host.is_draining = false;
+        this_host.departure = None;
+        this_host.departed.clear();
         this_host.last_heard = [None; HOSTS];
         this_host.live = vec![host];
         this_host.leases.clear();
@@ -680,11 +699,69 @@
             for host in 0..HOSTS {
                 if self.hosts[host].is_running() {
                     self.update_host(host);
+                    self.stop(host);
+                } else if !self.hosts[host].is_alive {
+                    // What a host has told may arrive after its exit.
+                    self.tell_peers(host);
                 }
             }
         }
     }
 
+    /// Advances the planned stop of a host: it waits until nothing is in progress, gives back its
+    /// leases, and exits once its peers have confirmed its departure or the time for it is over.
+    fn stop(&mut self, host: usize) {
+        if !self.hosts[host].is_draining || self.hosts[host].router.in_progress() > 0 {
+            return;
+        }
+        if self.hosts[host].departure.is_none() {
+            for index in std::mem::take(&mut self.hosts[host].leases).into_keys() {
+                let instance = &mut self.instances[index];
+                if instance.holder == Some(host) {
+                    instance.lease_expiry = self.now;
+                }
+            }
+            self.hosts[host].reports.clear();
+            let peers = self.hosts[host].live.iter().copied();
+            let peers = peers.filter(|peer| *peer != host);
+            self.hosts[host].unconfirmed = peers.collect();
+            let departure = self.hosts[host].router.depart(Millis(self.now));
+            self.hosts[host].departure = Some((departure, self.now));
+        }
+        self.tell_peers(host);
+        let since = self.hosts[host].departure.as_ref().map(|(_, since)| *since);
+        let is_over = since.is_some_and(|since| self.now >= since + PEER_TIMEOUT);
+        if self.hosts[host].unconfirmed.is_empty() || is_over {
+            self.kill(host);
+        }
+    }
+
+    /// Tells the peers in reach that have not confirmed the departure of a host.
+    fn tell_peers(&mut self, host: usize) {
+        for peer in self.hosts[host].unconfirmed.clone() {
+            let is_cut = self.cut_links.contains(&(host.min(peer), host.max(peer)));
+            if !is_cut && self.hosts[peer].is_running() && self.tell_departure(host, peer) {
+                self.hosts[host].unconfirmed.remove(&peer);
+            }
+        }
+    }
+
+    /// Tells a peer of a departure; returns whether the peer confirms it.
+    fn tell_departure(&mut self, host: usize, peer: usize) -> bool {
+        let (name, incarnation) = (self.hosts[host].name.clone(), self.hosts[host].incarnation);
+        let Some((departure, _)) = self.hosts[host].departure.clone() else {
+            return false;
+        };
+        let is_new = self.hosts[peer].departed.insert(host, incarnation) != Some(incarnation);
+        if is_new {
+            self.with_router(peer, |router, now, out| {
+                router.remember(now, &departure.ids);
+                router.host_departed(now, &name, &departure, out);
+            });
+        }
+        !self.hosts[peer].router.has_open_message(&name)
+    }
+
     fn exchange_heartbeats(&mut self) {
         for a in 0..HOSTS {
             for b in 0..HOSTS {
@@ -722,6 +799,8 @@
         }
         if held_token.is_none() {
             let is_free = instance.lease_expiry <= self.now || instance.holder == Some(host);
+            // A draining host takes no leases.
+            let is_free = is_free && !this_host.is_draining;
             if !is_free || top_ranked(&instance.name, &candidates) != Some(&this_host.name) {
                 return;
             }
@@ -739,7 +818,10 @@
             *other == host || this_host.last_heard[*other].is_some_and(|at| now - at < PEER_TIMEOUT)
         };
         let live: Vec<usize> = (0..HOSTS).filter(is_live).collect();
-        let names: Vec<Name> = live.iter().map(|h| host_name(*h)).collect();
+        let has_departed =
+            |other: &usize| this_host.departed.get(other) == Some(&self.hosts[*other].incarnation);
+        let present = live.iter().filter(|other| !has_departed(other));
+        let names: Vec<Name> = present.map(|h| host_name(*h)).collect();
         self.hosts[host].live = live;
         self.with_router(host, |router, now, out| router.set_hosts(now, &names, out));
         let unheld = self.unheld_instances(host);
