Survive the largest age in an answer of a peer

Cause: lower_bound added a tenth to an age from a peer's answer without a bound. The largest age in a report of a heartbeat, or in relayed records, overflowed: a build with overflow checks panics, which ends the host's core; one without gets a wrong age. Change: the sum saturates. Before: two of the new tests panicked in lower_bound ("attempt to add with overflow"): an_odd_answer_of_a_peer_ends_nothing::hello and the_largest_age_of_relayed_records_ends_nothing. After: all 22 tests of tests/node/odd_messages.rs pass: requests and answers of each kind with the largest numbers, empty names, other hosts' names, answers of another kind; then all hosts still serve requests and jobs. Conclusion: of the numbers tried, only the age could end the core. Not tried: each number of each message alone.

--- a/src/process/node/peers.rs
+++ b/src/process/node/peers.rs
@@ -468,7 +468,7 @@
 /// The peer may have taken the age as early as `sent`, when the call was sent, and its clock may
 /// run 10% slower than this host's.
 fn lower_bound(sent: Millis, age: u64) -> Millis {
-    sent - Millis(age + age / 10)
+    sent - Millis(age.saturating_add(age / 10))
 }
 
 /// The answer that a forwarded request got; `None` if its outcome is unknown.
--- a/tests/node/delivery.rs
+++ b/tests/node/delivery.rs
@@ -79,7 +79,10 @@
         }
     }
 
-    fn deliver_reply(&mut self, node: NodeId, ticket: u64, reply: PeerReply) {
+    fn deliver_reply(&mut self, node: NodeId, ticket: u64, mut reply: PeerReply) {
+        if let Some((_, change)) = self.faults.odd_replies.filter(|(odd, _)| *odd == node) {
+            change(&mut reply);
+        }
         if let Some((from, incarnation, call)) = self.hosts[node].calls.remove(&ticket) {
             if self.is_connected(node, from) {
                 let event = Event::PeerAnswered {
--- a/tests/node/faults.rs
+++ b/tests/node/faults.rs
@@ -1,7 +1,12 @@
 //! Faults of the platform and of the links between hosts.
 
+use jayfork::connection::wire::PeerReply;
+
 use super::world::NodeId;
 
+/// Changes an answer to another host.
+pub type ReplyChange = fn(&mut PeerReply);
+
 /// How the calls arrive in which a stopping host tells its peers which ids it ran.
 #[derive(Debug, Default, Clone, Copy)]
 pub enum DepartureFault {
@@ -42,4 +47,6 @@
     /// Hosts that can't reach any other entry host.
     pub cut_from_peers: Vec<NodeId>,
     pub departure: DepartureFault,
+    /// A host and what it does to each of its answers to other hosts.
+    pub odd_replies: Option<(NodeId, ReplyChange)>,
 }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod delivery;
 mod drain;
 mod faults;
+mod odd_messages;
 mod world;
 
 use jayfork::base::TaskId;
