Count the wait for unreachable workers from the stored claim

Cause: claimed_at was set when the claim was sent. While the store is down the owner before it goes on renewing leases, and the next owner, whose claim is stored seconds later, had its wait already behind it.

Change: claimed_at is set again when the claim is known to be stored, before which no record is read.

Before: the new test the_wait_for_a_worker_begins_when_the_claim_is_stored fails with "runs twice at once" (second start 0.6 s after the worker is cut off).

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -83,6 +83,7 @@
                 // read.
                 if self.phase == Phase::Claiming {
                     self.phase = Phase::Loading;
+                    self.claimed_at = now.steady;
                     self.load(out);
                 }
             }
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -195,6 +195,7 @@
     pub(super) partition: Partition,
     pub(super) owner: OwnerRecord,
     pub(super) phase: Phase,
+    /// When the claim was known to be stored; until then, earlier owners may renew leases.
     pub(super) claimed_at: Millis,
     pub(super) queues: QueueIndex,
     pub(super) journal: Journal,
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -326,6 +326,28 @@
     world.assert_no_violations();
 }
 
+/// Guards against two runs of a task at once because a next owner counts the wait for a worker from the time
+/// when it sent its claim, although the owner before it renewed leases until the claim was stored.
+#[test]
+fn the_wait_for_a_worker_begins_when_the_claim_is_stored() {
+    let mut world = World::new(7, 3, 8_000);
+    let first = world.claim();
+    world.run(500);
+    world.submit(1, &long_running(1, 6_000));
+    world.run(3_000);
+    let holder = world.holder(1);
+    world.store.is_down = true;
+    world.claim();
+    world.run(9_000);
+    assert_eq!(world.holder(1), holder);
+    world.kill(first);
+    world.fleet.workers[holder].is_unreachable = true;
+    world.store.is_down = false;
+    world.run(12_000);
+    world.assert_no_violations();
+    assert_eq!(world.running(1), 1);
+}
+
 /// Loses a worker and its owner `delay` milliseconds after the worker's restart, and lets the next owner
 /// start job 3 elsewhere. Returns the simulation, or `None` if the worker has got no start order by then.
 fn world_after_loss(seed: u64, delay: u64) -> Option<World> {
