Keep suspicions of crashes across owners, and hold a task with several of them

Cause: a run that was lost with its worker soon after its start is suspect until the worker's process is known to have ended. That suspicion was lost with the owner. While it was open the task was started again, so one change of the owner could lose two crashes: the open one and that of the run under way.

Change: suspect runs whose start the worker had confirmed are recorded (u/ID of the worker) with the worker's incarnation; the next owner counts them once a later incarnation reports or another worker has the address, and drops them if the same incarnation reports. A start without confirmation may never have been carried out: it is not recorded and counts for no later owner, so its task waits for the proof until 8 s after that start (a restart is due 9 s after the loss). A task with two open suspicions, or one and a counted crash, waits for the proof for at most 30 s from the loss. No record is written for a start; one is written for a worker that is lost with runs that started within the second before.

New tests: a suspicion is known to the next owner; no crash is counted there for a worker that was only cut off, or without confirmation; a task that has lost two workers for good starts again.

--- a/src/process/shard/crashes.rs
+++ b/src/process/shard/crashes.rs
@@ -6,11 +6,12 @@
 //! From the suspicion on, the task runs on trial: none of its workers starts another task until the
 //! run has survived its start, so that no other task is blamed for a crash that it causes.
 
+use super::journal::Journal;
 use super::shard::{Now, Shard};
 use super::worker::{Run, RunState, Worker};
 use crate::base::{Millis, Name};
-use crate::request::job::{JobId, Outcome, TaskCrashes, TaskKey};
-use crate::version::ShardRecord;
+use crate::request::job::{JobId, Outcome, Suspicion, TaskCrashes, TaskKey};
+use crate::version::{ShardRecord, SuspectRecord};
 
 /// Crashed workers after which a task is given up. The proof of a crash may come after the next start,
 /// and each change of the owner may lose one crash, since starts are not recorded.
@@ -30,17 +31,18 @@
 /// How long a worker that is gone is asked whether its process has ended, in milliseconds. A crashed
 /// worker is back after some seconds.
 const PROOF_TIME: Millis = Millis(30_000);
+/// How long after a start that the worker has not confirmed its task waits for the proof of a crash, in
+/// milliseconds. No later owner would know of that crash. A long-running task is to run again 9 s after
+/// the loss of its worker; this leaves a second for the start.
+const UNCONFIRMED_HOLD: Millis = Millis(8_000);
 
 /// A run that was lost with its worker soon after its start.
 #[derive(Debug, Clone, Copy)]
 pub struct SuspectRun {
-    task: TaskKey,
-    run: u64,
-    started: Millis,
+    record: SuspectRecord,
     lost: Millis,
-    /// Whether its worker had not reported since its start was over.
-    is_recent: bool,
-    /// Whether the worker had confirmed the start.
+    /// Whether the worker had confirmed the start. Only then do later owners learn of it: without, the
+    /// worker may never have got the order.
     is_confirmed: bool,
 }
 
@@ -62,17 +64,28 @@
         if run.is_adopted || worker.is_draining || worker.has_survived(run) {
             return;
         }
-        let is_recent = !worker.is_past_start(run);
-        worker.suspects.push(SuspectRun {
+        let record = SuspectRecord {
             task,
             run: run.run,
-            started: run.started,
+            incarnation: worker.incarnation_of(run),
+            lost: now.wall,
+            is_recent: !worker.is_past_start(run),
+        };
+        worker.suspects.push(SuspectRun {
+            record,
             lost: now.steady,
-            is_recent,
             is_confirmed: run.is_confirmed,
         });
+        let suspicion = Suspicion {
+            run: run.run,
+            until: now.steady + PROOF_TIME,
+            held_until: match run.is_confirmed {
+                true => now.steady,
+                false => run.started + UNCONFIRMED_HOLD,
+            },
+        };
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
-            job.begin_trial(task, now.steady);
+            job.suspect(task, suspicion, now.steady);
         }
     }
 
@@ -84,10 +97,17 @@
         if worker.suspects.is_empty() && worker.trials.is_empty() {
             return;
         }
-        let restart = worker.restart;
+        let current = worker.incarnation.unwrap_or(0);
+        let suspects = std::mem::take(&mut worker.suspects);
         // The process that has answered is the one that got the other runs: it was only cut off.
-        let mut proven = std::mem::take(&mut worker.suspects);
-        proven.retain(|suspect| restart.is_some_and(|restart| suspect.started < restart.seen));
+        let (proven, disproven): (Vec<SuspectRun>, Vec<SuspectRun>) = suspects
+            .into_iter()
+            .partition(|suspect| suspect.record.incarnation < current);
+        for SuspectRun { record, .. } in disproven {
+            if let Some(job) = self.jobs.get_mut(&record.task.step.job) {
+                job.clear_suspicion(record.task, record.run);
+            }
+        }
         self.count_crashes(now, worker_id, &proven);
         self.end_trials(worker_id);
     }
@@ -103,19 +123,29 @@
     /// Counts the crash of a worker against the tasks whose runs have caused it, as far as is known.
     fn count_crashes(&mut self, now: Now, worker_id: &Name, proven: &[SuspectRun]) {
         // Most likely the newest run has crashed the worker.
-        let has_recent = proven.iter().any(|suspect| suspect.is_recent);
-        let is_blamed = |suspect: &&SuspectRun| suspect.is_recent || !has_recent;
-        let blamed = proven.iter().filter(is_blamed).count();
-        for suspect in proven.iter().filter(is_blamed) {
+        let has_recent = proven.iter().any(|suspect| suspect.record.is_recent);
+        let is_blamed = |suspect: &SuspectRecord| suspect.is_recent || !has_recent;
+        let records = proven.iter().map(|suspect| &suspect.record);
+        let blamed = records.filter(|record| is_blamed(record)).count();
+        for SuspectRun {
+            record: suspect,
+            is_confirmed,
+            ..
+        } in proven
+        {
             let id = suspect.task.step.job;
             let Some(job) = self.jobs.get_mut(&id) else {
                 continue;
             };
+            if !is_blamed(suspect) {
+                job.clear_suspicion(suspect.task, suspect.run);
+                continue;
+            }
             let crashes = job.count_crash(suspect.task, suspect.run, now.steady);
             if crashes == 0 {
                 continue;
             }
-            let limit = match suspect.is_recent && suspect.is_confirmed {
+            let limit = match suspect.is_recent && *is_confirmed {
                 true => MAX_CRASHES,
                 false => MAX_LATE_CRASHES,
             };
@@ -137,6 +167,12 @@
         Some(now.steady.since(since) < QUIET_WAIT)
     }
 
+    /// Whether a task is not to start yet because it is most likely to crash the next worker too.
+    pub(super) fn awaits_proof(&self, now: Now, task: TaskKey) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.is_some_and(|job| job.awaits_proof(task, now.steady))
+    }
+
     /// Ends the trials of the runs that have survived their start.
     fn end_trials(&mut self, worker_id: &Name) {
         let Some(worker) = self.workers.get_mut(worker_id) else {
@@ -171,6 +207,35 @@
         }
     }
 
+    /// Restores the suspect runs that earlier owners recorded.
+    pub(super) fn restore_suspects(&mut self, now: Now, recorded: Vec<(Name, Vec<SuspectRecord>)>) {
+        for (id, records) in recorded {
+            let Some(worker) = self.workers.get_mut(&id) else {
+                let record = ShardRecord::Suspects(id, None);
+                self.journal.push(&record, None);
+                continue;
+            };
+            worker.recorded_suspects.clone_from(&records);
+            for record in records {
+                let age = Millis(now.wall.saturating_sub(record.lost));
+                let lost = now.steady.since(age);
+                worker.suspects.push(SuspectRun {
+                    record,
+                    lost,
+                    is_confirmed: true,
+                });
+                let suspicion = Suspicion {
+                    run: record.run,
+                    until: lost + PROOF_TIME,
+                    held_until: lost,
+                };
+                if let Some(job) = self.jobs.get_mut(&record.task.step.job) {
+                    job.suspect(record.task, suspicion, now.steady);
+                }
+            }
+        }
+    }
+
     /// Records the crashes that count against the tasks of a job, for later owners.
     fn record_crashes(&mut self, id: JobId) {
         if self.ending.contains_key(&id) {
@@ -186,6 +251,26 @@
 }
 
 impl Worker {
+    /// Records its suspect runs if the record is outdated.
+    pub(super) fn record_suspects(&mut self, journal: &mut Journal) {
+        let confirmed = self.suspects.iter().filter(|suspect| suspect.is_confirmed);
+        let records: Vec<SuspectRecord> = confirmed.map(|suspect| suspect.record).collect();
+        if records == self.recorded_suspects {
+            return;
+        }
+        self.recorded_suspects.clone_from(&records);
+        let value = (!records.is_empty()).then_some(records);
+        journal.push(&ShardRecord::Suspects(self.id.clone(), value), None);
+    }
+
+    /// Start of the incarnation that got a run; 0 if a later one has reported.
+    fn incarnation_of(&self, run: &Run) -> u64 {
+        match self.restart {
+            Some(restart) if run.started < restart.seen => 0,
+            _ => self.incarnation.unwrap_or(u64::MAX),
+        }
+    }
+
     /// When the incarnation of a run last reported.
     fn last_report_with(&self, run: &Run) -> Option<Millis> {
         match self.restart {
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -9,7 +9,7 @@
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
 use crate::platform::{RegistryEntry, WorkerState};
 use crate::request::job::{Job, JobId, StartPermit, TaskCrashes};
-use crate::version::{JobStateRecord, LeaseRecord, ShardRecord};
+use crate::version::{JobStateRecord, LeaseRecord, ShardRecord, SuspectRecord};
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
 const LOAD_RETRY: Millis = Millis(100);
@@ -195,6 +195,7 @@
         let mut deferred: Vec<JobId> = Vec::new();
         let mut crashes: Vec<(JobId, Vec<TaskCrashes>)> = Vec::new();
         let mut leases: Vec<(Name, LeaseRecord)> = Vec::new();
+        let mut suspects: Vec<(Name, Vec<SuspectRecord>)> = Vec::new();
         for record in records {
             match record {
                 ShardRecord::Job(id, Some(job)) => {
@@ -217,12 +218,14 @@
                     worker.recorded_leaving = record.is_leaving;
                 }
                 ShardRecord::Lease(id, Some(lease)) => leases.push((id, lease)),
+                ShardRecord::Suspects(id, Some(runs)) => suspects.push((id, runs)),
                 ShardRecord::Owner(_)
                 | ShardRecord::Lease(_, None)
                 | ShardRecord::Job(_, None)
                 | ShardRecord::State(_, None)
                 | ShardRecord::Deferred(_, false)
                 | ShardRecord::Crashes(_, None)
+                | ShardRecord::Suspects(_, None)
                 | ShardRecord::Worker(_, None) => {}
             }
         }
@@ -257,6 +260,7 @@
             self.open_turns(now, id);
         }
         self.restore_crashes(now, crashes);
+        self.restore_suspects(now, suspects);
         tracing::info!(
             epoch = self.owner.epoch,
             jobs = self.jobs.len(),
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -130,7 +130,8 @@
             return Some(());
         }
         if spec.gang {
-            if waiting.len() == usize::from(spec.count) {
+            let awaits_proof = waiting.iter().any(|task| self.awaits_proof(now, *task));
+            if waiting.len() == usize::from(spec.count) && !awaits_proof {
                 self.place_gang(now, &service, spec, &waiting, candidates, out);
             }
             return Some(());
@@ -140,6 +141,10 @@
             if self.has_max_pending_starts() {
                 return Some(());
             }
+            if has_trials && self.awaits_proof(now, task) {
+                is_held = true;
+                continue;
+            }
             let trial = match has_trials {
                 true => self.trial_needs_quiet(now, task),
                 false => None,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -179,6 +179,7 @@
             } else {
                 worker.record(&mut self.journal);
                 worker.record_lease(now.steady, granted, &mut self.journal);
+                worker.record_suspects(&mut self.journal);
             }
         }
         for id in removed {
@@ -187,6 +188,10 @@
                     let record = ShardRecord::Lease(id.clone(), None);
                     self.journal.push(&record, None);
                 }
+                if !worker.recorded_suspects.is_empty() {
+                    let record = ShardRecord::Suspects(id.clone(), None);
+                    self.journal.push(&record, None);
+                }
                 if worker.is_recorded || worker.is_recording {
                     self.journal.push(&ShardRecord::Worker(id, None), None);
                 }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -7,7 +7,7 @@
 use super::crashes::{SuspectRun, WorkerRestart};
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{BestEffortGroup, Headroom, JobId, ServingTask, TaskKey};
-use crate::version::LeaseRecord;
+use crate::version::{LeaseRecord, SuspectRecord};
 
 /// Slowest allowed clock of a worker, in percent of true time.
 const SLOWEST_CLOCK: u64 = 98;
@@ -165,6 +165,8 @@
     pub restart: Option<WorkerRestart>,
     /// Runs that were lost here soon after their start; it is not known yet whether the process ended.
     pub suspects: Vec<SuspectRun>,
+    /// The newest record of them.
+    pub recorded_suspects: Vec<SuspectRecord>,
     /// Tasks on trial here, which have not survived their start yet. Meanwhile no other task starts
     /// here.
     pub trials: Vec<TaskKey>,
@@ -218,6 +220,7 @@
             last_learned: Millis(0),
             restart: None,
             suspects: Vec::new(),
+            recorded_suspects: Vec::new(),
             trials: Vec::new(),
         }
     }
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -20,4 +20,4 @@
 pub use order::{ObjectiveStatus, OrderKey, TurnState, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
-pub use trials::{TaskCrashes, Trial};
+pub use trials::{Suspicion, TaskCrashes, Trial};
--- a/src/request/job/trials.rs
+++ b/src/request/job/trials.rs
@@ -14,6 +14,18 @@
     crashed_runs: Vec<u64>,
     /// When the newest suspicion or proof came up.
     since: Millis,
+    /// Runs of which it is not known yet whether they have crashed their workers.
+    suspected: Vec<Suspicion>,
+}
+
+/// A run that may have crashed its worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Suspicion {
+    pub run: u64,
+    /// Until when a proof may come.
+    pub until: Millis,
+    /// Until when the task waits for the proof even if it is not known to have crashed any other worker.
+    pub held_until: Millis,
 }
 
 /// Runs of one task that have crashed their workers, as they are recorded.
@@ -26,9 +38,31 @@
 }
 
 impl Job {
-    /// Puts a task on trial, or begins its trial again.
-    pub fn begin_trial(&mut self, key: TaskKey, now: Millis) {
-        self.trials.entry(key).or_default().since = now;
+    /// Puts a task on trial for a run that may have crashed its worker, or begins its trial again.
+    pub fn suspect(&mut self, key: TaskKey, suspicion: Suspicion, now: Millis) {
+        let trial = self.trials.entry(key).or_default();
+        trial.since = now;
+        if !trial.crashed_runs.contains(&suspicion.run) {
+            trial.suspected.push(suspicion);
+        }
+    }
+
+    /// Ends the suspicion of a run.
+    pub fn clear_suspicion(&mut self, key: TaskKey, run: u64) {
+        if let Some(trial) = self.trials.get_mut(&key) {
+            trial.suspected.retain(|suspicion| suspicion.run != run);
+        }
+    }
+
+    /// Whether a task is to wait for the proof that a run of it has crashed its worker.
+    pub fn awaits_proof(&self, key: TaskKey, now: Millis) -> bool {
+        let Some(trial) = self.trials.get(&key) else {
+            return false;
+        };
+        let suspected = trial.suspected.iter();
+        let open = suspected.clone().filter(|open| now < open.until).count();
+        let has_several = open > 0 && open + trial.crashed_runs.len() > 1;
+        has_several || suspected.clone().any(|open| now < open.held_until)
     }
 
     /// Ends a trial; returns whether crashes were counted in it.
@@ -51,6 +85,7 @@
         if !is_open {
             return 0;
         }
+        self.clear_suspicion(key, run);
         let trial = self.trials.entry(key).or_default();
         if !trial.crashed_runs.contains(&run) {
             trial.crashed_runs.push(run);
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -27,6 +27,6 @@
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
     Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord, ShardRecord,
-    WorkerRecord,
+    SuspectRecord, WorkerRecord,
 };
 pub use suspicion::Suspicion;
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -8,7 +8,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::base::Name;
-use crate::request::job::{JobId, JobProgress, JobSpec, LearnedImage, Outcome, TaskCrashes};
+use crate::request::job::{
+    JobId, JobProgress, JobSpec, LearnedImage, Outcome, TaskCrashes, TaskKey,
+};
 
 /// Upper bound of the memory of a decoded record, in bytes. The store takes up to 2 MiB at once, and a
 /// byte becomes a number of 8 bytes at most.
@@ -51,6 +53,20 @@
     pub is_long: bool,
 }
 
+/// A run whose start the worker has confirmed, and that was lost with it soon after.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRecord {
+    pub task: TaskKey,
+    pub run: u64,
+    /// Start of the worker's incarnation that got the run, in Unix milliseconds; 0 if it has certainly
+    /// ended.
+    pub incarnation: u64,
+    /// When it was lost, in Unix milliseconds.
+    pub lost: u64,
+    /// Whether its worker had not reported since its start was over.
+    pub is_recent: bool,
+}
+
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -90,6 +106,9 @@
     /// Runs of a job's tasks that have crashed their workers. They have a record of their own, since
     /// hosts of earlier versions skip unknown keys but could not decode another form of the state.
     Crashes(JobId, Option<Vec<TaskCrashes>>),
+    /// The runs that a worker has confirmed and may have crashed it, until it is known whether its process
+    /// has ended.
+    Suspects(Name, Option<Vec<SuspectRecord>>),
 }
 
 const OWNER: &str = "owner";
@@ -106,6 +125,7 @@
             ShardRecord::Deferred(id, _) => format!("n/{id}"),
             ShardRecord::Contention(_) => CONTENTION.to_owned(),
             ShardRecord::Crashes(id, _) => format!("c/{id}"),
+            ShardRecord::Suspects(id, _) => format!("u/{id}"),
         }
     }
 
@@ -121,6 +141,7 @@
             ShardRecord::Deferred(_, false) => Bytes::new(),
             ShardRecord::Contention(learned) => encode(learned),
             ShardRecord::Crashes(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Suspects(_, value) => value.as_ref().map(encode).unwrap_or_default(),
         }
     }
 
@@ -158,6 +179,10 @@
                 id.parse().map_err(|_| unknown())?,
                 decode_optional(key, value)?,
             )),
+            "u" => Ok(ShardRecord::Suspects(
+                id.into(),
+                decode_optional(key, value)?,
+            )),
             _ => Err(unknown()),
         }
     }
--- a/tests/shard/crashes.rs
+++ b/tests/shard/crashes.rs
@@ -1,8 +1,8 @@
 //! Tasks that crash the workers that start them, and workers that crash for other reasons.
 
 use jayfork::process::shard::Reply;
-use jayfork::request::job::{JobId, JobSpec, Outcome, TaskCrashes};
-use jayfork::version::{JobStateRecord, ShardRecord};
+use jayfork::request::job::{JobId, JobSpec, Outcome, StepId, TaskCrashes, TaskKey};
+use jayfork::version::{JobStateRecord, ShardRecord, SuspectRecord};
 use yare::parameterized;
 
 use super::fleet::Worker;
@@ -42,6 +42,12 @@
     panic!("job {id} does not run");
 }
 
+/// Whether the store holds a record whose key begins with `prefix`.
+fn has_record(world: &World, prefix: &str) -> bool {
+    let mut keys = world.store.records.keys();
+    keys.any(|key| key.starts_with(prefix))
+}
+
 fn submit_crashing(world: &mut World, id: u64, spec: &JobSpec) {
     world.fleet.crashing.insert(JobId(id));
     world.submit(id, spec);
@@ -196,6 +202,114 @@
     assert_eq!(world.running(1), 1);
 }
 
+/// Guards against runs that the next owner counts as crashes although their worker was only cut off, and
+/// against records of such suspicions that are never deleted.
+#[test]
+fn a_worker_that_was_cut_off_does_not_count_as_crashed_for_the_next_owner() {
+    for seed in 0..6 {
+        let mut world = world_with_owner(seed, 3, false);
+        world.submit(1, &long_running(1, 1_000));
+        let worker = next_holder(&mut world, 1);
+        world.fleet.workers[worker].is_unreachable = true;
+        next_holder(&mut world, 1);
+        world.run(200);
+        assert!(has_record(&world, "u/"));
+        let owner = world.owner().expect("an owner");
+        world.kill(owner);
+        world.claim();
+        world.fleet.workers[worker].is_unreachable = false;
+        world.run(1_000);
+        assert!(!has_record(&world, "u/") && !has_record(&world, "c/"));
+        world.run(10_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(1), 1);
+    }
+}
+
+/// Guards against a task that waits for good for the proof that it has crashed its workers.
+#[test]
+fn a_task_that_has_lost_two_workers_for_good_starts_again() {
+    let mut world = world_with_owner(7, 4, false);
+    world.submit(1, &long_running(1, 1_000));
+    for _ in 0..2 {
+        let worker = next_holder(&mut world, 1);
+        world.fleet.workers[worker].is_unreachable = true;
+    }
+    let owner = world.owner().expect("an owner");
+    world.run(9_000);
+    world.kill(owner);
+    world.claim();
+    // The time for the proof is 30 s from the loss, also with a new owner.
+    world.run(30_000);
+    let reachable = world
+        .fleet
+        .workers
+        .iter()
+        .filter(|worker| !worker.is_unreachable);
+    let running: usize = reachable.map(|worker| worker.runs.len()).sum();
+    assert_eq!(running, 1);
+    world.assert_no_violations();
+}
+
+/// Guards against a suspicion that is lost with its owner, so that the crash is never counted although the
+/// worker has confirmed the start.
+#[test]
+fn a_suspicion_is_known_to_the_next_owner() {
+    let mut recorded = 0;
+    for seed in 0..12 {
+        let mut world = world_with_owner(seed, 12, false);
+        submit_crashing(&mut world, 1, &long_running(1, 1_000));
+        while !has_record(&world, "u/") && !has_record(&world, "c/") {
+            world.run(STEP);
+        }
+        if has_record(&world, "c/") {
+            // The start was not confirmed.
+            continue;
+        }
+        recorded += 1;
+        world.fleet.crashing.clear();
+        let owner = world.owner().expect("an owner");
+        world.kill(owner);
+        world.claim();
+        let claimed = world.now;
+        while !has_record(&world, "c/") {
+            assert!(world.now < claimed + 10_000, "the crash does not count");
+            world.run(STEP);
+        }
+        world.run(10_000);
+        assert!(!has_record(&world, "u/"));
+        world.assert_no_violations();
+        assert_eq!(world.running(1), 1);
+    }
+    assert!(recorded > 2, "{recorded} suspicions");
+}
+
+/// Guards against a run that a later owner counts as a crash although its worker may never have got the
+/// order, and against a long-running task that waits too long because its start was not confirmed.
+#[test]
+fn a_start_without_confirmation_is_no_crash_for_the_next_owner() {
+    let mut world = world_with_owner(7, 3, false);
+    world.faults.answer_loss = 1.0;
+    world.submit(1, &long_running(1, 1_000));
+    let worker = next_holder(&mut world, 1);
+    world.fleet.workers[worker].is_unreachable = true;
+    world.run(200);
+    world.faults.answer_loss = 0.0;
+    // The limit for the loss of a silent worker is 9 s.
+    world.run(8_800);
+    assert_eq!(world.running(1), 1);
+    assert_ne!(world.holder(1), worker);
+    let owner = world.owner().expect("an owner");
+    world.kill(owner);
+    world.claim();
+    world.fleet.restart(world.now, worker);
+    world.fleet.workers[worker].is_unreachable = false;
+    world.run(12_000);
+    assert!(!has_record(&world, "u/") && !has_record(&world, "c/"));
+    assert_eq!(world.running(1), 1);
+    world.assert_no_violations();
+}
+
 /// Guards against a task that fails because it is tried again on a worker on which one that crashes its
 /// workers has just started.
 #[test]
@@ -275,6 +389,28 @@
     }
 }
 
+/// Guards against suspicions that a later owner reads differently than they were recorded.
+#[test]
+fn recorded_suspicions_are_read_back() {
+    let step = StepId {
+        job: JobId(7),
+        turn: 2,
+        step: 1,
+    };
+    let suspect = SuspectRecord {
+        task: TaskKey { step, index: 300 },
+        run: 65_537,
+        incarnation: 1_796_000_000_000,
+        lost: 1_796_000_006_000,
+        is_recent: true,
+    };
+    for value in [Some(vec![suspect]), None] {
+        let record = ShardRecord::Suspects("worker-1".into(), value);
+        let decoded = ShardRecord::decode(&record.key(), &record.value());
+        assert_eq!(decoded, Ok(record));
+    }
+}
+
 /// Guards against crashes that are proven seconds late because the next worker at the address is there
 /// for less than the pause between two requests for reports: the task was started five times.
 #[test]
