Let the wait for a lost worker count for the next owners

Cause: each owner waited for a silent worker anew, for 8.2 s from its claim. With owners that change every 7 s or faster, a task lost with that worker never started again.

Change: an owner that has not heard a worker cannot have granted it a lease, since a lease end needs the worker's clock. So while a recorded worker does not answer, the owner records every 0.5 s how long it was waited for (v/ID: the sum of the owners' times, on their own monotonic clocks, from the stored claim of the first owner that did not hear it), and the next owner waits for the rest. The base is the claim after which the last owner that may have granted a lease was fenced. Once the worker reports, it gets no renewal and no start until the deletion of the record is stored. A superseded owner cannot store it, so what it sends grants nothing. A record of an owner two ordinals before does not count: one of an earlier version may have come between.

Before: a_lost_worker_is_not_waited_for_anew_by_each_owner fails. New tests in waits.rs. Without the deletion, a_worker_that_has_got_a_lease_since_is_waited_for fails in the case started; with leases before the deletion is stored, in renewed_in_an_outage ("runs twice at once").

Conclusion: a worker that comes back while the store is down gets no lease until it is up again; its runs then end with their leases. This concerns only workers that were silent to the owner since its claim.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -10,7 +10,7 @@
 use crate::base::{Millis, Name};
 use crate::connection::{KeyedRecord, Partition, StoreAnswer, StoreCall, StoreRequest};
 use crate::process::shard::{Now, RegistryChange, Shard};
-use crate::version::{OwnerRecord, ShardRecord};
+use crate::version::{EPOCH_BITS, OwnerRecord, ShardRecord};
 
 /// An owner counts as gone once the last message that any host received from it is older than this,
 /// in milliseconds.
@@ -54,8 +54,6 @@
 /// The same in a large cluster if more than a quarter of the high-capacity hosts are silent, as those
 /// of another region are while the link to it is full.
 const MANY_SILENT_TIME: Millis = Millis(2_000);
-/// Number of low bits of an epoch that are random, so that two claims with the same ordinal differ.
-const EPOCH_BITS: u32 = 16;
 /// No owner has a higher epoch than this: the numbers of runs contain the epoch and 12 more bits.
 pub(super) const MAX_EPOCH: u64 = u64::MAX >> 12;
 
--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -237,6 +237,7 @@
     pub(super) fn is_usable(&self, now: Millis) -> bool {
         self.is_ready
             && self.is_recorded
+            && self.may_lease()
             && !self.is_exclusive()
             && self.unanswered < 2
             && self
--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -24,6 +24,8 @@
     /// The claim of this owner.
     Owner,
     Worker(Name),
+    /// The deletion of the record of how long the worker was waited for.
+    WaitEnded(Name),
     Accepted(JobId),
     /// The record that the job has not started.
     Deferred(JobId),
--- a/src/process/shard/leases.rs
+++ b/src/process/shard/leases.rs
@@ -1,14 +1,79 @@
 //! What later owners must know of the leases of workers that they cannot reach.
 
-use super::journal::Journal;
+use super::journal::{Commit, Journal};
 use super::recovery::{ISOLATION_TIME, TRANSIT_TIME};
 use super::shard::{Now, Shard};
 use super::worker::Worker;
 use crate::base::{Millis, Name};
 use crate::connection::{CallError, WorkerAnswer};
-use crate::version::{LeaseRecord, ShardRecord};
+use crate::version::{LeaseRecord, ShardRecord, WaitRecord};
+
+/// How often it is recorded how long a worker has been waited for, in milliseconds.
+const WAIT_INTERVAL: Millis = Millis(500);
+
+/// The wait for a worker that has not reported, as it is recorded.
+#[derive(Debug, Clone, Copy)]
+pub struct RecordedWait {
+    record: WaitRecord,
+    /// Whether its deletion is being stored.
+    is_ending: bool,
+}
 
 impl Shard {
+    /// Restores the records of how long workers were waited for.
+    pub(super) fn restore_waits(&mut self, waits: Vec<(Name, WaitRecord)>) {
+        for (id, record) in waits {
+            let Some(worker) = self.workers.get_mut(&id) else {
+                self.journal.push(&ShardRecord::Wait(id, None), None);
+                continue;
+            };
+            if record.is_known_to(self.owner.epoch) {
+                worker.waited_before = Millis(record.waited);
+            }
+            worker.recorded_wait = Some(RecordedWait {
+                record,
+                is_ending: false,
+            });
+        }
+    }
+
+    /// Whether every lease that earlier owners granted to a worker has expired.
+    pub(super) fn has_waited(&self, now: Millis, worker: &Worker) -> bool {
+        let waited = worker.waited_before + now.since(self.claimed_at);
+        waited >= self.lease_wait(worker)
+    }
+
+    /// Records how long the workers of earlier owners that do not answer were waited for. Such a worker
+    /// gets no lease before the record is deleted, so that the time also counts for later owners.
+    pub(super) fn record_waits(&mut self, now: Millis) {
+        let elapsed = now.since(self.claimed_at);
+        let longest = wait_for(self.settings.lease).0;
+        let epoch = self.owner.epoch;
+        for worker in self.workers.iter_mut() {
+            let is_silent = worker.first_report.is_none() && worker.unanswered > 0;
+            if !worker.is_recovered || !is_silent {
+                continue;
+            }
+            let waited = (worker.waited_before + elapsed).0.min(longest);
+            let recorded = worker.recorded_wait.map(|wait| wait.record);
+            let is_current = recorded.is_some_and(|record| {
+                let is_due = waited >= record.waited + WAIT_INTERVAL.0;
+                let is_last = waited == longest && record.waited < longest;
+                record.epoch == epoch && !is_due && !is_last
+            });
+            if is_current {
+                continue;
+            }
+            let record = WaitRecord { waited, epoch };
+            worker.recorded_wait = Some(RecordedWait {
+                record,
+                is_ending: false,
+            });
+            let record = ShardRecord::Wait(worker.id.clone(), Some(record));
+            self.journal.push(&record, None);
+        }
+    }
+
     /// Restores the records of workers' leases.
     pub(super) fn restore_leases(&mut self, leases: Vec<(Name, LeaseRecord)>) {
         for (id, lease) in leases {
@@ -28,9 +93,7 @@
             true => self.settings.lease,
             false => self.settings.granted_lease(),
         };
-        // True time that it lasts on the slowest allowed clock, at 98 % of true time.
-        let lease = Millis(lease.0 * 100 / 98);
-        ISOLATION_TIME + lease + TRANSIT_TIME
+        wait_for(lease)
     }
 
     /// Applies the clock in the answer to a start order that carried `lease_end`.
@@ -57,6 +120,21 @@
 }
 
 impl Worker {
+    /// Deletes the record of how long it was waited for, before it gets a lease.
+    pub(super) fn end_wait(&mut self, journal: &mut Journal) {
+        let Some(wait) = self.recorded_wait.as_mut().filter(|wait| !wait.is_ending) else {
+            return;
+        };
+        wait.is_ending = true;
+        let commit = Commit::WaitEnded(self.id.clone());
+        journal.push(&ShardRecord::Wait(self.id.clone(), None), Some(commit));
+    }
+
+    /// Whether it may get a lease: later owners do not count on that no owner has granted it one.
+    pub(super) fn may_lease(&self) -> bool {
+        self.recorded_wait.is_none()
+    }
+
     /// Records its lease if the record is outdated.
     pub(super) fn record_lease(&mut self, now: Millis, granted: Millis, journal: &mut Journal) {
         if self.has_long_lease && self.outlasts_leases(now, granted) {
@@ -73,3 +151,10 @@
         journal.push(&ShardRecord::Lease(self.id.clone(), value), None);
     }
 }
+
+/// How long after the claim every lease of this length that earlier owners granted has expired.
+fn wait_for(lease: Millis) -> Millis {
+    // True time that it lasts on the slowest allowed clock, at 98 % of true time.
+    let lease = Millis(lease.0 * 100 / 98);
+    ISOLATION_TIME + lease + TRANSIT_TIME
+}
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -9,7 +9,7 @@
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
 use crate::platform::{RegistryEntry, WorkerState};
 use crate::request::job::{Job, JobId, StartPermit, TaskCrashes};
-use crate::version::{JobStateRecord, LeaseRecord, ShardRecord, SuspectRecord};
+use crate::version::{JobStateRecord, LeaseRecord, ShardRecord, SuspectRecord, WaitRecord};
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
 const LOAD_RETRY: Millis = Millis(100);
@@ -95,6 +95,14 @@
                     self.needs_placement = true;
                 }
             }
+            Commit::WaitEnded(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.recorded_wait = None;
+                    worker.next_poll = now.steady;
+                    worker.has_changed = true;
+                    self.needs_placement = true;
+                }
+            }
             Commit::Accepted(id) => self.commit_accepted(now, id, out),
             Commit::Deferred(_) => {}
             Commit::MayStart(id) => self.commit_may_start(id),
@@ -195,6 +203,7 @@
         let mut deferred: Vec<JobId> = Vec::new();
         let mut crashes: Vec<(JobId, Vec<TaskCrashes>)> = Vec::new();
         let mut leases: Vec<(Name, LeaseRecord)> = Vec::new();
+        let mut waits: Vec<(Name, WaitRecord)> = Vec::new();
         let mut suspects: Vec<(Name, Vec<SuspectRecord>)> = Vec::new();
         for record in records {
             match record {
@@ -218,6 +227,7 @@
                     worker.recorded_leaving = record.is_leaving;
                 }
                 ShardRecord::Lease(id, Some(lease)) => leases.push((id, lease)),
+                ShardRecord::Wait(id, Some(wait)) => waits.push((id, wait)),
                 ShardRecord::Suspects(id, Some(runs)) => suspects.push((id, runs)),
                 ShardRecord::Owner(_)
                 | ShardRecord::Lease(_, None)
@@ -226,10 +236,12 @@
                 | ShardRecord::Deferred(_, false)
                 | ShardRecord::Crashes(_, None)
                 | ShardRecord::Suspects(_, None)
+                | ShardRecord::Wait(_, None)
                 | ShardRecord::Worker(_, None) => {}
             }
         }
         self.restore_leases(leases);
+        self.restore_waits(waits);
         for (id, state) in states {
             match state {
                 JobStateRecord::Open(progress) => {
@@ -287,7 +299,7 @@
         let (mut missing, mut is_over) = (0, true);
         for worker in missing_workers {
             missing += 1;
-            is_over &= now.steady >= self.claimed_at + self.lease_wait(worker);
+            is_over &= self.has_waited(now.steady, worker);
         }
         if !is_over {
             return;
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -251,6 +251,7 @@
         worker.set_clock(report.clock, now.steady);
         let granted = self.settings.granted_lease();
         worker.record_lease(now.steady, granted, &mut self.journal);
+        worker.end_wait(&mut self.journal);
         worker.last_report = Some(now.steady);
         worker.report_from(sent);
         let is_first = worker.first_report.is_none();
@@ -274,7 +275,7 @@
         self.throttle(now, worker_id, out);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             stop_stalled(worker, now.steady);
-            if worker.acknowledged < worker.processed {
+            if worker.acknowledged < worker.processed || !worker.may_lease() {
                 worker.next_poll = now.steady + ACKNOWLEDGE_WAIT;
             }
         }
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -64,6 +64,7 @@
         self.open_due(now);
         self.replace_expired_keys();
         self.expire_outcomes(now);
+        self.record_waits(now.steady);
         self.record_workers(now);
         self.record_contention(now);
         self.log_waiting(now);
@@ -188,6 +189,10 @@
                     let record = ShardRecord::Lease(id.clone(), None);
                     self.journal.push(&record, None);
                 }
+                if worker.recorded_wait.is_some() {
+                    let record = ShardRecord::Wait(id.clone(), None);
+                    self.journal.push(&record, None);
+                }
                 if !worker.recorded_suspects.is_empty() {
                     let record = ShardRecord::Suspects(id.clone(), None);
                     self.journal.push(&record, None);
@@ -313,6 +318,7 @@
     // lease is renewed until the worker has answered.
     if worker.last_report.is_none()
         || worker.unanswered > 0
+        || !worker.may_lease()
         || worker.processed > worker.acknowledged
     {
         return Millis(0);
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use super::crashes::{SuspectRun, WorkerRestart};
+use super::leases::RecordedWait;
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{BestEffortGroup, Headroom, JobId, ServingTask, TaskKey};
 use crate::version::{LeaseRecord, SuspectRecord};
@@ -117,6 +118,10 @@
     pub has_long_lease: bool,
     /// The newest record of its lease.
     pub recorded_lease: LeaseRecord,
+    /// How long earlier owners have waited for it since the last that may have granted it a lease.
+    pub waited_before: Millis,
+    /// The newest record of how long it was waited for, until its deletion is stored.
+    pub recorded_wait: Option<RecordedWait>,
     /// Highest number of an end that has been applied to its job.
     pub processed: u64,
     /// Highest number of an end whose effects are recorded.
@@ -197,6 +202,8 @@
             lease_until: 0,
             has_long_lease: false,
             recorded_lease: LeaseRecord::default(),
+            waited_before: Millis(0),
+            recorded_wait: None,
             processed: 0,
             acknowledged: 0,
             runs: HashMap::new(),
@@ -304,9 +311,10 @@
         self.suspect_until = Millis(0);
     }
 
-    /// End, on the worker's clock, of a lease of `length` from now; `None` before its first answer.
+    /// End, on the worker's clock, of a lease of `length` from now; `None` before its first answer and
+    /// while it may get no lease.
     pub fn lease_end(&self, now: Millis, length: Millis) -> Option<u64> {
-        let (clock, at) = self.clock?;
+        let (clock, at) = self.clock.filter(|_| self.may_lease())?;
         let elapsed = now.since(at);
         Some(clock.saturating_add(elapsed.0).saturating_add(length.0))
     }
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -24,9 +24,10 @@
 pub use quota_check::QuotaCheck;
 pub use record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
 pub use retain::RestatementSchedule;
+pub(crate) use shard_record::EPOCH_BITS;
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
     Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord, ShardRecord,
-    SuspectRecord, WorkerRecord,
+    SuspectRecord, WaitRecord, WorkerRecord,
 };
 pub use suspicion::Suspicion;
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -27,6 +27,9 @@
 
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// Number of low bits of an epoch that are random, so that two claims with the same ordinal differ.
+pub(crate) const EPOCH_BITS: u32 = 16;
+
 /// Owner of the shard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerRecord {
@@ -53,6 +56,24 @@
     pub is_long: bool,
 }
 
+/// How long owners have waited for a worker that has not reported to any of them, so that none of them has
+/// granted it a lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaitRecord {
+    /// Time since the claim of the first of them, in milliseconds, without the gaps between owners.
+    pub waited: u64,
+    /// Epoch of the last of them. Of an owner after it that does not know this record, a later one cannot
+    /// tell whether it has granted a lease.
+    pub epoch: u64,
+}
+
+impl WaitRecord {
+    /// Whether no owner can have claimed the shard between the one that wrote it and that of `epoch`.
+    pub fn is_known_to(&self, epoch: u64) -> bool {
+        epoch >> EPOCH_BITS <= (self.epoch >> EPOCH_BITS) + 1
+    }
+}
+
 /// A run whose start the worker has confirmed, and that was lost with it soon after.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
@@ -106,6 +127,8 @@
     /// Runs of a job's tasks that have crashed their workers. They have a record of their own, since
     /// hosts of earlier versions skip unknown keys but could not decode another form of the state.
     Crashes(JobId, Option<Vec<TaskCrashes>>),
+    /// How long a worker was waited for, until it may get a lease again.
+    Wait(Name, Option<WaitRecord>),
     /// The runs that a worker has confirmed and may have crashed it, until it is known whether its process
     /// has ended.
     Suspects(Name, Option<Vec<SuspectRecord>>),
@@ -126,6 +149,7 @@
             ShardRecord::Contention(_) => CONTENTION.to_owned(),
             ShardRecord::Crashes(id, _) => format!("c/{id}"),
             ShardRecord::Suspects(id, _) => format!("u/{id}"),
+            ShardRecord::Wait(id, _) => format!("v/{id}"),
         }
     }
 
@@ -142,6 +166,7 @@
             ShardRecord::Contention(learned) => encode(learned),
             ShardRecord::Crashes(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Suspects(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Wait(_, value) => value.as_ref().map(encode).unwrap_or_default(),
         }
     }
 
@@ -183,6 +208,7 @@
                 id.into(),
                 decode_optional(key, value)?,
             )),
+            "v" => Ok(ShardRecord::Wait(id.into(), decode_optional(key, value)?)),
             _ => Err(unknown()),
         }
     }
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -12,5 +12,6 @@
 mod restarts;
 mod sizes;
 mod store;
+mod waits;
 mod wide_jobs;
 mod world;
