--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -65,6 +65,7 @@
         self.open_due(now);
         self.replace_expired_keys();
         self.expire_outcomes(now);
+        self.record_waits(now.steady);
         self.record_workers(now);
         self.record_contention(now);
         self.log_waiting(now);
@@ -180,6 +181,7 @@
             } else {
                 worker.record(&mut self.journal);
                 worker.record_lease(now.steady, granted, &mut self.journal);
+                worker.record_suspects(&mut self.journal);
             }
         }
         for id in removed {
@@ -188,6 +190,14 @@
                     let record = ShardRecord::Lease(id.clone(), None);
                     self.journal.push(&record, None);
                 }
+                if worker.recorded_wait.is_some() {
+                    let record = ShardRecord::Wait(id.clone(), None);
+                    self.journal.push(&record, None);
+                }
+                if !worker.recorded_suspects.is_empty() {
+                    let record = ShardRecord::Suspects(id.clone(), None);
+                    self.journal.push(&record, None);
+                }
                 if worker.is_recorded || worker.is_recording {
                     self.journal.push(&ShardRecord::Worker(id, None), None);
                 }
@@ -309,6 +319,7 @@
     // lease is renewed until the worker has answered.
     if worker.last_report.is_none()
         || worker.unanswered > 0
+        || !worker.may_lease()
         || worker.processed > worker.acknowledged
     {
         return Millis(0);
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -13,5 +13,6 @@
 mod restarts;
 mod sizes;
 mod store;
+mod waits;
 mod wide_jobs;
 mod world;
