--- a/src/process/host/relay/links.rs
+++ b/src/process/host/relay/links.rs
@@ -22,6 +22,8 @@
 const CHOICE_INTERVAL: Millis = Millis(250);
 /// Shortest time between two batches to a relay, in milliseconds.
 const BATCH_INTERVAL: Millis = Millis(20);
+/// Interval of batches without orders, in milliseconds. A relay forgets a session after 5 s without any.
+const IDLE_INTERVAL: Millis = Millis(2_000);
 /// Batches of a relay that may be without an answer at the same time.
 const MAX_OPEN_BATCHES: usize = 16;
 /// Timeout of a batch, in milliseconds. It contains the time that the relay holds a batch without an
@@ -114,8 +116,9 @@
     }
 
     fn is_due(&self, now: Millis) -> bool {
-        if self.open_batches.is_empty() && !(self.is_proven() && self.pending.is_empty()) {
-            return true;
+        let is_idle = self.is_proven() && self.pending.is_empty();
+        if self.open_batches.is_empty() {
+            return !is_idle || now.since(self.last_batch) >= IDLE_INTERVAL;
         }
         !self.outbox.is_empty()
             && now.since(self.last_batch) >= BATCH_INTERVAL
