Write no order to a worker after its time, also after a pause

Cause: a call to a worker had a time limit that began when its task first ran, and nothing looked at the time before the request was written. When the process stood still, the connection became ready and the limit passed at the same moment, and the request was written first. So an order could leave any time after the owner had given it, on the owner as on a relay.

Change: the action that makes a call to a worker carries the time after which nothing of it is written: its timeout, 1 s at most, and on a relay not later than the time of the batch. The HTTP client looks at it before it hands the request to the connection, and the connection before each write. A call of which nothing was written is "not sent"; one that was cut off gets "no answer", and its connection is closed. The 1 s is the limit that a batch had before; no limit was raised.

Before: a_call_is_not_written_after_its_time failed in its three cases (pause before the call begins, while it connects, while it is queued at a kept connection): the request reached the server and got its answer. The pause is a real one: the thread of the runtime sleeps.

Not covered: what the kernel holds in the socket when the process or the network stands still; the worker's epoch and lease times stay the guard there.

--- a/src/connection/async_http_client.rs
+++ b/src/connection/async_http_client.rs
@@ -20,6 +20,7 @@
 
 use super::orders::CallError;
 use super::transfer::{Deadline, TimeLimit};
+use super::write_gate::{GatedStream, WriteGate};
 
 /// Timeout for opening a connection. Hosts are at most about 30 ms apart, so a server that does
 /// not accept within this time is down.
@@ -49,9 +50,14 @@
     pub body: Bytes,
 }
 
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    gate: WriteGate,
+}
+
 /// A connection that no call uses at present.
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
+    connection: Connection,
     /// When the last call on the connection ended.
     since: Instant,
 }
@@ -80,12 +86,41 @@
         address: SocketAddr,
         request: HttpRequest,
         limit: TimeLimit,
+    ) -> Result<HttpReply> {
+        self.exchange(address, request, limit, None).await
+    }
+
+    /// Sends a request and reads the whole answer, like `call`, but writes nothing of the request after
+    /// `not_after`, for example because the process was paused.
+    ///
+    /// # Errors
+    ///
+    /// As `call`; `NotSent` also if nothing was written in time. A request that was written in part
+    /// gets `NoAnswer`, and its connection is closed.
+    pub async fn call_until(
+        &self,
+        address: SocketAddr,
+        request: HttpRequest,
+        limit: TimeLimit,
+        not_after: std::time::Instant,
+    ) -> Result<HttpReply> {
+        let not_after = Some(not_after);
+        self.exchange(address, request, limit, not_after).await
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: HttpRequest,
+        limit: TimeLimit,
+        not_after: Option<std::time::Instant>,
     ) -> Result<HttpReply> {
         let mut deadline = Deadline::start(limit);
-        let (answer, sender) = deadline.wait(self.send(address, request)).await??;
+        let sent = self.send(address, request, not_after);
+        let (answer, connection) = deadline.wait(sent).await??;
         let status = answer.status().as_u16();
         let body = receive(answer.into_body(), deadline).await?;
-        self.put_back(address, sender);
+        self.put_back(address, connection);
         Ok(HttpReply { status, body })
     }
 
@@ -99,49 +134,55 @@
         &self,
         address: SocketAddr,
         request: HttpRequest,
-    ) -> Result<(Response<Incoming>, SendRequest<Full<Bytes>>)> {
-        let mut sender = match self.take(address) {
-            Some(sender) => sender,
+        not_after: Option<std::time::Instant>,
+    ) -> Result<(Response<Incoming>, Connection)> {
+        let mut connection = match self.take(address) {
+            Some(connection) => connection,
             None => connect(address).await?,
         };
-        if sender.ready().await.is_err() {
-            sender = connect(address).await?;
+        if connection.sender.ready().await.is_err() {
+            connection = connect(address).await?;
         }
         let message = build_request(address, request)?;
-        let answer = sender.send_request(message).await;
-        let answer = answer.map_err(|error| match error.is_canceled() {
+        let gate = &connection.gate;
+        gate.begin(not_after);
+        if !gate.is_open() {
+            return Err(CallError::NotSent);
+        }
+        let answer = connection.sender.send_request(message).await;
+        let answer = answer.map_err(|error| match error.is_canceled() || !gate.has_written() {
             // The connection was closed before the request was written.
             true => CallError::NotSent,
             false => CallError::NoAnswer,
         })?;
-        Ok((answer, sender))
+        Ok((answer, connection))
     }
 
-    fn take(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    fn take(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            if !connection.sender.is_closed() && connection.since.elapsed() < MAX_IDLE_TIME {
-                return Some(connection.sender);
+        while let Some(IdleConnection { connection, since }) = connections.pop() {
+            if !connection.sender.is_closed() && since.elapsed() < MAX_IDLE_TIME {
+                return Some(connection);
             }
         }
         None
     }
 
-    fn put_back(&self, address: SocketAddr, sender: SendRequest<Full<Bytes>>) {
-        if sender.is_closed() {
+    fn put_back(&self, address: SocketAddr, connection: Connection) {
+        if connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() < MAX_IDLE_CONNECTIONS {
             let since = Instant::now();
-            connections.push(IdleConnection { sender, since });
+            connections.push(IdleConnection { connection, since });
         }
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+async fn connect(address: SocketAddr) -> Result<Connection> {
     let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = match opened {
         Ok(Ok(stream)) => stream,
@@ -154,6 +195,11 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%address, %error, "cannot set TCP_NODELAY on an HTTP connection");
     }
+    let gate = WriteGate::default();
+    let stream = GatedStream {
+        stream,
+        gate: gate.clone(),
+    };
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(64 << 10)
         .handshake(TokioIo::new(stream))
@@ -164,7 +210,7 @@
             tracing::debug!(%address, %error, "an HTTP connection closed with an error");
         }
     });
-    Ok(sender)
+    Ok(Connection { sender, gate })
 }
 
 /// Reads the body of an answer.
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -24,6 +24,7 @@
 mod transfer;
 pub mod wire;
 mod worker;
+mod write_gate;
 
 pub use api::{ApiCall, ApiHandler, ApiLimits, ApiMethod, ApiResponse, ApiServer, ContentKind};
 pub use async_http_client::{AsyncHttpClient, HttpReply, HttpRequest};
--- a/src/process/host/forward.rs
+++ b/src/process/host/forward.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::host::{Host, HostAction, Origin, PeerPurpose};
+use super::host::{Host, HostAction, PeerPurpose};
 use super::message::{PeerCall, PeerReply};
 use crate::base::Millis;
 use crate::connection::{CallError, FrontReply, FrontRequest};
@@ -22,6 +22,13 @@
 /// time.
 const OWNER_RETRY_SECONDS: u32 = 1;
 
+/// Who waits for the shard's answer, with the ticket of the request.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum Origin {
+    Client(u64),
+    Peer(u64),
+}
+
 /// A client request that this host has not answered.
 #[derive(Debug, Clone)]
 pub(super) struct PendingRequest {
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -6,7 +6,7 @@
 
 use super::claim::Claim;
 use super::config::NewerConfig;
-use super::forward::PendingRequest;
+use super::forward::{Origin, PendingRequest};
 use super::message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
 use super::pause::PauseWatch;
 use super::peers::Peers;
@@ -99,6 +99,8 @@
     Worker {
         origin: OrderOrigin,
         call: WorkerCall,
+        /// Nothing of the call is written after this time.
+        not_after: Millis,
     },
     /// Sets the answer to readiness checks.
     Ready(bool),
@@ -108,13 +110,6 @@
     Exit,
 }
 
-/// Who waits for the shard's answer, with the ticket of the request.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum Origin {
-    Client(u64),
-    Peer(u64),
-}
-
 /// Purpose of a call to a peer.
 #[derive(Debug, Clone)]
 pub(super) enum PeerPurpose {
--- a/src/process/host/io.rs
+++ b/src/process/host/io.rs
@@ -169,7 +169,11 @@
                 timeout,
             } => self.call_peer(call, address, message, timeout),
             HostAction::Store(purpose, call) => self.call_store(purpose, call),
-            HostAction::Worker { origin, call } => self.call_worker(origin, call),
+            HostAction::Worker {
+                origin,
+                call,
+                not_after,
+            } => self.call_worker(origin, call, not_after),
             HostAction::Ready(is_ready) => self.is_ready.set(is_ready),
             HostAction::Drain => self.front.drain(),
             HostAction::Exit => return true,
@@ -214,14 +218,17 @@
         });
     }
 
-    fn call_worker(&self, origin: OrderOrigin, call: WorkerCall) {
+    fn call_worker(&self, origin: OrderOrigin, call: WorkerCall, not_after: Millis) {
         let (http_client, events) = (self.http_client.clone(), self.events.clone());
+        let not_after = self.clock.instant(not_after);
         counter!(WORKER_ORDERS, "order" => order_label(&call.order)).increment(1);
         spawn_local(async move {
             let request = encode_order(&call);
             let limit = TimeLimit::whole(to_duration(call.timeout));
-            let reply = http_client.call(call.address, request, limit).await;
-            let answer = reply.and_then(|reply| decode_worker_answer(&call, &reply));
+            let reply = http_client.call_until(call.address, request, limit, not_after);
+            let answer = reply
+                .await
+                .and_then(|reply| decode_worker_answer(&call, &reply));
             send_event(&events, HostEvent::Worker { origin, answer });
         });
     }
--- a/src/process/host/relay/links.rs
+++ b/src/process/host/relay/links.rs
@@ -31,8 +31,9 @@
 pub(super) const BATCH_TIMEOUT: Millis = Millis(600);
 /// How much longer a relayed order may take than a call to the worker, in milliseconds.
 const RELAY_ALLOWANCE: Millis = Millis(400);
-/// A relay refuses a batch that arrives later than this, in milliseconds.
-const MAX_BATCH_AGE: Millis = Millis(1_000);
+/// No order is written to a worker later than this after it was sent, in milliseconds. A relay refuses a
+/// batch that arrives later.
+const MAX_ORDER_AGE: Millis = Millis(1_000);
 /// How long a host that has failed gets no orders, in milliseconds. The time doubles with each failure.
 const FAILURE_PAUSE: Millis = Millis(1_000);
 /// Most doublings of this time.
@@ -85,7 +86,7 @@
         let (clock, at) = self.clock.unwrap_or((0, now));
         clock
             .saturating_add(now.since(at).0)
-            .saturating_add(MAX_BATCH_AGE.0)
+            .saturating_add(MAX_ORDER_AGE.0)
     }
 
     /// A batch of the orders that wait.
@@ -394,7 +395,12 @@
             return;
         }
         let origin = OrderOrigin::Shard { epoch, tag };
-        out.push(HostAction::Worker { origin, call });
+        let not_after = now.steady + call.timeout.min(MAX_ORDER_AGE);
+        out.push(HostAction::Worker {
+            origin,
+            call,
+            not_after,
+        });
     }
 
     /// Chooses the relays, sends the batches that are due and ends orders that have waited too long.
--- a/src/process/host/relay/sessions.rs
+++ b/src/process/host/relay/sessions.rs
@@ -240,7 +240,13 @@
         }
         for (order, call) in orders {
             let origin = OrderOrigin::Relayed(RelayedOrder { session: id, order });
-            out.push(HostAction::Worker { origin, call });
+            // Also the owner's calls end with their timeout.
+            let not_after = Millis(not_after).min(now.steady + call.timeout);
+            out.push(HostAction::Worker {
+                origin,
+                call,
+                not_after,
+            });
         }
         let session = self.relay_sessions.session(now.steady, id, out);
         session.last_call = now.steady;
--- a/src/process/runtime/clock.rs
+++ b/src/process/runtime/clock.rs
@@ -1,6 +1,6 @@
 //! Clocks of the process.
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::base::Millis;
 
@@ -27,6 +27,11 @@
         ORIGIN + Millis(instant.duration_since(self.start).as_millis() as u64)
     }
 
+    /// The instant of a core time; the start of the clock for earlier ones.
+    pub fn instant(&self, time: Millis) -> Instant {
+        self.start + Duration::from_millis(time.since(ORIGIN).0)
+    }
+
     pub fn now(&self) -> Millis {
         self.at(Instant::now())
     }
--- a/tests/async_http.rs
+++ b/tests/async_http.rs
@@ -4,9 +4,11 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jayfork::connection::{AsyncHttpClient, CallError, HttpReply, HttpRequest, TimeLimit};
+use tokio::task::spawn_local;
+use yare::parameterized;
 
 /// Length of the endless answer, in bytes, in case that nobody stops it.
 const ANSWER: usize = 256 << 20;
@@ -71,3 +73,92 @@
     let headers = vec![("X-Expected-Instance", "a\r\nb".to_owned())];
     assert_eq!(call(address, headers).err(), Some(CallError::Malformed));
 }
+
+/// A server that answers each request and keeps its connections; returns its address and the count of
+/// requests that have begun.
+fn serve_requests() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let count = Arc::new(AtomicUsize::new(0));
+    let begun = count.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, begun) = (stream.expect("a connection"), begun.clone());
+            std::thread::spawn(move || {
+                let mut request = [0; 1_024];
+                while stream.read(&mut request).is_ok_and(|length| length > 0) {
+                    begun.fetch_add(1, Ordering::SeqCst);
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+                    stream.write_all(answer).expect("the answer");
+                }
+            });
+        }
+    });
+    (address, count)
+}
+
+/// When the process stands still.
+#[derive(Clone, Copy)]
+enum Pause {
+    /// Before the call runs for the first time.
+    BeforeItBegins,
+    /// While a connection is opened for it.
+    WhileItConnects,
+    /// While it waits for a kept connection to write it.
+    WhileItIsQueued,
+}
+
+/// Time in which a call may be written.
+const WRITE_TIME: Duration = Duration::from_millis(50);
+
+/// Guards against an order that reaches a worker after the time in which its owner may give orders: what
+/// was due during a pause of the process must not be written after it.
+#[parameterized(
+    before_it_begins = { Pause::BeforeItBegins },
+    while_it_connects = { Pause::WhileItConnects },
+    while_it_is_queued = { Pause::WhileItIsQueued },
+)]
+fn a_call_is_not_written_after_its_time(pause: Pause) {
+    let (address, count) = serve_requests();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    let client = AsyncHttpClient::new();
+    let call = |not_after: Instant| {
+        let client = client.clone();
+        let request = HttpRequest {
+            method: "POST",
+            path: "/start".to_owned(),
+            headers: Vec::new(),
+            body: "{}".into(),
+        };
+        let limit = TimeLimit::whole(Duration::from_secs(5));
+        async move { client.call_until(address, request, limit, not_after).await }
+    };
+    let pause_process = async || std::thread::sleep(2 * WRITE_TIME);
+    let answer = local.block_on(&runtime, async {
+        if !matches!(pause, Pause::WhileItConnects) {
+            // Leaves a connection for the next call.
+            let first = call(Instant::now() + Duration::from_secs(5)).await;
+            assert!(first.is_ok(), "{first:?}");
+        }
+        let late = call(Instant::now() + WRITE_TIME);
+        if matches!(pause, Pause::BeforeItBegins) {
+            pause_process().await;
+        }
+        let late = spawn_local(late);
+        if !matches!(pause, Pause::BeforeItBegins) {
+            spawn_local(pause_process());
+        }
+        late.await.expect("the call ends")
+    });
+    assert_eq!(answer.err(), Some(CallError::NotSent));
+    let kept = usize::from(!matches!(pause, Pause::WhileItConnects));
+    std::thread::sleep(WRITE_TIME);
+    assert_eq!(count.load(Ordering::SeqCst), kept);
+    // The client serves later calls.
+    let next = local.block_on(&runtime, call(Instant::now() + Duration::from_secs(5)));
+    assert!(next.is_ok(), "{next:?}");
+}
--- a/tests/ownership/relay_host.rs
+++ b/tests/ownership/relay_host.rs
@@ -71,7 +71,7 @@
         let batch = OrderBatch::new(session, self.now + 1_000, orders);
         let actions = self.handle(HostEvent::Peer(7, PeerCall::Orders(batch)));
         let orders = actions.into_iter().filter_map(|action| match action {
-            HostAction::Worker { origin, call } => Some((origin, call)),
+            HostAction::Worker { origin, call, .. } => Some((origin, call)),
             _ => None,
         });
         orders.collect()
@@ -229,6 +229,29 @@
     assert_eq!(answers[0].answer, Err(CallError::NotSent));
 }
 
+/// Guards against a call that a relay writes, after a pause, when the owner has given up the order.
+#[parameterized(
+    the_batch_ends_first = { 300, 300 },
+    the_call_ends_first = { 1_000, 700 },
+)]
+fn a_relay_writes_no_order_after_its_time(batch_time: u64, expected: u64) {
+    let mut relay = Relay::start();
+    relay.run(100);
+    let call = start(1);
+    let session = SessionId {
+        epoch: 3 << 16,
+        number: 1,
+    };
+    let batch = OrderBatch::new(session, relay.now + batch_time, [(1, &call)]);
+    let actions = relay.handle(HostEvent::Peer(7, PeerCall::Orders(batch)));
+    let times = actions.iter().filter_map(|action| match action {
+        HostAction::Worker { not_after, .. } => Some(*not_after),
+        _ => None,
+    });
+    let times: Vec<Millis> = times.collect();
+    assert_eq!(times, [Millis(relay.now + expected)]);
+}
+
 /// How a process stands still.
 #[derive(Clone, Copy)]
 enum Pause {
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -396,7 +396,7 @@
                     self.send(after, Message::Store(index, purpose, call));
                 }
                 HostAction::Exit => self.hosts[index] = None,
-                HostAction::Worker { origin, call } => {
+                HostAction::Worker { origin, call, .. } => {
                     self.sent_orders.push(SentOrder {
                         at: self.now,
                         host: index,
