Refuse and log messages between hosts that cannot be read; test odd ones

Cause: a message of a peer that could not be read was logged at level debug only, so nobody saw a faulty host or a version that does not fit. Bytes behind a message were passed over, so a message with more fields than the receiver knows was taken for one without them.

Change: the refusal of an unreadable call is a warning with the address of the peer. Bytes behind a message make it unreadable, for calls and replies. The refusal itself is unchanged: the stream is closed, which the caller sees as "no answer", as with hosts of earlier versions.

--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -166,8 +166,8 @@
 async fn accept<H: MeshHandler>(listener: TcpListener, handler: H) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve(stream, handler.clone()));
+            Ok((stream, peer)) => {
+                spawn_local(serve(stream, peer, handler.clone()));
             }
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a peer connection");
@@ -177,7 +177,7 @@
     }
 }
 
-async fn serve<H: MeshHandler>(stream: TcpStream, handler: H) {
+async fn serve<H: MeshHandler>(stream: TcpStream, peer: SocketAddr, handler: H) {
     set_nodelay(&stream);
     let mut connection = match h2::server::handshake(stream).await {
         Ok(connection) => connection,
@@ -189,8 +189,13 @@
     while let Some(Ok((request, respond))) = connection.accept().await {
         let handler = handler.clone();
         spawn_local(async move {
-            if let Err(error) = answer(handler, request.into_body(), respond).await {
-                tracing::debug!(%error, "cannot answer the call of a peer");
+            // The caller sees its stream closed.
+            match answer(handler, request.into_body(), respond).await {
+                Ok(()) => {}
+                Err(CallError::Malformed) => {
+                    tracing::warn!(%peer, "refused a call of a peer that cannot be read");
+                }
+                Err(error) => tracing::debug!(%peer, %error, "cannot answer the call of a peer"),
             }
         });
     }
@@ -250,7 +255,9 @@
 
 fn decode<T: DeserializeOwned>(message: &[u8]) -> std::result::Result<T, CallError> {
     let config = bincode::config::standard().with_limit::<MAX_MESSAGE>();
-    bincode::serde::decode_from_slice(message, config)
-        .map(|(decoded, _)| decoded)
-        .map_err(|_| CallError::Malformed)
+    // Bytes that follow would be fields that this version does not know.
+    match bincode::serde::decode_from_slice(message, config) {
+        Ok((decoded, length)) if length == message.len() => Ok(decoded),
+        _ => Err(CallError::Malformed),
+    }
 }
--- a/tests/ownership/relays.rs
+++ b/tests/ownership/relays.rs
@@ -221,6 +221,27 @@
     assert_eq!(relays(&world), before);
 }
 
+/// Guards against a reply that ends the owner's process, or the work of the other relays: one that cannot
+/// be read, or that says what no relay would.
+#[test]
+fn an_owner_survives_odd_replies() {
+    let mut world = cluster(HOSTS, HIGH_CAPACITY_HOSTS);
+    let of = Lost::Bytes;
+    world.loss = Some(Loss { of, interval: 2 });
+    world.run(30_000);
+    world.loss = None;
+    world.run(16_000);
+    let begin = world.now;
+    world.sent_orders.clear();
+    world.run(6_000);
+    assert_eq!(world.owners().len(), 1);
+    assert!(
+        longest_gap(&world, begin) < LEASE / 2,
+        "{}",
+        longest_gap(&world, begin)
+    );
+}
+
 /// Guards against orders that are lost again and again while hosts of an earlier version, which do not
 /// know these calls, run beside newer ones.
 #[test]
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -14,6 +14,8 @@
     StorePurpose,
 };
 use jayfork::process::shard::{Now, ShardSettings};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// Data centres, among which the hosts are spread.
 pub const DATA_CENTRES: usize = 6;
@@ -89,6 +91,8 @@
     Batch,
     /// The reply to a batch, if it has answers of workers.
     Reply,
+    /// Some bytes of such a reply; what is left may be readable.
+    Bytes,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -381,6 +385,12 @@
                             self.send(after, Message::PeerReply(caller, call, answer));
                             continue;
                         }
+                        if is_batch && has_answers(&reply) && self.loses(Lost::Bytes) {
+                            let answer = garble(&mut self.rng, &reply).ok_or(CallError::Malformed);
+                            let after = self.delay();
+                            self.send(after, Message::PeerReply(caller, call, answer));
+                            continue;
+                        }
                         let has_config = carries_config(&reply);
                         if has_config && self.slow_senders.contains(&index) {
                             let answer = Err(CallError::NoAnswer);
@@ -594,6 +604,30 @@
     }
 }
 
+/// Changes some bytes of a message; `None` if it cannot be read then.
+pub fn garble<T: Serialize + DeserializeOwned>(rng: &mut fastrand::Rng, message: &T) -> Option<T> {
+    let config = bincode::config::standard();
+    let mut bytes = bincode::serde::encode_to_vec(message, config).expect("encodes");
+    for _ in 0..rng.usize(1..4) {
+        let at = rng.usize(0..bytes.len());
+        match rng.u32(0..4) {
+            0 => bytes[at] = rng.u8(..),
+            // The longest form of a number, and the largest one.
+            1 => drop(bytes.splice(at..=at, [253, 255, 255, 255, 255, 255, 255, 255, 255])),
+            2 => drop(bytes.remove(at)),
+            _ => bytes.insert(at, rng.u8(..)),
+        }
+        if bytes.is_empty() {
+            return None;
+        }
+    }
+    let config = config.with_limit::<{ 4 << 20 }>();
+    let decoded = bincode::serde::decode_from_slice(&bytes, config).ok();
+    decoded
+        .filter(|(_, length)| *length == bytes.len())
+        .map(|(message, _)| message)
+}
+
 fn is_batch(call: &PeerCall) -> bool {
     matches!(call, PeerCall::Orders(_) | PeerCall::NumberedOrders(..))
 }
