--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -6,7 +6,7 @@
 
 use super::claim::Claim;
 use super::config::NewerConfig;
-use super::forward::PendingRequest;
+use super::forward::{Origin, PendingRequest};
 use super::message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
 use super::pause::PauseWatch;
 use super::peers::Peers;
@@ -99,6 +99,8 @@
     Worker {
         origin: OrderOrigin,
         call: WorkerCall,
+        /// Nothing of the call is written after this time.
+        not_after: Millis,
     },
     /// Sets the answer to readiness checks.
     Ready(bool),
@@ -108,13 +110,6 @@
     Exit,
 }
 
-/// Who waits for the shard's answer, with the ticket of the request.
-#[derive(Debug, Clone, Copy)]
-pub(super) enum Origin {
-    Client(u64),
-    Peer(u64),
-}
-
 /// Purpose of a call to a peer.
 #[derive(Debug, Clone)]
 pub(super) enum PeerPurpose {
@@ -261,7 +256,7 @@
         }
         self.perform_shard_actions(now, actions, out);
         self.poll_order_links(now, out);
-        self.relay_sessions.poll(now.steady, out);
+        self.poll_relay_sessions(now, out);
         self.poll_pending_requests(now, out);
         self.check_ready(now, out);
         self.check_stop(now, out);
@@ -410,7 +405,13 @@
                 let accepts = self.take_over(now, epoch, out);
                 out.push(HostAction::PeerReply(ticket, PeerReply::TakeOver(accepts)));
             }
-            PeerCall::Orders(batch) => self.relay_orders(now, ticket, batch, out),
+            PeerCall::Orders(batch) => self.relay_orders(now, ticket, None, batch, out),
+            PeerCall::NumberedOrders(number, batch) => {
+                self.relay_orders(now, ticket, Some(number), batch, out);
+            }
+            PeerCall::BatchOutcome { session, number } => {
+                self.tell_outcome(now, ticket, session, number, out);
+            }
         }
     }
 
--- a/tests/ownership/relay_host.rs
+++ b/tests/ownership/relay_host.rs
@@ -13,13 +13,13 @@
 use super::world::{HIGH_CAPACITY, START, address, shard_settings};
 
 /// A host that is asked to relay; the test is its peer.
-struct Relay {
-    host: Host,
-    now: u64,
+pub struct Relay {
+    pub host: Host,
+    pub now: u64,
 }
 
 impl Relay {
-    fn start() -> Self {
+    pub fn start() -> Self {
         let settings = HostSettings {
             record: record(0),
             seeds: Vec::new(),
@@ -36,7 +36,7 @@
     }
 
     /// Lets time pass with polls, and returns the replies.
-    fn run(&mut self, millis: u64) -> Vec<PeerReply> {
+    pub fn run(&mut self, millis: u64) -> Vec<PeerReply> {
         let mut replies = Vec::new();
         for _ in 0..millis / 10 {
             self.now += 10;
@@ -50,14 +50,14 @@
         replies
     }
 
-    fn time(&self) -> Now {
+    pub fn time(&self) -> Now {
         Now {
             steady: Millis(self.now),
             wall: self.now,
         }
     }
 
-    fn handle(&mut self, event: HostEvent) -> Vec<HostAction> {
+    pub fn handle(&mut self, event: HostEvent) -> Vec<HostAction> {
         let mut out = Vec::new();
         self.host.handle(self.time(), event, &mut out);
         out
@@ -71,14 +71,14 @@
         let batch = OrderBatch::new(session, self.now + 1_000, orders);
         let actions = self.handle(HostEvent::Peer(7, PeerCall::Orders(batch)));
         let orders = actions.into_iter().filter_map(|action| match action {
-            HostAction::Worker { origin, call } => Some((origin, call)),
+            HostAction::Worker { origin, call, .. } => Some((origin, call)),
             _ => None,
         });
         orders.collect()
     }
 }
 
-fn record(index: usize) -> HostRecord {
+pub fn record(index: usize) -> HostRecord {
     HostRecord {
         name: format!("host-{index}").into(),
         boot: 1,
@@ -89,7 +89,7 @@
     }
 }
 
-fn start(index: u16) -> WorkerCall {
+pub fn start(index: u16) -> WorkerCall {
     let step = StepId {
         job: JobId(1),
         turn: 0,
@@ -229,6 +229,29 @@
     assert_eq!(answers[0].answer, Err(CallError::NotSent));
 }
 
+/// Guards against a call that a relay writes, after a pause, when the owner has given up the order.
+#[parameterized(
+    the_batch_ends_first = { 300, 300 },
+    the_call_ends_first = { 1_000, 700 },
+)]
+fn a_relay_writes_no_order_after_its_time(batch_time: u64, expected: u64) {
+    let mut relay = Relay::start();
+    relay.run(100);
+    let call = start(1);
+    let session = SessionId {
+        epoch: 3 << 16,
+        number: 1,
+    };
+    let batch = OrderBatch::new(session, relay.now + batch_time, [(1, &call)]);
+    let actions = relay.handle(HostEvent::Peer(7, PeerCall::Orders(batch)));
+    let times = actions.iter().filter_map(|action| match action {
+        HostAction::Worker { not_after, .. } => Some(*not_after),
+        _ => None,
+    });
+    let times: Vec<Millis> = times.collect();
+    assert_eq!(times, [Millis(relay.now + expected)]);
+}
+
 /// How a process stands still.
 #[derive(Clone, Copy)]
 enum Pause {
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -14,6 +14,8 @@
     StorePurpose,
 };
 use jayfork::process::shard::{Now, ShardSettings};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 /// Data centres, among which the hosts are spread.
 pub const DATA_CENTRES: usize = 6;
@@ -82,6 +84,24 @@
     pub renews: bool,
 }
 
+/// What is lost when the connection to a relay breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lost {
+    /// A batch of orders.
+    Batch,
+    /// The reply to a batch, if it has answers of workers.
+    Reply,
+    /// Some bytes of such a reply; what is left may be readable.
+    Bytes,
+}
+
+#[derive(Debug, Clone, Copy)]
+pub struct Loss {
+    pub of: Lost,
+    /// One in so many messages is lost.
+    pub interval: usize,
+}
+
 pub struct World {
     pub now: u64,
     /// `None` for hosts that do not run.
@@ -91,6 +111,8 @@
     messages: BTreeMap<(u64, u64), Message>,
     /// Caller and its ID of each open call between hosts, by the ticket given to the called host.
     callers: HashMap<u64, (usize, u64)>,
+    /// Tickets of batches of orders.
+    batch_tickets: BTreeSet<u64>,
     /// One-way delay between each host and the store, in milliseconds.
     store_delays: Vec<u64>,
     next_id: u64,
@@ -133,6 +155,12 @@
     pub cut_from_workers: HashMap<usize, CallError>,
     /// Hosts that do not understand a request to send orders.
     pub old_hosts: Vec<usize>,
+    /// Hosts that understand it only if the batches have no numbers.
+    pub unnumbered_hosts: Vec<usize>,
+    /// Messages that are lost with their connections.
+    pub loss: Option<Loss>,
+    /// Messages so far that could have been lost.
+    loss_count: usize,
 }
 
 impl World {
@@ -144,6 +172,7 @@
             streams: HashMap::new(),
             messages: BTreeMap::new(),
             callers: HashMap::new(),
+            batch_tickets: BTreeSet::new(),
             store_delays: hosts.iter().map(|(_, store_delay)| *store_delay).collect(),
             next_id: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -166,6 +195,9 @@
             frozen_hosts: Vec::new(),
             cut_from_workers: HashMap::new(),
             old_hosts: Vec::new(),
+            unnumbered_hosts: Vec::new(),
+            loss: None,
+            loss_count: 0,
         };
         world.publish(1);
         for (index, (processor, _)) in hosts.iter().enumerate() {
@@ -327,6 +359,11 @@
                     let to = usize::from(address.port()) - 1;
                     let after = self.delay();
                     let is_cut = self.cut_hosts.contains(&index) != self.cut_hosts.contains(&to);
+                    if is_batch(&message) && self.loses(Lost::Batch) {
+                        let answer = Err(CallError::NoAnswer);
+                        self.send(after, Message::PeerReply(index, call, answer));
+                        continue;
+                    }
                     match !is_cut && self.hosts.get(to).is_some_and(Option::is_some) {
                         true => self.send(after, Message::PeerCall(index, to, call, message)),
                         false => {
@@ -341,6 +378,19 @@
                     }
                     self.sent_configs[index] += usize::from(carries_config(&reply));
                     if let Some((caller, call)) = self.callers.remove(&ticket) {
+                        let is_batch = self.batch_tickets.remove(&ticket);
+                        if is_batch && has_answers(&reply) && self.loses(Lost::Reply) {
+                            let answer = Err(CallError::NoAnswer);
+                            let after = self.delay();
+                            self.send(after, Message::PeerReply(caller, call, answer));
+                            continue;
+                        }
+                        if is_batch && has_answers(&reply) && self.loses(Lost::Bytes) {
+                            let answer = garble(&mut self.rng, &reply).ok_or(CallError::Malformed);
+                            let after = self.delay();
+                            self.send(after, Message::PeerReply(caller, call, answer));
+                            continue;
+                        }
                         let has_config = carries_config(&reply);
                         if has_config && self.slow_senders.contains(&index) {
                             let answer = Err(CallError::NoAnswer);
@@ -356,7 +406,7 @@
                     self.send(after, Message::Store(index, purpose, call));
                 }
                 HostAction::Exit => self.hosts[index] = None,
-                HostAction::Worker { origin, call } => {
+                HostAction::Worker { origin, call, .. } => {
                     self.sent_orders.push(SentOrder {
                         at: self.now,
                         host: index,
@@ -384,6 +434,25 @@
         }
     }
 
+    fn understands(&self, host: usize, call: &PeerCall) -> bool {
+        match call {
+            PeerCall::Orders(_) => !self.old_hosts.contains(&host),
+            PeerCall::NumberedOrders(..) | PeerCall::BatchOutcome { .. } => {
+                !self.old_hosts.contains(&host) && !self.unnumbered_hosts.contains(&host)
+            }
+            _ => true,
+        }
+    }
+
+    /// Whether a message of this kind is lost with its connection.
+    fn loses(&mut self, of: Lost) -> bool {
+        let Some(loss) = self.loss.filter(|loss| loss.of == of) else {
+            return false;
+        };
+        self.loss_count += 1;
+        self.loss_count % loss.interval == 0
+    }
+
     /// A worker's answer, and the time until it arrives.
     fn answer_order(&mut self, order: &Order) -> (u64, Result<WorkerAnswer, CallError>) {
         let delay = self.rng.u64(1..4);
@@ -413,9 +482,7 @@
             return;
         }
         match message {
-            Message::PeerCall(caller, to, call, PeerCall::Orders(_))
-                if self.old_hosts.contains(&to) =>
-            {
+            Message::PeerCall(caller, to, call, message) if !self.understands(to, &message) => {
                 let answer = Err(CallError::NoAnswer);
                 self.send(1, Message::PeerReply(caller, call, answer));
             }
@@ -428,6 +495,9 @@
                 self.received_calls[to] += 1;
                 let ticket = self.next_id;
                 self.callers.insert(ticket, (caller, call));
+                if is_batch(&message) {
+                    self.batch_tickets.insert(ticket);
+                }
                 self.event(to, HostEvent::Peer(ticket, message));
             }
             Message::PeerReply(to, call, answer) => {
@@ -534,6 +604,38 @@
     }
 }
 
+/// Changes some bytes of a message; `None` if it cannot be read then.
+pub fn garble<T: Serialize + DeserializeOwned>(rng: &mut fastrand::Rng, message: &T) -> Option<T> {
+    let config = bincode::config::standard();
+    let mut bytes = bincode::serde::encode_to_vec(message, config).expect("encodes");
+    for _ in 0..rng.usize(1..4) {
+        let at = rng.usize(0..bytes.len());
+        match rng.u32(0..4) {
+            0 => bytes[at] = rng.u8(..),
+            // The longest form of a number, and the largest one.
+            1 => drop(bytes.splice(at..=at, [253, 255, 255, 255, 255, 255, 255, 255, 255])),
+            2 => drop(bytes.remove(at)),
+            _ => bytes.insert(at, rng.u8(..)),
+        }
+        if bytes.is_empty() {
+            return None;
+        }
+    }
+    let config = config.with_limit::<{ 4 << 20 }>();
+    let decoded = bincode::serde::decode_from_slice(&bytes, config).ok();
+    decoded
+        .filter(|(_, length)| *length == bytes.len())
+        .map(|(message, _)| message)
+}
+
+fn is_batch(call: &PeerCall) -> bool {
+    matches!(call, PeerCall::Orders(_) | PeerCall::NumberedOrders(..))
+}
+
+fn has_answers(reply: &PeerReply) -> bool {
+    matches!(reply, PeerReply::Answers { answers, .. } if !answers.is_empty())
+}
+
 fn carries_config(reply: &PeerReply) -> bool {
     matches!(
         reply,
