Give up a task after two crashes only if both starts were confirmed

Cause: two crashes ended a job if the start of the last run was confirmed, whatever the first was. An order that its worker never got, because the worker restarted, counted as the first, so one crash was enough.

Change: the limit of two counts only crashes right after a confirmed start; the limit of three counts all. The record of an earlier owner doesn't tell which are which, so those count towards three.

Before: the new test an_order_that_was_not_carried_out_and_one_crash_do_not_fail_a_job fails with the job failed.

--- a/src/process/shard/crashes.rs
+++ b/src/process/shard/crashes.rs
@@ -13,10 +13,10 @@
 use crate::request::job::{JobId, Outcome, Suspicion, TaskCrashes, TaskKey};
 use crate::version::{ShardRecord, SuspectRecord};
 
-/// Crashed workers after which a task is given up. The proof of a crash may come after the next start,
-/// and each change of the owner may lose one crash, since starts are not recorded.
+/// Crashed workers after which a task is given up, if each worker had confirmed the start and the start was
+/// not over. Each change of the owner may lose one crash, since starts are not recorded.
 const MAX_CRASHES: usize = 2;
-/// The same if the start of the last run was over before the crash, which may have another cause, or
+/// The same if the start of any of the runs was over before the crash, which may have another cause, or
 /// was not confirmed, so that the order may never have been carried out.
 const MAX_LATE_CRASHES: usize = 3;
 /// A worker that reports this long after a start order has survived the start, in milliseconds. The
@@ -141,18 +141,15 @@
                 job.clear_suspicion(suspect.task, suspect.run);
                 continue;
             }
-            let crashes = job.count_crash(suspect.task, suspect.run, now.steady);
+            let is_sure = suspect.is_recent && *is_confirmed;
+            let (crashes, sure) = job.count_crash(suspect.task, suspect.run, is_sure, now.steady);
             if crashes == 0 {
                 continue;
             }
-            let limit = match suspect.is_recent && *is_confirmed {
-                true => MAX_CRASHES,
-                false => MAX_LATE_CRASHES,
-            };
             let (task, run) = (suspect.task, suspect.run);
-            tracing::warn!(%task, run, worker = %worker_id, crashes, limit, blamed, "worker crashed after the start of a run");
-            if crashes >= limit {
-                tracing::warn!(%task, run, worker = %worker_id, crashes, limit, "giving up a task that crashes its workers");
+            tracing::warn!(%task, run, worker = %worker_id, crashes, sure, blamed, "worker crashed after the start of a run");
+            if sure >= MAX_CRASHES || crashes >= MAX_LATE_CRASHES {
+                tracing::warn!(%task, run, worker = %worker_id, crashes, sure, "giving up a task that crashes its workers");
                 self.end_job(now, id, Outcome::Failed);
             } else {
                 self.record_crashes(id);
--- a/src/request/job/trials.rs
+++ b/src/request/job/trials.rs
@@ -12,6 +12,8 @@
     /// Runs that have certainly crashed their workers. Their numbers are kept so that each counts
     /// once.
     crashed_runs: Vec<u64>,
+    /// Number of them that have certainly caused the crash: their start was confirmed and not over.
+    sure_crashes: usize,
     /// When the newest suspicion or proof came up.
     since: Millis,
     /// Runs of which it is not known yet whether they have crashed their workers.
@@ -77,21 +79,28 @@
     }
 
     /// Counts a run that has crashed its worker, unless it was counted before; returns the number of
-    /// crashes, 0 for a task that is done.
-    pub fn count_crash(&mut self, key: TaskKey, run: u64, now: Millis) -> usize {
+    /// crashes and how many of them are sure, 0 for a task that is done.
+    pub fn count_crash(
+        &mut self,
+        key: TaskKey,
+        run: u64,
+        is_sure: bool,
+        now: Millis,
+    ) -> (usize, usize) {
         let is_open = self
             .task(key)
             .is_some_and(|task| task.state != TaskState::Done);
         if !is_open {
-            return 0;
+            return (0, 0);
         }
         self.clear_suspicion(key, run);
         let trial = self.trials.entry(key).or_default();
         if !trial.crashed_runs.contains(&run) {
             trial.crashed_runs.push(run);
+            trial.sure_crashes += usize::from(is_sure);
             trial.since = now;
         }
-        trial.crashed_runs.len()
+        (trial.crashed_runs.len(), trial.sure_crashes)
     }
 
     /// The crashes that count, in the form that is recorded.
@@ -112,7 +121,7 @@
         recorded.collect()
     }
 
-    /// Restores the crashes that an earlier owner recorded.
+    /// Restores the crashes that an earlier owner recorded. Its record doesn't tell which are sure.
     pub fn restore_crashes(&mut self, crashes: &[TaskCrashes], now: Millis) {
         for saved in crashes {
             let step = StepId {
@@ -125,7 +134,7 @@
                 index: saved.index,
             };
             for run in &saved.runs {
-                self.count_crash(key, *run, now);
+                self.count_crash(key, *run, false, now);
             }
         }
     }
--- a/tests/shard/crashes.rs
+++ b/tests/shard/crashes.rs
@@ -310,6 +310,26 @@
     world.assert_no_violations();
 }
 
+/// Guards against a job that fails after one crash because an order that its worker never got counts too.
+#[test]
+fn an_order_that_was_not_carried_out_and_one_crash_do_not_fail_a_job() {
+    let mut world = world_with_owner(7, 1, false);
+    world.faults.order_delay = 1.0;
+    world.submit(1, &long_running(1, 1_000));
+    world.run(100);
+    world.faults.order_delay = 0.0;
+    // The order is under way and is lost with its connection.
+    world.fleet.restart(world.now, 0);
+    assert_eq!(world.fleet.starts, 0);
+    next_holder(&mut world, 1);
+    world.run(50);
+    world.fleet.restart(world.now, 0);
+    world.run(12_000);
+    world.assert_no_violations();
+    assert_eq!(outcome(&mut world, 1), None);
+    assert_eq!(world.running(1), 1);
+}
+
 /// Guards against a task that fails because it is tried again on a worker on which one that crashes its
 /// workers has just started.
 #[test]
