Share the queue and jobs of the tests of the placement order

Cause: tests/surge.rs, surge_sizes.rs and job_order.rs each built the same queue and the same non-repeating job. Change: tests/support/jobs.rs builds them.

--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -5,36 +5,19 @@
     CandidateWorker, JobId, JobSpec, StepId, StepSpec, TaskRequirements, TurnState, choose_worker,
     order_key,
 };
-use jayfork::version::Queue;
+use jobs::{job, queue};
 use yare::parameterized;
 
-fn queue(priority: u8, stretch: f64) -> Queue {
-    Queue {
-        name: "q".into(),
-        host: "h".into(),
-        prefix: "/".into(),
-        service: "s".into(),
-        priority,
-        objective: 400,
-        stretch,
-        attempts: 3,
-        has_advice: false,
-    }
-}
+#[path = "support/jobs.rs"]
+mod jobs;
 
 fn spec(runtime: u32, lasts: bool) -> JobSpec {
-    JobSpec {
-        payload: "".into(),
-        steps: vec![StepSpec {
-            count: 1,
-            runtime,
-            lasts,
-            ..StepSpec::default()
-        }],
-        first_run: 0,
-        interval: 0,
-        turns: 0,
-    }
+    job(vec![StepSpec {
+        count: 1,
+        runtime,
+        lasts,
+        ..StepSpec::default()
+    }])
 }
 
 fn step(job: u64) -> StepId {
@@ -60,7 +43,7 @@
     second: (u8, u32, bool, u64),
 ) {
     let key = |(priority, runtime, lasts, start): (u8, u32, bool, u64), job| {
-        let queue = queue(priority, 2.0);
+        let queue = queue(priority, 400, 2.0);
         let turn = TurnState {
             start,
             has_begun: false,
--- a/tests/surge.rs
+++ b/tests/surge.rs
@@ -5,9 +5,12 @@
 
 use jayfork::base::Size;
 use jayfork::request::job::{JobId, JobSpec, OrderKey, StepId, StepSpec, TurnState, order_key};
-use jayfork::version::Queue;
+use jobs::{job, queue};
 use yare::parameterized;
 
+#[path = "support/jobs.rs"]
+mod jobs;
+
 /// Number of tasks that can run at the same time.
 const SLOTS: u32 = 100;
 /// Mean run time of a task, in milliseconds.
@@ -63,27 +66,7 @@
         after: vec![0],
         ..first.clone()
     };
-    JobSpec {
-        payload: "".into(),
-        steps: vec![first, second],
-        first_run: 0,
-        interval: 0,
-        turns: 0,
-    }
-}
-
-fn queue() -> Queue {
-    Queue {
-        name: "q".into(),
-        host: "h".into(),
-        prefix: "/".into(),
-        service: "s".into(),
-        priority: 2,
-        objective: 1_000,
-        stretch: 2.0,
-        attempts: 3,
-        has_advice: false,
-    }
+    job(vec![first, second])
 }
 
 fn objective() -> u64 {
@@ -102,7 +85,7 @@
                 start: open.arrived,
                 has_begun: open.step > 0 || open.waiting < TASKS_PER_STEP,
             };
-            let key = order_key(Some(&queue()), &spec(), turn, now, step);
+            let key = order_key(Some(&queue(2, 1_000, 2.0)), &spec(), turn, now, step);
             (Some(key), 0)
         }
         Order::Objective => (None, open.arrived + objective()),
--- a/tests/surge_sizes.rs
+++ b/tests/surge_sizes.rs
@@ -5,9 +5,12 @@
 
 use jayfork::base::Size;
 use jayfork::request::job::{JobId, JobSpec, StepId, StepSpec, TurnState, order_key};
-use jayfork::version::Queue;
+use jobs::{job, queue};
 use yare::parameterized;
 
+#[path = "support/jobs.rs"]
+mod jobs;
+
 /// Processors of all workers, and while a part of the workers has less capacity, in thousandths.
 const CAPACITY: u32 = 600_000;
 const REDUCED_CAPACITY: u32 = 530_000;
@@ -46,20 +49,6 @@
     in_time: f64,
 }
 
-fn queue() -> Queue {
-    Queue {
-        name: "q".into(),
-        host: "h".into(),
-        prefix: "/".into(),
-        service: "s".into(),
-        priority: 2,
-        objective: 1_000,
-        stretch: 2.0,
-        attempts: 3,
-        has_advice: false,
-    }
-}
-
 impl Job {
     /// Two steps with tasks of the same size and run time.
     fn draw(rng: &mut fastrand::Rng, arrived: u64) -> Self {
@@ -84,13 +73,7 @@
             running: 0,
             has_begun: false,
             ended: None,
-            spec: JobSpec {
-                payload: "".into(),
-                steps: vec![first, second],
-                first_run: 0,
-                interval: 0,
-                turns: 0,
-            },
+            spec: job(vec![first, second]),
         }
     }
 
@@ -150,7 +133,10 @@
                 turn: 0,
                 step: job.step,
             };
-            (order_key(Some(&queue()), &job.spec, turn, now, step), index)
+            (
+                order_key(Some(&queue(2, 1_000, 2.0)), &job.spec, turn, now, step),
+                index,
+            )
         })
         .collect();
     keys.sort();
