Place the step first that has to end first, and larger tasks first among begun jobs

Smaller tasks take the room that larger ones leave, and the order counted neither the steps that follow nor the time in which room for all tasks becomes free. Change: new jobs of a priority go by the time at which their next step has to end, less the placement time: the work of the step and those after it over the capacity that long-running tasks leave. The placement time counts for the status as well. Jobs that have begun go by the size of their tasks, the largest first. The shard sums up the capacity of each service at a full placement pass and rebuilds the order if it has changed.

--- a/src/base.rs
+++ b/src/base.rs
@@ -98,6 +98,18 @@
             .min(share(self.accelerators, need.accelerators))
     }
 
+    /// Share of `whole` that this size takes in the dimension where it takes most; a dimension that
+    /// `whole` lacks does not count.
+    pub fn share_of(&self, whole: &Size) -> f64 {
+        let share = |part: u32, whole: u32| match whole {
+            0 => 0.0,
+            whole => f64::from(part) / f64::from(whole),
+        };
+        share(self.processors, whole.processors)
+            .max(share(self.memory, whole.memory))
+            .max(share(self.accelerators, whole.accelerators))
+    }
+
     pub fn saturating_sub(&self, other: &Size) -> Size {
         Size {
             processors: self.processors.saturating_sub(other.processors),
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -1,9 +1,12 @@
 //! The turns and steps of jobs (a turn is one occurrence of a repeating job): which steps can be
 //! placed, and the record of a job's progress.
 
+use std::collections::HashMap;
+
 use super::candidates::UnmetRequirements;
 use super::journal::Commit;
 use super::shard::{Now, Phase, Shard};
+use crate::base::{Name, Size};
 use crate::request::job::{Job, JobId, OrderKey, StartPermit, StepId, TurnState, order_key};
 use crate::version::{JobStateRecord, QueueIndex, ShardRecord};
 
@@ -41,6 +44,8 @@
             return;
         }
         let queue = self.queues.queue(&job.queue);
+        let capacity = queue.and_then(|queue| self.capacities.get(&queue.service));
+        let capacity = capacity.copied().unwrap_or_default();
         for step in waiting_steps(job) {
             let start = match job.spec.turns {
                 0 => job.accepted,
@@ -50,7 +55,7 @@
                 start,
                 has_begun: job.has_begun(step.turn),
             };
-            let key = order_key(queue, &job.spec, turn, self.wall, step);
+            let key = order_key(queue, &job.spec, turn, &capacity, self.wall, step);
             self.ready.insert(key);
         }
     }
@@ -122,12 +127,26 @@
         }
     }
 
-    /// Rebuilds `ready` after a change of the queues' priorities or objectives.
+    /// Rebuilds `ready` after a change of the queues' priorities or objectives, or of the capacity.
     pub(super) fn rebuild_order(&mut self) {
         self.ready.clear();
         let ids: Vec<JobId> = self.accepted.iter().copied().collect();
         for id in ids {
-            self.enqueue(id);
+            self.insert_steps(id);
+        }
+    }
+
+    /// Sums up the capacity for tasks that end, and rebuilds `ready` if it has changed.
+    pub(super) fn update_capacities(&mut self) {
+        let mut capacities: HashMap<Name, Size> = HashMap::new();
+        for worker in self.workers.iter() {
+            let room = worker.capacity.saturating_sub(&worker.long_reserved);
+            let total = capacities.entry(worker.service.clone()).or_default();
+            *total = total.saturating_add(&room);
+        }
+        if capacities != self.capacities {
+            self.capacities = capacities;
+            self.rebuild_order();
         }
     }
 
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -11,7 +11,7 @@
 use super::recovery::LoadRange;
 use super::requests::Ended;
 use super::workers::Workers;
-use crate::base::{Millis, Name};
+use crate::base::{Millis, Name, Size};
 use crate::connection::{
     CallError, Partition, StoreAnswer, StoreCall, StoreRequest, WorkerAnswer, WorkerCall,
 };
@@ -207,6 +207,8 @@
     pub(super) accepted: BTreeSet<JobId>,
     /// Jobs whose end is not stored yet.
     pub(super) ending: HashMap<JobId, Outcome>,
+    /// Capacity of all workers of each service, without what long-running tasks hold.
+    pub(super) capacities: HashMap<Name, Size>,
     /// Steps with waiting tasks, in the order of placement.
     pub(super) ready: BTreeSet<OrderKey>,
     /// Long-running tasks whose run has ended, with the time since when they wait.
@@ -277,6 +279,7 @@
             recovered: BTreeSet::new(),
             accepted: BTreeSet::new(),
             ending: HashMap::new(),
+            capacities: HashMap::new(),
             ready: BTreeSet::new(),
             restarts: BTreeSet::new(),
             restart_cursor: None,
@@ -320,6 +323,7 @@
             ShardEvent::Queues(queues) => {
                 self.queues = queues.into();
                 self.rebuild_order();
+                self.needs_placement = true;
             }
             ShardEvent::Store(StoreTag::Append, answer) => {
                 self.handle_append_answer(now, answer, out)
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -28,6 +28,10 @@
         if self.ready.is_empty() {
             return;
         }
+        let is_full_pass = now.steady.since(self.last_full_pass) >= FULL_PASS_INTERVAL;
+        if is_full_pass {
+            self.update_capacities();
+        }
         self.permit_next_jobs();
         if self.has_max_pending_starts() {
             return;
@@ -39,7 +43,7 @@
         candidates.rotate_left(start.unwrap_or(0));
         self.placement_passes = self.placement_passes.wrapping_add(MAX_COMPARED);
         let mut unmet = std::mem::take(&mut self.unmet);
-        if now.steady.since(self.last_full_pass) >= FULL_PASS_INTERVAL {
+        if is_full_pass {
             self.last_full_pass = now.steady;
             unmet.clear();
         }
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -19,5 +19,5 @@
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
 pub use order::{ObjectiveStatus, OrderKey, TurnState, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
-pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
+pub use spec::{Error, JobId, JobSpec, Remaining, Result, StepId, StepSpec, TaskKey};
 pub use trials::{TaskCrashes, Trial};
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -1,6 +1,9 @@
 //! The order in which steps are placed.
 
-use super::spec::{JobSpec, StepId};
+use std::cmp::Reverse;
+
+use super::spec::{JobSpec, StepId, StepSpec};
+use crate::base::Size;
 use crate::version::Queue;
 
 /// A job that ends after its objective is late; after this many times its objective it is overdue,
@@ -32,9 +35,14 @@
     /// Turns with tasks that have been placed come first, since that work is wasted if the others end
     /// too late.
     is_new: bool,
+    /// Status of a new job; `StartNow` for one that has begun.
     status: ObjectiveStatus,
-    /// Orders jobs of the same status, in Unix milliseconds: the deadline that applies in it, or
-    /// the start of an overdue job.
+    /// Processors of a task of a job that has begun; the largest come first, because smaller ones find
+    /// room in what they leave.
+    task_size: Reverse<u32>,
+    /// Orders jobs of the same status, in Unix milliseconds: the time by which the step has to end for
+    /// its job to be on time, less the placement time; the deadline of a late job; the start of an
+    /// overdue one.
     due: u64,
     pub step: StepId,
     /// Time until which the key is valid, in Unix milliseconds; then the job has another status.
@@ -57,12 +65,14 @@
     pub has_begun: bool,
 }
 
-/// Sort key at `now`, in Unix milliseconds, of a step of `turn`.
+/// Sort key at `now`, in Unix milliseconds, of a step of `turn`; `capacity` is that of all workers of
+/// the queue's service.
 ///
-/// Within a priority the earliest objective comes first. A job that can no longer meet its
-/// objective gives way to those that can, until it has to start to be of any use. Ordering by
-/// objective alone would finish every job of the backlog after a surge slightly too late. Overdue
-/// jobs run once the backlog is gone.
+/// Within a priority the step comes first that has to end first, so that its job meets its objective:
+/// the steps after it still have to run, and its tasks do not all start at once. A job that can no
+/// longer meet its objective gives way to those that can, until it has to start to be of any use.
+/// Ordering by objective alone would finish every job of the backlog after a surge slightly too late.
+/// Overdue jobs run once the backlog is gone.
 ///
 /// A job that has begun is finished before a new one begins, unless it is overdue. The more tasks a
 /// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
@@ -71,6 +81,7 @@
     queue: Option<&Queue>,
     spec: &JobSpec,
     turn: TurnState,
+    capacity: &Size,
     now: u64,
     step: StepId,
 ) -> OrderKey {
@@ -81,18 +92,19 @@
             is_long_running: false,
             is_new: !turn.has_begun,
             status: ObjectiveStatus::StartNow,
+            task_size: Reverse(0),
             due: start,
             step,
             expires: u64::MAX,
         };
     };
-    let is_long_running = spec
-        .steps
-        .get(usize::from(step.step))
-        .is_some_and(|step| step.lasts);
+    let step_spec = spec.steps.get(usize::from(step.step));
+    let is_long_running = step_spec.is_some_and(|step| step.lasts);
     let objective =
         ((spec.critical_path() as f64 * queue.stretch) as u64).saturating_add(queue.objective);
-    let remaining = spec.critical_path_from(step.step);
+    let rest = spec.remaining_from(step.step, capacity);
+    let remaining = rest.path + rest.placement;
+    let after = remaining - rest.first;
     let on_time_end = start.saturating_add(objective);
     let late_end = start.saturating_add(objective.saturating_mul(OVERDUE_FACTOR));
     let lead = remaining * LEAD_FACTOR;
@@ -101,7 +113,7 @@
         _ if is_long_running => (ObjectiveStatus::StartNow, on_time_end, u64::MAX),
         end if end <= on_time_end => (
             ObjectiveStatus::StartNow,
-            on_time_end,
+            on_time_end.saturating_sub(after),
             on_time_end.saturating_sub(remaining),
         ),
         _ if now + lead <= late_end => (
@@ -116,11 +128,17 @@
         ),
         _ => (ObjectiveStatus::Overdue, start, u64::MAX),
     };
+    let is_new = !turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue;
+    let task_size = step_spec.filter(|_| !is_new).map(StepSpec::reserved);
     OrderKey {
         priority: queue.priority,
         is_long_running,
-        is_new: !turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue,
-        status,
+        is_new,
+        status: match is_new {
+            true => status,
+            false => ObjectiveStatus::StartNow,
+        },
+        task_size: Reverse(task_size.map_or(0, |size| size.processors)),
         due,
         step,
         expires,
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -155,6 +155,17 @@
     pub absent: Option<u16>,
 }
 
+/// The part of a turn that begins with one of its steps, by the declared run times; in milliseconds.
+#[derive(Debug, Clone, Copy)]
+pub struct Remaining {
+    /// The longest chain of dependent steps.
+    pub path: u64,
+    /// The first step of that part.
+    pub first: u64,
+    /// Time in which room for all its tasks becomes free.
+    pub placement: u64,
+}
+
 impl StepSpec {
     /// What a worker reserves for one task; best-effort tasks reserve no processors.
     pub fn reserved(&self) -> Size {
@@ -163,6 +174,16 @@
             false => self.size,
         }
     }
+
+    /// Time in milliseconds in which workers with `capacity` in all, if they are full, end as much
+    /// work as all tasks of the step need; 0 for long-running tasks, whose run time has no end.
+    fn placement_time(&self, capacity: &Size) -> f64 {
+        if self.lasts {
+            return 0.0;
+        }
+        let tasks = f64::from(self.count) * f64::from(self.runtime);
+        tasks * self.reserved().share_of(capacity)
+    }
 }
 
 impl JobSpec {
@@ -213,11 +234,11 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
-    /// Declared run time in milliseconds of the longest chain of dependent steps that begins with
-    /// `step`.
-    pub fn critical_path_from(&self, step: u16) -> u64 {
+    /// What is left of a turn when `step` comes next, if the workers have `capacity` in all.
+    pub fn remaining_from(&self, step: u16, capacity: &Size) -> Remaining {
         let first = usize::from(step);
         let mut ends: Vec<Option<u64>> = vec![None; self.steps.len()];
+        let mut placement = 0.0;
         for (index, spec) in self.steps.iter().enumerate().skip(first) {
             let predecessor_ends = spec
                 .after
@@ -228,8 +249,15 @@
                 false => predecessor_ends.max(),
             };
             ends[index] = start.map(|start| start + u64::from(spec.runtime));
+            if start.is_some() {
+                placement += spec.placement_time(capacity);
+            }
+        }
+        Remaining {
+            path: ends.iter().flatten().max().copied().unwrap_or(0),
+            first: ends.get(first).copied().flatten().unwrap_or(0),
+            placement: placement as u64,
         }
-        ends.into_iter().flatten().max().unwrap_or(0)
     }
 
     /// Whether any step is long-running.
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -2,8 +2,8 @@
 
 use jayfork::base::{Name, Size};
 use jayfork::request::job::{
-    CandidateWorker, JobId, JobSpec, StepId, StepSpec, TaskRequirements, TurnState, choose_worker,
-    order_key,
+    CandidateWorker, JobId, JobSpec, OrderKey, StepId, StepSpec, TaskRequirements, TurnState,
+    choose_worker, order_key,
 };
 use jobs::{job, queue};
 use yare::parameterized;
@@ -11,6 +11,9 @@
 #[path = "support/jobs.rs"]
 mod jobs;
 
+/// Capacity of all workers.
+const CAPACITY: Size = Size::new(100_000, 0, 0);
+
 fn spec(runtime: u32, lasts: bool) -> JobSpec {
     job(vec![StepSpec {
         count: 1,
@@ -48,12 +51,94 @@
             start,
             has_begun: false,
         };
-        order_key(Some(&queue), &spec(runtime, lasts), turn, start, step(job))
+        order_key(
+            Some(&queue),
+            &spec(runtime, lasts),
+            turn,
+            &CAPACITY,
+            start,
+            step(job),
+        )
     };
     // The job id decides between equal keys, so the ids are in the opposite order.
     assert!(key(first, 2) < key(second, 1));
 }
 
+/// A job for the order of new jobs and of those that have begun: steps that run one after the other,
+/// each with `count` tasks that take one second and `processors`.
+struct Chain {
+    steps: u16,
+    count: u16,
+    processors: u32,
+    /// How long ago it was accepted, in milliseconds.
+    age: u64,
+    has_begun: bool,
+}
+
+fn chain_key(chain: &Chain, id: u64) -> OrderKey {
+    const NOW: u64 = 100_000;
+    let steps = (0..chain.steps).map(|index| StepSpec {
+        count: chain.count,
+        size: Size::new(chain.processors, 0, 0),
+        runtime: 1_000,
+        after: index.checked_sub(1).into_iter().collect(),
+        ..StepSpec::default()
+    });
+    let turn = TurnState {
+        start: NOW - chain.age,
+        has_begun: chain.has_begun,
+    };
+    let spec = job(steps.collect());
+    order_key(
+        Some(&queue(1, 10_000, 0.0)),
+        &spec,
+        turn,
+        &CAPACITY,
+        NOW,
+        step(id),
+    )
+}
+
+/// Guards against an order in which the largest jobs start when it is too late for them, or hold room
+/// for tasks that come too late. All jobs have ten seconds.
+#[parameterized(
+    many_steps_before_few = {
+        Chain { steps: 4, count: 1, processors: 1_000, age: 0, has_begun: false },
+        Chain { steps: 1, count: 1, processors: 1_000, age: 2_000, has_begun: false },
+    },
+    wide_before_narrow = {
+        Chain { steps: 2, count: 100, processors: 3_000, age: 0, has_begun: false },
+        Chain { steps: 2, count: 1, processors: 3_000, age: 2_000, has_begun: false },
+    },
+    begun_before_new = {
+        Chain { steps: 1, count: 1, processors: 1_000, age: 0, has_begun: true },
+        Chain { steps: 1, count: 1, processors: 1_000, age: 8_000, has_begun: false },
+    },
+    begun_with_large_tasks_before_small = {
+        Chain { steps: 1, count: 1, processors: 7_000, age: 0, has_begun: true },
+        Chain { steps: 1, count: 1, processors: 1_000, age: 8_000, has_begun: true },
+    },
+    late_that_has_to_start_before_other_late = {
+        Chain { steps: 1, count: 1, processors: 1_000, age: 28_500, has_begun: false },
+        Chain { steps: 1, count: 1, processors: 1_000, age: 20_000, has_begun: false },
+    },
+    placement_counts_for_the_status = {
+        Chain { steps: 1, count: 1, processors: 1_000, age: 8_000, has_begun: false },
+        Chain { steps: 1, count: 100, processors: 2_000, age: 8_000, has_begun: false },
+    },
+    begun_and_late_before_new = {
+        Chain { steps: 1, count: 1, processors: 1_000, age: 20_000, has_begun: true },
+        Chain { steps: 1, count: 1, processors: 1_000, age: 0, has_begun: false },
+    },
+    new_before_begun_and_overdue = {
+        Chain { steps: 1, count: 1, processors: 1_000, age: 0, has_begun: false },
+        Chain { steps: 1, count: 1, processors: 1_000, age: 29_500, has_begun: true },
+    },
+)]
+fn the_first_job_is_placed_before_the_second(first: Chain, second: Chain) {
+    assert!(chain_key(&first, 2) < chain_key(&second, 1));
+}
+
 fn worker(labels: &[Name], free: u32, idle: i64, headroom: f64) -> CandidateWorker<'_> {
     CandidateWorker {
         free: Size::new(free, 64_000, 0),
--- a/tests/surge.rs
+++ b/tests/surge.rs
@@ -13,6 +13,8 @@
 
 /// Number of tasks that can run at the same time.
 const SLOTS: u32 = 100;
+/// Thousandths of a processor that a task takes.
+const DEMAND: u32 = 1_000;
 /// Mean run time of a task, in milliseconds.
 const RUNTIME: u64 = 1_500;
 const TASKS_PER_STEP: u32 = 10;
@@ -58,7 +60,7 @@
 fn spec() -> JobSpec {
     let first = StepSpec {
         count: TASKS_PER_STEP as u16,
-        size: Size::new(1_000, 100, 0),
+        size: Size::new(DEMAND, 100, 0),
         runtime: RUNTIME as u32,
         ..StepSpec::default()
     };
@@ -85,7 +87,15 @@
                 start: open.arrived,
                 has_begun: open.step > 0 || open.waiting < TASKS_PER_STEP,
             };
-            let key = order_key(Some(&queue(2, 1_000, 2.0)), &spec(), turn, now, step);
+            let capacity = Size::new(SLOTS * DEMAND, 0, 0);
+            let key = order_key(
+                Some(&queue(2, 1_000, 2.0)),
+                &spec(),
+                turn,
+                &capacity,
+                now,
+                step,
+            );
             (Some(key), 0)
         }
         Order::Objective => (None, open.arrived + objective()),
--- a/tests/surge_sizes.rs
+++ b/tests/surge_sizes.rs
@@ -116,8 +116,10 @@
     jobs
 }
 
-/// Jobs with waiting tasks in the order of placement.
-fn placement_order(jobs: &[Job], now: u64) -> Vec<usize> {
+/// Jobs with waiting tasks in the order of placement on so many processors.
+fn placement_order(jobs: &[Job], now: u64, capacity: u32) -> Vec<usize> {
+    let queue = queue(2, 1_000, 2.0);
+    let capacity = Size::new(capacity, 0, 0);
     let waiting = jobs.iter().enumerate().filter(|(_, job)| {
         let is_known = job.arrived <= now && job.ended.is_none();
         is_known && job.waiting > 0
@@ -133,10 +135,8 @@
                 turn: 0,
                 step: job.step,
             };
-            (
-                order_key(Some(&queue(2, 1_000, 2.0)), &job.spec, turn, now, step),
-                index,
-            )
+            let key = order_key(Some(&queue), &job.spec, turn, &capacity, now, step);
+            (key, index)
         })
         .collect();
     keys.sort();
@@ -171,7 +171,7 @@
             true => REDUCED_CAPACITY,
             false => CAPACITY,
         };
-        for index in placement_order(&jobs, now) {
+        for index in placement_order(&jobs, now, capacity) {
             let job = &mut jobs[index];
             while used + job.demand() <= capacity && job.waiting > 0 {
                 used += job.demand();
