Place late jobs that have to start behind those on time

Cause: they took room from jobs that could still be on time, more of them than they saved. Change: a status of its own for late jobs that have to start, after the jobs on time and before the other late ones.

--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -15,9 +15,10 @@
 /// State of a job relative to its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ObjectiveStatus {
-    /// The job meets its objective if its next step starts now, or it is late and has to start soon
-    /// to end before it is overdue.
-    StartNow,
+    /// The job meets its objective if its next step starts now.
+    OnTime,
+    /// The job misses its objective and has to start soon to end before it is overdue.
+    StartLate,
     /// The job misses its objective, and there is still time before it has to start.
     Late,
     /// The job ends when nobody waits for its result any more.
@@ -35,7 +36,7 @@
     /// Turns with tasks that have been placed come first, since that work is wasted if the others end
     /// too late.
     is_new: bool,
-    /// Status of a new job; `StartNow` for one that has begun.
+    /// Status of a new job; `OnTime` for one that has begun.
     status: ObjectiveStatus,
     /// Processors of a task of a job that has begun; the largest come first, because smaller ones find
     /// room in what they leave.
@@ -65,14 +66,14 @@
     pub has_begun: bool,
 }
 
-/// Sort key at `now`, in Unix milliseconds, of a step of `turn`; `capacity` is that of all workers of
-/// the queue's service.
+/// Sort key at `now`, in Unix milliseconds, of a step of `turn`; `capacity` is that of all workers of the
+/// queue's service.
 ///
-/// Within a priority the step comes first that has to end first, so that its job meets its objective:
-/// the steps after it still have to run, and its tasks do not all start at once. A job that can no
-/// longer meet its objective gives way to those that can, until it has to start to be of any use.
-/// Ordering by objective alone would finish every job of the backlog after a surge slightly too late.
-/// Overdue jobs run once the backlog is gone.
+/// Within a priority the step comes first that has to end first, so that its job meets its objective: the
+/// steps after it still have to run, and its tasks do not all start at once. A job that can no longer
+/// meet its objective gives way to those that can, until it has to start to be of any use; then it
+/// comes before the other late ones. Ordering by objective alone would finish every job of the
+/// backlog after a surge slightly too late. Overdue jobs run once the backlog is gone.
 ///
 /// A job that has begun is finished before a new one begins, unless it is overdue. The more tasks a
 /// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
@@ -91,7 +92,7 @@
             priority: u8::MAX,
             is_long_running: false,
             is_new: !turn.has_begun,
-            status: ObjectiveStatus::StartNow,
+            status: ObjectiveStatus::OnTime,
             task_size: Reverse(0),
             due: start,
             step,
@@ -110,9 +111,9 @@
     let lead = remaining * LEAD_FACTOR;
     let (status, due, expires) = match now + remaining {
         // Long-running tasks are useful however late they start.
-        _ if is_long_running => (ObjectiveStatus::StartNow, on_time_end, u64::MAX),
+        _ if is_long_running => (ObjectiveStatus::OnTime, on_time_end, u64::MAX),
         end if end <= on_time_end => (
-            ObjectiveStatus::StartNow,
+            ObjectiveStatus::OnTime,
             on_time_end.saturating_sub(after),
             on_time_end.saturating_sub(remaining),
         ),
@@ -122,7 +123,7 @@
             late_end.saturating_sub(lead),
         ),
         end if end <= late_end => (
-            ObjectiveStatus::StartNow,
+            ObjectiveStatus::StartLate,
             late_end,
             late_end.saturating_sub(remaining),
         ),
@@ -136,7 +137,7 @@
         is_new,
         status: match is_new {
             true => status,
-            false => ObjectiveStatus::StartNow,
+            false => ObjectiveStatus::OnTime,
         },
         task_size: Reverse(task_size.map_or(0, |size| size.processors)),
         due,
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -118,6 +118,10 @@
         Chain { steps: 1, count: 1, processors: 7_000, age: 0, has_begun: true },
         Chain { steps: 1, count: 1, processors: 1_000, age: 8_000, has_begun: true },
     },
+    on_time_before_late = {
+        Chain { steps: 1, count: 1, processors: 1_000, age: 0, has_begun: false },
+        Chain { steps: 1, count: 1, processors: 1_000, age: 28_500, has_begun: false },
+    },
     late_that_has_to_start_before_other_late = {
         Chain { steps: 1, count: 1, processors: 1_000, age: 28_500, has_begun: false },
         Chain { steps: 1, count: 1, processors: 1_000, age: 20_000, has_begun: false },
