--- a/tests/shard/pace.rs
+++ b/tests/shard/pace.rs
@@ -85,12 +85,11 @@
     spec
 }
 
-/// Guards against serving tasks that each hold one worker, although they fit on one together, while many
-/// best-effort tasks wait that interfere with all of them.
-#[test]
-fn serving_tasks_are_moved_together_for_best_effort_ones() {
+/// A simulation of two workers with a serving task of another image each, jobs 1 and 2, whose tail latency is
+/// `tail` of its bound.
+fn world_with_serving_tasks(runtime: u64, tail: f64) -> World {
     let mut world = World::new(7, 2, 16_000);
-    world.runtimes = 3_000..3_001;
+    world.runtimes = runtime..runtime + 1;
     world.claim();
     world.run(500);
     world.submit(1, &serving("search", 4_000));
@@ -99,9 +98,17 @@
     world.run(300);
     assert_ne!(world.holder(1), world.holder(2));
     for worker in &mut world.fleet.workers {
-        worker.quiet_tail = Some(0.5);
+        worker.quiet_tail = Some(tail);
     }
     world.run(1_500);
+    world
+}
+
+/// Guards against serving tasks that each hold one worker, although they fit on one together, while many
+/// best-effort tasks wait that interfere with all of them.
+#[test]
+fn serving_tasks_are_moved_together_for_best_effort_ones() {
+    let mut world = world_with_serving_tasks(3_000, 0.5);
     world.submit(3, &best_effort(20, 3_000));
     world.run(15_000);
     assert_eq!(world.holder(1), world.holder(2));
@@ -121,18 +128,8 @@
 /// Guards against moves while no best-effort task waits for long.
 #[test]
 fn serving_tasks_stay_while_best_effort_ones_find_room() {
-    let mut world = World::new(7, 2, 16_000);
-    world.runtimes = 500..501;
-    world.claim();
-    world.run(500);
-    world.submit(1, &serving("search", 4_000));
-    world.run(300);
-    world.submit(2, &serving("map", 4_000));
-    world.run(300);
+    let mut world = world_with_serving_tasks(500, 0.4);
     let holders = (world.holder(1), world.holder(2));
-    for worker in &mut world.fleet.workers {
-        worker.quiet_tail = Some(0.4);
-    }
     for job in 0..12 {
         world.submit(3 + job, &best_effort(1, 3_000));
         world.run(1_500);
