--- a/src/process/shard/clearing.rs
+++ b/src/process/shard/clearing.rs
@@ -16,8 +16,8 @@
 const WAIT_TIME: Millis = Millis(2_000);
 /// Interval at which the waiting best-effort tasks are summed up, in milliseconds.
 const RATING_INTERVAL: Millis = Millis(250);
-/// Shortest time between two rounds of moves, in milliseconds: the time for the stops, the starts and the
-/// reports that show them.
+/// Shortest time between two rounds of moves, in milliseconds. Stops, starts and the reports that show them
+/// take about as long.
 const CLEARING_INTERVAL: Millis = Millis(1_500);
 /// A run is not moved before it has been on its worker for this long, in milliseconds.
 const MIN_STAY: Millis = Millis(10_000);
@@ -168,7 +168,7 @@
         let mut plans: Vec<Clearing> = Vec::new();
         for (slot, worker) in self.workers.slots() {
             let demand = self.waiting_demand.millicores(&worker.service);
-            // Less than a worker that is in use already may be waiting for its start only.
+            // A smaller demand needs no whole worker; it gets room as runs end.
             let is_needed = demand >= u64::from(worker.capacity.processors);
             if is_needed && worker.is_usable(now.steady) {
                 plans.extend(self.plan_clearing(now, slot, worker, &mut excluding));
