Tell a suspended machine from a wall clock that was set

Cause: the steady clock stands still while the machine is suspended, so a pause was also read from the wall clock. A wall clock that was set forward by more than 400 ms looked like a pause, and the host refused the owner's orders for 200 ms.

Change: the core reads pauses from the steady clock alone, and the runtime tells it of a suspension (`HostEvent::Resumed`). The runtime finds one when the wall clock gains more than 400 ms on the steady one and the time since the boot (/proc/uptime), which goes on during a suspension, does so too. Without that time, each such gain counts as a suspension, as before. The file is read at the start and at such a gain only.

The test a_relay_that_was_paused..::suspended gave the core a wall clock ahead of the steady one and nothing else; the core cannot tell that from a step. It now gets the event that the runtime sends, and asks for the same refusal. That the runtime sends it, and not for a step, is a test of its own with seven cases.

Not tried on a machine that was really suspended.

Open: a wall clock that is set back, within the same moment, by nearly as much as the suspension took hides it, as before. A call to a worker that waited for its connection during a suspension has its time on the steady clock, so it may leave after it; the worker's epoch and lease ends are the guard there.

--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -79,6 +79,8 @@
         origin: OrderOrigin,
         answer: Result<WorkerAnswer, CallError>,
     },
+    /// The machine was suspended. Comes before the events that were handled after it.
+    Resumed,
     /// SIGTERM or SIGINT.
     Terminate,
 }
@@ -239,6 +241,7 @@
             HostEvent::Worker { origin, answer } => {
                 self.handle_worker_answer(now, origin, answer, out);
             }
+            HostEvent::Resumed => self.pause_watch.resume(now),
             HostEvent::Terminate => self.terminate(now, out),
         }
     }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -20,5 +20,6 @@
 
 pub use host::{Host, HostAction, HostEvent, HostSettings, StorePurpose};
 pub use message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
+pub use pause::SuspendWatch;
 pub use relay::{BatchNumber, OrderBatch, OrderOrigin, RelayedAnswer, RelayedOrder, SessionId};
 pub use runtime::{Error, Result, run};
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -12,9 +12,10 @@
 use super::io::{Addresses, Io};
 use super::log_writer::LogWriter;
 use super::message::HostRecord;
+use super::pause::SuspendWatch;
 use crate::base::Millis;
 use crate::connection::{FrontReply, FrontServer};
-use crate::process::runtime::{Clock, unix_time_ms};
+use crate::process::runtime::{Clock, boot_time, unix_time_ms};
 use crate::process::settings::EntrySettings;
 use crate::process::shard::{Now, ShardSettings};
 use crate::process::{logging, telemetry};
@@ -176,6 +177,7 @@
     host: Host,
     io: Io,
     clock: Clock,
+    suspend_watch: SuspendWatch,
     actions: Vec<HostAction>,
     /// Whether a poll is queued behind the current batch of events.
     is_poll_queued: bool,
@@ -190,6 +192,7 @@
             host,
             io,
             clock,
+            suspend_watch: SuspendWatch::start(now(clock), boot_time()),
             actions: Vec::new(),
             is_poll_queued: false,
             was_idle: false,
@@ -197,13 +200,24 @@
     }
 
     fn event(&mut self, cx: CX![], event: HostEvent) {
-        self.host.handle(now(self.clock), event, &mut self.actions);
+        let now = self.now();
+        self.host.handle(now, event, &mut self.actions);
         if !self.is_poll_queued {
             self.is_poll_queued = true;
             call!([cx], poll());
         }
     }
 
+    /// The time; tells the core first if the machine was suspended.
+    fn now(&mut self) -> Now {
+        let now = now(self.clock);
+        if self.suspend_watch.note(now, boot_time) {
+            tracing::info!("the machine was suspended");
+            self.host.handle(now, HostEvent::Resumed, &mut self.actions);
+        }
+        now
+    }
+
     fn tick(&mut self, cx: CX![]) {
         self.poll(cx);
         after!(TICK, [cx], tick());
@@ -212,7 +226,8 @@
     /// Polls the core and performs its actions; ends the process once the core has asked for it.
     fn poll(&mut self, cx: CX![]) {
         self.is_poll_queued = false;
-        self.host.poll(now(self.clock), &mut self.actions);
+        let now = self.now();
+        self.host.poll(now, &mut self.actions);
         let mut should_exit = false;
         for action in std::mem::take(&mut self.actions) {
             should_exit |= self.io.perform(action);
--- a/src/process/runtime/clock.rs
+++ b/src/process/runtime/clock.rs
@@ -37,6 +37,14 @@
     }
 }
 
+/// Time since the boot of the machine, with that in which it was suspended; `None` if the system does
+/// not tell.
+pub fn boot_time() -> Option<Millis> {
+    let text = std::fs::read_to_string("/proc/uptime").ok()?;
+    let seconds: f64 = text.split(' ').next()?.parse().ok()?;
+    Some(Millis((seconds * 1_000.0) as u64))
+}
+
 /// Wall-clock time in ms since the Unix epoch.
 pub fn unix_time_ms() -> u64 {
     SystemTime::now()
--- a/src/process/runtime/mod.rs
+++ b/src/process/runtime/mod.rs
@@ -8,5 +8,5 @@
 mod scheduler;
 mod sink;
 
-pub(super) use clock::{Clock, unix_time_ms};
+pub(super) use clock::{Clock, boot_time, unix_time_ms};
 pub use run::{Error, Result, run};
