--- a/tests/ownership/relay_host.rs
+++ b/tests/ownership/relay_host.rs
@@ -63,6 +63,23 @@
         out
     }
 
+    /// Sends the hello of a process of `host-1`, which knows `owner`.
+    pub fn hear(&mut self, boot: u64, owner: Option<KnownOwner>) {
+        let presence = Presence {
+            host: HostRecord { boot, ..record(1) },
+            config: 0,
+            owner,
+            store_age: None,
+            store_time: 2,
+            is_stopping: false,
+        };
+        let hello = PeerCall::Hello {
+            presence,
+            wants_config: false,
+        };
+        self.handle(HostEvent::Peer(8, hello));
+    }
+
     /// Sends two starts; returns the orders that it passes on.
     fn send_orders(&mut self, epoch: u64) -> Vec<(OrderOrigin, WorkerCall)> {
         let orders = [start(1), start(2)];
@@ -78,7 +95,17 @@
     }
 }
 
-pub fn record(index: usize) -> HostRecord {
+/// The first process of `host-1` as the owner.
+pub fn owner(epoch: u64) -> KnownOwner {
+    KnownOwner {
+        host: "host-1".into(),
+        boot: 1,
+        epoch,
+        age: 0,
+    }
+}
+
+fn record(index: usize) -> HostRecord {
     HostRecord {
         name: format!("host-{index}").into(),
         boot: 1,
@@ -158,24 +185,7 @@
     let mut relay = Relay::start();
     relay.run(100);
     assert_eq!(relay.send_orders(3 << 16).len(), 2);
-    let presence = Presence {
-        host: record(1),
-        config: 0,
-        owner: Some(KnownOwner {
-            host: "host-1".into(),
-            boot: 1,
-            epoch: 4 << 16,
-            age: 0,
-        }),
-        store_age: None,
-        store_time: 2,
-        is_stopping: false,
-    };
-    let hello = PeerCall::Hello {
-        presence,
-        wants_config: false,
-    };
-    relay.handle(HostEvent::Peer(8, hello));
+    relay.hear(1, Some(owner(4 << 16)));
     assert!(relay.send_orders(3 << 16).is_empty());
     assert_eq!(relay.send_orders(4 << 16).len(), 2);
 }
@@ -185,27 +195,8 @@
 fn a_relay_refuses_the_orders_of_an_ended_epoch() {
     let mut relay = Relay::start();
     relay.run(100);
-    let presence = |owner: Option<KnownOwner>, boot| Presence {
-        host: HostRecord { boot, ..record(1) },
-        config: 0,
-        owner,
-        store_age: None,
-        store_time: 2,
-        is_stopping: false,
-    };
-    let owner = KnownOwner {
-        host: "host-1".into(),
-        boot: 1,
-        epoch: 4 << 16,
-        age: 0,
-    };
-    for presence in [presence(Some(owner), 1), presence(None, 2)] {
-        let hello = PeerCall::Hello {
-            presence,
-            wants_config: false,
-        };
-        relay.handle(HostEvent::Peer(8, hello));
-    }
+    relay.hear(1, Some(owner(4 << 16)));
+    relay.hear(2, None);
     assert!(relay.send_orders(3 << 16).is_empty());
     assert!(relay.send_orders(4 << 16).is_empty());
     assert_eq!(relay.send_orders(5 << 16).len(), 2);
--- a/tests/ownership/relay_replies.rs
+++ b/tests/ownership/relay_replies.rs
@@ -2,12 +2,12 @@
 
 use jayfork::connection::{CallError, RunReport, WorkerAnswer, WorkerCall, WorkerReport};
 use jayfork::process::host::{
-    BatchNumber, HostAction, HostEvent, KnownOwner, OrderBatch, OrderOrigin, PeerCall, PeerReply,
-    Presence, RelayedAnswer, SessionId,
+    BatchNumber, HostAction, HostEvent, OrderBatch, OrderOrigin, PeerCall, PeerReply,
+    RelayedAnswer, SessionId,
 };
 use yare::parameterized;
 
-use super::relay_host::{Relay, record, start};
+use super::relay_host::{Relay, owner, start};
 
 const EPOCH: u64 = 3 << 16;
 /// Number of the session, and of the batch that begins it.
@@ -304,7 +304,7 @@
             },
         ),
         Cause::NextOwner => {
-            hear_of_owner(&mut relay, EPOCH + (1 << 16));
+            relay.hear(1, Some(owner(EPOCH + (1 << 16))));
             let reply = outcome(&mut relay, SESSION, 11);
             assert!(
                 matches!(reply, PeerReply::NotOwner { owner: Some(_) }),
@@ -317,27 +317,6 @@
     assert!(matches!(reply, PeerReply::Unknown), "{reply:?}");
 }
 
-fn hear_of_owner(relay: &mut Relay, epoch: u64) {
-    let presence = Presence {
-        host: record(1),
-        config: 0,
-        owner: Some(KnownOwner {
-            host: "host-1".into(),
-            boot: 1,
-            epoch,
-            age: 0,
-        }),
-        store_age: None,
-        store_time: 2,
-        is_stopping: false,
-    };
-    let hello = PeerCall::Hello {
-        presence,
-        wants_config: false,
-    };
-    relay.handle(HostEvent::Peer(8, hello));
-}
-
 /// Guards against orders that count as unanswered although the relay, once restarted, has refused them.
 #[test]
 fn a_restarted_relay_refuses_orders_of_earlier_sessions() {
