--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -200,6 +200,10 @@
         self.images.get_mut(*self.image_indices.get(name)?)
     }
 
+    fn image(&self, name: &Name) -> Option<&ServingImage> {
+        self.images.get(*self.image_indices.get(name)?)
+    }
+
     /// The pairs that are known, for the next owner.
     pub fn learned(&self) -> Vec<LearnedImage> {
         let images = self.image_indices.iter().filter_map(|(name, index)| {
@@ -242,8 +246,7 @@
     /// Rise of the logarithm of the tail latency caused by a best-effort image that takes a whole
     /// worker.
     pub fn slope(&self, serving: Option<&Name>, best_effort: Option<&Name>) -> f64 {
-        let image_index = serving.and_then(|name| self.image_indices.get(name));
-        let image = image_index.and_then(|image_index| self.images.get(*image_index));
+        let image = serving.and_then(|name| self.image(name));
         image.map_or(PRIOR_SLOPE, |image| image.slope(best_effort))
     }
 
@@ -252,9 +255,9 @@
     pub fn usable_share(&self, serving: &[&Name], best_effort: &Name) -> f64 {
         let headroom = (TARGET_TAIL / MIN_PLACEMENT_BASELINE).ln();
         let shares = serving.iter().map(|name| {
-            let image_index = self.image_indices.get(*name);
-            let image = image_index.and_then(|image_index| self.images.get(*image_index));
-            let known = image.filter(|image| image.is_known(Some(best_effort)));
+            let known = self
+                .image(name)
+                .filter(|image| image.is_known(Some(best_effort)));
             let slope = known.map_or(0.0, |image| image.slope(Some(best_effort)));
             headroom / slope.max(headroom)
         });
