--- a/src/process/host/relay/sessions.rs
+++ b/src/process/host/relay/sessions.rs
@@ -72,10 +72,9 @@
         })
     }
 
-    /// Begins a session with numbered batches, unless it is or was known, or a later one is.
+    /// Begins a session with numbered batches; see `was_known` for those that it does not.
     fn begin(&mut self, now: Millis, id: SessionId, out: &mut Vec<HostAction>) {
-        let newest = self.newest.get(&id.epoch);
-        if id.epoch <= self.ended_epoch || newest.is_some_and(|newest| id.number <= *newest) {
+        if self.was_known(id) {
             return;
         }
         self.end_sessions(now, |ended| ended.epoch == id.epoch, out);
@@ -88,7 +87,7 @@
         self.session(now, id, out);
     }
 
-    /// Whether the session has been known.
+    /// Whether the session is or was known, or a later one of its epoch, or its epoch has ended.
     fn was_known(&self, id: SessionId) -> bool {
         let newest = self.newest.get(&id.epoch);
         id.epoch <= self.ended_epoch || newest.is_some_and(|newest| id.number <= *newest)
