Clearing of workers: reserve room in place, and build no candidates without a plan

Cause: each plan copied the list of all candidates, and the list was built each 250 ms also if no worker was to be cleared, so with many plans the owner's work grew with the square of the workers.

Change: room is reserved in the list itself and given back if a task finds none; nothing is built without a plan. The comparison of service and image stands in one place. The choice of workers and tasks is the same.

The owner's processor time was not measured.

--- a/src/process/shard/clearing.rs
+++ b/src/process/shard/clearing.rs
@@ -9,7 +9,7 @@
 use super::candidates::Candidates;
 use super::shard::{Now, Phase, Shard};
 use super::worker::{RunState, Worker};
-use crate::base::{Millis, Name};
+use crate::base::{Millis, Name, Size};
 use crate::request::job::{Contention, StepSpec, TaskKey};
 
 /// How long best-effort tasks wait in vain before other tasks make room for them, in milliseconds.
@@ -50,6 +50,12 @@
     counts: bool,
 }
 
+impl WaitingImage {
+    fn is_for(&self, service: &Name, image: &Name) -> bool {
+        self.image == *image && self.service == *service
+    }
+}
+
 /// Serving tasks to move off a worker.
 struct Clearing {
     slot: usize,
@@ -61,8 +67,7 @@
 impl WaitingDemand {
     fn add(&mut self, now: Millis, service: &Name, image: &Name, millicores: u64) {
         let mut entries = self.entries.iter_mut();
-        let known = entries.find(|entry| entry.image == *image && entry.service == *service);
-        match known {
+        match entries.find(|entry| entry.is_for(service, image)) {
             Some(entry) => entry.millicores += millicores,
             None => self.entries.push(WaitingImage {
                 service: service.clone(),
@@ -78,9 +83,7 @@
     fn continue_from(&mut self, now: Millis, former: &WaitingDemand) {
         for entry in &mut self.entries {
             let mut others = former.entries.iter();
-            let same =
-                others.find(|other| other.image == entry.image && other.service == entry.service);
-            if let Some(same) = same {
+            if let Some(same) = others.find(|other| other.is_for(&entry.service, &entry.image)) {
                 entry.since = same.since;
             }
             entry.counts = now.since(entry.since) >= WAIT_TIME;
@@ -174,6 +177,9 @@
                 plans.extend(self.plan_clearing(now, slot, worker, &mut excluding));
             }
         }
+        if plans.is_empty() {
+            return;
+        }
         plans.sort_by(|a, b| b.gain.total_cmp(&a.gain));
         let mut candidates = self.candidates(now);
         let mut chosen: Vec<Clearing> = Vec::new();
@@ -181,7 +187,7 @@
             if chosen.len() >= max_cleared {
                 break;
             }
-            if self.reserve_elsewhere(&plan, &mut candidates, now) {
+            if self.reserve_elsewhere(now, &plan, &mut candidates) {
                 chosen.push(plan);
             }
         }
@@ -240,35 +246,48 @@
     }
 
     /// Reserves room for the tasks on other workers; returns whether all have found room by which
-    /// best-effort tasks lose little.
-    fn reserve_elsewhere(&self, plan: &Clearing, candidates: &mut Candidates, now: Now) -> bool {
-        let mut others = candidates.clone();
-        others.retain(|candidate| candidate.slot != plan.slot);
-        let service = self.workers.at(plan.slot).map(|worker| &worker.service);
+    /// best-effort tasks lose little. If not, nothing is reserved.
+    fn reserve_elsewhere(&self, now: Now, plan: &Clearing, candidates: &mut Candidates) -> bool {
+        let mut former: Vec<(usize, Size)> = Vec::new();
         for task in &plan.tasks {
-            let Some((_, spec)) = self.step_spec(task.step) else {
-                return false;
-            };
-            let reserved = spec.reserved();
-            let found = others.iter_mut().find(|candidate| {
-                let worker = self.workers.at(candidate.slot);
-                reserved.fits(&candidate.free)
-                    && worker.is_some_and(|worker| {
-                        Some(&worker.service) == service
-                            && worker.cleared_until <= now.steady
-                            && worker.allows(task.step, spec)
-                            && self.loses_little(worker, spec)
-                    })
-            });
-            let Some(candidate) = found else {
+            let Some((index, reserved)) = self.find_room(now, plan.slot, *task, candidates) else {
+                for (index, free) in former.into_iter().rev() {
+                    candidates[index].free = free;
+                }
                 return false;
             };
+            let candidate = &mut candidates[index];
+            former.push((index, candidate.free));
             candidate.free = candidate.free.saturating_sub(&reserved);
         }
-        *candidates = others;
+        candidates.retain(|candidate| candidate.slot != plan.slot);
         true
     }
 
+    /// Index of the first candidate but `slot` that a task may move to, and what it reserves there.
+    fn find_room(
+        &self,
+        now: Now,
+        slot: usize,
+        task: TaskKey,
+        candidates: &Candidates,
+    ) -> Option<(usize, Size)> {
+        let (_, spec) = self.step_spec(task.step)?;
+        let service = &self.workers.at(slot)?.service;
+        let reserved = spec.reserved();
+        let index = candidates.iter().position(|candidate| {
+            candidate.slot != slot
+                && reserved.fits(&candidate.free)
+                && self.workers.at(candidate.slot).is_some_and(|worker| {
+                    worker.service == *service
+                        && worker.cleared_until <= now.steady
+                        && worker.allows(task.step, spec)
+                        && self.loses_little(worker, spec)
+                })
+        })?;
+        Some((index, reserved))
+    }
+
     /// Whether best-effort tasks could use nearly as much of a worker if it got a task of the step.
     fn loses_little(&self, worker: &Worker, spec: &StepSpec) -> bool {
         let images = serving_images(worker, spec.image.as_ref());
