--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 
 TASKS = 560
 # The first runs end from END_S to END_S + SPREAD_S after the job was accepted.
-END_S, SPREAD_S = 20.0, 3.0
+END_S, SPREAD_S = 24.0, 3.0
 OUTAGE_S = 4.2
 
 
@@ -30,9 +30,9 @@
         await world.add_minion(name, seconds)
     await world.open()
     world.accepted = world.record.now()
-    step = {"count": TASKS, "cpu": 20, "memMb": 20, "estRuntimeMs": 20000, "requiredLabel": "b"}
+    step = {"count": TASKS, "cpu": 20, "memMb": 20, "estRuntimeMs": 24000, "requiredLabel": "b"}
     job = await world.submit("merge", [step])
-    await world.wait_until(lambda: len(minion.runs) == TASKS, 18, "the tasks start too slowly")
+    await world.wait_until(lambda: len(minion.runs) == TASKS, 22, "the tasks start too slowly")
     await asyncio.sleep(world.accepted + END_S - 0.5 - world.record.now())
     if sim.TROUBLE:
         world.record("the store is down")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import sys
+import time
 
 sys.dont_write_bytecode = True
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
@@ -28,7 +29,9 @@
     world.record(f"{minion.id} reports that it drains, with {len(minion.runs)} runs")
     minion.state = "draining"
     minion.write_entry()
-    await asyncio.sleep(1.2)
+    await asyncio.sleep(1.0)
+    # 1.2 s after a write to the store; the next one would come 0.3 s later.
+    await world.wait_until(lambda: time.monotonic() - minion.written >= 1.2, 3, "no write")
     if sim.TROUBLE:
         world.record(f"{minion.id} is cut off; connections are refused")
         minion.cut_off("refuse")
@@ -36,7 +39,7 @@
     if sim.TROUBLE:
         world.record(f"{minion.id} can be reached again")
         await minion.heal()
-    await asyncio.sleep(STAY_S - CUT_S - 1.2)
+    await asyncio.sleep(STAY_S - CUT_S - 2.0)
     world.record(f"{minion.id} leaves")
     minion.leave()
     for job in jobs:
