Leaving workers: a refused connection is no proof that a worker has gone

Callers saw tasks run twice at the same time (TWICE): a draining worker was cut off with connections refused, its entry was removed after three silent heartbeats, and its tasks started elsewhere at once although its leases were good for 2 s more.

Cause: handle_poll_answer took a refused connection of a draining worker without an entry for the end of its process. One cut explains both. A next owner drew the same conclusion from the record that the worker was leaving.

Change: only another worker's answer at the address counts. So that next owners don't hold up all recovered jobs for a worker that has left, the owner records which tasks a leaving worker may still run (r/ID); the next one holds these alone.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -246,6 +246,7 @@
         self.is_ready
             && self.is_recorded
             && self.may_lease()
+            && !self.is_closed()
             && !self.is_exclusive()
             && self.unanswered < 2
             && self
--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -26,6 +26,8 @@
     Worker(Name),
     /// The deletion of the record of how long the worker was waited for.
     WaitEnded(Name),
+    /// The deletion of the record of the runs that the worker, which was leaving, may still have.
+    Reopened(Name),
     Accepted(JobId),
     /// The record that the job has not started.
     Deferred(JobId),
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -8,6 +8,7 @@
 mod journal;
 mod leases;
 mod recovery;
+mod remaining;
 mod reports;
 mod requests;
 mod restarts;
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -8,7 +8,7 @@
 use crate::base::{Millis, Name};
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
 use crate::platform::{RegistryEntry, WorkerState};
-use crate::request::job::{Job, JobId, StartPermit, TaskCrashes};
+use crate::request::job::{Job, JobId, StartPermit, TaskCrashes, TaskKey};
 use crate::version::{JobStateRecord, LeaseRecord, ShardRecord, SuspectRecord, WaitRecord};
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
@@ -103,6 +103,13 @@
                     self.needs_placement = true;
                 }
             }
+            Commit::Reopened(id) => {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.recorded_runs = None;
+                    worker.has_changed = true;
+                    self.needs_placement = true;
+                }
+            }
             Commit::Accepted(id) => self.commit_accepted(now, id, out),
             Commit::Deferred(_) => {}
             Commit::MayStart(id) => self.commit_may_start(id),
@@ -205,6 +212,7 @@
         let mut leases: Vec<(Name, LeaseRecord)> = Vec::new();
         let mut waits: Vec<(Name, WaitRecord)> = Vec::new();
         let mut suspects: Vec<(Name, Vec<SuspectRecord>)> = Vec::new();
+        let mut remaining: Vec<(Name, Vec<TaskKey>)> = Vec::new();
         for record in records {
             match record {
                 ShardRecord::Job(id, Some(job)) => {
@@ -229,6 +237,7 @@
                 ShardRecord::Lease(id, Some(lease)) => leases.push((id, lease)),
                 ShardRecord::Wait(id, Some(wait)) => waits.push((id, wait)),
                 ShardRecord::Suspects(id, Some(runs)) => suspects.push((id, runs)),
+                ShardRecord::Remaining(id, Some(tasks)) => remaining.push((id, tasks)),
                 ShardRecord::Owner(_)
                 | ShardRecord::Lease(_, None)
                 | ShardRecord::Job(_, None)
@@ -237,11 +246,13 @@
                 | ShardRecord::Crashes(_, None)
                 | ShardRecord::Suspects(_, None)
                 | ShardRecord::Wait(_, None)
+                | ShardRecord::Remaining(_, None)
                 | ShardRecord::Worker(_, None) => {}
             }
         }
         self.restore_leases(leases);
         self.restore_waits(waits);
+        self.restore_remaining(remaining);
         for (id, state) in states {
             match state {
                 JobStateRecord::Open(progress) => {
@@ -285,7 +296,7 @@
     }
 
     /// Ends the recovery once the runs of every worker of an earlier owner are known, or it has left,
-    /// or can hold no lease any more.
+    /// or can hold no lease any more. Workers whose runs are recorded hold up these tasks alone.
     pub(super) fn finish_recovery(&mut self, now: Now) {
         if self.phase != Phase::Recovering {
             return;
@@ -295,7 +306,7 @@
             .workers
             .iter()
             .filter(|worker| !worker.is_settled(now.steady, stop_time))
-            .filter(|worker| !worker.has_left);
+            .filter(|worker| !worker.has_left && worker.unheard.is_none());
         let (mut missing, mut is_over) = (0, true);
         for worker in missing_workers {
             missing += 1;
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -195,11 +195,10 @@
             answer => {
                 worker.note_miss(now.steady);
                 let is_in_place = worker.was_asked_in_place(sent);
-                let is_refused = is_in_place && matches!(answer, Err(CallError::Refused));
+                // Connections that are refused prove nothing: a network may refuse them too.
                 let is_replaced = is_in_place && matches!(answer, Ok(WorkerAnswer::WrongWorker));
                 worker.use_listed_address(now.steady);
-                let has_gone = is_refused && worker.is_draining && !worker.is_listed;
-                worker.has_left = has_gone || is_replaced;
+                worker.has_left = is_replaced;
                 let pause = Millis(POLL_RETRY.0 * u64::from(worker.unanswered.min(10)));
                 worker.next_poll = now.steady + pause.min(MAX_POLL_RETRY);
                 if worker.unanswered == 3 {
@@ -259,6 +258,7 @@
         worker.next_poll = now.steady;
         worker.has_changed = true;
         let last_processed = worker.processed;
+        self.hear_remaining(worker_id, &report);
         for end in &report.ended {
             if end.number > last_processed {
                 self.handle_end(now, worker_id, end);
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -155,7 +155,7 @@
         };
         let may_have_run = self.phase != Phase::Active && self.recovered.contains(&id);
         let is_held = may_have_run && !task.is_found
-            || self.orphaned_tasks.contains(&key)
+            || self.may_run_elsewhere(&key)
             || job.awaits_proof(key, now.steady);
         let is_permitted = job.start_permit == StartPermit::Granted;
         if is_held || !is_permitted || !job.is_ready(key.step.turn, key.step.step) {
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -221,6 +221,8 @@
     pub(super) workers: Workers,
     /// Tasks with an orphaned run, which has to end before another one may start.
     pub(super) orphaned_tasks: HashSet<TaskKey>,
+    /// Tasks that may run on a leaving worker that this owner has not heard from.
+    pub(super) unheard_tasks: HashSet<TaskKey>,
     /// Tickets of requests that are answered once a record of the job is stored.
     pub(super) tickets: HashMap<JobId, Vec<u64>>,
     /// Records loaded so far.
@@ -291,6 +293,7 @@
             upcoming_turns: BTreeSet::new(),
             workers: Workers::default(),
             orphaned_tasks: HashSet::new(),
+            unheard_tasks: HashSet::new(),
             tickets: HashMap::new(),
             loaded_records: Vec::new(),
             loads: Vec::new(),
--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -51,9 +51,7 @@
         let Some(task) = tasks.first() else {
             return;
         };
-        let orphaned = tasks
-            .iter()
-            .filter(|task| self.orphaned_tasks.contains(task));
+        let orphaned = tasks.iter().filter(|task| self.may_run_elsewhere(task));
         let may_have_run = self.phase != Phase::Active && self.recovered.contains(&id.job);
         tracing::info!(
             %task,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -59,6 +59,7 @@
         }
         self.contention.learn(now.steady);
         self.finish_recovery(now);
+        self.release_unheard(now);
         self.expire_runs(now);
         self.evacuate(now);
         self.make_room_for_best_effort(now);
@@ -173,8 +174,11 @@
     fn record_workers(&mut self, now: Now) {
         let mut removed: Vec<Name> = Vec::new();
         let granted = self.settings.granted_lease();
+        let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         for worker in self.workers.iter_mut() {
-            let is_idle = worker.runs.is_empty() && worker.acknowledged == worker.processed;
+            let is_idle = worker.runs.is_empty()
+                && worker.unheard.is_none()
+                && worker.acknowledged == worker.processed;
             let is_done = is_idle && !worker.awaits_proof(now.steady);
             if !worker.is_listed && is_done && self.phase == Phase::Active {
                 removed.push(worker.id.clone());
@@ -182,6 +186,7 @@
                 worker.record(&mut self.journal);
                 worker.record_lease(now.steady, granted, &mut self.journal);
                 worker.record_suspects(&mut self.journal);
+                worker.record_remaining(now.steady, stop_time, &mut self.journal);
             }
         }
         for id in removed {
@@ -194,6 +199,10 @@
                     let record = ShardRecord::Wait(id.clone(), None);
                     self.journal.push(&record, None);
                 }
+                if worker.recorded_runs.is_some() {
+                    let record = ShardRecord::Remaining(id.clone(), None);
+                    self.journal.push(&record, None);
+                }
                 if !worker.recorded_suspects.is_empty() {
                     let record = ShardRecord::Suspects(id.clone(), None);
                     self.journal.push(&record, None);
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -6,6 +6,7 @@
 
 use super::crashes::{SuspectRun, WorkerRestart};
 use super::leases::RecordedWait;
+use super::remaining::RecordedRuns;
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{BestEffortGroup, Headroom, JobId, ServingTask, TaskKey};
 use crate::version::{LeaseRecord, SuspectRecord};
@@ -96,8 +97,7 @@
     pub is_listed: bool,
     /// Whether its last entry in the registry says that it is leaving.
     pub is_draining: bool,
-    /// Whether it has announced that it is leaving, left the registry and refuses connections, or another
-    /// worker answers at its address.
+    /// Whether its process has certainly ended: another worker answers at its address.
     pub has_left: bool,
     /// Whether its record is stored. A later owner asks every recorded worker for its runs.
     pub is_recorded: bool,
@@ -122,6 +122,10 @@
     pub waited_before: Millis,
     /// The newest record of how long it was waited for, until its deletion is stored.
     pub recorded_wait: Option<RecordedWait>,
+    /// The newest record of the runs that it may still have while it is leaving.
+    pub recorded_runs: Option<RecordedRuns>,
+    /// Tasks that it may still run by the record of an earlier owner, until they are known.
+    pub unheard: Option<Vec<TaskKey>>,
     /// Highest number of an end that has been applied to its job.
     pub processed: u64,
     /// Highest number of an end whose effects are recorded.
@@ -209,6 +213,8 @@
             recorded_lease: LeaseRecord::default(),
             waited_before: Millis(0),
             recorded_wait: None,
+            recorded_runs: None,
+            unheard: None,
             processed: 0,
             acknowledged: 0,
             runs: HashMap::new(),
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -44,8 +44,7 @@
 pub struct WorkerRecord {
     pub address: SocketAddr,
     pub service: Name,
-    /// Whether the worker has announced that it leaves. If so, a later owner doesn't wait for it
-    /// once nothing listens at its address.
+    /// Whether the worker has announced that it leaves.
     pub is_leaving: bool,
 }
 
@@ -132,6 +131,9 @@
     /// The runs that a worker has confirmed and may have crashed it, until it is known whether its process
     /// has ended.
     Suspects(Name, Option<Vec<SuspectRecord>>),
+    /// Tasks that may still run on a worker that is leaving, which gets no starts until the record is
+    /// deleted.
+    Remaining(Name, Option<Vec<TaskKey>>),
 }
 
 const OWNER: &str = "owner";
@@ -150,6 +152,7 @@
             ShardRecord::Crashes(id, _) => format!("c/{id}"),
             ShardRecord::Suspects(id, _) => format!("u/{id}"),
             ShardRecord::Wait(id, _) => format!("v/{id}"),
+            ShardRecord::Remaining(id, _) => format!("r/{id}"),
         }
     }
 
@@ -167,6 +170,7 @@
             ShardRecord::Crashes(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Suspects(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Wait(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Remaining(_, value) => value.as_ref().map(encode).unwrap_or_default(),
         }
     }
 
@@ -209,6 +213,10 @@
                 decode_optional(key, value)?,
             )),
             "v" => Ok(ShardRecord::Wait(id.into(), decode_optional(key, value)?)),
+            "r" => Ok(ShardRecord::Remaining(
+                id.into(),
+                decode_optional(key, value)?,
+            )),
             _ => Err(unknown()),
         }
     }
--- /dev/null
+++ b/tests/shard/absences.rs
@@ -0,0 +1,138 @@
+//! Missing information that is no proof: connections that are refused, and runs that a list of limited length
+//! does not name.
+
+use jayfork::request::job::JobId;
+use jayfork::version::ShardRecord;
+use yare::parameterized;
+
+use super::world::{STEP, World, chain, long_running};
+
+/// Time for which the network refuses connections to a worker, in milliseconds.
+const CUT_TIME: u64 = 5_500;
+/// Time from the begin of the cut until the registry removes the entry of the worker, in milliseconds.
+const UNLIST_TIME: u64 = 3_300;
+
+/// Guards against two runs of a task at once because a worker that is draining, has no entry any more and
+/// refuses connections counts as gone, although it is only cut off.
+#[parameterized(
+    with_the_same_owner = { false },
+    with_the_next_owner = { true },
+)]
+fn a_draining_worker_that_refuses_connections_may_run_on(is_owner_lost: bool) {
+    let mut world = World::new(7, 3, 8_000);
+    let first = world.claim();
+    world.run(500);
+    for id in 1..=3 {
+        world.submit(id, &long_running(1, 8_000));
+    }
+    world.run(1_000);
+    let leaving = world.holder(1);
+    world.drain(leaving);
+    world.run(1_000);
+    world.fleet.workers[leaving].is_refused = true;
+    if is_owner_lost {
+        world.kill(first);
+        world.run(1_000);
+        world.claim();
+    }
+    world.run(UNLIST_TIME);
+    world.unlist(leaving);
+    world.cancel(2);
+    world.run(CUT_TIME - UNLIST_TIME);
+    world.fleet.workers[leaving].is_refused = false;
+    world.run(10_000);
+    world.assert_no_violations();
+    assert_eq!(world.running(1), 1);
+}
+
+/// A simulation with a long-running task, job 1, on a worker that is leaving, since no other one has room for
+/// it. Returns that worker too.
+fn world_with_a_leaving_worker(seed: u64) -> (World, usize) {
+    let mut world = World::new(seed, 3, 8_000);
+    world.claim();
+    world.run(500);
+    for (id, processors) in [(1, 8_000), (2, 8_000), (3, 4_000)] {
+        world.submit(id, &long_running(1, processors));
+    }
+    world.run(1_000);
+    let leaving = world.holder(1);
+    world.drain(leaving);
+    world.run(1_000);
+    (world, leaving)
+}
+
+/// Guards against jobs that stand still after a change of the owner because a worker that has left cannot be
+/// asked for its runs, although it is known which tasks it may have run.
+#[test]
+fn a_worker_that_has_left_holds_up_only_the_tasks_that_it_ran() {
+    let (mut world, leaving) = world_with_a_leaving_worker(7);
+    world.submit(4, &chain(&[2, 2, 2], 1_000));
+    world.run(100);
+    world.leave(leaving);
+    world.kill(0);
+    world.claim();
+    world.run(4_000);
+    assert_eq!(world.fleet.done.len(), 6);
+    world.cancel(2);
+    world.run(6_000);
+    assert_eq!(world.running(1), 1);
+    world.assert_no_violations();
+}
+
+/// Guards against two runs of a task at once because the next owner trusts a list of a worker's runs from
+/// before it was ready again and got another one.
+#[test]
+fn a_worker_that_stays_after_all_is_waited_for() {
+    let mut starts = 0;
+    for delay in 16..56 {
+        let (mut world, leaving) = world_with_a_leaving_worker(delay);
+        world.cancel(1);
+        world.run(1_000);
+        world.fleet.workers[leaving].is_leaving = false;
+        world.refresh(leaving);
+        world.submit(4, &long_running(1, 8_000));
+        world.run(delay * STEP);
+        starts += world.running(4);
+        world.fleet.workers[leaving].is_unreachable = true;
+        world.kill(0);
+        world.claim();
+        world.cancel(2);
+        world.run(12_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(4), 1, "delay {delay}");
+    }
+    assert!(starts > 0);
+}
+
+/// Guards against a list of runs that a later owner reads differently than it was recorded.
+#[test]
+fn recorded_runs_are_read_back() {
+    let (world, _) = world_with_a_leaving_worker(7);
+    let task = world.task(1);
+    for value in [Some(vec![task]), Some(Vec::new()), None] {
+        let record = ShardRecord::Remaining("worker-1".into(), value);
+        let decoded = ShardRecord::decode(&record.key(), &record.value());
+        assert_eq!(decoded, Ok(record));
+    }
+    let recorded = world
+        .store
+        .records
+        .iter()
+        .find(|(key, _)| key.starts_with("r/"));
+    let (key, value) = recorded.expect("a record of the leaving worker");
+    let decoded = ShardRecord::decode(key, value);
+    let expected = key.trim_start_matches("r/").into();
+    assert_eq!(
+        decoded,
+        Ok(ShardRecord::Remaining(expected, Some(vec![task])))
+    );
+}
+
+impl World {
+    /// A task of a job.
+    fn task(&self, id: u64) -> jayfork::request::job::TaskKey {
+        let mut tasks = self.fleet.specs.keys();
+        let task = tasks.find(|task| task.step.job == JobId(id));
+        *task.expect("a submitted job")
+    }
+}
--- a/tests/shard/crash_model.rs
+++ b/tests/shard/crash_model.rs
@@ -122,10 +122,13 @@
     pub fn leave(&mut self, worker: usize) {
         self.fleet.restart(self.now, worker);
         self.fleet.workers[worker].is_gone = true;
+        self.unlist(worker);
+    }
+
+    /// Removes a worker's entry from the registry.
+    pub fn unlist(&mut self, worker: usize) {
         let change = RegistryChange::Removed(self.worker_name(worker));
-        if let Some(owner) = self.owner() {
-            self.event(owner, ShardEvent::Registry(vec![change]));
-        }
+        self.registry_event(change);
     }
 
     /// Announces a worker in the registry again.
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -60,6 +60,8 @@
     pub is_gone: bool,
     /// Whether its network is cut: messages neither arrive nor leave.
     pub is_unreachable: bool,
+    /// Whether its network refuses connections while its process runs on.
+    pub is_refused: bool,
     /// Until when its process is starting and gives no answers.
     pub down_until: u64,
     /// When its process ends because of a task that it has started.
@@ -123,6 +125,7 @@
             is_leaving: false,
             is_gone: false,
             is_unreachable: false,
+            is_refused: false,
             down_until: 0,
             crash_at: None,
             unlisted_at: None,
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -1,6 +1,7 @@
 //! Runs the state machine of a shard against models of the store and the workers, with lost, late
 //! and repeated messages, killed and superseded owners, and outages of the store.
 
+mod absences;
 mod blocked_jobs;
 mod capacity;
 mod cases;
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -375,7 +375,7 @@
                     self.send(5, Message::Answer(owner, tag, answer));
                     return;
                 };
-                if target.is_gone || target.returns_at.is_some() {
+                if target.is_gone || target.is_refused || target.returns_at.is_some() {
                     let answer = Err(CallError::Refused);
                     self.send(5, Message::Answer(owner, tag, answer));
                     return;
