Reports: a full list of ends proves nothing about runs that it does not name

Callers saw tasks of a job run twice (TWICE): 560 runs ended on one worker while the store was down, and those from end 501 on started again although they were done.

Cause: a worker returns 500 ends at a time, and lose_missing_runs took a run in neither list for lost without asking whether the list was cut. finish_recovery had the same fault for a next owner, and stop_stalled would have taken such a run for stalled.

Change: WorkerReport::lists_all_ends. A full list loses no run, and the runs of a worker count as known to a new owner after its first report with fewer ends. has_waited counts from the claim only for workers that have not reported to this owner.

The model of the workers lists 500 ends at a time now, and the progress of its ordinary runs rises with time as the protocol says; until now it was always 100, so that a run of more than 2.5 s counted as stalled.

--- a/src/connection/orders.rs
+++ b/src/connection/orders.rs
@@ -89,6 +89,10 @@
     Malformed,
 }
 
+/// Most ends in one report, by the platform's protocol. A worker lists the others once these are
+/// acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct WorkerReport {
     /// The worker's clock in milliseconds.
@@ -99,6 +103,14 @@
     pub ended: Vec<EndReport>,
 }
 
+impl WorkerReport {
+    /// Whether a run that is in neither list is certainly not on the worker; otherwise, it may have ended
+    /// after those that are listed.
+    pub fn lists_all_ends(&self) -> bool {
+        self.ended.len() < MAX_LISTED_ENDS
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunReport {
     pub task: TaskKey,
--- a/src/process/shard/leases.rs
+++ b/src/process/shard/leases.rs
@@ -37,8 +37,11 @@
         }
     }
 
-    /// Whether every lease that earlier owners granted to a worker has expired.
+    /// Whether every lease that this owner or earlier ones granted to a worker has expired.
     pub(super) fn has_waited(&self, now: Millis, worker: &Worker) -> bool {
+        if worker.first_report.is_some() {
+            return worker.unanswered > 0 && worker.has_expired(now);
+        }
         let waited = worker.waited_before + now.since(self.claimed_at);
         waited >= self.lease_wait(worker)
     }
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -267,14 +267,21 @@
         for listed in &report.running {
             self.update_run(now, worker_id, listed);
         }
-        self.lose_missing_runs(now, worker_id, sent, &report);
+        // A run that is in neither list may have ended after those that a full list of ends names.
+        let lists_all_ends = report.lists_all_ends();
+        if lists_all_ends {
+            self.lose_missing_runs(now, worker_id, sent, &report);
+        }
         self.check_crashes(now, worker_id);
         if is_first && self.phase == Phase::Active {
             self.lose_runs_at_address(now, worker_id);
         }
         self.throttle(now, worker_id, out);
         if let Some(worker) = self.workers.get_mut(worker_id) {
-            stop_stalled(worker, now.steady);
+            if lists_all_ends {
+                worker.first_full_report.get_or_insert(now.steady);
+                stop_stalled(worker, now.steady);
+            }
             if worker.acknowledged < worker.processed || !worker.may_lease() {
                 worker.next_poll = now.steady + ACKNOWLEDGE_WAIT;
             }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -160,6 +160,8 @@
     pub last_report: Option<Millis>,
     /// When it first reported to this owner. From then on it refuses the orders of earlier owners.
     pub first_report: Option<Millis>,
+    /// When it first reported to this owner with all ends, so that its runs are known.
+    pub first_full_report: Option<Millis>,
     /// Calls without an answer since the last report.
     pub unanswered: u32,
     /// Calls without an answer of which each came less than `DETOUR_TIME` after the one before, and the
@@ -232,6 +234,7 @@
             next_poll: now,
             last_report: None,
             first_report: None,
+            first_full_report: None,
             unanswered: 0,
             misses: (0, Millis(0)),
             failed_jobs: Vec::new(),
@@ -387,7 +390,7 @@
     /// running nor as ended until `stop_time` is over, and takes room until then.
     pub fn is_settled(&self, now: Millis, stop_time: Millis) -> bool {
         let settled = |at: Millis| now >= at + stop_time;
-        !self.is_recovered || self.first_report.is_some_and(settled)
+        !self.is_recovered || self.first_full_report.is_some_and(settled)
     }
 
     /// Capacity that no run reserves; none at all if the runs reserve too much in any dimension, as after
--- a/tests/shard/absences.rs
+++ b/tests/shard/absences.rs
@@ -1,7 +1,8 @@
 //! Missing information that is no proof: connections that are refused, and runs that a list of limited length
 //! does not name.
 
-use jayfork::request::job::JobId;
+use jayfork::process::shard::Reply;
+use jayfork::request::job::{JobId, Outcome};
 use jayfork::version::ShardRecord;
 use yare::parameterized;
 
@@ -45,6 +46,51 @@
     assert_eq!(world.running(1), 1);
 }
 
+/// Runs that end while the store is down, more than a worker lists at once.
+const ENDS: u16 = 560;
+
+/// A simulation whose only worker has more ended runs than it lists, all of them done, while the store is down.
+fn world_with_unlisted_ends(seed: u64) -> World {
+    let mut world = World::new(seed, 1, 16_000);
+    world.runtimes = 60_000..60_001;
+    world.claim();
+    world.run(500);
+    world.submit(1, &chain(&[ENDS], 20));
+    world.run(20_000);
+    assert_eq!(world.running(1), usize::from(ENDS));
+    world.store.is_down = true;
+    world.run(500);
+    world.fleet.finish_job(world.now, JobId(1));
+    world.run(3_000);
+    assert_eq!(world.fleet.done.len(), usize::from(ENDS));
+    world
+}
+
+/// Guards against tasks that start again although they are done, because their ends don't fit into the list
+/// of ends and count as lost, for the owner that gave the orders or for the next one.
+#[parameterized(
+    with_the_same_owner = { false },
+    with_the_next_owner = { true },
+)]
+fn ends_beyond_the_listed_ones_are_not_lost(is_owner_lost: bool) {
+    let mut world = world_with_unlisted_ends(7);
+    if is_owner_lost {
+        world.kill(0);
+    }
+    world.store.is_down = false;
+    if is_owner_lost {
+        world.claim();
+    }
+    world.run(12_000);
+    world.assert_no_violations();
+    assert_eq!(world.fleet.starts, u64::from(ENDS));
+    let completed = Reply::State {
+        outcome: Some(Outcome::Completed),
+        has_started: true,
+    };
+    assert_eq!(world.state(1), Some(completed));
+}
+
 /// A simulation with a long-running task, job 1, on a worker that is leaving, since no other one has room for
 /// it. Returns that worker too.
 fn world_with_a_leaving_worker(seed: u64) -> (World, usize) {
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -15,6 +15,8 @@
 
 /// Time that a worker takes to stop a run, in milliseconds.
 const STOP_TIME: u64 = 400;
+/// Ends that a worker lists at once.
+const MAX_ENDS: usize = 500;
 
 pub struct Run {
     pub run: u64,
@@ -201,6 +203,15 @@
         }
     }
 
+    /// Lets all runs of a job end as done now.
+    pub fn finish_job(&mut self, now: u64, job: JobId) {
+        let workers = self.workers.iter_mut();
+        let runs = workers.flat_map(|worker| worker.runs.iter_mut());
+        for (_, run) in runs.filter(|(task, _)| task.step.job == job) {
+            run.ends = now;
+        }
+    }
+
     /// Whether no worker has room for a task of a job; its tasks are of one size.
     pub fn lacks_room(&self, job: JobId) -> bool {
         let mut specs = self.specs.iter().filter(|(task, _)| task.step.job == job);
@@ -501,7 +512,7 @@
             clock,
             start_time: self.incarnation,
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_ENDS).cloned().collect(),
         }
     }
 }
--- a/tests/shard/pace.rs
+++ b/tests/shard/pace.rs
@@ -13,6 +13,7 @@
     runtime: u64,
     demand: u32,
     fills: bool,
+    lasts: bool,
     /// Bound of the tail latency of a serving task.
     tail_bound: u32,
     /// Speed limit in percent.
@@ -27,6 +28,7 @@
             runtime,
             demand: step.size.processors,
             fills: step.fills,
+            lasts: step.lasts,
             tail_bound: step.tail_bound,
             limit: 100,
             added: 0,
@@ -53,9 +55,9 @@
 
     /// Progress in percent after `elapsed` milliseconds.
     pub fn percent(&self, elapsed: u64) -> u8 {
-        match self.fills {
-            true => (elapsed.saturating_sub(self.added()) * 100 / self.runtime).min(99) as u8,
-            false => 100,
+        match self.lasts {
+            true => 100,
+            false => (elapsed.saturating_sub(self.added()) * 100 / self.runtime).min(99) as u8,
         }
     }
 
