Hand-over: the next owner counts the time since a worker's last lease

Callers were without standing tasks for 13.2 s (LOST; the bound is 9 s): a worker was lost, and 5 s later its owner was stopped as planned, or the worker left and the owner was restarted.

Cause: the owner knew when it last granted the worker a lease and passed nothing on. record_waits skipped workers that had reported to this owner, so the next one waited 8.1 s from its own claim, 1.5 s of them for an owner that may be cut off.

Change: waits of silent workers are recorded from the last lease that this owner granted. Before a planned hand-over the owner stops granting leases and records that, with all waits as of then; the next owner leaves out the 1.5 s. Both records count only until an owner grants leases again, which needs their deletion to be stored.

--- a/src/process/host/handover.rs
+++ b/src/process/host/handover.rs
@@ -23,6 +23,11 @@
 const CLAIM_TIME: Millis = Millis(2_500);
 /// Timeout of the call that asks a peer to take over, in milliseconds.
 const HANDOVER_CALL_TIMEOUT: Millis = Millis(400);
+/// How long a stopping owner waits at most until its resignation is stored, in milliseconds.
+const RESIGNATION_TIME: Millis = Millis(300);
+/// A stopping owner grants leases again if no host has taken over after this time, in milliseconds; they would
+/// expire otherwise.
+const MAX_RESIGNATION_TIME: Millis = Millis(1_500);
 /// Minimum time from the claim until a low-capacity owner hands over to a high-capacity host, in
 /// milliseconds.
 const MIN_OWNERSHIP_TIME: Millis = Millis(1_500);
@@ -63,7 +68,7 @@
             return;
         }
         if self.stopping.is_some() {
-            self.hand_over(now, epoch, Successor::Any, out);
+            self.resign_and_hand_over(now, epoch, out);
         } else if is_failing && self.is_ignored_by_store(now, failing_for) {
             let time = failing_for.unwrap_or_default();
             let since = now.steady.since(time);
@@ -129,11 +134,30 @@
         proof.is_some_and(|at| self.store_failed.is_some_and(|sent| sent > at))
     }
 
-    /// Asks the best-ranked host that `successor` allows to take over the shard.
-    fn hand_over(&mut self, now: Now, epoch: u64, successor: Successor, out: &mut Vec<HostAction>) {
+    /// Hands over the shard once it is stored that this owner grants no more leases. The next owner waits
+    /// less then for workers that it cannot reach.
+    fn resign_and_hand_over(&mut self, now: Now, epoch: u64, out: &mut Vec<HostAction>) {
+        let has_successor = self.successor(now, Successor::Any).is_some();
+        let Some(shard) = &mut self.shard else {
+            return;
+        };
+        if has_successor {
+            shard.resign(now);
+        }
+        let resigned_for = shard.resigned_for(now.steady);
+        if !has_successor || resigned_for.is_some_and(|time| time > MAX_RESIGNATION_TIME) {
+            shard.withdraw_resignation();
+        }
+        let is_pending = resigned_for.is_some_and(|time| time < RESIGNATION_TIME);
+        if !is_pending || shard.has_resigned() {
+            self.hand_over(now, epoch, Successor::Any, out);
+        }
+    }
+
+    /// The best-ranked host that `successor` allows.
+    fn successor(&self, now: Now, successor: Successor) -> Option<&Peer> {
         let max_processor = self.max_processor();
-        let best = self
-            .peers
+        self.peers
             .values()
             .filter(|peer| {
                 peer.last_heard
@@ -153,8 +177,12 @@
                         && heard.is_some_and(|at| at >= since + STORE_PROOF_TIME)
                 }
             })
-            .min_by_key(|peer| Rank::of(peer, max_processor));
-        let Some(peer) = best else {
+            .min_by_key(|peer| Rank::of(peer, max_processor))
+    }
+
+    /// Asks the best-ranked host that `successor` allows to take over the shard.
+    fn hand_over(&mut self, now: Now, epoch: u64, successor: Successor, out: &mut Vec<HostAction>) {
+        let Some(peer) = self.successor(now, successor) else {
             return;
         };
         tracing::info!(epoch, to = %peer.record.name, "handing over the shard");
--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -26,6 +26,10 @@
     Worker(Name),
     /// The deletion of the record of how long the worker was waited for.
     WaitEnded(Name),
+    /// The record that this owner grants no more leases.
+    Resigned,
+    /// The deletion of that record.
+    ResignationEnded,
     /// The deletion of the record of the runs that the worker, which was leaving, may still have.
     Reopened(Name),
     Accepted(JobId),
--- a/src/process/shard/leases.rs
+++ b/src/process/shard/leases.rs
@@ -11,7 +11,11 @@
 /// How often it is recorded how long a worker has been waited for, in milliseconds.
 const WAIT_INTERVAL: Millis = Millis(500);
 
-/// The wait for a worker that has not reported, as it is recorded.
+/// How long after its last lease a worker that does not answer counts as silent, in milliseconds. Most
+/// workers that miss a single report answer the next one by then.
+const MIN_SILENCE: Millis = Millis(2_000);
+
+/// The wait for a worker that does not answer, as it is recorded.
 #[derive(Debug, Clone, Copy)]
 pub struct RecordedWait {
     record: WaitRecord,
@@ -21,14 +25,20 @@
 
 impl Shard {
     /// Restores the records of how long workers were waited for.
-    pub(super) fn restore_waits(&mut self, waits: Vec<(Name, WaitRecord)>) {
+    pub(super) fn restore_waits(&mut self, waits: Vec<(Name, WaitRecord)>, has_resigned: bool) {
+        if has_resigned {
+            // The owner before has granted no lease since its resignation.
+            for worker in self.workers.iter_mut() {
+                worker.waited_before = ISOLATION_TIME;
+            }
+        }
         for (id, record) in waits {
             let Some(worker) = self.workers.get_mut(&id) else {
                 self.journal.push(&ShardRecord::Wait(id, None), None);
                 continue;
             };
             if record.is_known_to(self.owner.epoch) {
-                worker.waited_before = Millis(record.waited);
+                worker.waited_before = worker.waited_before.max(Millis(record.waited));
             }
             worker.recorded_wait = Some(RecordedWait {
                 record,
@@ -46,21 +56,24 @@
         waited >= self.lease_wait(worker)
     }
 
-    /// Records how long the workers of earlier owners that do not answer were waited for. Such a worker
-    /// gets no lease before the record is deleted, so that the time also counts for later owners.
+    /// Records how long the workers that do not answer have been without a new lease. Such a worker gets no
+    /// lease before the record is deleted, so that the time also counts for later owners.
     pub(super) fn record_waits(&mut self, now: Millis) {
-        let elapsed = now.since(self.claimed_at);
         let longest = wait_for(self.settings.lease).0;
         let epoch = self.owner.epoch;
+        let has_resigned = self.resignation.is_some();
         for worker in self.workers.iter_mut() {
-            let is_silent = worker.first_report.is_none() && worker.unanswered > 0;
-            if !worker.is_recovered || !is_silent {
+            let min_silence = match has_resigned {
+                true => Millis(0),
+                false => MIN_SILENCE,
+            };
+            let Some(waited) = worker.waited(now, self.claimed_at, min_silence) else {
                 continue;
-            }
-            let waited = (worker.waited_before + elapsed).0.min(longest);
+            };
+            let waited = waited.0.min(longest);
             let recorded = worker.recorded_wait.map(|wait| wait.record);
             let is_current = recorded.is_some_and(|record| {
-                let is_due = waited >= record.waited + WAIT_INTERVAL.0;
+                let is_due = waited >= record.waited + WAIT_INTERVAL.0 || has_resigned;
                 let is_last = waited == longest && record.waited < longest;
                 record.epoch == epoch && !is_due && !is_last
             });
@@ -123,6 +136,22 @@
 }
 
 impl Worker {
+    /// How long this worker, which does not answer, has been waited for: since the claim of the first owner
+    /// that did not hear it, or `ISOLATION_TIME` more than since the last lease that this owner granted. `None`
+    /// if that was less than `min_silence` ago.
+    fn waited(&self, now: Millis, claimed_at: Millis, min_silence: Millis) -> Option<Millis> {
+        let is_ending = self.recorded_wait.is_some_and(|wait| wait.is_ending);
+        if self.unanswered == 0 || is_ending {
+            return None;
+        }
+        if self.first_report.is_none() {
+            let waited = self.waited_before + now.since(claimed_at);
+            return self.is_recovered.then_some(waited);
+        }
+        let silence = now.since(self.last_grant.filter(|_| self.is_recorded)?);
+        (silence >= min_silence).then_some(ISOLATION_TIME + silence)
+    }
+
     /// Deletes the record of how long it was waited for, before it gets a lease.
     pub(super) fn end_wait(&mut self, journal: &mut Journal) {
         let Some(wait) = self.recorded_wait.as_mut().filter(|wait| !wait.is_ending) else {
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -11,6 +11,7 @@
 mod remaining;
 mod reports;
 mod requests;
+mod resignation;
 mod restarts;
 mod runs;
 #[allow(clippy::module_inception)]
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -103,6 +103,8 @@
                     self.needs_placement = true;
                 }
             }
+            Commit::Resigned => self.apply_resignation(),
+            Commit::ResignationEnded => self.apply_resignation_end(now),
             Commit::Reopened(id) => {
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.recorded_runs = None;
@@ -213,6 +215,7 @@
         let mut waits: Vec<(Name, WaitRecord)> = Vec::new();
         let mut suspects: Vec<(Name, Vec<SuspectRecord>)> = Vec::new();
         let mut remaining: Vec<(Name, Vec<TaskKey>)> = Vec::new();
+        let mut resignation = None;
         for record in records {
             match record {
                 ShardRecord::Job(id, Some(job)) => {
@@ -237,6 +240,7 @@
                 ShardRecord::Lease(id, Some(lease)) => leases.push((id, lease)),
                 ShardRecord::Wait(id, Some(wait)) => waits.push((id, wait)),
                 ShardRecord::Suspects(id, Some(runs)) => suspects.push((id, runs)),
+                ShardRecord::Resignation(Some(record)) => resignation = Some(record),
                 ShardRecord::Remaining(id, Some(tasks)) => remaining.push((id, tasks)),
                 ShardRecord::Owner(_)
                 | ShardRecord::Lease(_, None)
@@ -247,11 +251,13 @@
                 | ShardRecord::Suspects(_, None)
                 | ShardRecord::Wait(_, None)
                 | ShardRecord::Remaining(_, None)
+                | ShardRecord::Resignation(None)
                 | ShardRecord::Worker(_, None) => {}
             }
         }
         self.restore_leases(leases);
-        self.restore_waits(waits);
+        let has_resigned = self.end_resignation(now, resignation);
+        self.restore_waits(waits, has_resigned);
         self.restore_remaining(remaining);
         for (id, state) in states {
             match state {
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -227,6 +227,7 @@
             tracing::info!(worker = %worker_id, misses = worker.unanswered, "worker reports again");
         }
         worker.unanswered = 0;
+        worker.end_wait(&mut self.journal);
         if worker
             .incarnation
             .is_some_and(|known| known > report.start_time)
@@ -250,7 +251,6 @@
         worker.set_clock(report.clock, now.steady);
         let granted = self.settings.granted_lease();
         worker.record_lease(now.steady, granted, &mut self.journal);
-        worker.end_wait(&mut self.journal);
         worker.last_report = Some(now.steady);
         worker.report_from(sent);
         let is_first = worker.first_report.is_none();
@@ -277,12 +277,14 @@
             self.lose_runs_at_address(now, worker_id);
         }
         self.throttle(now, worker_id, out);
+        let may_lease = self.resignation.is_none();
         if let Some(worker) = self.workers.get_mut(worker_id) {
             if lists_all_ends {
                 worker.first_full_report.get_or_insert(now.steady);
                 stop_stalled(worker, now.steady);
             }
-            if worker.acknowledged < worker.processed || !worker.may_lease() {
+            let may_lease = may_lease && worker.may_lease();
+            if worker.acknowledged < worker.processed || !may_lease {
                 worker.next_poll = now.steady + ACKNOWLEDGE_WAIT;
             }
         }
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -11,6 +11,7 @@
 use super::journal::Journal;
 use super::recovery::LoadRange;
 use super::requests::Ended;
+use super::resignation::Resignation;
 use super::workers::Workers;
 use crate::base::{Millis, Name};
 use crate::connection::{
@@ -258,6 +259,10 @@
     /// Long-running steps that waited when this was last logged, in the order of placement.
     pub(super) waiting_steps: Vec<StepId>,
     pub(super) last_waiting_log: Millis,
+    /// While it is set, this owner grants no leases.
+    pub(super) resignation: Option<Resignation>,
+    /// Whether this owner has set it before.
+    pub(super) has_begun_to_resign: bool,
     /// Whether a newer owner is known.
     pub(super) is_superseded: bool,
 }
@@ -314,6 +319,8 @@
             last_sweep: now.steady,
             waiting_steps: Vec::new(),
             last_waiting_log: now.steady,
+            resignation: None,
+            has_begun_to_resign: false,
             is_superseded: false,
         };
         shard.flush_journal(now, out);
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -25,7 +25,7 @@
 impl Shard {
     /// Places waiting tasks in the order of `ready` as far as workers have room.
     pub(super) fn place(&mut self, now: Now, out: &mut Vec<ShardAction>) {
-        if self.ready.is_empty() {
+        if self.ready.is_empty() || self.resignation.is_some() {
             return;
         }
         self.permit_next_jobs();
@@ -320,7 +320,7 @@
         }
         worker.pending_starts += 1;
         self.pending_starts += 1;
-        worker.lease_until = worker.lease_until.max(until);
+        worker.note_grant(now.steady, until);
         let tag = WorkerTag::Start {
             worker: worker.id.clone(),
             task,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -223,12 +223,16 @@
         self.last_poll = now.steady;
         let epoch = self.owner.epoch;
         let lease = self.settings.granted_lease();
+        let lease = self.resignation.is_none().then_some(lease);
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let spacing = Millis(self.workers.len() as u64 * 1_000 / BEST_EFFORT_REPORT_RATE);
         let best_effort_wait = BEST_EFFORT_WAIT.max(spacing).min(POLL_WAIT);
         for worker in self.workers.iter_mut() {
             if worker.long_poll.is_none() && worker.next_poll <= now.steady {
-                let wait = poll_wait(worker, best_effort_wait);
+                let wait = match lease {
+                    Some(_) => poll_wait(worker, best_effort_wait),
+                    None => Millis(0),
+                };
                 worker.long_poll = Some(now.steady);
                 request_report(worker, now.steady, epoch, lease, wait, false, out);
             } else if worker.immediate_poll.is_none()
@@ -341,23 +345,23 @@
     }
 }
 
-/// Requests a report and renews the leases.
+/// Requests a report and renews the leases by `lease`; `None` if the owner grants none.
 fn request_report(
     worker: &mut Worker,
     now: Millis,
     epoch: u64,
-    lease: Millis,
+    lease: Option<Millis>,
     wait: Millis,
     is_immediate: bool,
     out: &mut Vec<ShardAction>,
 ) {
     // An unreachable worker gets no renewals: one that may still arrive would extend the leases
     // again and again, so that its runs could never be counted as expired.
-    let until = worker
-        .lease_end(now, lease)
+    let until = lease
+        .and_then(|lease| worker.lease_end(now, lease))
         .filter(|_| worker.unanswered == 0);
     if let Some(until) = until {
-        worker.lease_until = worker.lease_until.max(until);
+        worker.note_grant(now, until);
     }
     let tag = WorkerTag::Poll {
         worker: worker.id.clone(),
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -113,6 +113,8 @@
     clock: Option<(u64, Millis)>,
     /// Latest lease end that any order carried, on the worker's clock.
     pub lease_until: u64,
+    /// When this owner last sent an order with a lease end.
+    pub last_grant: Option<Millis>,
     /// Whether it may hold a lease that is longer than owners grant: it has restarted, and an order with
     /// a lease end on its earlier clock may have reached it.
     pub has_long_lease: bool,
@@ -211,6 +213,7 @@
             incarnation: None,
             clock: None,
             lease_until: 0,
+            last_grant: None,
             has_long_lease: false,
             recorded_lease: LeaseRecord::default(),
             waited_before: Millis(0),
@@ -335,6 +338,12 @@
         Some(clock.saturating_add(elapsed.0).saturating_add(length.0))
     }
 
+    /// Notes that an order with this lease end is being sent.
+    pub fn note_grant(&mut self, now: Millis, until: u64) {
+        self.lease_until = self.lease_until.max(until);
+        self.last_grant = Some(now);
+    }
+
     /// End, on the worker's clock, of the lease that a start order carries: that of the last renewal, but
     /// at least half of `length` and at most `length` from now. A worker may have been lost since its last
     /// report, and a full lease would hold its other runs longer.
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -27,7 +27,7 @@
 pub(crate) use shard_record::EPOCH_BITS;
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
-    Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord, ShardRecord,
-    SuspectRecord, WaitRecord, WorkerRecord,
+    Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord,
+    ResignationRecord, ShardRecord, SuspectRecord, WaitRecord, WorkerRecord,
 };
 pub use suspicion::Suspicion;
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -55,11 +55,13 @@
     pub is_long: bool,
 }
 
-/// How long owners have waited for a worker that has not reported to any of them, so that none of them has
-/// granted it a lease.
+/// How long owners have waited for a worker that does not answer, since one of them may have granted it a
+/// lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WaitRecord {
-    /// Time since the claim of the first of them, in milliseconds, without the gaps between owners.
+    /// Time since the claim of the first owner that it has not reported to, in milliseconds, or since the last
+    /// lease with as much as an isolated owner would have granted leases longer. The gaps between owners
+    /// are not counted.
     pub waited: u64,
     /// Epoch of the last of them. Of an owner after it that does not know this record, a later one cannot
     /// tell whether it has granted a lease.
@@ -69,10 +71,29 @@
 impl WaitRecord {
     /// Whether no owner can have claimed the shard between the one that wrote it and that of `epoch`.
     pub fn is_known_to(&self, epoch: u64) -> bool {
-        epoch >> EPOCH_BITS <= (self.epoch >> EPOCH_BITS) + 1
+        is_next(self.epoch, epoch)
     }
 }
 
+/// The resignation of an owner: it grants no lease from before the record is stored until it is deleted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResignationRecord {
+    pub epoch: u64,
+}
+
+impl ResignationRecord {
+    /// Whether no owner can have claimed the shard between the one that wrote it and that of `epoch`.
+    pub fn is_known_to(&self, epoch: u64) -> bool {
+        is_next(self.epoch, epoch)
+    }
+}
+
+/// Whether no owner can have claimed the shard between those of these epochs. Two claims may have the same
+/// ordinal.
+fn is_next(earlier: u64, epoch: u64) -> bool {
+    epoch >> EPOCH_BITS <= (earlier >> EPOCH_BITS) + 1
+}
+
 /// A run whose start the worker has confirmed, and that was lost with it soon after.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectRecord {
@@ -131,6 +152,8 @@
     /// The runs that a worker has confirmed and may have crashed it, until it is known whether its process
     /// has ended.
     Suspects(Name, Option<Vec<SuspectRecord>>),
+    /// That an owner grants no more leases.
+    Resignation(Option<ResignationRecord>),
     /// Tasks that may still run on a worker that is leaving, which gets no starts until the record is
     /// deleted.
     Remaining(Name, Option<Vec<TaskKey>>),
@@ -138,6 +161,7 @@
 
 const OWNER: &str = "owner";
 const CONTENTION: &str = "contention";
+const RESIGNATION: &str = "resignation";
 
 impl ShardRecord {
     pub fn key(&self) -> String {
@@ -153,6 +177,7 @@
             ShardRecord::Suspects(id, _) => format!("u/{id}"),
             ShardRecord::Wait(id, _) => format!("v/{id}"),
             ShardRecord::Remaining(id, _) => format!("r/{id}"),
+            ShardRecord::Resignation(_) => RESIGNATION.to_owned(),
         }
     }
 
@@ -171,6 +196,7 @@
             ShardRecord::Suspects(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Wait(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Remaining(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Resignation(value) => value.as_ref().map(encode).unwrap_or_default(),
         }
     }
 
@@ -188,6 +214,9 @@
         if key == CONTENTION {
             return Ok(ShardRecord::Contention(decode_value(key, value)?));
         }
+        if key == RESIGNATION {
+            return Ok(ShardRecord::Resignation(decode_optional(key, value)?));
+        }
         let (kind, id) = key.split_once('/').ok_or_else(unknown)?;
         match kind {
             "w" => Ok(ShardRecord::Worker(id.into(), decode_optional(key, value)?)),
--- /dev/null
+++ b/tests/shard/handover.rs
@@ -0,0 +1,171 @@
+//! Planned changes of the owner while workers are lost: what the owner before knew of their leases counts for
+//! the next one.
+
+use jayfork::version::{ResignationRecord, ShardRecord};
+use yare::parameterized;
+
+use super::world::{STEP, World, long_running};
+
+/// Time within which a long-running task has to run again after its last run, in milliseconds.
+const RESTART_LIMIT: u64 = 9_000;
+/// Time from the end of an owner that is killed until the claim of the next one, in milliseconds.
+const CLAIM_DELAY: u64 = 200;
+
+impl World {
+    /// Lets the owner resign and the next one claim the shard, as at a planned stop.
+    fn hand_over(&mut self) {
+        let owner = self.owner().expect("an owner");
+        self.resign(owner);
+        self.claim();
+        self.kill(owner);
+    }
+
+    /// Lets an owner resign until that is stored.
+    fn resign(&mut self, owner: usize) {
+        let time = self.time();
+        let shard = self.owners[owner].as_mut().expect("a live owner");
+        shard.resign(time);
+        for _ in 0..200 {
+            let shard = self.owners[owner].as_ref().expect("a live owner");
+            if shard.has_resigned() {
+                return;
+            }
+            self.run(STEP);
+        }
+        panic!("the resignation is not stored");
+    }
+}
+
+/// A simulation with a long-running task on each of its three workers. Returns the worker of job 1 too. A
+/// fourth job waits for room.
+fn world_with_full_workers(seed: u64) -> (World, usize) {
+    let mut world = World::new(seed, 3, 8_000);
+    world.claim();
+    world.run(500);
+    for id in 1..=3 {
+        world.submit(id, &long_running(1, 8_000));
+    }
+    world.run(2_000);
+    let holder = world.holder(1);
+    (world, holder)
+}
+
+/// Guards against a long-running task that has no run for more than 9 s because the next owner waits for a lost
+/// worker from its own claim on, whatever time has passed: the worker has ended without a trace or has left.
+#[parameterized(
+    at_once = { 0, true, false },
+    before_a_call_fails = { 800, true, false },
+    after_a_call_has_failed = { 2_000, true, false },
+    before_the_lease_ends = { 5_000, true, false },
+    at_once_by_a_leaving_worker = { 0, true, true },
+    later_by_a_leaving_worker = { 2_000, true, true },
+    unplanned = { 5_000, false, false },
+)]
+fn a_change_of_the_owner_does_not_prolong_the_wait(delay: u64, is_planned: bool, leaves: bool) {
+    for seed in 0..10 {
+        let (mut world, holder) = world_with_full_workers(seed);
+        if leaves {
+            world.drain(holder);
+            world.run(1_000);
+        }
+        world.cancel(2);
+        match leaves {
+            true => world.leave(holder),
+            false => {
+                world.fleet.restart(world.now, holder);
+                world.fleet.workers[holder].is_unreachable = true;
+            }
+        }
+        let lost = world.now;
+        world.run(delay);
+        if is_planned {
+            world.hand_over();
+        } else {
+            world.kill(0);
+            world.run(CLAIM_DELAY);
+            world.claim();
+        }
+        world.run(lost + RESTART_LIMIT - world.now);
+        assert_eq!(world.running(1), 1, "seed {seed}");
+        world.assert_no_violations();
+    }
+}
+
+/// Guards against two runs of a task at once because the next owner counts time from before the last lease that
+/// a silent worker got: it has answered its owner again, or the owner has granted leases after a resignation
+/// that came to nothing.
+#[parameterized(
+    answered_again = { false },
+    resignation_withdrawn = { true },
+)]
+fn a_lease_that_was_granted_since_is_waited_for(is_withdrawn: bool) {
+    for delay in 0..120 {
+        let (mut world, holder) = world_with_full_workers(delay);
+        if is_withdrawn {
+            world.resign(0);
+            world.run(1_000);
+            let shard = world.owners[0].as_mut().expect("a live owner");
+            shard.withdraw_resignation();
+        } else {
+            world.fleet.workers[holder].is_unreachable = true;
+            world.run(4_000);
+            world.fleet.workers[holder].is_unreachable = false;
+        }
+        world.run(delay * STEP);
+        world.fleet.workers[holder].is_unreachable = true;
+        world.kill(0);
+        world.claim();
+        world.run(300);
+        world.cancel(2);
+        world.run(15_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(1), 1, "delay {delay}");
+    }
+}
+
+/// Guards against two runs of a task at once because an owner trusts a resignation although another owner came
+/// after it, with an epoch of the same ordinal, and granted leases.
+#[test]
+fn a_resignation_counts_only_until_the_next_owner_grants_leases() {
+    for delay in 0..120 {
+        let (mut world, holder) = world_with_full_workers(delay);
+        world.resign(0);
+        world.claim_with_epoch(2 << 16);
+        world.kill(0);
+        world.run(delay * STEP);
+        world.fleet.workers[holder].is_unreachable = true;
+        world.kill(1);
+        world.claim_with_epoch((2 << 16) | 1);
+        world.run(300);
+        world.cancel(2);
+        world.run(15_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(1), 1, "delay {delay}");
+    }
+}
+
+/// Guards against runs that lapse around a planned change of the owner because nobody renews their leases.
+#[test]
+fn runs_outlast_handovers_in_a_row() {
+    let (mut world, _) = world_with_full_workers(7);
+    let starts = world.fleet.starts;
+    for pause in [0, 20, 100, 300, 1_000, 3_000] {
+        world.hand_over();
+        world.run(pause);
+    }
+    world.run(10_000);
+    assert_eq!(world.fleet.starts, starts);
+    assert_eq!(world.running(1), 1);
+    world.assert_no_violations();
+}
+
+/// Guards against a resignation that a later owner reads differently than it was recorded.
+#[test]
+fn a_recorded_resignation_is_read_back() {
+    let resignation = ResignationRecord { epoch: 7 << 16 };
+    for value in [Some(resignation), None] {
+        let record = ShardRecord::Resignation(value);
+        let decoded = ShardRecord::decode(&record.key(), &record.value());
+        assert_eq!(decoded, Ok(record));
+    }
+}
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -8,6 +8,7 @@
 mod crash_model;
 mod crashes;
 mod fleet;
+mod handover;
 mod pace;
 mod random;
 mod registry;
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    fn time(&self) -> Now {
+    pub fn time(&self) -> Now {
         Now {
             steady: Millis(self.now),
             wall: self.now,
