Leaving workers: a task that was found elsewhere is not put back into the queue

The fault came with the record of a leaving worker's runs.

Cause: a task is moved off a leaving worker, and the owner is replaced before the shorter list is stored. The next owner finds the run on the other worker; once the leaving worker has reported, release_unheard put the task back into the queue although it ran.

Change: only a task that still waits is put back.

Evidence: absences::a_task_that_was_moved_off_a_leaving_worker_keeps_its_run failed before ("runs twice at once": starts on 0, 1 and 2) and passes now.

--- a/src/process/shard/remaining.rs
+++ b/src/process/shard/remaining.rs
@@ -7,7 +7,7 @@
 use super::worker::Worker;
 use crate::base::{Millis, Name};
 use crate::connection::WorkerReport;
-use crate::request::job::TaskKey;
+use crate::request::job::{TaskKey, TaskState};
 use crate::version::ShardRecord;
 
 /// The newest record of a leaving worker's runs.
@@ -88,12 +88,17 @@
         }
         self.update_unheard();
         for task in released {
-            tracing::info!(%task, "a leaving worker does not run the task any more");
             let job = self.jobs.get_mut(&task.step.job);
-            if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
-                entry.has_run = true;
+            let Some(entry) = job.and_then(|job| job.task_mut(task)) else {
+                continue;
+            };
+            entry.has_run = true;
+            // It may have been found on another worker, to which it was moved before the record changed.
+            let is_waiting = entry.state == TaskState::Waiting;
+            tracing::info!(%task, is_waiting, "a leaving worker does not run the task any more");
+            if is_waiting {
+                self.requeue(now, task);
             }
-            self.requeue(now, task);
         }
     }
 }
--- a/tests/shard/absences.rs
+++ b/tests/shard/absences.rs
@@ -125,6 +125,27 @@
     world.assert_no_violations();
 }
 
+/// Guards against two runs of a task at once because the next owner takes a task for ended that it has found on
+/// another worker, to which it was moved after the leaving worker's runs were recorded.
+#[test]
+fn a_task_that_was_moved_off_a_leaving_worker_keeps_its_run() {
+    let mut moves = 0;
+    for delay in 150..350 {
+        let (mut world, leaving) = world_with_a_leaving_worker(delay);
+        // One of the other workers gets the task, and the other one would have room for it too.
+        world.cancel(2);
+        world.cancel(3);
+        world.run(delay * STEP);
+        world.kill(0);
+        world.claim();
+        moves += usize::from(world.running(1) == 1 && world.holder(1) != leaving);
+        world.run(12_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(1), 1, "delay {delay}");
+    }
+    assert!(moves > 0);
+}
+
 /// Guards against two runs of a task at once because the next owner trusts a list of a worker's runs from
 /// before it was ready again and got another one.
 #[test]
