Stopped runs: a confirmed stop ends a long-running run on a silent worker

A long-running task is moved off a leaving worker; the worker confirms the stop and ends before it reports that the run is over. The owner then waited for the end of the lease, some 6 s, and a next owner up to 8.1 s more.

Cause: only a report or the end of the lease ended a run on a silent worker.

Change: a stop that the worker has confirmed takes at most its stop time by the protocol, so a long-running run has then ended. A task that can succeed may have done so before the stop and still waits for the report or the lease.

--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -3,7 +3,7 @@
 
 use super::reports::STOP_ALLOWANCE;
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
-use super::worker::{RunState, Worker};
+use super::worker::{Run, RunState, Worker};
 use crate::base::{Millis, Name};
 use crate::connection::{Order, WorkerCall};
 use crate::request::job::{Ending, JobId, TaskKey};
@@ -80,19 +80,32 @@
         }
     }
 
-    /// Counts the runs of a worker as lost once their leases have certainly expired or it has left.
+    /// Counts the runs of a silent worker as lost once their leases have certainly expired, it has left, or it
+    /// has confirmed a stop that is over. A task that can succeed may have done so before the stop, so only
+    /// long-running ones need no report.
     fn expire_runs(&mut self, now: Now) {
-        let is_expired = |worker: &&Worker| {
-            worker.unanswered > 0 && (worker.has_expired(now.steady) || worker.has_left)
+        let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
+        let is_stopped = |run: &Run| match run.state {
+            RunState::Stopping {
+                confirmed: Some(at),
+                ..
+            } => run.lasts && at + stop_time < now.steady,
+            _ => false,
         };
-        let expired: Vec<(Name, TaskKey)> = self
-            .workers
-            .iter()
-            .filter(is_expired)
-            .flat_map(|worker| worker.runs.keys().map(|task| (worker.id.clone(), *task)))
-            .collect();
-        for (worker, task) in expired {
-            self.lose_run(now, &worker, task, Ending::Lapsed);
+        let mut expired: Vec<(Name, TaskKey, Ending)> = Vec::new();
+        for worker in self.workers.iter().filter(|worker| worker.unanswered > 0) {
+            let is_over = worker.has_expired(now.steady) || worker.has_left;
+            for (task, run) in &worker.runs {
+                let ending = match is_stopped(run) {
+                    true => Ending::Stopped,
+                    false if is_over => Ending::Lapsed,
+                    false => continue,
+                };
+                expired.push((worker.id.clone(), *task, ending));
+            }
+        }
+        for (worker, task, ending) in expired {
+            self.lose_run(now, &worker, task, ending);
         }
     }
 
--- a/tests/shard/handover.rs
+++ b/tests/shard/handover.rs
@@ -91,6 +91,28 @@
     }
 }
 
+/// Guards against a long-running task that waits for the end of a lease although its run was certainly stopped: a
+/// leaving worker has confirmed the stop and ends before it reports that the run is over.
+#[test]
+fn a_confirmed_stop_is_enough_once_the_worker_is_silent() {
+    for delay in 0..20 {
+        let (mut world, holder) = world_with_full_workers(delay);
+        world.drain(holder);
+        world.run(500);
+        world.cancel(2);
+        while world.running(1) > 0 {
+            world.run(STEP);
+        }
+        // The answer to the stop order is back by then, and the run is over later.
+        world.run(100 + delay * STEP);
+        world.leave(holder);
+        world.run(2_000);
+        assert_eq!(world.running(1), 1, "delay {delay}");
+        world.run(8_000);
+        world.assert_no_violations();
+    }
+}
+
 /// Guards against two runs of a task at once because the next owner counts time from before the last lease that
 /// a silent worker got: it has answered its owner again, or the owner has granted leases after a resignation
 /// that came to nothing.
