Leaving workers: a deletion that is stored late does not count for a newer list of runs

Callers would have seen a task run twice: a worker that is leaving is ready again, leaves and is ready once more while an append is under way. Found by reading the change.

Cause: the commit of the first deletion cleared the note of the newer list, so the worker got starts that the stored list did not name, and a next owner took the task for not started.

Change: the commit clears only a list whose deletion is being stored.

Evidence: absences::a_worker_that_wavers_is_waited_for failed before ("runs twice at once") and passes now. The set-up that two tests of hand-overs shared is one function; their assertions are unchanged.

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -107,8 +107,7 @@
             Commit::ResignationEnded => self.apply_resignation_end(now),
             Commit::Reopened(id) => {
                 if let Some(worker) = self.workers.get_mut(&id) {
-                    worker.recorded_runs = None;
-                    worker.has_changed = true;
+                    worker.reopen();
                     self.needs_placement = true;
                 }
             }
--- a/src/process/shard/remaining.rs
+++ b/src/process/shard/remaining.rs
@@ -109,6 +109,12 @@
         self.recorded_runs.is_some()
     }
 
+    /// Lets it get starts again once the deletion of the record is stored. A newer record may have followed.
+    pub(super) fn reopen(&mut self) {
+        self.recorded_runs.take_if(|recorded| recorded.is_ending);
+        self.has_changed = true;
+    }
+
     /// Records the runs that it may still have while it is leaving. If it is ready again, the record is
     /// deleted.
     pub(super) fn record_remaining(
--- a/tests/shard/absences.rs
+++ b/tests/shard/absences.rs
@@ -171,6 +171,40 @@
     assert!(starts > 0);
 }
 
+/// Guards against the same fault if the worker leaves and stays by turns while the store is away: the deletion of
+/// an earlier list must not count for the newer one.
+#[test]
+fn a_worker_that_wavers_is_waited_for() {
+    let mut starts = 0;
+    for delay in 0..24 {
+        let (mut world, leaving) = world_with_a_leaving_worker(delay);
+        world.cancel(1);
+        world.run(1_000);
+        world.submit(4, &long_running(1, 8_000));
+        world.run(500);
+        world.store.is_down = true;
+        for is_leaving in [false, true] {
+            world.fleet.workers[leaving].is_leaving = is_leaving;
+            world.refresh(leaving);
+            world.run(150);
+        }
+        world.store.is_down = false;
+        world.run(delay * STEP);
+        world.fleet.workers[leaving].is_leaving = false;
+        world.refresh(leaving);
+        world.run(150);
+        starts += world.running(4);
+        world.fleet.workers[leaving].is_unreachable = true;
+        world.kill(0);
+        world.claim();
+        world.cancel(2);
+        world.run(12_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(4), 1, "delay {delay}");
+    }
+    assert!(starts > 0);
+}
+
 /// Guards against a list of runs that a later owner reads differently than it was recorded.
 #[test]
 fn recorded_runs_are_read_back() {
--- a/tests/shard/handover.rs
+++ b/tests/shard/handover.rs
@@ -113,6 +113,18 @@
     }
 }
 
+/// Cuts off the worker of job 1, replaces the owner by one with this epoch, and makes room for the task elsewhere.
+fn lose_the_holder_with_its_owner(world: &mut World, holder: usize, epoch: u64) {
+    world.fleet.workers[holder].is_unreachable = true;
+    let owner = world.owner().expect("an owner");
+    world.kill(owner);
+    world.claim_with_epoch(epoch);
+    world.run(300);
+    world.cancel(2);
+    world.run(15_000);
+    world.assert_no_violations();
+}
+
 /// Guards against two runs of a task at once because the next owner counts time from before the last lease that
 /// a silent worker got: it has answered its owner again, or the owner has granted leases after a resignation
 /// that came to nothing.
@@ -134,13 +146,7 @@
             world.fleet.workers[holder].is_unreachable = false;
         }
         world.run(delay * STEP);
-        world.fleet.workers[holder].is_unreachable = true;
-        world.kill(0);
-        world.claim();
-        world.run(300);
-        world.cancel(2);
-        world.run(15_000);
-        world.assert_no_violations();
+        lose_the_holder_with_its_owner(&mut world, holder, 2 << 16);
         assert_eq!(world.running(1), 1, "delay {delay}");
     }
 }
@@ -155,13 +161,7 @@
         world.claim_with_epoch(2 << 16);
         world.kill(0);
         world.run(delay * STEP);
-        world.fleet.workers[holder].is_unreachable = true;
-        world.kill(1);
-        world.claim_with_epoch((2 << 16) | 1);
-        world.run(300);
-        world.cancel(2);
-        world.run(15_000);
-        world.assert_no_violations();
+        lose_the_holder_with_its_owner(&mut world, holder, (2 << 16) | 1);
         assert_eq!(world.running(1), 1, "delay {delay}");
     }
 }
