Workers: logs and counters for what happens while a worker is not heard

The logs could not tell the hypotheses apart: no line named the lease ends that were sent to a worker, what it listed when it was heard again, or that an end was one of a run that had been counted as lost.

Change: "worker reports again" carries the worker's clock, the end of the newest lease and what it lists; "late end of a lost run" is new; lease ends and acknowledgements are logged at debug level. Counters for lost runs by cause, late ends by ending, and workers heard again.

Evidence: diagnostics::the_return_of_a_silent_worker_is_explained and three cases of telemetry::renders_each_metric fail without the lines and counters (none of them existed).

--- a/src/process/shard/leases.rs
+++ b/src/process/shard/leases.rs
@@ -162,6 +162,13 @@
         journal.push(&ShardRecord::Wait(self.id.clone(), None), Some(commit));
     }
 
+    /// Notes that an order with this lease end is being sent.
+    pub(super) fn note_grant(&mut self, now: Millis, until: u64) {
+        tracing::debug!(worker = %self.id, until, "sending a lease end");
+        self.lease_until = self.lease_until.max(until);
+        self.last_grant = Some(now);
+    }
+
     /// Whether it may get a lease: later owners do not count on that no owner has granted it one.
     pub(super) fn may_lease(&self) -> bool {
         self.recorded_wait.is_none()
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -4,6 +4,7 @@
 mod candidates;
 mod clearing;
 mod crashes;
+mod diagnostics;
 mod jobs;
 mod journal;
 mod leases;
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -5,6 +5,7 @@
 use super::worker::RunState;
 use crate::base::{Millis, Name};
 use crate::connection::{CallError, Refusal, RunReport, WorkerAnswer, WorkerReport};
+use crate::process::telemetry;
 use crate::request::job::{Ending, TaskKey};
 
 /// Pause after a failed request for a report, in milliseconds; multiplied by the number of calls
@@ -223,9 +224,7 @@
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
-        if worker.unanswered >= 3 {
-            tracing::info!(worker = %worker_id, misses = worker.unanswered, "worker reports again");
-        }
+        worker.log_return(&report);
         worker.unanswered = 0;
         worker.end_wait(&mut self.journal);
         if worker
@@ -361,6 +360,7 @@
             .collect();
         for (task, run) in missing {
             tracing::info!(%task, run, worker = %worker_id, "worker no longer lists the run");
+            telemetry::count_lost_run("not_listed");
             self.lose_run(now, worker_id, task, Ending::Lapsed);
         }
     }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -1,9 +1,11 @@
 //! The life cycle of runs: adoption from an earlier owner, end, loss and stop.
 
+use super::diagnostics::log_unknown_end;
 use super::shard::{Now, Shard, ShardAction};
 use super::worker::{Run, RunState, Worker};
 use crate::base::{Millis, Name, Size};
 use crate::connection::{EndReport, RunReport};
+use crate::process::telemetry;
 use crate::request::job::{Ending, JobId, Outcome, TaskKey, TaskState};
 
 /// A worker is suspect once runs of this many jobs have failed on it since a run last succeeded.
@@ -124,6 +126,9 @@
             .get(&end.task)
             .is_some_and(|run| run.run == end.run);
         let removed = is_known.then(|| worker.remove_run(end.task)).flatten();
+        if removed.is_none() {
+            log_unknown_end(self.owner.epoch, worker_id, end);
+        }
         let was_orphaned = removed.as_ref().is_some_and(|run| run.is_orphaned);
         if was_orphaned {
             self.orphaned_tasks.remove(&end.task);
@@ -252,6 +257,7 @@
         };
         let tasks: Vec<TaskKey> = worker.runs.keys().copied().collect();
         for task in tasks {
+            telemetry::count_lost_run("process_ended");
             self.lose_run(now, worker_id, task, Ending::Lapsed);
         }
         self.prove_crashes(now, worker_id);
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -457,6 +457,7 @@
         };
         if let Some(worker) = self.workers.get_mut(&worker) {
             if worker.incarnation == Some(incarnation) && number > worker.acknowledged {
+                tracing::debug!(worker = %worker.id, number, "acknowledging ends");
                 worker.acknowledged = number;
             }
         }
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -6,6 +6,7 @@
 use super::worker::{Run, RunState, Worker};
 use crate::base::{Millis, Name};
 use crate::connection::{Order, WorkerCall};
+use crate::process::telemetry;
 use crate::request::job::{Ending, JobId, TaskKey};
 use crate::version::{LeaseRecord, ShardRecord, WorkerRecord};
 
@@ -105,6 +106,10 @@
             }
         }
         for (worker, task, ending) in expired {
+            telemetry::count_lost_run(match ending {
+                Ending::Stopped => "stopped",
+                _ => "lease_over",
+            });
             self.lose_run(now, &worker, task, ending);
         }
     }
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -338,12 +338,6 @@
         Some(clock.saturating_add(elapsed.0).saturating_add(length.0))
     }
 
-    /// Notes that an order with this lease end is being sent.
-    pub fn note_grant(&mut self, now: Millis, until: u64) {
-        self.lease_until = self.lease_until.max(until);
-        self.last_grant = Some(now);
-    }
-
     /// End, on the worker's clock, of the lease that a start order carries: that of the last renewal, but
     /// at least half of `length` and at most `length` from now. A worker may have been lost since its last
     /// report, and a full lease would hold its other runs longer.
--- a/src/process/telemetry.rs
+++ b/src/process/telemetry.rs
@@ -16,6 +16,9 @@
 pub const QUEUE_TIME: &str = "jayfork_queue_seconds";
 pub const REFUSALS: &str = "jayfork_refusals_total";
 pub const EVICTIONS: &str = "jayfork_evictions_total";
+pub const LOST_RUNS: &str = "jayfork_lost_runs_total";
+pub const LATE_ENDS: &str = "jayfork_late_ends_total";
+pub const WORKERS_HEARD_AGAIN: &str = "jayfork_workers_heard_again_total";
 pub const LEASE_EXPIRIES: &str = "jayfork_lease_lapses_total";
 pub const LOG_LAG: &str = "jayfork_log_lag_seconds";
 pub const APPEND_TIME: &str = "jayfork_append_seconds";
@@ -97,6 +100,15 @@
     );
     describe_counter!(REFUSALS, "Refused requests and jobs by reason");
     describe_counter!(EVICTIONS, "Evicted tasks by cause");
+    describe_counter!(LOST_RUNS, "Runs counted as lost by cause");
+    describe_counter!(
+        LATE_ENDS,
+        "Reported ends of runs that were counted as lost, by ending"
+    );
+    describe_counter!(
+        WORKERS_HEARD_AGAIN,
+        "Reports of workers after three or more missed answers"
+    );
     describe_counter!(
         LEASE_EXPIRIES,
         "Control leases that expired while this host held them"
@@ -148,6 +160,21 @@
     counter!(EVICTIONS, "cause" => cause).increment(1);
 }
 
+/// Counts a run as lost; `cause` is `lease_over`, `stopped`, `not_listed` or `process_ended`.
+pub fn count_lost_run(cause: &'static str) {
+    counter!(LOST_RUNS, "cause" => cause).increment(1);
+}
+
+/// Counts the reported end of a run that was counted as lost.
+pub fn count_late_end(ending: &'static str) {
+    counter!(LATE_ENDS, "ending" => ending).increment(1);
+}
+
+/// Counts a worker that reports after three or more missed answers.
+pub fn count_heard_again() {
+    counter!(WORKERS_HEARD_AGAIN).increment(1);
+}
+
 /// Counts a lease on a worker or an instance that expired while this host held it.
 pub fn count_lease_expiry() {
     counter!(LEASE_EXPIRIES).increment(1);
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -7,6 +7,7 @@
 mod cases;
 mod crash_model;
 mod crashes;
+mod diagnostics;
 mod fleet;
 mod handover;
 mod pace;
