Silent workers: a run that may have succeeded is waited for while its worker is alive

Cause: the owner took the end of a lease for the end of a run. On a worker that it cannot hear for longer than a lease, because the link is full, most runs have succeeded before; nothing runs any more when the lease ends, so no run is lost by it. The owner started the task again at the end of the lease and acknowledged the first success when the worker was heard again. Class of fault: missing information taken for a fact.

Change: a run that can succeed counts as lost only once its worker has no entry in the registry, or 10 s after the end of the lease. Long-running tasks start again at the end of the lease as before.

Evidence: silent::a_run_on_a_silent_worker_may_have_succeeded failed before ("a success of ... is acknowledged after another start", both cases). The model of the workers did not check this: it compared starts with earlier acknowledgements only.

--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -82,8 +82,8 @@
     }
 
     /// Counts the runs of a silent worker as lost once their leases have certainly expired, it has left, or it
-    /// has confirmed a stop that is over. A task that can succeed may have done so before the stop, so only
-    /// long-running ones need no report.
+    /// has confirmed a stop that is over. A task that can succeed may have done so before the stop or the end of
+    /// the lease, so only long-running ones need no report from a worker that is alive.
     fn expire_runs(&mut self, now: Now) {
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let is_stopped = |run: &Run| match run.state {
@@ -96,10 +96,11 @@
         let mut expired: Vec<(Name, TaskKey, Ending)> = Vec::new();
         for worker in self.workers.iter().filter(|worker| worker.unanswered > 0) {
             let is_over = worker.has_expired(now.steady) || worker.has_left;
+            let may_succeed = worker.may_report_success(now.steady);
             for (task, run) in &worker.runs {
                 let ending = match is_stopped(run) {
                     true => Ending::Stopped,
-                    false if is_over => Ending::Lapsed,
+                    false if is_over && (run.lasts || !may_succeed) => Ending::Lapsed,
                     false => continue,
                 };
                 expired.push((worker.id.clone(), *task, ending));
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -16,6 +16,10 @@
 /// Allowance for rounding between the clocks of the worker and the owner, in milliseconds.
 const ROUNDING_ALLOWANCE: u64 = 150;
 
+/// How long after the end of its lease a worker that is alive by its entry in the registry is waited for, in
+/// milliseconds, before its runs that may have succeeded count as lost.
+const REPORT_WAIT: Millis = Millis(10_000);
+
 /// State of one run of a task on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
@@ -350,8 +354,19 @@
     /// Whether every lease that this owner granted has expired even if the worker's clock is as
     /// slow as allowed.
     pub fn has_expired(&self, now: Millis) -> bool {
-        let clock = self.least_clock(now);
-        clock.is_some_and(|clock| clock > self.lease_until.saturating_add(ROUNDING_ALLOWANCE))
+        self.has_expired_for(now, Millis(0))
+    }
+
+    /// Whether that has been so for at least `time` on the worker's clock.
+    pub fn has_expired_for(&self, now: Millis, time: Millis) -> bool {
+        let least = self.lease_until.saturating_add(ROUNDING_ALLOWANCE + time.0);
+        self.least_clock(now).is_some_and(|clock| clock > least)
+    }
+
+    /// Whether a run that can succeed may have done so although the lease has expired: the worker is alive
+    /// by its entry in the registry, so that its next report will tell.
+    pub fn may_report_success(&self, now: Millis) -> bool {
+        self.is_listed && !self.has_left && !self.has_expired_for(now, REPORT_WAIT)
     }
 
     /// What its clock shows by now even if it is as slow as allowed.
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -12,6 +12,7 @@
 
 use super::crash_model::CRASH_DELAY;
 use super::pace::Pace;
+use super::success_model::Successes;
 
 /// Time that a worker takes to stop a run, in milliseconds.
 const STOP_TIME: u64 = 400;
@@ -44,6 +45,8 @@
     stopping: Vec<Stopping>,
     ended: Vec<EndReport>,
     next_end: u64,
+    /// Number of the newest end of a run that ended with its lease.
+    last_lapse: u64,
     /// Highest epoch that an order carried.
     token: u64,
     /// End of the lease on this worker's clock.
@@ -93,6 +96,7 @@
     /// Tasks with a successful end that an owner has acknowledged.
     pub acknowledged: HashSet<TaskKey>,
     pub done: HashSet<TaskKey>,
+    successes: Successes,
     pub failures: HashMap<TaskKey, u32>,
     /// Failed runs of each task, also those that are lost with their worker before their
     /// acknowledgement.
@@ -118,6 +122,7 @@
             stopping: Vec::new(),
             ended: Vec::new(),
             next_end: 1,
+            last_lapse: 0,
             token: 0,
             until: 0,
             closed: HashMap::new(),
@@ -141,6 +146,7 @@
             specs: HashMap::new(),
             acknowledged: HashSet::new(),
             done: HashSet::new(),
+            successes: Successes::default(),
             failures: HashMap::new(),
             failed_runs: HashMap::new(),
             crashing: HashSet::new(),
@@ -183,6 +189,7 @@
         worker.stopping.clear();
         worker.ended.clear();
         worker.next_end = 1;
+        worker.last_lapse = 0;
         worker.token = 0;
         worker.until = 0;
         worker.closed.clear();
@@ -245,7 +252,11 @@
                     _ => Ending::Lapsed,
                 };
                 match ending {
-                    Ending::Done => drop(self.done.insert(task)),
+                    Ending::Done => {
+                        self.done.insert(task);
+                        let run = worker.runs.get(&task).map_or(0, |run| run.run);
+                        self.successes.note_success(task, run);
+                    }
                     Ending::Failed => {
                         *self.failures.entry(task).or_default() += 1;
                         *self.failed_runs.entry(task).or_default() += 1;
@@ -299,9 +310,11 @@
                     .drain(..)
                     .partition(|end| end.number <= *acknowledged);
                 worker.ended = kept;
+                let last_lapse = worker.last_lapse;
                 for end in forgotten {
                     if end.ending == Ending::Done {
                         self.acknowledged.insert(end.task);
+                        self.check_success(&end, last_lapse);
                     }
                     let text = format!(
                         "{now}: end acknowledged on {index} by epoch {}",
@@ -352,6 +365,7 @@
         self.starts += 1;
         self.log_event(task, format!("{now}: run {} starts on {index}", start.run));
         self.check_start(task);
+        self.successes.note_start(task);
         let Some((spec, _)) = self.specs.get(&task) else {
             return refused(clock, Refusal::Malformed);
         };
@@ -389,6 +403,18 @@
         WorkerAnswer::Accepted { clock }
     }
 
+    /// Reports a violation if a success is acknowledged although its task was started again after it. A lease
+    /// that has ended a run since then excuses it.
+    fn check_success(&mut self, end: &EndReport, last_lapse: u64) {
+        if last_lapse < end.number && self.successes.is_superseded(end.task, end.run) {
+            let text = format!(
+                "a success of {} is acknowledged after another start",
+                end.task
+            );
+            self.report_violation(end.task, text);
+        }
+    }
+
     /// Reports a violation if the task must not start now.
     fn check_start(&mut self, task: TaskKey) {
         let running_on = self.workers.iter().filter(|worker| worker.holds(&task));
@@ -488,6 +514,9 @@
         };
         let closed = self.closed.entry(task).or_default();
         *closed = (*closed).max(run.run);
+        if ending == Ending::Lapsed {
+            self.last_lapse = self.next_end;
+        }
         self.ended.push(EndReport {
             number: self.next_end,
             task,
