Lost runs: the success of a superseded run is not acknowledged

Cause: an owner forgot the runs that it had counted as lost. When their successes came, it took them for ends that need no action and acknowledged them. A next owner did the same for runs that it had never heard of.

Change: once a task starts again, the runs of it that were lost and may have succeeded are superseded. The owner records them by worker (x/ID). An owner that starts recovered tasks without a report of some workers treats their runs of these tasks the same way.

--- a/src/process/shard/leases.rs
+++ b/src/process/shard/leases.rs
@@ -15,6 +15,10 @@
 /// workers that miss a single report answer the next one by then.
 const MIN_SILENCE: Millis = Millis(2_000);
 
+/// How long after the end of its lease a worker that is alive by its entry in the registry is waited for, in
+/// milliseconds, before its runs that may have succeeded count as lost.
+const REPORT_WAIT: Millis = Millis(10_000);
+
 /// The wait for a worker that does not answer, as it is recorded.
 #[derive(Debug, Clone, Copy)]
 pub struct RecordedWait {
@@ -169,6 +173,12 @@
         self.last_grant = Some(now);
     }
 
+    /// Whether a run that can succeed may have done so although the lease has expired: the worker is alive
+    /// by its entry in the registry, so that its next report will tell.
+    pub(super) fn may_report_success(&self, now: Millis) -> bool {
+        self.is_listed && !self.has_left && !self.has_expired_for(now, REPORT_WAIT)
+    }
+
     /// Whether it may get a lease: later owners do not count on that no owner has granted it one.
     pub(super) fn may_lease(&self) -> bool {
         self.recorded_wait.is_none()
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -8,6 +8,7 @@
 mod jobs;
 mod journal;
 mod leases;
+mod lost_runs;
 mod recovery;
 mod remaining;
 mod reports;
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -1,5 +1,7 @@
 //! Recovery after a claim: loads the records of earlier owners and finds out which runs exist.
 
+use std::collections::BTreeSet;
+
 use super::journal::{Appended, Commit};
 use super::reports::STOP_ALLOWANCE;
 use super::requests::Ended;
@@ -9,7 +11,9 @@
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
 use crate::platform::{RegistryEntry, WorkerState};
 use crate::request::job::{Job, JobId, StartPermit, TaskCrashes, TaskKey};
-use crate::version::{JobStateRecord, LeaseRecord, ShardRecord, SuspectRecord, WaitRecord};
+use crate::version::{
+    JobStateRecord, LeaseRecord, ShardRecord, SupersededRecord, SuspectRecord, WaitRecord,
+};
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
 const LOAD_RETRY: Millis = Millis(100);
@@ -214,6 +218,7 @@
         let mut waits: Vec<(Name, WaitRecord)> = Vec::new();
         let mut suspects: Vec<(Name, Vec<SuspectRecord>)> = Vec::new();
         let mut remaining: Vec<(Name, Vec<TaskKey>)> = Vec::new();
+        let mut superseded: Vec<(Name, SupersededRecord)> = Vec::new();
         let mut resignation = None;
         for record in records {
             match record {
@@ -241,6 +246,7 @@
                 ShardRecord::Suspects(id, Some(runs)) => suspects.push((id, runs)),
                 ShardRecord::Resignation(Some(record)) => resignation = Some(record),
                 ShardRecord::Remaining(id, Some(tasks)) => remaining.push((id, tasks)),
+                ShardRecord::Superseded(id, Some(runs)) => superseded.push((id, runs)),
                 ShardRecord::Owner(_)
                 | ShardRecord::Lease(_, None)
                 | ShardRecord::Job(_, None)
@@ -250,11 +256,13 @@
                 | ShardRecord::Suspects(_, None)
                 | ShardRecord::Wait(_, None)
                 | ShardRecord::Remaining(_, None)
+                | ShardRecord::Superseded(_, None)
                 | ShardRecord::Resignation(None)
                 | ShardRecord::Worker(_, None) => {}
             }
         }
         self.restore_leases(leases);
+        self.lost_runs.restore(now.steady, superseded);
         let has_resigned = self.end_resignation(now, resignation);
         self.restore_waits(waits, has_resigned);
         self.restore_remaining(remaining);
@@ -312,14 +320,15 @@
             .iter()
             .filter(|worker| !worker.is_settled(now.steady, stop_time))
             .filter(|worker| !worker.has_left && worker.unheard.is_none());
-        let (mut missing, mut is_over) = (0, true);
+        let (mut silent, mut is_over) = (BTreeSet::new(), true);
         for worker in missing_workers {
-            missing += 1;
+            silent.insert(worker.id.clone());
             is_over &= self.has_waited(now.steady, worker);
         }
         if !is_over {
             return;
         }
+        let missing = silent.len();
         tracing::info!(
             epoch = self.owner.epoch,
             missing,
@@ -328,7 +337,9 @@
             "runs of earlier owners are known"
         );
         self.phase = Phase::Active;
-        for id in std::mem::take(&mut self.recovered) {
+        let recovered = std::mem::take(&mut self.recovered);
+        self.note_unheard(silent, recovered.iter().copied());
+        for id in recovered {
             self.add_interrupted(now.steady, id, missing > 0);
         }
         self.needs_placement = true;
--- a/src/process/shard/remaining.rs
+++ b/src/process/shard/remaining.rs
@@ -79,12 +79,15 @@
         }
         let mut released: Vec<TaskKey> = Vec::new();
         for id in &ids {
-            let worker = self.workers.get_mut(id);
-            released.extend(
-                worker
-                    .and_then(|worker| worker.unheard.take())
-                    .unwrap_or_default(),
-            );
+            let Some(worker) = self.workers.get_mut(id) else {
+                continue;
+            };
+            let is_unheard = !worker.has_left && worker.first_full_report.is_none();
+            let tasks = worker.unheard.take().unwrap_or_default();
+            if is_unheard {
+                self.note_unheard_tasks(id, &tasks);
+            }
+            released.extend(tasks);
         }
         self.update_unheard();
         for task in released {
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -175,6 +175,7 @@
         let Some(outcome) = self.ending.remove(&id) else {
             return;
         };
+        self.lost_runs.end_job(id);
         for ticket in self.tickets.remove(&id).unwrap_or_default() {
             out.push(ShardAction::Reply(ticket, Reply::Cancelled));
         }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -134,7 +134,9 @@
             self.orphaned_tasks.remove(&end.task);
         }
         let is_current = removed.is_some() && !was_orphaned;
-        self.apply_end(now, worker_id, end, is_current);
+        if !self.lost_runs.is_superseded(worker_id, end) {
+            self.apply_end(now, worker_id, end, is_current);
+        }
         if was_orphaned {
             self.enqueue(end.task.step.job);
         }
@@ -173,6 +175,7 @@
             };
             for task in tasks {
                 job.set_state(task, TaskState::Done);
+                self.lost_runs.end_task(task);
             }
             self.journal.mark_dirty(id);
             let is_step_done = job.step(end.task.step).is_some_and(|step| step.is_done());
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -9,6 +9,7 @@
 use super::candidates::UnmetRequirements;
 use super::clearing::WaitingDemand;
 use super::journal::Journal;
+use super::lost_runs::LostRuns;
 use super::recovery::LoadRange;
 use super::requests::Ended;
 use super::resignation::Resignation;
@@ -224,6 +225,8 @@
     pub(super) orphaned_tasks: HashSet<TaskKey>,
     /// Tasks that may run on a leaving worker that this owner has not heard from.
     pub(super) unheard_tasks: HashSet<TaskKey>,
+    /// Runs that were lost with silent workers and may have succeeded.
+    pub(super) lost_runs: LostRuns,
     /// Tickets of requests that are answered once a record of the job is stored.
     pub(super) tickets: HashMap<JobId, Vec<u64>>,
     /// Records loaded so far.
@@ -299,6 +302,7 @@
             workers: Workers::default(),
             orphaned_tasks: HashSet::new(),
             unheard_tasks: HashSet::new(),
+            lost_runs: LostRuns::default(),
             tickets: HashMap::new(),
             loaded_records: Vec::new(),
             loads: Vec::new(),
@@ -421,18 +425,21 @@
                 self.journal.push(&record, None);
             }
         }
+        for record in self.lost_runs.take_records() {
+            self.journal.push(&record, None);
+        }
         let mut acknowledgements = Vec::new();
         for worker in self.workers.iter() {
             let Some(incarnation) = worker
                 .incarnation
-                .filter(|_| worker.processed > worker.acknowledged)
+                .filter(|_| worker.acknowledgeable() > worker.acknowledged)
             else {
                 continue;
             };
             acknowledgements.push(Commit::Acknowledged {
                 worker: worker.id.clone(),
                 incarnation,
-                number: worker.processed,
+                number: worker.acknowledgeable(),
             });
         }
         if !acknowledgements.is_empty() && !self.journal.has_pending() {
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -321,6 +321,7 @@
         worker.pending_starts += 1;
         self.pending_starts += 1;
         worker.note_grant(now.steady, until);
+        self.lost_runs.supersede(now.steady, task);
         let tag = WorkerTag::Start {
             worker: worker.id.clone(),
             task,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -67,6 +67,7 @@
         self.open_due(now);
         self.replace_expired_keys();
         self.expire_outcomes(now);
+        self.lost_runs.expire(now.steady);
         self.record_waits(now.steady);
         self.record_workers(now);
         self.record_contention(now);
@@ -111,6 +112,7 @@
                 Ending::Stopped => "stopped",
                 _ => "lease_over",
             });
+            self.note_lost(&worker, task);
             self.lose_run(now, &worker, task, ending);
         }
     }
@@ -197,7 +199,7 @@
         for worker in self.workers.iter_mut() {
             let is_idle = worker.runs.is_empty()
                 && worker.unheard.is_none()
-                && worker.acknowledged == worker.processed;
+                && worker.acknowledged == worker.acknowledgeable();
             let is_done = is_idle && !worker.awaits_proof(now.steady);
             if !worker.is_listed && is_done && self.phase == Phase::Active {
                 removed.push(worker.id.clone());
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -16,10 +16,6 @@
 /// Allowance for rounding between the clocks of the worker and the owner, in milliseconds.
 const ROUNDING_ALLOWANCE: u64 = 150;
 
-/// How long after the end of its lease a worker that is alive by its entry in the registry is waited for, in
-/// milliseconds, before its runs that may have succeeded count as lost.
-const REPORT_WAIT: Millis = Millis(10_000);
-
 /// State of one run of a task on a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunState {
@@ -136,6 +132,8 @@
     pub processed: u64,
     /// Highest number of an end whose effects are recorded.
     pub acknowledged: u64,
+    /// Number of the first listed end that must not be acknowledged.
+    pub withheld: Option<u64>,
     pub runs: HashMap<TaskKey, Run>,
     /// Resources reserved by all runs.
     pub committed: Size,
@@ -226,6 +224,7 @@
             unheard: None,
             processed: 0,
             acknowledged: 0,
+            withheld: None,
             runs: HashMap::new(),
             committed: Size::ZERO,
             long_reserved: Size::ZERO,
@@ -330,6 +329,7 @@
         self.lease_until = lease_until;
         self.processed = 0;
         self.acknowledged = 0;
+        self.withheld = None;
         self.failed_jobs.clear();
         self.suspect_until = Millis(0);
     }
@@ -363,12 +363,6 @@
         self.least_clock(now).is_some_and(|clock| clock > least)
     }
 
-    /// Whether a run that can succeed may have done so although the lease has expired: the worker is alive
-    /// by its entry in the registry, so that its next report will tell.
-    pub fn may_report_success(&self, now: Millis) -> bool {
-        self.is_listed && !self.has_left && !self.has_expired_for(now, REPORT_WAIT)
-    }
-
     /// What its clock shows by now even if it is as slow as allowed.
     fn least_clock(&self, now: Millis) -> Option<u64> {
         let (clock, at) = self.clock?;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -28,6 +28,6 @@
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
     Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord,
-    ResignationRecord, ShardRecord, SuspectRecord, WaitRecord, WorkerRecord,
+    ResignationRecord, ShardRecord, SupersededRecord, SuspectRecord, WaitRecord, WorkerRecord,
 };
 pub use suspicion::Suspicion;
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -108,6 +108,16 @@
     pub is_recent: bool,
 }
 
+/// Runs that were lost with a worker and whose tasks have started again. If one of them has succeeded, its end
+/// must not be acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SupersededRecord {
+    /// Start of the worker's incarnation that got the runs, in Unix milliseconds.
+    pub incarnation: u64,
+    /// The tasks with the numbers of their runs.
+    pub runs: Vec<(TaskKey, u64)>,
+}
+
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -157,6 +167,8 @@
     /// Tasks that may still run on a worker that is leaving, which gets no starts until the record is
     /// deleted.
     Remaining(Name, Option<Vec<TaskKey>>),
+    /// Lost runs of a worker whose tasks have started again, until the worker reports without them.
+    Superseded(Name, Option<SupersededRecord>),
 }
 
 const OWNER: &str = "owner";
@@ -177,6 +189,7 @@
             ShardRecord::Suspects(id, _) => format!("u/{id}"),
             ShardRecord::Wait(id, _) => format!("v/{id}"),
             ShardRecord::Remaining(id, _) => format!("r/{id}"),
+            ShardRecord::Superseded(id, _) => format!("x/{id}"),
             ShardRecord::Resignation(_) => RESIGNATION.to_owned(),
         }
     }
@@ -196,6 +209,7 @@
             ShardRecord::Suspects(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Wait(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Remaining(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Superseded(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Resignation(value) => value.as_ref().map(encode).unwrap_or_default(),
         }
     }
@@ -246,6 +260,10 @@
                 id.into(),
                 decode_optional(key, value)?,
             )),
+            "x" => Ok(ShardRecord::Superseded(
+                id.into(),
+                decode_optional(key, value)?,
+            )),
             _ => Err(unknown()),
         }
     }
--- a/tests/shard/silent.rs
+++ b/tests/shard/silent.rs
@@ -2,6 +2,7 @@
 
 use jayfork::process::shard::Reply;
 use jayfork::request::job::Outcome;
+use jayfork::version::{ShardRecord, SupersededRecord};
 use yare::parameterized;
 
 use super::world::{World, chain};
@@ -42,3 +43,60 @@
         assert_eq!(world.fleet.starts, 1, "seed {seed}");
     }
 }
+
+/// When the registry removes the entry of a worker that is cut off, in milliseconds after the cut.
+const UNLIST_TIME: u64 = 4_500;
+
+/// Guards against two successes of a task that are both acknowledged, because a worker that counted as lost returns with
+/// the first one after its task was started again.
+#[parameterized(
+    to_the_same_owner = { None },
+    to_an_owner_that_claims_after_the_start = { Some(9_000) },
+    to_an_owner_that_claims_meanwhile = { Some(1_000) },
+)]
+fn a_lost_worker_may_return_with_a_success(change: Option<u64>) {
+    let mut restarts = 0;
+    for seed in 0..20 {
+        let (mut world, silent) = world_with_a_silent_worker(seed);
+        for time in (100..=20_000).step_by(100) {
+            if time == UNLIST_TIME {
+                world.unlist(silent);
+            }
+            if Some(time) == change {
+                world.kill(0);
+                world.claim();
+                if time > UNLIST_TIME {
+                    world.unlist(silent);
+                }
+            }
+            world.run(100);
+        }
+        restarts += world.fleet.starts - 1;
+        world.fleet.workers[silent].is_unreachable = false;
+        world.refresh(silent);
+        world.run(5_000);
+        world.assert_no_violations();
+        assert_eq!(world.state(1), Some(COMPLETED), "seed {seed}");
+        world.submit(2, &chain(&[20, 20], 1_000));
+        world.run(8_000);
+        world.assert_no_violations();
+        assert_eq!(world.state(2), Some(COMPLETED), "seed {seed}");
+    }
+    assert!(restarts > 0);
+}
+
+/// Guards against superseded runs that a later owner reads differently than they were recorded.
+#[test]
+fn recorded_superseded_runs_are_read_back() {
+    let (world, _) = world_with_a_silent_worker(7);
+    let task = *world.fleet.specs.keys().next().expect("a submitted task");
+    let runs = SupersededRecord {
+        incarnation: 7,
+        runs: vec![(task, 4_097)],
+    };
+    for value in [Some(runs), None] {
+        let record = ShardRecord::Superseded("worker-1".into(), value);
+        let decoded = ShardRecord::decode(&record.key(), &record.value());
+        assert_eq!(decoded, Ok(record));
+    }
+}
