Hand-over: an owner does not resign soon after its own claim

Callers could have seen: a task runs twice at once (TWICE).

Cause: a resignation says that no owner grants leases any more, but its writer knows only of itself. For 1.5 s after its claim an earlier owner that is cut off may still renew leases, and the next owner leaves out just these 1.5 s. An owner that resigned before it had read the records also took its own resignation for its predecessor's, and did not delete that one.

An owner that is cut off goes on for 1.5 s, a second one resigns 0, 100 or 600 ms after its claim, a third one takes over.

Why it works: `resign` does nothing before the records are read and the claim is ISOLATION_TIME old, so no earlier owner grants leases once the record is written. Until then the host hands over without one, and the next owner waits for the whole time, as before there were resignations.

The model of the tests can cut one owner off from the store and from single workers now.

--- a/src/process/shard/resignation.rs
+++ b/src/process/shard/resignation.rs
@@ -2,7 +2,8 @@
 //! not wait for those that an isolated owner may still grant.
 
 use super::journal::Commit;
-use super::shard::{Now, Shard};
+use super::recovery::ISOLATION_TIME;
+use super::shard::{Now, Phase, Shard};
 use crate::base::Millis;
 use crate::version::{ResignationRecord, ShardRecord};
 
@@ -17,9 +18,12 @@
 
 impl Shard {
     /// Stops granting leases and records this for the next owner, with how long silent workers have been
-    /// without one. Does nothing if this owner has begun to resign before.
+    /// without one. Does nothing if this owner has begun to resign before, and soon after its claim: an earlier
+    /// owner that is isolated may still grant leases, or its resignation is not read yet.
     pub fn resign(&mut self, now: Now) {
-        if self.has_begun_to_resign {
+        let age = now.steady.since(self.claimed_at);
+        let is_early = self.phase < Phase::Recovering || age < ISOLATION_TIME;
+        if is_early || self.has_begun_to_resign {
             return;
         }
         self.has_begun_to_resign = true;
@@ -58,15 +62,13 @@
         let Some(record) = record else {
             return false;
         };
-        if self.resignation.is_none() {
-            self.resignation = Some(Resignation {
-                since: now.steady,
-                is_stored: true,
-                is_ending: true,
-            });
-            let record = ShardRecord::Resignation(None);
-            self.journal.push(&record, Some(Commit::ResignationEnded));
-        }
+        self.resignation = Some(Resignation {
+            since: now.steady,
+            is_stored: true,
+            is_ending: true,
+        });
+        let deletion = ShardRecord::Resignation(None);
+        self.journal.push(&deletion, Some(Commit::ResignationEnded));
         record.is_known_to(self.owner.epoch)
     }
 
--- a/tests/shard/handover.rs
+++ b/tests/shard/handover.rs
@@ -10,21 +10,39 @@
 const RESTART_LIMIT: u64 = 9_000;
 /// Time from the end of an owner that is killed until the claim of the next one, in milliseconds.
 const CLAIM_DELAY: u64 = 200;
+/// Time for which an owner that is cut off goes on, in milliseconds.
+const ISOLATION_TIME: u64 = 1_500;
 
 impl World {
     /// Lets the owner resign and the next one claim the shard, as at a planned stop.
     fn hand_over(&mut self) {
         let owner = self.owner().expect("an owner");
-        self.resign(owner);
+        self.begin_to_resign(owner);
+        if self.is_resigning(owner) {
+            self.await_resignation(owner);
+        }
         self.claim();
         self.kill(owner);
     }
 
-    /// Lets an owner resign until that is stored.
-    fn resign(&mut self, owner: usize) {
+    fn begin_to_resign(&mut self, owner: usize) {
         let time = self.time();
         let shard = self.owners[owner].as_mut().expect("a live owner");
         shard.resign(time);
+    }
+
+    fn is_resigning(&self, owner: usize) -> bool {
+        let shard = self.owners[owner].as_ref().expect("a live owner");
+        shard.resigned_for(self.time().steady).is_some()
+    }
+
+    /// Lets an owner resign until that is stored.
+    fn resign(&mut self, owner: usize) {
+        self.begin_to_resign(owner);
+        self.await_resignation(owner);
+    }
+
+    fn await_resignation(&mut self, owner: usize) {
         for _ in 0..200 {
             let shard = self.owners[owner].as_ref().expect("a live owner");
             if shard.has_resigned() {
@@ -166,6 +184,33 @@
     }
 }
 
+/// Guards against two runs of a task at once because an owner resigns soon after its claim, while the one before
+/// it, which is only cut off, still grants leases.
+#[parameterized(
+    before_the_records_are_read = { 0 },
+    once_they_are_read = { 100 },
+    later = { 600 },
+)]
+fn a_resignation_soon_after_a_claim_does_not_shorten_the_wait(delay: u64) {
+    for seed in 0..20 {
+        let (mut world, holder) = world_with_full_workers(seed);
+        world.isolate(holder, &[1, 2]);
+        let isolated = world.now;
+        world.claim();
+        world.run(delay);
+        world.begin_to_resign(1);
+        world.run(60);
+        world.claim();
+        world.kill(1);
+        world.run(isolated + ISOLATION_TIME - world.now);
+        world.kill(0);
+        world.cancel(2);
+        world.run(15_000);
+        assert_eq!(world.running(1), 1, "seed {seed}");
+        world.assert_no_violations();
+    }
+}
+
 /// Guards against runs that lapse around a planned change of the owner because nobody renews their leases.
 #[test]
 fn runs_outlast_handovers_in_a_row() {
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -6,7 +6,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-use jayfork::base::{Millis, Name, Size};
+use jayfork::base::{Millis, Name};
 use jayfork::connection::{
     CallError, Order, Partition, StoreAnswer, StoreRequest, WorkerAnswer, WorkerCall,
 };
@@ -18,7 +18,9 @@
 use jayfork::request::job::{JobId, JobSpec, StepId, TaskKey};
 use jayfork::version::{OwnerRecord, Queue, QueueTable};
 
+use super::cuts::Cuts;
 use super::fleet::Fleet;
+pub use super::specs::{chain, long_running};
 use super::store::Store;
 
 /// Simulated time between two polls of the owners, in milliseconds.
@@ -84,6 +86,7 @@
     pub max_pending_starts: (usize, usize),
     /// Whether another worker takes over the address of a worker that has crashed.
     pub renames: bool,
+    pub cuts: Cuts,
 }
 
 impl World {
@@ -103,6 +106,7 @@
             pending_starts: HashMap::new(),
             max_pending_starts: (0, 0),
             renames: false,
+            cuts: Cuts::default(),
         }
     }
 
@@ -290,10 +294,13 @@
                     self.replies.insert(ticket, reply);
                 }
                 ShardAction::Store(tag, call) => {
-                    let is_lost = self.chance(self.faults.store_loss);
+                    let is_cut = self.cuts.store.contains(&owner);
+                    let is_lost = self.chance(self.faults.store_loss) || is_cut;
                     let message = Message::StoreRequest(owner, tag, call.request, is_lost);
                     let after = self.rng.u64(4..12);
-                    self.send(after, message);
+                    if !is_cut {
+                        self.send(after, message);
+                    }
                     if is_lost {
                         let answer = Err(CallError::NoAnswer);
                         let after = call.timeout.0;
@@ -385,7 +392,8 @@
                     self.send(5, Message::Answer(owner, tag, answer));
                     return;
                 }
-                let is_unreachable = target.is_unreachable || target.down_until > self.now;
+                let is_cut = target.is_unreachable || self.cuts.workers.contains(&(owner, worker));
+                let is_unreachable = is_cut || target.down_until > self.now;
                 let is_restarted = target.incarnation != incarnation;
                 if is_unreachable || is_restarted {
                     if delivery == Delivery::Answered {
@@ -467,33 +475,3 @@
         SocketAddr::V6(_) => usize::MAX,
     }
 }
-
-/// A job with one step for each count; each step depends on the one before it.
-pub fn chain(counts: &[u16], processors: u32) -> JobSpec {
-    let steps = counts.iter().enumerate().map(|(index, count)| {
-        let mut step = jayfork::request::job::StepSpec {
-            count: *count,
-            size: Size::new(processors, 100, 0),
-            runtime: 500,
-            ..Default::default()
-        };
-        if index > 0 {
-            step.after = vec![index as u16 - 1];
-        }
-        step
-    });
-    JobSpec {
-        payload: "text".into(),
-        steps: steps.collect(),
-        first_run: 0,
-        interval: 0,
-        turns: 0,
-    }
-}
-
-/// A job of one step with long-running tasks.
-pub fn long_running(count: u16, processors: u32) -> JobSpec {
-    let mut spec = chain(&[count], processors);
-    spec.steps[0].lasts = true;
-    spec
-}
