Workers: a call sent in the millisecond of a change of address counts for no address

Callers could have seen: a worker's tasks run twice at once, under one owner, without a stop order to the first run.

Cause: `address_since` is compared with the time at which a call was sent, and a call of the same millisecond, which went to the old address, counted as one to the new address. After a call without an answer, an entry of another program under the worker's id that names another worker's address redirects the owner. If a report was requested in that millisecond, it counted as proof that the worker is at the new address, and the 421 of the worker there as proof that its process has ended.

Why it works: such a call counts for neither address. The worker's place is known from its next report, and until then a 421 proves nothing.

--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -82,7 +82,7 @@
     /// The address in its last entry. An entry of another program under its id must not redirect
     /// orders, so a new address is used once the worker does not answer at the old one.
     listed_address: SocketAddr,
-    /// When `address` last changed.
+    /// When `address` last changed. Where a call went that was sent in the same millisecond is unknown.
     address_since: Millis,
     /// Where it last reported, to this owner or to the one that recorded it.
     pub reported_address: Option<SocketAddr>,
@@ -198,7 +198,7 @@
             id,
             address,
             listed_address: address,
-            address_since: now,
+            address_since: Millis(0),
             reported_address: None,
             service,
             data_centre: None,
@@ -287,7 +287,7 @@
 
     /// Remembers where the report came from that was requested at `sent`.
     pub fn report_from(&mut self, sent: Millis) {
-        if sent >= self.address_since {
+        if sent > self.address_since {
             self.reported_address = Some(self.address);
         }
     }
@@ -295,7 +295,7 @@
     /// Whether a call that was sent at `sent` went to the address where the worker last reported, so that
     /// the answer of another process means that the worker's has ended.
     pub fn was_asked_in_place(&self, sent: Millis) -> bool {
-        sent >= self.address_since && self.is_at(self.address)
+        sent > self.address_since && self.is_at(self.address)
     }
 
     /// Whether it last reported from this address, if it has reported.
--- a/tests/shard/registry.rs
+++ b/tests/shard/registry.rs
@@ -8,7 +8,7 @@
 use jayfork::version::{JobRecord, JobStateRecord, ShardRecord};
 use yare::parameterized;
 
-use super::world::{QUEUE, World, chain, long_running};
+use super::world::{QUEUE, STEP, World, chain, long_running};
 
 /// A simulation with one owner and three workers, the last of which does not exist, though it is
 /// listed.
@@ -222,3 +222,30 @@
     world.run(3_000);
     assert_eq!(world.fleet.done.len(), 3);
 }
+
+/// Guards against two runs of a task at once because the owner takes the report of a worker for one from a new
+/// address: it has asked for it at the old one, in the millisecond in which another program changes the entry.
+#[test]
+fn an_odd_entry_at_the_time_of_a_request_ends_no_run() {
+    for delay in 0..200 {
+        let mut world = World::new(5, 2, 8_000);
+        let owner = world.claim();
+        world.run(500);
+        world.submit(1, &long_running(1, 4_000));
+        world.run(1_000);
+        let holder = world.holder(1);
+        world.fleet.workers[holder].is_unreachable = true;
+        world.run(1_000);
+        world.fleet.workers[holder].is_unreachable = false;
+        world.run(delay * STEP);
+        let address = format!("10.0.0.{}:80", 2 - holder);
+        let address = address.parse().expect("an address");
+        let event = altered(&world, holder, |entry| entry.address = address);
+        world.event(owner, event);
+        world.run(500);
+        world.refresh(holder);
+        world.run(2_000);
+        world.assert_no_violations();
+        assert_eq!((world.running(1), world.fleet.starts), (1, 1), "{delay}");
+    }
+}
