Workers: one that is being recorded stays on record until that is stored

Callers could have seen: tasks run twice at once after a change of the owner.

Cause: the commit of a worker's record names it by its id only. A worker that leaves the registry while its record is being stored was dropped and its record deleted; if it came back before the commit, the commit counted for it. It got starts without a record, so a next owner that could not reach it started its tasks again.

Why it works: a worker is dropped only when no record of it waits for its commit, so none arrives for a later entry.

--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -200,7 +200,8 @@
             let is_idle = worker.runs.is_empty()
                 && worker.unheard.is_none()
                 && worker.acknowledged == worker.acknowledgeable();
-            let is_done = is_idle && !worker.awaits_proof(now.steady);
+            // If the worker comes back, the commit of this record would hide that it is deleted again.
+            let is_done = is_idle && !worker.is_recording && !worker.awaits_proof(now.steady);
             if !worker.is_listed && is_done && self.phase == Phase::Active {
                 removed.push(worker.id.clone());
             } else {
--- a/tests/shard/registry.rs
+++ b/tests/shard/registry.rs
@@ -223,6 +223,42 @@
     assert_eq!(world.fleet.done.len(), 3);
 }
 
+/// Guards against two runs of a task at once after a change of the owner: a worker leaves the registry while a
+/// record of it is being stored and comes back, and gets starts although its record is deleted.
+#[test]
+fn a_worker_that_comes_back_is_recorded_again() {
+    let mut world = World::new(5, 2, 8_000);
+    let owner = world.claim();
+    world.run(1_000);
+    world.store.is_down = true;
+    world.drain(1);
+    world.run(300);
+    world.unlist(1);
+    world.run(300);
+    world.fleet.workers[1].is_leaving = false;
+    world.fleet.workers[1].is_unreachable = true;
+    world.refresh(1);
+    world.run(300);
+    world.store.is_down = false;
+    world.run(1_000);
+    world.fleet.workers[1].is_unreachable = false;
+    world.run(1_000);
+    for id in 1..=2 {
+        world.submit(id, &long_running(1, 8_000));
+    }
+    world.run(1_000);
+    let of_worker = if world.holder(1) == 1 { 1 } else { 2 };
+    world.fleet.workers[1].is_unreachable = true;
+    world.kill(owner);
+    world.claim();
+    world.run(500);
+    world.cancel(3 - of_worker);
+    world.run(2_000);
+    world.assert_no_violations();
+    assert_eq!(world.running(of_worker), 1);
+    assert_eq!(recorded_workers(&world), ["worker-0", "worker-1"]);
+}
+
 /// Guards against two runs of a task at once because the owner takes the report of a worker for one from a new
 /// address: it has asked for it at the old one, in the millisecond in which another program changes the entry.
 #[test]
