Tests: a request that a worker has read never counts as not sent

The owner starts a task elsewhere at once if a start order was not sent. No fault was found: the HTTP client says so only if the socket has taken no byte of the request.

--- a/tests/async_http.rs
+++ b/tests/async_http.rs
@@ -162,3 +162,77 @@
     let next = local.block_on(&runtime, call(Instant::now() + Duration::from_secs(5)));
     assert!(next.is_ok(), "{next:?}");
 }
+
+/// When a server closes the connection of the second request on it.
+#[derive(Clone, Copy)]
+enum Close {
+    /// At some time around the request, of which it reads nothing.
+    Unread,
+    /// After it has read the request, or a part of it.
+    Read(usize),
+}
+
+/// A server that answers the first request of each connection and closes the connection at the next one. Returns
+/// its address and the count of next ones of which it has read something.
+fn serve_once(close: Close, delay: Duration) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let count = Arc::new(AtomicUsize::new(0));
+    let begun = count.clone();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut request = [0; 1_024];
+        let length = stream.read(&mut request).expect("the first request");
+        assert!(length > 0);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+        stream.write_all(answer).expect("the answer");
+        match close {
+            Close::Unread => std::thread::sleep(delay),
+            Close::Read(part) => {
+                let read = stream.read(&mut request[..part]);
+                begun.fetch_add(
+                    usize::from(read.is_ok_and(|read| read > 0)),
+                    Ordering::SeqCst,
+                );
+            }
+        }
+    });
+    (address, count)
+}
+
+/// Guards against a task that runs twice because an order counts as not sent, although a worker has read it from a
+/// kept connection before it closed that.
+#[parameterized(
+    unread = { Close::Unread },
+    after_its_first_byte = { Close::Read(1) },
+    after_the_request = { Close::Read(1_024) },
+)]
+fn a_request_that_has_arrived_does_not_count_as_not_sent(close: Close) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    for delay in 0..300 {
+        let (address, count) = serve_once(close, Duration::from_micros(delay));
+        let client = AsyncHttpClient::new();
+        let call = || {
+            let request = HttpRequest {
+                method: "POST",
+                path: "/run-start".to_owned(),
+                headers: Vec::new(),
+                body: "{}".into(),
+            };
+            let limit = TimeLimit::whole(Duration::from_secs(5));
+            let not_after = Instant::now() + Duration::from_secs(5);
+            client.call_until(address, request, limit, not_after)
+        };
+        let answers = async { (call().await, call().await) };
+        let (first, second) = runtime.block_on(local.run_until(answers));
+        assert!(first.is_ok(), "{first:?}");
+        let has_arrived = count.load(Ordering::SeqCst) > 0;
+        let is_unsent = matches!(second, Err(CallError::NotSent | CallError::Refused));
+        assert!(second.is_err() && !(has_arrived && is_unsent), "{second:?}");
+        assert!(has_arrived || matches!(close, Close::Unread));
+    }
+}
