Workers: one that reports does not count as gone any more

Callers could have seen: all tasks of a worker run twice at once, under one owner and without a stop order to the first runs, which may end as done and be acknowledged.

Cause: another worker answers at a worker's address, so `has_left` is set. If the worker is back there before the next request and its entry has not changed, its report does not reset the flag. Its next start or stop order without an answer lets expire_runs count all its runs as lost.

Why it works: a report shows that the process is there; from then on only a newer answer of another worker sets the flag.

--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -226,6 +226,7 @@
         };
         worker.log_return(&report);
         worker.unanswered = 0;
+        worker.has_left = false;
         worker.end_wait(&mut self.journal);
         if worker
             .incarnation
--- a/tests/shard/registry.rs
+++ b/tests/shard/registry.rs
@@ -285,3 +285,31 @@
         assert_eq!((world.running(1), world.fleet.starts), (1, 1), "{delay}");
     }
 }
+
+/// Guards against runs of a worker that count as lost, without a stop order, at its next call without an answer:
+/// another worker had its address for a while, and it has reported from there since.
+#[test]
+fn a_worker_that_reports_has_not_left() {
+    for seed in 0..50 {
+        let mut world = World::new(seed, 2, 8_000);
+        world.claim();
+        world.run(1_000);
+        for renamed in [1, 0] {
+            world.fleet.restart(world.now, 0);
+            world.fleet.workers[0].renamed = renamed;
+            world.fleet.workers[0].down_until = 0;
+            world.run(2_000);
+        }
+        world.submit(1, &long_running(2, 2_000));
+        world.submit(2, &long_running(2, 2_000));
+        world.run(1_000 + seed * STEP);
+        assert_eq!((world.holder(1), world.holder(2)), (0, 0));
+        world.faults.answer_loss = 1.0;
+        world.cancel(2);
+        world.run(50);
+        world.faults.answer_loss = 0.0;
+        world.run(5_000);
+        world.assert_no_violations();
+        assert_eq!((world.running(1), world.fleet.starts), (2, 4));
+    }
+}
