Workers: an answer that a newer report has overtaken is no proof of an end

Callers could have seen: all tasks of a worker run twice at once, under one owner and without a stop order.

Cause: another worker that had the address answers a request for a report; the answer arrives after newer reports of the worker that has the address now. It counted as proof that this worker's process has ended.

Why it works: such an answer counts only if it was requested after the worker's newest report. Otherwise the next request, which goes out at once, tells.

--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -292,10 +292,11 @@
         }
     }
 
-    /// Whether a call that was sent at `sent` went to the address where the worker last reported, so that
-    /// the answer of another process means that the worker's has ended.
+    /// Whether a call that was sent at `sent` went to the address where the worker last reported, and after
+    /// that, so that the answer of another process means that the worker's has ended.
     pub fn was_asked_in_place(&self, sent: Millis) -> bool {
-        sent > self.address_since && self.is_at(self.address)
+        let is_newer = self.last_report.is_none_or(|at| at <= sent);
+        is_newer && sent > self.address_since && self.is_at(self.address)
     }
 
     /// Whether it last reported from this address, if it has reported.
--- a/tests/shard/registry.rs
+++ b/tests/shard/registry.rs
@@ -313,3 +313,26 @@
         assert_eq!((world.running(1), world.fleet.starts), (2, 4));
     }
 }
+
+/// Guards against runs that count as lost, without a stop order, because an answer of another worker that had the
+/// address arrives after newer reports of the worker that has it now.
+#[test]
+fn an_answer_that_newer_reports_have_overtaken_ends_no_run() {
+    let mut world = World::new(5, 2, 8_000);
+    let owner = world.claim();
+    world.run(1_000);
+    let sent = world.time().steady;
+    world.run(100);
+    world.submit(1, &long_running(1, 4_000));
+    world.run(2_000);
+    let tag = WorkerTag::Poll {
+        worker: world.worker_name(world.holder(1)),
+        sent,
+        is_immediate: true,
+    };
+    let answer = Ok(WorkerAnswer::WrongWorker);
+    world.event(owner, ShardEvent::Worker(tag, answer));
+    world.run(5_000);
+    world.assert_no_violations();
+    assert_eq!((world.running(1), world.fleet.starts), (1, 1));
+}
