--- a/examples/standin/platform/links.rs
+++ b/examples/standin/platform/links.rs
@@ -11,6 +11,8 @@
 pub struct Links {
     /// Workers that no call reaches and whose answers reach nobody. They go on working.
     cut: Mutex<HashSet<String>>,
+    /// Workers that refuse connections.
+    closed: Mutex<HashSet<String>>,
 }
 
 impl Links {
@@ -19,7 +21,21 @@
         cut.insert(worker);
     }
 
-    /// Restores all links.
+    /// Cuts the link of a worker for good; it refuses connections.
+    pub fn close(&self, worker: String) {
+        self.cut(worker.clone());
+        let mut closed = self.closed.lock().expect("no thread panics with the lock");
+        closed.insert(worker);
+    }
+
+    /// Returns once a worker refuses connections.
+    pub async fn closed(&self, worker: &str) {
+        while !self.is_closed(worker) {
+            tokio::time::sleep(CHECK_TIME).await;
+        }
+    }
+
+    /// Restores the links that are cut.
     pub fn restore(&self) {
         let mut cut = self.cut.lock().expect("no thread panics with the lock");
         cut.clear();
@@ -32,6 +48,11 @@
         }
     }
 
+    fn is_closed(&self, worker: &str) -> bool {
+        let closed = self.closed.lock().expect("no thread panics with the lock");
+        closed.contains(worker)
+    }
+
     fn is_cut(&self, worker: &str) -> bool {
         let cut = self.cut.lock().expect("no thread panics with the lock");
         cut.contains(worker)
--- a/examples/standin/platform/mod.rs
+++ b/examples/standin/platform/mod.rs
@@ -169,8 +169,15 @@
             let mut rng = fastrand::Rng::with_seed(seed);
             for (id, listener) in group {
                 let worker = Worker::new(id, timing, rng.fork(), recorder.clone());
+                let id = worker.id.clone();
                 let service = WorkerService::spawn(worker, links.clone());
-                spawn_local(http::serve(listener, service));
+                let links = links.clone();
+                spawn_local(async move {
+                    tokio::select! {
+                        () = http::serve(listener, service) => {}
+                        () = links.closed(&id) => {}
+                    }
+                });
             }
             std::future::pending::<()>().await;
         })
--- a/examples/standin/platform/operator.rs
+++ b/examples/standin/platform/operator.rs
@@ -12,8 +12,11 @@
 use super::store::Store;
 use super::{QUEUE_HOST, QUEUES, SERVICE};
 
-/// Answers `GET /runs` with a summary of all runs, writes the body of `POST /config` to the store. `POST
-/// /cut` cuts the link of a worker, and `POST /restore` restores all links.
+/// Topic of the workers' entries.
+const REGISTRY: &str = "keyed.servers";
+
+/// Answers `GET /runs` with a summary of all runs, writes the body of `POST /config` to the store. The
+/// other calls change the entry of a worker and its link to the hosts.
 #[derive(Clone)]
 pub struct OperatorService {
     store: Arc<Store>,
@@ -21,9 +24,9 @@
     links: Arc<Links>,
 }
 
-/// Cuts the link of the worker on which the task started last.
+/// Names the worker on which the task started last.
 #[derive(Deserialize)]
-struct CutBody {
+struct TaskBody {
     task: String,
 }
 
@@ -36,16 +39,37 @@
         }
     }
 
-    fn cut(&self, body: &[u8]) -> Reply {
-        let Ok(cut) = serde_json::from_slice::<CutBody>(body) else {
+    /// Applies a change to the worker on which a task started last.
+    fn change_worker(&self, body: &[u8], change: impl FnOnce(&Self, String)) -> Reply {
+        let Ok(order) = serde_json::from_slice::<TaskBody>(body) else {
             return Reply::status(400);
         };
-        let Some(worker) = self.recorder.worker_of(&cut.task) else {
+        let Some(worker) = self.recorder.worker_of(&order.task) else {
             return Reply::status(404);
         };
-        self.links.cut(worker);
+        change(self, worker);
         Reply::status(200)
     }
+
+    /// Says in the entry of a worker that it is leaving.
+    fn drain(&self, worker: &str) {
+        let entry = self.store.with(REGISTRY, 0, |stream| {
+            let mut entries = stream.newest("");
+            let (_, (_, value)) = entries.find(|(id, _)| *id == worker)?;
+            serde_json::from_slice::<Value>(value).ok()
+        });
+        if let Some(mut entry) = entry {
+            entry["state"] = json!("draining");
+            entry["remainingMs"] = json!(2_500);
+            self.store.put(REGISTRY, worker, entry.to_string());
+        }
+    }
+
+    /// Removes the entry of a worker, which refuses connections and works on.
+    fn close(&self, worker: String) {
+        self.store.put(REGISTRY, &worker, "");
+        self.links.close(worker);
+    }
 }
 
 impl Service for OperatorService {
@@ -56,7 +80,13 @@
                 self.store.put("keyed.op", "config", &request.body);
                 Reply::status(200)
             }
-            (&Method::POST, "/cut") => self.cut(&request.body),
+            (&Method::POST, "/cut") => {
+                self.change_worker(&request.body, |service, worker| service.links.cut(worker))
+            }
+            (&Method::POST, "/drain") => {
+                self.change_worker(&request.body, |service, worker| service.drain(&worker))
+            }
+            (&Method::POST, "/close") => self.change_worker(&request.body, Self::close),
             (&Method::POST, "/restore") => {
                 self.links.restore();
                 Reply::status(200)
--- a/tests/on_platform.rs
+++ b/tests/on_platform.rs
@@ -139,6 +139,16 @@
         self.control("/cut", &json!({ "task": task }));
     }
 
+    /// Lets the worker on which a task started last say that it is leaving.
+    fn drain(&self, task: &str) {
+        self.control("/drain", &json!({ "task": task }));
+    }
+
+    /// Removes the entry of the worker on which a task started last, which refuses connections and works on.
+    fn close(&self, task: &str) {
+        self.control("/close", &json!({ "task": task }));
+    }
+
     fn restore_links(&self) {
         self.control("/restore", &json!({}));
     }
@@ -236,3 +246,23 @@
     assert_eq!(runs["repeated"], json!([]), "{runs}");
     assert_eq!(runs["ran_twice_at_once"], json!([]), "{runs}");
 }
+
+/// Guards against tasks that start elsewhere while they run on a leaving worker that has no entry any more and
+/// refuses connections ("two runs at once").
+#[test]
+fn tasks_of_a_leaving_worker_do_not_start_elsewhere_while_they_run() {
+    const TASK: &str = "0000000000000000.0.0.0";
+    const LONG_RUN: Duration = Duration::from_millis(5_500);
+    const DRAIN_TIME: Duration = Duration::from_millis(500);
+    let deployment = Deployment::start("on-platform-leaving");
+    deployment.submit(1, LONG_RUN.as_millis() as u64);
+    wait_until("the starts of the first step", JOB_LIMIT, || {
+        deployment.runs()["starts"].as_u64() >= Some(WIDTH as u64)
+    });
+    deployment.drain(TASK);
+    std::thread::sleep(DRAIN_TIME);
+    deployment.close(TASK);
+    std::thread::sleep(LONG_RUN);
+    let runs = deployment.runs();
+    assert_eq!(runs["ran_twice_at_once"], json!([]), "{runs}");
+}
