Lost runs: a withheld success is not acknowledged after ten minutes

A worker that keeps reporting a success of a superseded run had its record dropped 10 min after the last restart, and the success was acknowledged then. Cause: the age counted from the restart, although the limit is for workers that do not report. It now counts from the worker's last report.

Evidence: silent::a_superseded_success_is_never_acknowledged failed before ("a success of ... is acknowledged after another start").

--- a/src/process/shard/lost_runs.rs
+++ b/src/process/shard/lost_runs.rs
@@ -32,7 +32,7 @@
 struct SupersededRuns {
     incarnation: u64,
     runs: BTreeSet<(TaskKey, u64)>,
-    /// When the newest of them was added, or restored from a record.
+    /// When the newest of them was added or restored from a record, or the worker last reported.
     added: Millis,
 }
 
@@ -147,7 +147,12 @@
 
     /// Number of the first listed end that must not be acknowledged. A later end of a run with its lease
     /// shows that the worker has given up what was not acknowledged before.
-    pub fn first_withheld(&mut self, worker: &Name, report: &WorkerReport) -> Option<u64> {
+    pub fn first_withheld(
+        &mut self,
+        now: Millis,
+        worker: &Name,
+        report: &WorkerReport,
+    ) -> Option<u64> {
         let known = self.superseded.get(worker);
         if known.is_some_and(|known| known.incarnation != report.start_time) {
             self.forget(worker);
@@ -160,6 +165,10 @@
         if numbers.is_empty() && report.lists_all_ends() {
             self.settle(worker, report);
         }
+        // They are forgotten only if the worker does not report.
+        if let Some(known) = self.superseded.get_mut(worker) {
+            known.added = now;
+        }
         let is_short = report.ended.len() <= MAX_WITHHELD;
         let withheld = numbers.into_iter().filter(|number| *number > last_lapse);
         withheld.min().filter(|_| is_short)
@@ -264,8 +273,8 @@
     }
 
     /// Finds out which of the listed ends must not be acknowledged.
-    pub(super) fn withhold_ends(&mut self, worker_id: &Name, report: &WorkerReport) {
-        let withheld = self.lost_runs.first_withheld(worker_id, report);
+    pub(super) fn withhold_ends(&mut self, now: Millis, worker_id: &Name, report: &WorkerReport) {
+        let withheld = self.lost_runs.first_withheld(now, worker_id, report);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             if withheld.is_some() && worker.withheld.is_none() {
                 tracing::warn!(worker = %worker_id, end = withheld, "a lost run has succeeded, but its task has started again; its end is not acknowledged");
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -258,7 +258,7 @@
         worker.next_poll = now.steady;
         worker.has_changed = true;
         let last_processed = worker.processed;
-        self.withhold_ends(worker_id, &report);
+        self.withhold_ends(now.steady, worker_id, &report);
         self.hear_remaining(worker_id, &report);
         for end in &report.ended {
             if end.number > last_processed {
--- a/tests/shard/silent.rs
+++ b/tests/shard/silent.rs
@@ -100,3 +100,17 @@
         assert_eq!(decoded, Ok(record));
     }
 }
+
+/// Guards against a withheld success that is acknowledged only because some time has passed.
+#[test]
+fn a_superseded_success_is_never_acknowledged() {
+    let (mut world, silent) = world_with_a_silent_worker(0);
+    world.run(UNLIST_TIME);
+    world.unlist(silent);
+    world.run(12_000);
+    assert_eq!(world.fleet.starts, 2);
+    world.fleet.workers[silent].is_unreachable = false;
+    world.refresh(silent);
+    world.run(620_000);
+    world.assert_no_violations();
+}
