Lost runs: those of jobs that have ended are not remembered

A run of an ended job that was lost while it was being stopped stayed in the table of lost runs for the life of the owner: entries are removed with their job, which was gone already. The same held for the tasks of a leaving worker. Found by reading; no test, since the table is private.

--- a/src/process/shard/lost_runs.rs
+++ b/src/process/shard/lost_runs.rs
@@ -257,8 +257,9 @@
     pub(super) fn note_unheard_tasks(&mut self, worker: &Name, tasks: &[TaskKey]) {
         let first_run = run_number(self.owner.epoch, 0);
         let workers = [worker.clone()];
-        self.lost_runs
-            .add_unheard(first_run, workers, tasks.iter().copied());
+        let tasks = tasks.iter().copied();
+        let open = tasks.filter(|task| self.jobs.contains_key(&task.step.job));
+        self.lost_runs.add_unheard(first_run, workers, open);
     }
 
     /// Remembers a run that is lost with a silent worker, if it may have succeeded before.
@@ -266,7 +267,9 @@
         let Some(worker) = self.workers.get(worker_id) else {
             return;
         };
-        let run = worker.runs.get(&task);
+        // The task of a job that has ended does not start again.
+        let is_open = self.jobs.contains_key(&task.step.job);
+        let run = worker.runs.get(&task).filter(|_| is_open);
         if let Some(run) = run.filter(|run| !run.lasts && !worker.has_left) {
             self.lost_runs.add(worker, task, run.run);
         }
