Lost runs: the failure of a superseded run is not acknowledged

Callers may see a task start after all its attempts have failed (rule BUDGET): a run fails on a worker that the owner cannot hear, the task starts again, and the failure is counted and acknowledged when the worker returns. Cause: as for successes, missing information taken for a fact. The failure of a superseded run is now neither counted nor acknowledged, like a success; a lost run whose end is reported before its task starts again is no longer remembered, so that its failure counts as before.

The model of the workers compared starts with all failures, also those never acknowledged, and so reported the start of such a task itself. The rule counts those that are acknowledged then or later. The model now remembers the failures before each start and checks at each start and at each acknowledgement.

--- a/src/process/shard/lost_runs.rs
+++ b/src/process/shard/lost_runs.rs
@@ -1,5 +1,6 @@
-//! Runs that were lost with a silent worker and may have succeeded before. If their task has started again when
-//! the worker reports such a success, only one of the two may count: an acknowledgement would confirm both.
+//! Runs that were lost with a silent worker and may have succeeded or failed before. If their task has started again
+//! when the worker reports such a success, only one of the two may count: an acknowledgement would confirm both.
+//! A failure would count against the attempts of the task after a start that it forbids.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -37,8 +38,8 @@
 }
 
 impl SupersededRuns {
-    fn has_success(&self, end: &EndReport) -> bool {
-        end.ending == Ending::Done && self.runs.contains(&(end.task, end.run))
+    fn has_result(&self, end: &EndReport) -> bool {
+        is_result(end) && self.runs.contains(&(end.task, end.run))
     }
 }
 
@@ -55,8 +56,8 @@
 }
 
 impl Unheard {
-    fn has_success(&self, worker: &Name, end: &EndReport) -> bool {
-        end.ending == Ending::Done
+    fn has_result(&self, worker: &Name, end: &EndReport) -> bool {
+        is_result(end)
             && end.run < self.first_run
             && self.restarted.contains(&end.task)
             && self.workers.contains(worker)
@@ -133,6 +134,13 @@
         }
     }
 
+    /// Forgets a lost run whose end is known before its task starts again.
+    pub fn end_run(&mut self, end: &EndReport) {
+        if let Some(runs) = self.by_task.get_mut(&end.task) {
+            runs.retain(|lost| lost.run != end.run);
+        }
+    }
+
     /// Forgets the lost runs of a job that has ended.
     pub fn end_job(&mut self, id: JobId) {
         self.by_task.retain(|task, _| task.step.job != id);
@@ -191,10 +199,10 @@
         }
     }
 
-    /// Whether this is the success of a run whose task has started again.
+    /// Whether this is the success or failure of a run whose task has started again.
     pub fn is_superseded(&self, worker: &Name, end: &EndReport) -> bool {
         let known = self.superseded.get(worker);
-        known.is_some_and(|known| known.has_success(end)) || self.unheard.has_success(worker, end)
+        known.is_some_and(|known| known.has_result(end)) || self.unheard.has_result(worker, end)
     }
 
     /// Forgets the workers that have not reported for long.
@@ -230,6 +238,10 @@
     }
 }
 
+fn is_result(end: &EndReport) -> bool {
+    matches!(end.ending, Ending::Done | Ending::Failed)
+}
+
 impl Shard {
     /// Remembers that the waiting tasks of these jobs are going to start although some workers have not reported.
     pub(super) fn note_unheard(
@@ -280,7 +292,7 @@
         let withheld = self.lost_runs.first_withheld(now, worker_id, report);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             if withheld.is_some() && worker.withheld.is_none() {
-                tracing::warn!(worker = %worker_id, end = withheld, "a lost run has succeeded, but its task has started again; its end is not acknowledged");
+                tracing::warn!(worker = %worker_id, end = withheld, "a lost run has ended, but its task has started again; its end is not acknowledged");
             }
             worker.withheld = withheld;
         }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -134,6 +134,7 @@
             self.orphaned_tasks.remove(&end.task);
         }
         let is_current = removed.is_some() && !was_orphaned;
+        self.lost_runs.end_run(end);
         if !self.lost_runs.is_superseded(worker_id, end) {
             self.apply_end(now, worker_id, end, is_current);
         }
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -12,7 +12,7 @@
 
 use super::crash_model::CRASH_DELAY;
 use super::pace::Pace;
-use super::success_model::Successes;
+use super::success_model::{Failures, Successes};
 
 /// Time that a worker takes to stop a run, in milliseconds.
 const STOP_TIME: u64 = 400;
@@ -97,7 +97,7 @@
     pub acknowledged: HashSet<TaskKey>,
     pub done: HashSet<TaskKey>,
     successes: Successes,
-    pub failures: HashMap<TaskKey, u32>,
+    failures: Failures,
     /// Failed runs of each task, also those that are lost with their worker before their
     /// acknowledgement.
     pub failed_runs: HashMap<TaskKey, u32>,
@@ -147,7 +147,7 @@
             acknowledged: HashSet::new(),
             done: HashSet::new(),
             successes: Successes::default(),
-            failures: HashMap::new(),
+            failures: Failures::default(),
             failed_runs: HashMap::new(),
             crashing: HashSet::new(),
             crashes: HashMap::new(),
@@ -176,15 +176,6 @@
         }
         // A failure that was not acknowledged is lost with its worker and does not count.
         let worker = &mut self.workers[index];
-        for end in worker
-            .ended
-            .iter()
-            .filter(|end| end.ending == Ending::Failed)
-        {
-            if let Some(failures) = self.failures.get_mut(&end.task) {
-                *failures -= 1;
-            }
-        }
         worker.runs.clear();
         worker.stopping.clear();
         worker.ended.clear();
@@ -258,7 +249,8 @@
                         self.successes.note_success(task, run);
                     }
                     Ending::Failed => {
-                        *self.failures.entry(task).or_default() += 1;
+                        let run = worker.runs.get(&task).map_or(0, |run| run.run);
+                        self.failures.note_failure(task, run);
                         *self.failed_runs.entry(task).or_default() += 1;
                     }
                     _ => {}
@@ -316,6 +308,10 @@
                         self.acknowledged.insert(end.task);
                         self.check_success(&end, last_lapse);
                     }
+                    if end.ending == Ending::Failed {
+                        self.failures.acknowledge(end.task, end.run);
+                        self.check_failures(end.task);
+                    }
                     let text = format!(
                         "{now}: end acknowledged on {index} by epoch {}",
                         token >> 16
@@ -415,6 +411,18 @@
         }
     }
 
+    /// Reports a violation if the task has started after all its attempts had failed, as far as their ends are
+    /// acknowledged.
+    fn check_failures(&mut self, task: TaskKey) {
+        let Some((spec, attempts)) = self.specs.get(&task) else {
+            return;
+        };
+        let lasts = spec.steps[usize::from(task.step.step)].lasts;
+        if !lasts && self.failures.is_exceeded(task, *attempts) {
+            self.report_violation(task, format!("{task} starts after {attempts} failures"));
+        }
+    }
+
     /// Reports a violation if the task must not start now.
     fn check_start(&mut self, task: TaskKey) {
         let running_on = self.workers.iter().filter(|worker| worker.holds(&task));
@@ -431,11 +439,8 @@
             self.report_violation(task, format!("{task} was never submitted"));
             return;
         };
-        let failures = self.failures.get(&task).copied().unwrap_or(0);
-        let lasts = spec.steps[usize::from(task.step.step)].lasts;
-        if !lasts && u64::from(failures) >= attempts {
-            self.report_violation(task, format!("{task} starts after {failures} failures"));
-        }
+        self.failures.note_start(task, attempts);
+        self.check_failures(task);
         self.check_crashes(task);
         for after in &spec.steps[usize::from(task.step.step)].after {
             for index in 0..spec.steps[usize::from(*after)].count {
--- a/tests/shard/silent.rs
+++ b/tests/shard/silent.rs
@@ -114,3 +114,32 @@
     world.run(620_000);
     world.assert_no_violations();
 }
+
+/// Guards against more failed runs of a task than its attempts, because the end of one on a worker that counted as lost is
+/// acknowledged after another start.
+#[test]
+fn a_lost_worker_may_return_with_the_last_failure() {
+    let mut restarts = 0;
+    for seed in 0..20 {
+        let mut world = World::new(seed, 2, 8_000);
+        world.runtimes = 800..801;
+        world.attempts = 1;
+        world.faults.run_failure = 1.0;
+        world.claim();
+        world.run(2_500);
+        world.submit(1, &chain(&[1], 1_000));
+        world.run(300);
+        world.faults.run_failure = 0.0;
+        let silent = world.holder(1);
+        world.fleet.workers[silent].is_unreachable = true;
+        world.run(UNLIST_TIME);
+        world.unlist(silent);
+        world.run(12_000);
+        restarts += world.fleet.starts - 1;
+        world.fleet.workers[silent].is_unreachable = false;
+        world.refresh(silent);
+        world.run(5_000);
+        world.assert_no_violations();
+    }
+    assert!(restarts > 0);
+}
