Lost runs: they are recorded before their tasks start again

Two successes of one task could still both be acknowledged around a change of the owner. First, an owner remembered only in memory which workers it had not heard; the owner after it acknowledged what they returned with. Second, a lost run was recorded along with the next start of its task, without waiting: an owner without the store started the task, and the next one did not know of the lost run.

Change: lost runs are recorded when they are lost, and workers that were not heard when the recovery ends; their tasks start again once that is stored. A later owner cannot tell which of these tasks have started again, so for it all of them count as superseded.

Evidence: silent::a_second_change_of_the_owner_keeps_what_was_not_heard (both cases) and ::a_lost_run_is_recorded_before_its_task_starts_again failed before ("a success of ... is acknowledged after another start"); ::a_lost_run_is_known_to_the_next_owner_before_its_task_starts_again passed before.

--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -38,6 +38,8 @@
     /// The deletion of that record.
     MayStart(JobId),
     Ended(JobId),
+    /// The lost runs up to this change.
+    LostRuns(u64),
     /// The effects of all ends of runs up to `number` in this incarnation of the worker are
     /// recorded.
     Acknowledged {
--- a/src/process/shard/lost_runs.rs
+++ b/src/process/shard/lost_runs.rs
@@ -26,20 +26,29 @@
     /// Incarnation of the worker that got it.
     incarnation: u64,
     run: u64,
+    /// Counts the changes of what is to be recorded, up to this one.
+    change: u64,
 }
 
-/// The lost runs of one incarnation of a worker whose tasks have started again.
+/// The lost runs of one incarnation of a worker whose tasks have started again, as far as is known.
 #[derive(Debug)]
 struct SupersededRuns {
-    incarnation: u64,
+    /// `None` without such runs.
+    incarnation: Option<u64>,
     runs: BTreeSet<(TaskKey, u64)>,
+    /// Runs with lower numbers count as well: an earlier owner has not heard the worker.
+    before: u64,
     /// When the newest of them was added or restored from a record, or the worker last reported.
     added: Millis,
 }
 
 impl SupersededRuns {
     fn has_result(&self, end: &EndReport) -> bool {
-        is_result(end) && self.runs.contains(&(end.task, end.run))
+        is_result(end) && self.has_run(end.task, end.run)
+    }
+
+    fn has_run(&self, task: TaskKey, run: u64) -> bool {
+        run < self.before || self.runs.contains(&(task, run))
     }
 }
 
@@ -53,6 +62,8 @@
     waiting: BTreeSet<TaskKey>,
     /// Those of them that have started again.
     restarted: BTreeSet<TaskKey>,
+    /// The newest change of `workers`, as in `LostRun`.
+    change: u64,
 }
 
 impl Unheard {
@@ -71,6 +82,9 @@
     /// Workers whose superseded runs have changed since they were recorded.
     unrecorded: BTreeSet<Name>,
     unheard: Unheard,
+    /// Changes of what is to be recorded, and those up to which the records are stored.
+    changes: u64,
+    stored: u64,
 }
 
 impl LostRuns {
@@ -79,6 +93,7 @@
             let runs = SupersededRuns {
                 incarnation: record.incarnation,
                 runs: record.runs.into_iter().collect(),
+                before: record.before,
                 added: now,
             };
             self.superseded.insert(id, runs);
@@ -89,13 +104,30 @@
         let Some(incarnation) = worker.incarnation else {
             return;
         };
+        self.changes += 1;
+        self.unrecorded.insert(worker.id.clone());
         self.by_task.entry(task).or_default().push(LostRun {
             worker: worker.id.clone(),
             incarnation,
             run,
+            change: self.changes,
         });
     }
 
+    /// Whether a task must not start again yet: a later owner would not know of its lost run.
+    pub fn awaits_record(&self, task: &TaskKey) -> bool {
+        let lost = self.by_task.get(task).into_iter().flatten();
+        let is_unheard = self.unheard.waiting.contains(task);
+        lost.map(|lost| lost.change)
+            .chain(is_unheard.then_some(self.unheard.change))
+            .any(|change| change > self.stored)
+    }
+
+    /// Notes that the records of these changes are stored.
+    pub fn note_stored(&mut self, changes: u64) {
+        self.stored = self.stored.max(changes);
+    }
+
     /// Notes that waiting tasks of earlier owners are going to start although these workers, which may have run
     /// them, have not reported.
     fn add_unheard(
@@ -104,8 +136,13 @@
         workers: impl IntoIterator<Item = Name>,
         tasks: impl IntoIterator<Item = TaskKey>,
     ) {
+        self.changes += 1;
+        self.unheard.change = self.changes;
         self.unheard.first_run = first_run;
-        self.unheard.workers.extend(workers);
+        for worker in workers {
+            self.unrecorded.insert(worker.clone());
+            self.unheard.workers.insert(worker);
+        }
         self.unheard.waiting.extend(tasks);
     }
 
@@ -118,38 +155,54 @@
             let incarnation = lost.incarnation;
             let entry = self.superseded.entry(lost.worker.clone());
             let known = entry.or_insert_with(|| SupersededRuns {
-                incarnation,
+                incarnation: None,
                 runs: BTreeSet::new(),
+                before: 0,
                 added: now,
             });
             known.added = now;
-            if known.incarnation < incarnation {
-                known.incarnation = incarnation;
+            if known.incarnation < Some(incarnation) {
+                known.incarnation = Some(incarnation);
                 known.runs.clear();
             }
-            if known.incarnation == incarnation {
+            if known.incarnation == Some(incarnation) {
                 known.runs.insert((task, lost.run));
-                self.unrecorded.insert(lost.worker);
             }
         }
     }
 
     /// Forgets a lost run whose end is known before its task starts again.
     pub fn end_run(&mut self, end: &EndReport) {
-        if let Some(runs) = self.by_task.get_mut(&end.task) {
-            runs.retain(|lost| lost.run != end.run);
+        let Some(runs) = self.by_task.get_mut(&end.task) else {
+            return;
+        };
+        let ended = runs.iter().filter(|lost| lost.run == end.run);
+        self.unrecorded
+            .extend(ended.map(|lost| lost.worker.clone()));
+        runs.retain(|lost| lost.run != end.run);
+        if runs.is_empty() {
+            self.by_task.remove(&end.task);
         }
     }
 
     /// Forgets the lost runs of a job that has ended.
     pub fn end_job(&mut self, id: JobId) {
-        self.by_task.retain(|task, _| task.step.job != id);
+        let unrecorded = &mut self.unrecorded;
+        self.by_task.retain(|task, runs| {
+            let is_kept = task.step.job != id;
+            if !is_kept {
+                unrecorded.extend(runs.iter().map(|lost| lost.worker.clone()));
+            }
+            is_kept
+        });
         self.unheard.waiting.retain(|task| task.step.job != id);
     }
 
     /// Forgets the lost runs of a task that has succeeded.
     pub fn end_task(&mut self, task: TaskKey) {
-        self.by_task.remove(&task);
+        let runs = self.by_task.remove(&task).unwrap_or_default();
+        let workers = runs.into_iter().map(|lost| lost.worker);
+        self.unrecorded.extend(workers);
         self.unheard.waiting.remove(&task);
     }
 
@@ -162,7 +215,8 @@
         report: &WorkerReport,
     ) -> Option<u64> {
         let known = self.superseded.get(worker);
-        if known.is_some_and(|known| known.incarnation != report.start_time) {
+        let is_other = |known: &u64| *known != report.start_time;
+        if known.is_some_and(|known| known.incarnation.as_ref().is_some_and(is_other)) {
             self.forget(worker);
         }
         let ends = report.ended.iter();
@@ -187,15 +241,15 @@
     fn settle(&mut self, worker: &Name, report: &WorkerReport) {
         let is_running = |known: &SupersededRuns| {
             let mut running = report.running.iter();
-            running.any(|run| known.runs.contains(&(run.task, run.run)))
+            running.any(|run| known.has_run(run.task, run.run))
         };
         let known = self.superseded.get(worker);
         if known.is_some_and(|known| !is_running(known)) {
             self.forget(worker);
         }
         let is_old = |run: &RunReport| run.run < self.unheard.first_run;
-        if !report.running.iter().any(is_old) {
-            self.unheard.workers.remove(worker);
+        if !report.running.iter().any(is_old) && self.unheard.workers.remove(worker) {
+            self.unrecorded.insert(worker.clone());
         }
     }
 
@@ -223,18 +277,51 @@
         self.unrecorded.insert(worker.clone());
     }
 
-    /// The records that have changed since the last call.
-    pub fn take_records(&mut self) -> Vec<ShardRecord> {
+    /// The records that have changed since the last call, and the changes that they contain.
+    pub fn take_records(&mut self) -> (Vec<ShardRecord>, u64) {
         let unrecorded = std::mem::take(&mut self.unrecorded);
-        let record = |id: Name| {
-            let known = self.superseded.get(&id);
-            let value = known.map(|known| SupersededRecord {
-                incarnation: known.incarnation,
-                runs: known.runs.iter().copied().collect(),
-            });
-            ShardRecord::Superseded(id, value)
+        let mut waiting: BTreeMap<&Name, Vec<(u64, TaskKey, u64)>> = BTreeMap::new();
+        for (task, runs) in self.by_task.iter().filter(|_| !unrecorded.is_empty()) {
+            for lost in runs.iter().filter(|lost| unrecorded.contains(&lost.worker)) {
+                let entry = waiting.entry(&lost.worker).or_default();
+                entry.push((lost.incarnation, *task, lost.run));
+            }
+        }
+        let record = |id: &Name| {
+            let waiting = waiting.get(id).map_or(&[][..], |runs| &runs[..]);
+            ShardRecord::Superseded(id.clone(), self.record(id, waiting))
         };
-        unrecorded.into_iter().map(record).collect()
+        (unrecorded.iter().map(record).collect(), self.changes)
+    }
+
+    /// What later owners must know of a worker, with the lost runs whose tasks wait for their start.
+    fn record(&self, id: &Name, waiting: &[(u64, TaskKey, u64)]) -> Option<SupersededRecord> {
+        let known = self.superseded.get(id);
+        let incarnations = waiting.iter().map(|(incarnation, ..)| *incarnation);
+        let known_incarnation = known.and_then(|known| known.incarnation);
+        let incarnation = incarnations.chain(known_incarnation).max();
+        let known_runs = known.filter(|known| known.incarnation == incarnation);
+        let known_runs = known_runs
+            .into_iter()
+            .flat_map(|known| &known.runs)
+            .copied();
+        let waiting = waiting
+            .iter()
+            .filter(|(other, ..)| Some(*other) == incarnation);
+        let waiting = waiting.map(|(_, task, run)| (*task, *run));
+        let runs: BTreeSet<(TaskKey, u64)> = known_runs.chain(waiting).collect();
+        let is_unheard = self.unheard.workers.contains(id);
+        let before = known.map_or(0, |known| known.before);
+        let before = before.max(if is_unheard {
+            self.unheard.first_run
+        } else {
+            0
+        });
+        (before > 0 || !runs.is_empty()).then(|| SupersededRecord {
+            incarnation,
+            before,
+            runs: runs.into_iter().collect(),
+        })
     }
 }
 
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -119,6 +119,10 @@
             Commit::Deferred(_) => {}
             Commit::MayStart(id) => self.commit_may_start(id),
             Commit::Ended(id) => self.commit_ended(now, id, out),
+            Commit::LostRuns(changes) => {
+                self.lost_runs.note_stored(changes);
+                self.needs_placement = true;
+            }
             acknowledged @ Commit::Acknowledged { .. } => self.commit_acknowledged(acknowledged),
         }
     }
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -425,8 +425,11 @@
                 self.journal.push(&record, None);
             }
         }
-        for record in self.lost_runs.take_records() {
-            self.journal.push(&record, None);
+        let (records, changes) = self.lost_runs.take_records();
+        let last = records.len();
+        for (number, record) in records.iter().enumerate() {
+            let commit = (number + 1 == last).then_some(Commit::LostRuns(changes));
+            self.journal.push(record, commit);
         }
         let mut acknowledgements = Vec::new();
         for worker in self.workers.iter() {
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -124,7 +124,7 @@
                 step: key.step,
                 index: index as u16,
             })
-            .filter(|task| !self.may_run_elsewhere(task))
+            .filter(|task| !self.may_run_elsewhere(task) && !self.lost_runs.awaits_record(task))
             .collect();
         if waiting.is_empty() {
             return Some(());
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -108,12 +108,14 @@
     pub is_recent: bool,
 }
 
-/// Runs that were lost with a worker and whose tasks have started again. If one of them has succeeded, its end
-/// must not be acknowledged.
+/// Runs that were lost with a worker and whose tasks may have started again. If one of them has succeeded or failed, its
+/// end must not be acknowledged.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SupersededRecord {
-    /// Start of the worker's incarnation that got the runs, in Unix milliseconds.
-    pub incarnation: u64,
+    /// Start of the worker's incarnation that got the runs, in Unix milliseconds; `None` without such runs.
+    pub incarnation: Option<u64>,
+    /// Runs with lower numbers may have been lost too: an owner has not heard the worker. 0 for none.
+    pub before: u64,
     /// The tasks with the numbers of their runs.
     pub runs: Vec<(TaskKey, u64)>,
 }
@@ -167,7 +169,7 @@
     /// Tasks that may still run on a worker that is leaving, which gets no starts until the record is
     /// deleted.
     Remaining(Name, Option<Vec<TaskKey>>),
-    /// Lost runs of a worker whose tasks have started again, until the worker reports without them.
+    /// Lost runs of a worker whose tasks may have started again, until the worker reports without them.
     Superseded(Name, Option<SupersededRecord>),
 }
 
--- a/tests/shard/silent.rs
+++ b/tests/shard/silent.rs
@@ -91,7 +91,8 @@
     let (world, _) = world_with_a_silent_worker(7);
     let task = *world.fleet.specs.keys().next().expect("a submitted task");
     let runs = SupersededRecord {
-        incarnation: 7,
+        incarnation: Some(7),
+        before: 4_096,
         runs: vec![(task, 4_097)],
     };
     for value in [Some(runs), None] {
@@ -143,3 +144,102 @@
     }
     assert!(restarts > 0);
 }
+
+/// Guards against two successes of a task that are both acknowledged, because the second owner after the loss of the
+/// first run does not know which workers the owner before it had not heard.
+#[parameterized(
+    while_the_second_run_is_at_work = { 60_000, 400 },
+    after_the_second_success = { 800, 3_000 },
+)]
+fn a_second_change_of_the_owner_keeps_what_was_not_heard(runtime: u64, wait: u64) {
+    let mut restarts = 0;
+    for seed in 0..20 {
+        let (mut world, silent) = world_with_a_silent_worker(seed);
+        world.run(1_000);
+        world.runtimes = runtime..runtime + 1;
+        world.kill(0);
+        let second = world.claim();
+        world.run(100);
+        world.unlist(silent);
+        for _ in 0..400 {
+            if world.fleet.starts > 1 {
+                break;
+            }
+            world.run(50);
+        }
+        restarts += world.fleet.starts - 1;
+        world.run(wait);
+        world.kill(second);
+        world.claim();
+        world.run(100);
+        world.unlist(silent);
+        world.run(12_000);
+        world.fleet.workers[silent].is_unreachable = false;
+        world.refresh(silent);
+        world.run(5_000);
+        world.assert_no_violations();
+    }
+    assert!(restarts > 0);
+}
+
+/// Guards against two successes of a task that are both acknowledged, because an owner starts a lost task again
+/// before the store has its record of the lost run.
+#[test]
+fn a_lost_run_is_recorded_before_its_task_starts_again() {
+    let mut restarts = 0;
+    for seed in 0..20 {
+        let (mut world, silent) = world_with_a_silent_worker(seed);
+        world.run(UNLIST_TIME);
+        world.cuts.store.insert(0);
+        world.unlist(silent);
+        for _ in 0..100 {
+            if world.fleet.starts > 1 {
+                break;
+            }
+            world.run(50);
+        }
+        world.run(200);
+        world.kill(0);
+        world.claim();
+        world.run(100);
+        world.unlist(silent);
+        world.run(12_000);
+        restarts += world.fleet.starts - 1;
+        world.fleet.workers[silent].is_unreachable = false;
+        world.refresh(silent);
+        world.run(5_000);
+        world.assert_no_violations();
+        assert_eq!(world.state(1), Some(COMPLETED), "seed {seed}");
+    }
+    assert!(restarts > 0);
+}
+
+/// Guards against two successes of a task that are both acknowledged, because the owner changes after a run is lost and
+/// before its task starts again.
+#[test]
+fn a_lost_run_is_known_to_the_next_owner_before_its_task_starts_again() {
+    let mut restarts = 0;
+    for seed in 0..20 {
+        let (mut world, silent) = world_with_a_silent_worker(seed);
+        let other = 1 - silent;
+        world.drain(other);
+        world.run(UNLIST_TIME);
+        world.unlist(silent);
+        world.run(6_000);
+        assert_eq!(world.fleet.starts, 1);
+        world.kill(0);
+        world.claim();
+        world.run(50);
+        world.unlist(silent);
+        world.fleet.workers[other].is_leaving = false;
+        world.refresh(other);
+        world.run(12_000);
+        restarts += world.fleet.starts - 1;
+        world.fleet.workers[silent].is_unreachable = false;
+        world.refresh(silent);
+        world.run(5_000);
+        world.assert_no_violations();
+        assert_eq!(world.state(1), Some(COMPLETED), "seed {seed}");
+    }
+    assert!(restarts > 0);
+}
