Lost runs: a task whose superseded run was found at work runs again

If a superseded run is still at work when its worker is heard, and its task waits, the run is adopted as the current one. Its success was then neither applied nor followed by another run: the task stayed placed for ever. It now waits for its next run. Found by reading; no test shows it.

--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -135,8 +135,11 @@
         }
         let is_current = removed.is_some() && !was_orphaned;
         self.lost_runs.end_run(end);
-        if !self.lost_runs.is_superseded(worker_id, end) {
-            self.apply_end(now, worker_id, end, is_current);
+        match self.lost_runs.is_superseded(worker_id, end) {
+            // It may have been found running, as the task waited for its next run.
+            true if is_current => self.requeue(now, end.task),
+            true => {}
+            false => self.apply_end(now, worker_id, end, is_current),
         }
         if was_orphaned {
             self.enqueue(end.task.step.job);
