Bytes and connections by purpose in the metrics of an entry host

jayfork_link_bytes_total counts the bytes sent and received by purpose: each kind of order, each kind of store call, peers and clients. jayfork_link_connections_total counts the connections that were opened, refused or not opened in time, by the call that needed one. A kept connection counts each call as its own purpose.

--- a/src/connection/async_http_client.rs
+++ b/src/connection/async_http_client.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::orders::CallError;
+use super::traffic::{CountedStream, Purpose, count_connection};
 use super::transfer::{Deadline, TimeLimit};
 use super::write_gate::{GatedStream, WriteGate};
 
@@ -53,6 +54,7 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     gate: WriteGate,
+    purpose: Purpose,
 }
 
 /// A connection that no call uses at present.
@@ -66,6 +68,8 @@
 /// stay on one thread.
 #[derive(Clone, Default)]
 pub struct AsyncHttpClient {
+    /// What its calls are counted as.
+    purpose: &'static str,
     idle: Rc<RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>>,
 }
 
@@ -74,6 +78,14 @@
         AsyncHttpClient::default()
     }
 
+    /// A client on the same connections whose calls are counted as `purpose`.
+    pub fn with_purpose(&self, purpose: &'static str) -> Self {
+        AsyncHttpClient {
+            purpose,
+            ..self.clone()
+        }
+    }
+
     /// Sends a request and reads the whole answer.
     ///
     /// # Errors
@@ -138,11 +150,12 @@
     ) -> Result<(Response<Incoming>, Connection)> {
         let mut connection = match self.take(address) {
             Some(connection) => connection,
-            None => connect(address).await?,
+            None => connect(address, self.purpose).await?,
         };
         if connection.sender.ready().await.is_err() {
-            connection = connect(address).await?;
+            connection = connect(address, self.purpose).await?;
         }
+        connection.purpose.set(self.purpose);
         let message = build_request(address, request)?;
         let gate = &connection.gate;
         gate.begin(not_after);
@@ -182,22 +195,28 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Connection> {
+async fn connect(address: SocketAddr, purpose: &'static str) -> Result<Connection> {
     let opened = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = match opened {
         Ok(Ok(stream)) => stream,
         // The host is up, but no process listens on the port.
         Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+            count_connection(purpose, "refused");
             return Err(CallError::Refused);
         }
-        Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
+        Ok(Err(_)) | Err(_) => {
+            count_connection(purpose, "failed");
+            return Err(CallError::NotSent);
+        }
     };
+    count_connection(purpose, "opened");
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%address, %error, "cannot set TCP_NODELAY on an HTTP connection");
     }
     let gate = WriteGate::default();
+    let purpose = Purpose::new(purpose);
     let stream = GatedStream {
-        stream,
+        stream: CountedStream::new(stream, purpose.clone()),
         gate: gate.clone(),
     };
     let (sender, connection) = http1::Builder::new()
@@ -210,7 +229,11 @@
             tracing::debug!(%address, %error, "an HTTP connection closed with an error");
         }
     });
-    Ok(Connection { sender, gate })
+    Ok(Connection {
+        sender,
+        gate,
+        purpose,
+    })
 }
 
 /// Reads the body of an answer.
--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use super::error::{Error, Result};
+use super::traffic::{CountedStream, Purpose};
 
 /// Length of the kernel's queue of connections to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -136,6 +137,7 @@
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(%error, "cannot set TCP_NODELAY on a client connection");
     }
+    let stream = CountedStream::new(stream, Purpose::new("clients"));
     let service = service_fn(|request: Request<Incoming>| {
         let (front, handler) = (front.clone(), handler.clone());
         async move {
--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -21,6 +21,7 @@
 
 use super::error::{Error, Result};
 use super::orders::CallError;
+use super::traffic::{CountedStream, Purpose, count_connection};
 use super::transfer::{Deadline, TimeLimit};
 
 /// Timeout for opening a connection to a peer; long enough for the slowest link between regions.
@@ -31,6 +32,8 @@
 const MAX_CALL_TIME: Duration = Duration::from_secs(5);
 /// Length of the kernel's queue of connections to be accepted.
 const BACKLOG: u32 = 256;
+/// What calls between hosts are counted as.
+const PURPOSE: &str = "peers";
 
 /// Answers the calls of peers.
 pub trait MeshHandler: Clone + 'static {
@@ -135,11 +138,17 @@
             Ok(Ok(stream)) => stream,
             // The host is up, but no process listens on the port.
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
+                count_connection(PURPOSE, "refused");
                 return Err(CallError::Refused);
             }
-            Ok(Err(_)) | Err(_) => return Err(CallError::NotSent),
+            Ok(Err(_)) | Err(_) => {
+                count_connection(PURPOSE, "failed");
+                return Err(CallError::NotSent);
+            }
         };
+        count_connection(PURPOSE, "opened");
         set_nodelay(&stream);
+        let stream = CountedStream::new(stream, Purpose::new(PURPOSE));
         let (sender, connection) = h2::client::handshake(stream)
             .await
             .map_err(|_| CallError::NotSent)?;
@@ -179,6 +188,7 @@
 
 async fn serve<H: MeshHandler>(stream: TcpStream, peer: SocketAddr, handler: H) {
     set_nodelay(&stream);
+    let stream = CountedStream::new(stream, Purpose::new(PURPOSE));
     let mut connection = match h2::server::handshake(stream).await {
         Ok(connection) => connection,
         Err(error) => {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,8 +1,8 @@
 //! Communication with other processes: servers, clients, message types, and the leases on backend
 //! servers.
 //!
-//! An entry host with `--on-platform` uses `async_http_client`, `front`, `mesh`, `orders` and
-//! `stream_store`; one without it uses the other modules. Both use `error`.
+//! An entry host with `--on-platform` uses `async_http_client`, `front`, `mesh`, `orders`,
+//! `stream_store` and `traffic`; one without it uses the other modules. Both use `error`.
 
 mod api;
 mod async_http_client;
@@ -21,6 +21,7 @@
 mod peer;
 mod pool;
 mod stream_store;
+mod traffic;
 mod transfer;
 pub mod wire;
 mod worker;
@@ -44,5 +45,6 @@
 pub use peer::{PeerCall, PeerHandler, PeerLinks};
 pub use pool::{BlockingJob, ThreadPool};
 pub use stream_store::{Fence, KeyedRecord, Page, Partition, StoreAnswer, StoreCall, StoreRequest};
+pub use traffic::{LINK_BYTES, LINK_CONNECTIONS};
 pub use transfer::TimeLimit;
 pub use worker::{Command, HttpWorkers, StartError, WorkerClient};
--- a/src/connection/write_gate.rs
+++ b/src/connection/write_gate.rs
@@ -8,7 +8,8 @@
 use std::time::Instant;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use super::traffic::CountedStream;
 
 /// What may be written for the call on a connection. Clones belong to the same connection.
 #[derive(Clone, Default)]
@@ -62,7 +63,7 @@
 
 /// A TCP connection whose writes fail once the time of the call is over.
 pub(crate) struct GatedStream {
-    pub stream: TcpStream,
+    pub stream: CountedStream,
     pub gate: WriteGate,
 }
 
--- a/src/process/host/io.rs
+++ b/src/process/host/io.rs
@@ -195,8 +195,8 @@
     }
 
     fn call_store(&self, purpose: StorePurpose, call: StoreCall) {
-        let (http_client, events, store) =
-            (self.http_client.clone(), self.events.clone(), self.store);
+        let http_client = self.http_client.with_purpose(purpose.label());
+        let (events, store) = (self.events.clone(), self.store);
         let clock = self.clock;
         spawn_local(async move {
             let sent = clock.now();
@@ -219,7 +219,8 @@
     }
 
     fn call_worker(&self, origin: OrderOrigin, call: WorkerCall, not_after: Millis) {
-        let (http_client, events) = (self.http_client.clone(), self.events.clone());
+        let http_client = self.http_client.with_purpose(order_label(&call.order));
+        let events = self.events.clone();
         let not_after = self.clock.instant(not_after);
         counter!(WORKER_ORDERS, "order" => order_label(&call.order)).increment(1);
         spawn_local(async move {
--- a/tests/async_http.rs
+++ b/tests/async_http.rs
@@ -6,7 +6,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use jayfork::connection::{AsyncHttpClient, CallError, HttpReply, HttpRequest, TimeLimit};
+use jayfork::connection::{
+    AsyncHttpClient, CallError, HttpReply, HttpRequest, LINK_BYTES, LINK_CONNECTIONS, TimeLimit,
+};
+use jayfork::process::telemetry::Telemetry;
 use tokio::task::spawn_local;
 use yare::parameterized;
 
@@ -236,3 +239,55 @@
         assert!(has_arrived || matches!(close, Close::Unread));
     }
 }
+
+/// Guards against a full link whose bytes cannot be told apart: each call counts as its own purpose, also
+/// on a connection that another one has opened.
+#[test]
+fn bytes_and_connections_are_counted_by_purpose() {
+    let (address, _) = serve_requests();
+    let (recorder, telemetry) = Telemetry::build().expect("a recorder");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    let local = tokio::task::LocalSet::new();
+    let client = AsyncHttpClient::new();
+    let call = async |purpose, body: &'static str| {
+        let request = HttpRequest {
+            method: "POST",
+            path: "/start".to_owned(),
+            headers: Vec::new(),
+            body: body.into(),
+        };
+        let limit = TimeLimit::whole(Duration::from_secs(5));
+        let client = client.with_purpose(purpose);
+        client.call(address, request, limit).await.expect("answer")
+    };
+    let text = metrics::with_local_recorder(&recorder, || {
+        local.block_on(&runtime, async {
+            call("start", "{}").await;
+            call("renew", "{\"waitMs\":100}").await;
+        });
+        telemetry.render()
+    });
+    let value = |metric: &str| {
+        let row = text.lines().find_map(|line| line.strip_prefix(metric));
+        row.map(|value| value.trim().parse::<usize>().expect("a number"))
+    };
+    let bytes = |purpose, direction| {
+        let labels = format!("{{purpose=\"{purpose}\",direction=\"{direction}\"}}");
+        value(&format!("{LINK_BYTES}{labels}")).unwrap_or(0)
+    };
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}".len();
+    assert_eq!(bytes("start", "received"), answer, "{text}");
+    assert_eq!(bytes("renew", "received"), answer, "{text}");
+    // The second body is longer by 12 bytes, and its length by one digit.
+    let longer = bytes("renew", "sent") - bytes("start", "sent");
+    assert_eq!(longer, 13, "{text}");
+    let opened = |purpose| {
+        let labels = format!("{{purpose=\"{purpose}\",result=\"opened\"}}");
+        value(&format!("{LINK_CONNECTIONS}{labels}"))
+    };
+    assert_eq!(opened("start"), Some(1), "{text}");
+    assert_eq!(opened("renew"), None, "{text}");
+}
