Start orders are limited to what the owner's link carries

Cause: a start order carries the payload of its job, 3.5 KB on these sites. The owner allowed 384 starts without an answer whatever they weigh: 1.3 MB, or 5 s of its link. From 2 s on it wrote 220 to 260 KB of starts a second, the whole link, and the round trip rose from 10 ms to over 600 ms. Renewals, stops and reads of the store then missed their timeouts of 600 and 700 ms. Each miss closed the connection, each start without an answer became a stop, and 76 stops a second, on new connections and repeated, kept the link full after the starts had ceased.

The bytes of starts without an answer are now limited. The limit grows while answers come within 150 ms and is halved while even the fastest takes longer, so starts slow down before renewals and ends are lost. One slow or silent worker doesn't lower it. The limit of 384 orders stays.

--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -18,6 +18,7 @@
 mod runs;
 #[allow(clippy::module_inception)]
 mod shard;
+mod start_window;
 mod starts;
 mod throttle;
 mod waiting;
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -49,7 +49,10 @@
                 task,
                 run,
                 lease_end,
+                sent,
+                bytes,
             } => {
+                self.start_window.remove(now.steady, sent, bytes);
                 self.apply_start_clock(now, &worker, lease_end, &answer);
                 self.handle_start_answer(now, &worker, task, run, answer);
             }
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -13,6 +13,7 @@
 use super::recovery::LoadRange;
 use super::requests::Ended;
 use super::resignation::Resignation;
+use super::start_window::StartWindow;
 use super::workers::Workers;
 use crate::base::{Millis, Name};
 use crate::connection::{
@@ -112,6 +113,9 @@
 pub enum WorkerTag {
     Start {
         worker: Name,
+        sent: Millis,
+        /// Size of the order.
+        bytes: usize,
         task: TaskKey,
         run: u64,
         /// End of the lease that the order carries.
@@ -257,6 +261,7 @@
     pub(super) last_clearing: Millis,
     /// Start orders without an answer.
     pub(super) pending_starts: usize,
+    pub(super) start_window: StartWindow,
     pub(super) last_poll: Millis,
     pub(super) last_sweep: Millis,
     /// Long-running steps that waited when this was last logged, in the order of placement.
@@ -319,6 +324,7 @@
             last_rating: Millis(0),
             last_clearing: Millis(0),
             pending_starts: 0,
+            start_window: StartWindow::default(),
             last_poll: Millis(0),
             last_sweep: now.steady,
             waiting_steps: Vec::new(),
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -17,6 +17,8 @@
 /// Start orders that may be without an answer at the same time. More of them would only wait for
 /// the owner's processor, behind them the hellos of other hosts, which would then take it for gone.
 const MAX_PENDING_STARTS: usize = 384;
+/// Bytes of a start order besides its payload, on a new connection.
+const START_BYTES: usize = 500;
 
 /// Interval of the placement passes that check all workers, in milliseconds. Others check workers that
 /// have changed; what else changes with time, such as learned slopes, counts from the next full pass.
@@ -273,7 +275,7 @@
 
     /// Whether as many start orders wait for an answer as are allowed.
     pub(super) fn has_max_pending_starts(&self) -> bool {
-        self.pending_starts >= MAX_PENDING_STARTS
+        self.pending_starts >= MAX_PENDING_STARTS || self.start_window.is_full()
     }
 
     /// Records a new run of a task and orders its start. `ordinal` is given for gangs, whose runs
@@ -322,8 +324,12 @@
         self.pending_starts += 1;
         worker.note_grant(now.steady, until);
         self.lost_runs.supersede(now.steady, task);
+        let bytes = payload.len() + START_BYTES;
+        self.start_window.add(bytes);
         let tag = WorkerTag::Start {
             worker: worker.id.clone(),
+            sent: now.steady,
+            bytes,
             task,
             run,
             lease_end: until,
--- a/tests/shard/wide_jobs.rs
+++ b/tests/shard/wide_jobs.rs
@@ -23,7 +23,7 @@
         world.submit(id, &chain(&[TASKS], 1_000));
     }
     world.run(4_000);
-    let (all, of_worker) = world.max_pending_starts;
+    let (all, of_worker) = world.orders.max_pending_starts;
     assert!(all <= MAX_PENDING_STARTS.0, "{all} starts");
     assert!(of_worker <= MAX_PENDING_STARTS.1, "{of_worker} starts");
     for id in 1..=JOBS {
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -20,6 +20,7 @@
 
 use super::cuts::Cuts;
 use super::fleet::Fleet;
+use super::orders::Orders;
 pub use super::specs::{chain, long_running};
 use super::store::Store;
 
@@ -80,10 +81,7 @@
     pub attempts: u16,
     /// Range of the run times, in milliseconds.
     pub runtimes: Range<u64>,
-    /// Start orders without an answer, by worker.
-    pending_starts: HashMap<Name, usize>,
-    /// Most start orders that were without an answer at once, in all and on one worker.
-    pub max_pending_starts: (usize, usize),
+    pub orders: Orders,
     /// Whether another worker takes over the address of a worker that has crashed.
     pub renames: bool,
     pub cuts: Cuts,
@@ -103,8 +101,7 @@
             serial: 0,
             attempts: 3,
             runtimes: 50..900,
-            pending_starts: HashMap::new(),
-            max_pending_starts: (0, 0),
+            orders: Orders::default(),
             renames: false,
             cuts: Cuts::default(),
         }
@@ -324,18 +321,21 @@
             ),
         };
         if matches!(call.order, Order::Start(_)) {
-            self.count_start(&call.worker);
+            self.orders.count_start(&call.worker);
             self.check_record(&call.worker);
         }
         let timeout = call.timeout.0;
+        let queued = self.orders.send(self.now, &call.order);
+        let is_lost = is_lost || queued >= timeout;
         if is_late || is_lost {
             let answer = Err(CallError::NoAnswer);
             self.send(timeout, Message::Answer(owner, tag.clone(), answer));
         }
-        let after = match is_late {
-            true => self.rng.u64(2_000..9_000),
-            false => self.rng.u64(1..25),
-        };
+        let after = queued
+            + match is_late {
+                true => self.rng.u64(2_000..9_000),
+                false => self.rng.u64(1..25),
+            };
         let delivery = match is_late || is_lost {
             true => Delivery::Unanswered,
             false => Delivery::Answered,
@@ -348,15 +348,6 @@
         );
     }
 
-    fn count_start(&mut self, worker: &Name) {
-        let count = self.pending_starts.entry(worker.clone()).or_default();
-        *count += 1;
-        let of_worker = *count;
-        let all = self.pending_starts.values().sum();
-        let (max_all, max_worker) = self.max_pending_starts;
-        self.max_pending_starts = (max_all.max(all), max_worker.max(of_worker));
-    }
-
     fn send(&mut self, after: u64, message: Message) {
         self.serial += 1;
         let at = self.now + after;
@@ -424,9 +415,7 @@
             }
             Message::Answer(owner, tag, answer) => {
                 if let WorkerTag::Start { worker, .. } = &tag {
-                    if let Some(count) = self.pending_starts.get_mut(worker) {
-                        *count -= 1;
-                    }
+                    self.orders.count_start_answer(worker);
                 }
                 self.event(owner, ShardEvent::Worker(tag, answer));
             }
