Hand-over: the host that gave up the shard does not claim it again at once

What callers saw: in an outage of the store for the owner alone, two changes of the owner instead of one, 0.3 to 0.4 s apart. The wait for silent workers, and all that hangs on it, begins anew with each claim.

Cause: a host that has given up the shard knows no owner and takes that for the proof that the last one has ended. The answers of its round are from before the next owner's claim, so it claims as soon as the store answers it, with an epoch that may be higher.

Other hosts may claim all the while.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -84,6 +84,8 @@
     pub store_proof: Option<Millis>,
     /// Whether a peer was asked to take over and has not answered.
     pub is_handing_over: bool,
+    /// When a peer last agreed to take over the shard from this host.
+    pub handed_over: Option<Millis>,
     pub claimed_at: Millis,
 }
 
@@ -286,7 +288,7 @@
             .store_heard
             .is_some_and(|at| now.steady.since(at) <= STORE_AGE);
         let is_new = now.steady.since(self.started) < FIRST_CLAIM_TIME;
-        if !has_store || is_new || self.config.version == 0 {
+        if !has_store || is_new || self.config.version == 0 || self.may_have_successor(now) {
             return false;
         }
         let waited = self
--- a/src/process/host/handover.rs
+++ b/src/process/host/handover.rs
@@ -211,10 +211,18 @@
             .as_ref()
             .is_some_and(|shard| shard.epoch() == epoch);
         if accepted && is_same {
+            self.claim.handed_over = Some(now.steady);
             self.give_up_shard(now, out);
         }
     }
 
+    /// Whether a host that this one has handed the shard over to may be claiming it, though no other host
+    /// has heard of that yet.
+    pub(super) fn may_have_successor(&self, now: Now) -> bool {
+        let handed_over = self.claim.handed_over;
+        handed_over.is_some_and(|at| now.steady.since(at) < CLAIM_TIME)
+    }
+
     /// Handles the owner's request to take over the shard; returns whether this host does.
     pub(super) fn take_over(&mut self, now: Now, epoch: u64, out: &mut Vec<HostAction>) -> bool {
         let has_store = self
--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -144,6 +144,36 @@
     assert_ne!(successors, owners);
 }
 
+/// Guards against an owner that hands over the shard and claims it again as soon as the store answers it, since
+/// it has not heard of the next owner yet. Each claim begins the wait for silent workers anew.
+#[parameterized(
+    for_700_ms = { 700 },
+    for_900_ms = { 900 },
+    for_1100_ms = { 1_100 },
+    for_1500_ms = { 1_500 },
+    for_2500_ms = { 2_500 },
+)]
+fn an_owner_that_has_handed_over_leaves_the_shard_to_the_next_one(outage: u64) {
+    for seed in 1..=10 {
+        let mut world = World::start(seed, &mixed_hosts());
+        world.run(4_000);
+        let owners = world.owners();
+        let claim_count = world.claim_count;
+        world.refused_hosts.clone_from(&owners);
+        world.run(outage);
+        world.refused_hosts.clear();
+        world.run(4_000);
+        let successors = world.owners();
+        assert_eq!(successors.len(), 1, "seed {seed}: {successors:?}");
+        let claims = world.claim_count - claim_count;
+        assert_eq!(
+            claims,
+            usize::from(successors != owners),
+            "seed {seed}: {successors:?}"
+        );
+    }
+}
+
 /// Guards against a live owner that is replaced because it is too busy to answer hellos. Its work went
 /// on, and the new owner had to recover all of it under the same load.
 #[parameterized(
