--- a/tests/shard/silent.rs
+++ b/tests/shard/silent.rs
@@ -44,6 +44,33 @@
     }
 }
 
+/// Guards against a start beyond the allowed attempts, because the last of them fails on a worker that the owner
+/// cannot reach.
+#[test]
+fn a_run_on_a_silent_worker_may_have_failed() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 2, 8_000);
+        world.runtimes = 800..801;
+        world.attempts = 1;
+        world.faults.run_failure = 1.0;
+        world.claim();
+        world.run(2_500);
+        world.submit(1, &chain(&[1], 1_000));
+        world.run(300);
+        let silent = world.holder(1);
+        world.fleet.workers[silent].is_unreachable = true;
+        world.run(12_000);
+        world.fleet.workers[silent].is_unreachable = false;
+        world.run(5_000);
+        world.assert_no_violations();
+        let failed = Reply::State {
+            outcome: Some(Outcome::Failed),
+            has_started: true,
+        };
+        assert_eq!(world.state(1), Some(failed), "seed {seed}");
+    }
+}
+
 /// When the registry removes the entry of a worker that is cut off, in milliseconds after the cut.
 const UNLIST_TIME: u64 = 4_500;
 
