--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -6,7 +6,7 @@
 use std::ops::Range;
 use std::sync::Arc;
 
-use jayfork::base::{Millis, Name};
+use jayfork::base::Millis;
 use jayfork::connection::{
     CallError, Order, Partition, StoreAnswer, StoreRequest, WorkerAnswer, WorkerCall,
 };
