Log: which job waits with nothing running, and what each worker lacks for it

Callers saw accepted jobs without an end. The log told of no short task that waits, so an order that passes jobs over, headroom that is too small, and room that is held back looked the same. Once a second, the job that has waited longest with nothing running is logged with its status, the workers by the reason for which they get no task of it, and what the workers run. Workers whose serving tasks would not bear the task even alone (`excluded`) are told from those that do not bear it beside other best-effort tasks.

The test fails without the line.

--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -42,12 +42,8 @@
         }
         let queue = self.queues.queue(&job.queue);
         for step in waiting_steps(job) {
-            let start = match job.spec.turns {
-                0 => job.accepted,
-                _ => job.due(step.turn),
-            };
             let turn = TurnState {
-                start,
+                start: job.turn_start(step.turn),
                 has_begun: job.has_begun(step.turn),
             };
             let key = order_key(queue, &job.spec, turn, self.wall, step);
--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -1,17 +1,23 @@
-//! Explains in the log why long-running tasks wait.
+//! Explains in the log why long-running tasks wait, and why jobs have waited for long with nothing running.
 
 use std::collections::HashSet;
 
 use super::candidates::MAX_WORKER_STARTS;
 use super::reports::STOP_ALLOWANCE;
 use super::shard::{Now, Phase, Shard};
+use super::worker::Worker;
 use crate::base::Millis;
-use crate::request::job::{Job, StartPermit, StepId, StepSpec, TaskKey};
+use crate::request::job::{
+    ImageInterference, Job, StartPermit, StepId, StepSpec, TaskKey, is_overcommitted,
+};
 
 /// Interval of the lines about waiting tasks, in milliseconds. A task that starts within it is usually
 /// not worth a line.
 const WAITING_LOG_INTERVAL: Millis = Millis(1_000);
 
+/// A job with nothing running is worth a line once it has waited for this long, in milliseconds.
+const STARVED_TIME: u64 = 5_000;
+
 /// Number of workers by the first reason for which they get no task of a step.
 #[derive(Debug, Default)]
 struct Rejections {
@@ -24,10 +30,34 @@
     /// With as many unanswered start orders as are allowed.
     starting: usize,
     suspect: usize,
-    /// None of these: best-effort tasks may still interfere too much.
+    /// With too few idle processors for a best-effort task.
+    busy: usize,
+    /// With a serving task that such a best-effort task would push over its target, also without others there.
+    excluded: usize,
+    /// With a serving task that it would push over its target beside the best-effort tasks there.
+    interfering: usize,
+    /// With a serving image beside which a best-effort task of unknown interference was tried a moment ago.
+    untested: usize,
+    /// None of these.
     eligible: usize,
 }
 
+/// What the usable workers of a service run.
+#[derive(Debug, Default)]
+struct Usage {
+    /// Millicores of all workers.
+    capacity: u64,
+    /// Millicores that tasks which are not best-effort reserve.
+    reserved: u64,
+    /// Millicores that the best-effort tasks would use at full speed.
+    wanted: u64,
+    /// Millicores that the best-effort tasks use by the last reports.
+    used: u64,
+    best_effort_runs: usize,
+    /// Those of them with a speed limit.
+    limited_runs: usize,
+}
+
 impl Shard {
     /// Logs the long-running step that has waited since the last call and comes first in the order of
     /// placement, with what each worker lacks for it.
@@ -36,6 +66,7 @@
             return;
         }
         self.last_waiting_log = now.steady;
+        self.log_starved(now);
         let waiting: Vec<StepId> = self.waiting_long_running().collect();
         let previous: HashSet<StepId> = std::mem::replace(&mut self.waiting_steps, waiting)
             .into_iter()
@@ -69,6 +100,60 @@
         );
     }
 
+    /// Logs the job that has waited longest with nothing running, and what each worker lacks for it.
+    fn log_starved(&self, now: Now) {
+        let waited = |job: &Job, step: StepId| now.wall.saturating_sub(job.turn_start(step.turn));
+        let starved = self.ready.iter().filter_map(|key| {
+            let (job, spec) = self.step_spec(key.step)?;
+            let is_starved = job.is_idle() && waited(job, key.step) >= STARVED_TIME;
+            (is_starved && !spec.lasts).then_some((key, job, spec))
+        });
+        let starved: Vec<_> = starved.collect();
+        let first = starved
+            .iter()
+            .max_by_key(|(key, job, _)| waited(job, key.step));
+        let Some((key, job, spec)) = first else {
+            return;
+        };
+        let best_effort = starved.iter().filter(|(_, _, spec)| spec.fills);
+        tracing::info!(
+            job = %job.id,
+            step = key.step.step,
+            waited = waited(job, key.step),
+            status = ?key.status(),
+            steps = starved.len(),
+            best_effort = best_effort.count(),
+            is_permitted = job.start_permit == StartPermit::Granted,
+            pending_starts = self.pending_starts,
+            fills = spec.fills,
+            image = spec.image.as_deref().unwrap_or_default(),
+            processors = spec.size.processors,
+            memory = spec.size.memory,
+            workers = ?self.rejections(now, key.step, job, spec),
+            usage = ?self.usage(now),
+            "job waits with nothing running"
+        );
+    }
+
+    fn usage(&self, now: Now) -> Usage {
+        let mut usage = Usage::default();
+        for worker in self
+            .workers
+            .iter()
+            .filter(|worker| worker.is_usable(now.steady))
+        {
+            usage.capacity += u64::from(worker.capacity.processors);
+            usage.reserved += u64::from(worker.committed.processors);
+            for run in worker.runs.values().filter(|run| run.fills) {
+                usage.wanted += u64::from(run.demand);
+                usage.used += run.metric.unwrap_or(0);
+                usage.best_effort_runs += 1;
+                usage.limited_runs += usize::from(run.speed_limit < 100);
+            }
+        }
+        usage
+    }
+
     /// Long-running steps with waiting tasks, in the order of placement.
     fn waiting_long_running(&self) -> impl Iterator<Item = StepId> {
         let steps = self.ready.iter().map(|key| key.step);
@@ -90,6 +175,9 @@
         let Some(queue) = self.queues.queue(&job.queue) else {
             return rejections;
         };
+        let interference = self
+            .contention
+            .interference(now.steady, spec.image.as_ref());
         for worker in self.workers.iter() {
             if worker.service != queue.service {
                 continue;
@@ -105,6 +193,8 @@
                     &mut rejections.starting
                 } else if worker.suspect_until > now.steady {
                     &mut rejections.suspect
+                } else if spec.fills {
+                    rejections.best_effort(worker, spec, &interference)
                 } else {
                     &mut rejections.eligible
                 };
@@ -113,3 +203,29 @@
         rejections
     }
 }
+
+impl Rejections {
+    /// The count of workers with the reason for which this one gets no best-effort task of the step.
+    fn best_effort(
+        &mut self,
+        worker: &Worker,
+        spec: &StepSpec,
+        interference: &ImageInterference,
+    ) -> &mut usize {
+        let demand = spec.size.processors;
+        let share = worker.share(demand);
+        let headroom = interference.headroom_with(&worker.headroom, share);
+        let idle = worker.idle_millicores() - i64::from(demand);
+        if headroom == f64::NEG_INFINITY {
+            &mut self.untested
+        } else if interference.headroom_alone(&worker.headroom, share) < 0.0 {
+            &mut self.excluded
+        } else if is_overcommitted(idle, worker.capacity.processors) {
+            &mut self.busy
+        } else if headroom < 0.0 {
+            &mut self.interfering
+        } else {
+            &mut self.eligible
+        }
+    }
+}
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -77,6 +77,8 @@
     pub image: Option<Name>,
     /// Logarithm of the ratio of the target to the expected tail latency.
     pub remaining: f64,
+    /// The same without any best-effort task on the worker.
+    pub alone: f64,
     /// Index of the serving image in `Contention::images`.
     image_index: Option<usize>,
 }
@@ -93,6 +95,20 @@
     /// Smallest headroom that remains if such a task takes `share` of the worker; negative infinity
     /// if an unknown pair may not be tried yet.
     pub fn headroom_with(&self, headrooms: &[Headroom], share: f64) -> f64 {
+        self.smallest(headrooms, share, |headroom| headroom.remaining)
+    }
+
+    /// The same if no other best-effort task were on the worker.
+    pub fn headroom_alone(&self, headrooms: &[Headroom], share: f64) -> f64 {
+        self.smallest(headrooms, share, |headroom| headroom.alone)
+    }
+
+    fn smallest(
+        &self,
+        headrooms: &[Headroom],
+        share: f64,
+        available: impl Fn(&Headroom) -> f64,
+    ) -> f64 {
         let mut smallest = f64::INFINITY;
         for headroom in headrooms {
             let slope = headroom
@@ -101,7 +117,7 @@
             let Some(slope) = slope.copied().unwrap_or(Some(PRIOR_SLOPE)) else {
                 return f64::NEG_INFINITY;
             };
-            smallest = smallest.min(headroom.remaining - slope * share);
+            smallest = smallest.min(available(headroom) - slope * share);
         }
         smallest
     }
@@ -312,16 +328,20 @@
                 .iter()
                 .map(|group| self.slope(image, group.image.as_ref()) * group.wanted)
                 .sum();
-            let remaining =
-                self.log_headroom(now, task, best_effort, MIN_PLACEMENT_BASELINE) - wanted;
+            let alone = self.log_headroom(now, task, best_effort, MIN_PLACEMENT_BASELINE);
+            let remaining = alone - wanted;
             match headrooms
                 .iter_mut()
                 .find(|headroom| headroom.image == task.image)
             {
-                Some(headroom) => headroom.remaining = headroom.remaining.min(remaining),
+                Some(headroom) => {
+                    headroom.remaining = headroom.remaining.min(remaining);
+                    headroom.alone = headroom.alone.min(alone);
+                }
                 None => headrooms.push(Headroom {
                     image: task.image.clone(),
                     remaining,
+                    alone,
                     image_index: image.and_then(|name| self.image_indices.get(name)).copied(),
                 }),
             }
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -86,6 +86,12 @@
     best.map(|(_, index)| index)
 }
 
+/// Whether a worker of `capacity` millicores with `idle` of them left, which may be negative, has too few idle
+/// processors for the best-effort tasks there.
+pub fn is_overcommitted(idle: i64, capacity: u32) -> bool {
+    idle < -i64::from(capacity.max(1)) * MAX_OVERCOMMIT_PERCENT / 100
+}
+
 fn score(task: &TaskRequirements<'_>, worker: &CandidateWorker<'_>) -> Option<i64> {
     if !task.reserved.fits(&worker.free) {
         return None;
@@ -98,7 +104,8 @@
     }
     let capacity = i64::from(worker.capacity.processors.max(1));
     let idle = worker.idle - i64::from(task.demand);
-    if task.fills && (worker.headroom < 0.0 || idle < -capacity * MAX_OVERCOMMIT_PERCENT / 100) {
+    let is_full = || is_overcommitted(idle, worker.capacity.processors);
+    if task.fills && (worker.headroom < 0.0 || is_full()) {
         return None;
     }
     let is_remote = task.rack.is_some_and(|rack| !worker.labels.contains(rack));
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -173,6 +173,20 @@
         }
     }
 
+    /// Time from which a turn is measured, in Unix milliseconds: its due time, or the acceptance of the job.
+    pub fn turn_start(&self, turn: u32) -> u64 {
+        match self.spec.turns {
+            0 => self.accepted,
+            _ => self.due(turn),
+        }
+    }
+
+    /// Whether none of its tasks has a run.
+    pub fn is_idle(&self) -> bool {
+        let steps = self.turns.values().flat_map(|turn| &turn.steps);
+        steps.map(|step| step.placed).all(|placed| placed == 0)
+    }
+
     /// Opens the turns that are due at `now` (Unix milliseconds) and returns their numbers.
     pub fn open_due(&mut self, now: u64) -> Vec<u32> {
         let mut opened = Vec::new();
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -42,6 +42,11 @@
 }
 
 impl OrderKey {
+    /// Status of the job relative to its objective.
+    pub fn status(&self) -> ObjectiveStatus {
+        self.status
+    }
+
     /// Whether the key would come earlier if the turn had begun.
     pub fn gives_way(&self) -> bool {
         self.is_new && !self.is_long_running && self.status != ObjectiveStatus::Overdue
--- a/tests/shard/diagnostics.rs
+++ b/tests/shard/diagnostics.rs
@@ -27,7 +27,7 @@
 }
 
 /// Log lines and metrics of what `run` does.
-fn observed(run: impl FnOnce()) -> (Vec<Value>, String) {
+pub fn observed(run: impl FnOnce()) -> (Vec<Value>, String) {
     let buffer = LogBuffer::default();
     let writer = buffer.clone();
     let log = Log {
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -2,6 +2,7 @@
 //! and repeated messages, killed and superseded owners, and outages of the store.
 
 mod absences;
+mod backlog;
 mod blocked_jobs;
 mod capacity;
 mod cases;
--- a/tests/shard/pace.rs
+++ b/tests/shard/pace.rs
@@ -80,7 +80,7 @@
     spec
 }
 
-fn best_effort(count: u16, processors: u32) -> JobSpec {
+pub fn best_effort(count: u16, processors: u32) -> JobSpec {
     let mut spec = chain(&[count], processors);
     spec.steps[0].fills = true;
     spec.steps[0].image = Some("merge".into());
@@ -89,7 +89,7 @@
 
 /// A simulation of two workers with a serving task of another image each, jobs 1 and 2, whose tail latency is
 /// `tail` of its bound.
-fn world_with_serving_tasks(runtime: u64, tail: f64) -> World {
+pub fn world_with_serving_tasks(runtime: u64, tail: f64) -> World {
     let mut world = World::new(7, 2, 16_000);
     world.runtimes = runtime..runtime + 1;
     world.claim();
