--- a/tests/shard/backlog.rs
+++ b/tests/shard/backlog.rs
@@ -1,7 +1,12 @@
 //! Jobs that wait in a backlog.
 
+use jayfork::process::shard::Reply;
+use jayfork::request::job::JobSpec;
+use yare::parameterized;
+
 use super::diagnostics::observed;
 use super::pace::{best_effort, world_with_serving_tasks};
+use super::world::{World, chain};
 
 /// Guards against logs that don't tell why an accepted job has nothing running: which job, for how long, and what
 /// each worker lacks for it.
@@ -29,3 +34,102 @@
         "{line}"
     );
 }
+
+/// Longest time that an accepted job may have nothing running while others run, in milliseconds: three times the
+/// objective of the jobs here, two intervals of the check for such jobs, and the time in which room becomes free.
+const LONGEST_WAIT: u64 = 16_000;
+
+/// Submits a job every `interval` milliseconds for `time` and returns those that were accepted.
+fn keep_submitting(
+    world: &mut World,
+    first: u64,
+    spec: &JobSpec,
+    interval: u64,
+    time: u64,
+) -> Vec<u64> {
+    let mut tickets = Vec::new();
+    for id in first..first + time / interval {
+        tickets.push((id, world.submit(id, spec)));
+        world.run(interval);
+    }
+    world.run(200);
+    let is_accepted = |ticket: &u64| world.replies.get(ticket) == Some(&Reply::Accepted);
+    let accepted = tickets.iter().filter(|(_, ticket)| is_accepted(ticket));
+    accepted.map(|(id, _)| *id).collect()
+}
+
+fn has_started(world: &mut World, id: u64) -> bool {
+    matches!(
+        world.state(id),
+        Some(Reply::State {
+            has_started: true,
+            ..
+        })
+    )
+}
+
+/// Guards against accepted jobs that never get a turn, because newer ones that can still meet their objective come
+/// first for as long as there are any.
+#[test]
+fn a_late_job_gets_a_turn_while_newer_ones_come() {
+    let mut world = World::new(7, 2, 8_000);
+    world.runtimes = 900..1_000;
+    world.claim();
+    world.run(500);
+    let accepted = keep_submitting(&mut world, 1, &chain(&[2], 1_000), 100, 60_000);
+    let early = accepted
+        .iter()
+        .filter(|id| **id <= (60_000 - LONGEST_WAIT) / 100);
+    let starved: Vec<u64> = early
+        .copied()
+        .filter(|id| !has_started(&mut world, *id))
+        .collect();
+    assert!(starved.is_empty(), "{starved:?}");
+    world.assert_no_violations();
+}
+
+/// Guards against jobs that are accepted although others that need the same have waited in vain for longer than
+/// anybody waits for the result.
+#[parameterized(
+    best_effort = { true },
+    others = { false },
+)]
+fn a_job_is_refused_while_others_like_it_wait_for_too_long(fills: bool) {
+    let mut world = World::new(7, 2, 8_000);
+    world.runtimes = 900..1_000;
+    world.claim();
+    world.run(500);
+    let mut spec = chain(&[4], 1_000);
+    spec.steps[0].fills = fills;
+    let accepted = keep_submitting(&mut world, 1, &spec, 100, 30_000);
+    let refused =
+        |reply: &&Reply| matches!(reply, Reply::Refused { retry_after } if *retry_after > 0);
+    assert!(world.replies.values().filter(refused).count() > 50);
+    // All that was accepted runs within the time for which a backlog is accepted.
+    world.run(14_000);
+    let waiting: Vec<u64> = accepted
+        .into_iter()
+        .filter(|id| !has_started(&mut world, *id))
+        .collect();
+    assert!(waiting.is_empty(), "{waiting:?}");
+    world.submit(10_000, &spec);
+    world.run(2_000);
+    assert!(has_started(&mut world, 10_000));
+    world.assert_no_violations();
+}
+
+/// Guards against a best-effort task that never finds room, because smaller ones take up each bit of idle
+/// processors or of headroom that becomes free.
+#[parameterized(
+    beside_serving_tasks = { 0.5, 3_000, 500 },
+    on_idle_processors = { 0.2, 9_000, 1_000 },
+)]
+fn a_large_best_effort_task_gets_room_beside_smaller_ones(tail: f64, large: u32, small: u32) {
+    let mut world = world_with_serving_tasks(1_000, tail);
+    let smaller = best_effort(10, small);
+    keep_submitting(&mut world, 10, &smaller, 250, 5_000);
+    world.submit(9, &best_effort(1, large));
+    keep_submitting(&mut world, 100, &smaller, 250, LONGEST_WAIT);
+    assert!(has_started(&mut world, 9));
+    world.assert_no_violations();
+}
