Order: an overdue job with nothing running gets a turn for one task

Callers saw accepted jobs that never ran while newer ones did. Cause: overdue jobs came after all others, without a bound, so in a lasting overload whoever was too late once stayed at the end. A job that is overdue and has had nothing running for 5 s now comes before all others of its priority, with one task; then it is at the end again, so the jobs that can still meet their objective keep nearly all room.

The test failed before: 37 jobs that were accepted over 16 s ago had no turn. The simulations of the order in tests/surge.rs and tests/surge_sizes.rs tell since when a job has nothing running, and place one task of such a job, as the shard does; their checks are unchanged.

What remains: tasks that find no room, and no limit on what is accepted.

--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -45,17 +45,22 @@
             let turn = TurnState {
                 start: job.turn_start(step.turn),
                 has_begun: job.has_begun(step.turn),
+                idle_since: job.idle_since(step.turn),
             };
             let key = order_key(queue, &job.spec, turn, self.wall, step);
             self.ready.insert(key);
         }
     }
 
-    /// Replaces the order keys of a turn that has begun since `key` was made.
+    /// Replaces the order keys of a turn that has begun, or of a starved job that has got its turn, since `key`
+    /// was made.
     pub(super) fn replace_new_key(&mut self, key: OrderKey) {
         let StepId { job: id, turn, .. } = key.step;
-        let has_begun = |job: &Job| job.has_begun(turn);
-        if !key.gives_way() || !self.jobs.get(&id).is_some_and(has_begun) {
+        let is_outdated = |job: &Job| match key.is_starved() {
+            true => !job.is_idle(),
+            false => key.gives_way() && job.has_begun(turn),
+        };
+        if !self.jobs.get(&id).is_some_and(is_outdated) {
             return;
         }
         self.ready
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -193,6 +193,9 @@
             };
             self.start_task(now, slot, spec, task, None, out);
             self.update_candidate(candidates, slot);
+            if key.is_starved() {
+                return Some(());
+            }
         }
         (only_found || is_held).then_some(())
     }
@@ -306,6 +309,7 @@
         }
         let payload = job.spec.payload.clone();
         job.has_started = true;
+        job.last_start = now.wall;
         job.set_state(task, TaskState::Placed);
         let Some(entry) = job.task_mut(task) else {
             return;
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -117,6 +117,8 @@
     pub outcome: Option<Outcome>,
     /// Whether this owner or an earlier one has ordered a run of any task.
     pub has_started: bool,
+    /// When this owner last ordered a run of any task, in Unix milliseconds; 0 if it has not.
+    pub last_start: u64,
     pub start_permit: StartPermit,
     /// Tasks whose newest run may have crashed its worker.
     pub trials: BTreeMap<TaskKey, Trial>,
@@ -145,6 +147,7 @@
             next_turn: 0,
             outcome: None,
             has_started: false,
+            last_start: 0,
             start_permit: StartPermit::default(),
             trials: BTreeMap::new(),
         }
@@ -187,6 +190,13 @@
         steps.map(|step| step.placed).all(|placed| placed == 0)
     }
 
+    /// Since when none of its tasks has a run, in Unix milliseconds, as far as that matters for a turn; `None`
+    /// if one has.
+    pub fn idle_since(&self, turn: u32) -> Option<u64> {
+        self.is_idle()
+            .then(|| self.turn_start(turn).max(self.last_start))
+    }
+
     /// Opens the turns that are due at `now` (Unix milliseconds) and returns their numbers.
     pub fn open_due(&mut self, now: u64) -> Vec<u32> {
         let mut opened = Vec::new();
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -8,10 +8,15 @@
 const OVERDUE_FACTOR: u64 = 3;
 /// A late job has to start this many times its remaining run time before it becomes overdue.
 const LEAD_FACTOR: u64 = 2;
+/// How long an overdue job waits with nothing running before one of its tasks comes first, in milliseconds.
+const STARVED_TIME: u64 = 5_000;
 
 /// State of a job relative to its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ObjectiveStatus {
+    /// The job is overdue and nothing of it has run for a while. One of its tasks comes before all others
+    /// of its priority, since whoever accepts a job has to run it, also while newer ones keep coming.
+    Starved,
     /// The job meets its objective if its next step starts now, or it is late and has to start soon
     /// to end before it is overdue.
     StartNow,
@@ -47,6 +52,11 @@
         self.status
     }
 
+    /// Whether one task of the step comes before all others of its priority.
+    pub fn is_starved(&self) -> bool {
+        self.status == ObjectiveStatus::Starved
+    }
+
     /// Whether the key would come earlier if the turn had begun.
     pub fn gives_way(&self) -> bool {
         self.is_new && !self.is_long_running && self.status != ObjectiveStatus::Overdue
@@ -60,6 +70,8 @@
     pub start: u64,
     /// Whether any of its tasks has been placed.
     pub has_begun: bool,
+    /// Since when no task of the job has a run, in Unix milliseconds; `None` if one has.
+    pub idle_since: Option<u64>,
 }
 
 /// Sort key at `now`, in Unix milliseconds, of a step of `turn`.
@@ -67,7 +79,7 @@
 /// Within a priority the earliest objective comes first. A job that can no longer meet its
 /// objective gives way to those that can, until it has to start to be of any use. Ordering by
 /// objective alone would finish every job of the backlog after a surge slightly too late. Overdue
-/// jobs run once the backlog is gone.
+/// jobs run once the backlog is gone, but each gets a turn for one task in bounded time.
 ///
 /// A job that has begun is finished before a new one begins, unless it is overdue. The more tasks a
 /// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
@@ -119,7 +131,15 @@
             late_end,
             late_end.saturating_sub(remaining),
         ),
-        _ => (ObjectiveStatus::Overdue, start, u64::MAX),
+        _ => match turn.idle_since {
+            Some(since) if since + STARVED_TIME <= now => {
+                (ObjectiveStatus::Starved, since, u64::MAX)
+            }
+            since => {
+                let check = since.unwrap_or(now).saturating_add(STARVED_TIME);
+                (ObjectiveStatus::Overdue, start, check)
+            }
+        },
     };
     OrderKey {
         priority: queue.priority,
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -47,6 +47,7 @@
         let turn = TurnState {
             start,
             has_begun: false,
+            idle_since: Some(start),
         };
         order_key(Some(&queue), &spec(runtime, lasts), turn, start, step(job))
     };
--- a/tests/surge.rs
+++ b/tests/surge.rs
@@ -42,6 +42,7 @@
     step: u16,
     waiting: u32,
     running: u32,
+    last_start: u64,
 }
 
 #[derive(Debug, Default)]
@@ -84,6 +85,7 @@
             let turn = TurnState {
                 start: open.arrived,
                 has_begun: open.step > 0 || open.waiting < TASKS_PER_STEP,
+                idle_since: (open.running == 0).then_some(open.arrived.max(open.last_start)),
             };
             let key = order_key(Some(&queue(2, 1_000, 2.0)), &spec(), turn, now, step);
             (Some(key), 0)
@@ -114,6 +116,7 @@
                 step: 0,
                 waiting: TASKS_PER_STEP,
                 running: 0,
+                last_start: 0,
             };
             open.insert(next, job);
         }
@@ -142,7 +145,8 @@
             .map(|(id, job)| (sort_key(order, *id, job, now), *id))
             .collect();
         ids.sort();
-        for (_, id) in ids {
+        for ((key, _), id) in ids {
+            let is_starved = key.is_some_and(|key| key.is_starved());
             let Some(job) = open.get_mut(&id) else {
                 continue;
             };
@@ -150,10 +154,14 @@
                 free -= 1;
                 job.waiting -= 1;
                 job.running += 1;
+                job.last_start = now;
                 let runtime = (RUNTIME as f64 * (0.7 + 0.6 * rng.f64())) as u64;
                 ends.entry(now + runtime / TICK * TICK)
                     .or_default()
                     .push(id);
+                if is_starved {
+                    break;
+                }
             }
         }
     }
--- a/tests/surge_sizes.rs
+++ b/tests/surge_sizes.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use jayfork::base::Size;
-use jayfork::request::job::{JobId, JobSpec, StepId, StepSpec, TurnState, order_key};
+use jayfork::request::job::{JobId, JobSpec, OrderKey, StepId, StepSpec, TurnState, order_key};
 use jobs::{job, queue};
 use yare::parameterized;
 
@@ -38,6 +38,7 @@
     step: u16,
     waiting: u32,
     running: u32,
+    last_start: u64,
     has_begun: bool,
     ended: Option<u64>,
 }
@@ -71,6 +72,7 @@
             step: 0,
             waiting: u32::from(first.count),
             running: 0,
+            last_start: 0,
             has_begun: false,
             ended: None,
             spec: job(vec![first, second]),
@@ -117,7 +119,7 @@
 }
 
 /// Jobs with waiting tasks in the order of placement.
-fn placement_order(jobs: &[Job], now: u64) -> Vec<usize> {
+fn placement_order(jobs: &[Job], now: u64) -> Vec<(OrderKey, usize)> {
     let waiting = jobs.iter().enumerate().filter(|(_, job)| {
         let is_known = job.arrived <= now && job.ended.is_none();
         is_known && job.waiting > 0
@@ -127,6 +129,7 @@
             let turn = TurnState {
                 start: job.arrived,
                 has_begun: job.has_begun,
+                idle_since: (job.running == 0).then_some(job.arrived.max(job.last_start)),
             };
             let step = StepId {
                 job: JobId(index as u64),
@@ -140,7 +143,7 @@
         })
         .collect();
     keys.sort();
-    keys.into_iter().map(|(_, index)| index).collect()
+    keys
 }
 
 /// Ends a task; the job goes on with its next step after the last one.
@@ -171,16 +174,20 @@
             true => REDUCED_CAPACITY,
             false => CAPACITY,
         };
-        for index in placement_order(&jobs, now) {
+        for (key, index) in placement_order(&jobs, now) {
             let job = &mut jobs[index];
             while used + job.demand() <= capacity && job.waiting > 0 {
                 used += job.demand();
                 job.waiting -= 1;
                 job.running += 1;
+                job.last_start = now;
                 job.has_begun = true;
                 let runtime = (job.runtime as f64 * (0.7 + 0.6 * rng.f64())) as u64;
                 let end = now + TICK + runtime / TICK * TICK;
                 ends.entry(end).or_default().push(index);
+                if key.is_starved() {
+                    break;
+                }
             }
         }
     }
