Placement: room is kept for a starved task, also for a best-effort one

Callers saw accepted jobs of large best-effort tasks wait for over a minute, first in the order, while smaller tasks of others started. Cause: each bit of idle processors and of headroom that became free was taken up by the next smaller task.

A step that is starved and finds no room now has the worker set aside that lacks least for it, of those whose serving tasks would bear the task alone. At most one worker of 16 is set aside in a pass. Tasks of higher priority are placed before, so they lose nothing.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -8,6 +8,7 @@
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{
     CandidateWorker, ImageInterference, StepId, StepSpec, TaskKey, TaskRequirements, choose_worker,
+    is_overcommitted, missing_processors,
 };
 
 /// A worker whose last report is older than this gets no tasks, in milliseconds.
@@ -17,6 +18,11 @@
 pub(super) const MAX_WORKER_STARTS: usize = 2;
 /// Workers with room that are compared for one task, unless it is long-running or has a rack.
 pub(super) const MAX_COMPARED: usize = 64;
+/// Most workers that are kept free of other tasks in a pass. Each is chosen among all workers.
+const MAX_SET_ASIDE: usize = 32;
+/// At most one of this many workers is kept free of other tasks, so that tasks that find no room do not stop all
+/// other work.
+const SET_ASIDE_DIVISOR: usize = 16;
 
 /// Requirements of a task that no worker had room for. Tasks that need the same or more are skipped
 /// for the rest of the pass; the next ones check only workers that have changed since.
@@ -75,6 +81,12 @@
 
 pub(super) type Candidates = Vec<Candidate>;
 
+/// Most workers of so many that a pass keeps free of other tasks.
+pub(super) fn max_set_aside(candidates: &Candidates) -> usize {
+    let share = candidates.len().div_ceil(SET_ASIDE_DIVISOR);
+    share.min(MAX_SET_ASIDE)
+}
+
 impl Shard {
     /// Usable workers that are not suspect.
     pub(super) fn candidates(&self, now: Now) -> Candidates {
@@ -210,17 +222,19 @@
     /// Removes the worker that lacks least for a task of the step from `candidates`, so
     /// that the room of the runs that end there is kept for it. Room that long-running tasks hold does
     /// not become free.
-    pub(super) fn set_aside(&self, step: StepId, candidates: &mut Candidates) {
+    pub(super) fn set_aside(&self, now: Now, step: StepId, candidates: &mut Candidates) {
         let Some(job) = self.jobs.get(&step.job) else {
             return;
         };
         let spec = job.spec.steps.get(usize::from(step.step));
         let queue = self.queues.queue(&job.queue);
-        // More room would not help a best-effort task: it waits because it would interfere.
-        let (Some(spec), Some(queue)) = (spec.filter(|spec| !spec.fills), queue) else {
+        let (Some(spec), Some(queue)) = (spec, queue) else {
             return;
         };
         let reserved = spec.reserved();
+        let interference = self
+            .contention
+            .interference(now.steady, spec.image.as_ref());
         let suitable = candidates
             .iter()
             .enumerate()
@@ -229,9 +243,16 @@
                 let is_suitable = worker.service == queue.service
                     && reserved.fits(&worker.capacity.saturating_sub(&worker.long_reserved))
                     && worker.allows(step, spec);
+                if !is_suitable {
+                    return None;
+                }
                 let covered = candidate.free.covered_share(&reserved);
+                let missing = match spec.fills {
+                    true => worker.missing_for(spec, &interference)?,
+                    false => 0,
+                };
                 // Without the slot, workers that are equal would take turns, and none would get room.
-                is_suitable.then_some((index, (covered, Reverse(candidate.slot))))
+                Some((index, (Reverse(missing), covered, Reverse(candidate.slot))))
             });
         let best = suitable.max_by_key(|(_, rank)| *rank);
         if let Some((index, _)) = best {
@@ -291,6 +312,25 @@
         has_label && (spec.spread == 0 || self.count_tasks(step) < usize::from(spec.spread))
     }
 
+    /// What a best-effort task lacks here until others have ended: the share of the processors, and of the
+    /// rise of the tail latency that its serving tasks bear, in thousandths. `None` if it would not start here
+    /// beside the serving tasks alone.
+    fn missing_for(&self, spec: &StepSpec, interference: &ImageInterference) -> Option<u64> {
+        let demand = spec.size.processors;
+        let capacity = self.capacity.processors;
+        let share = self.share(demand);
+        let others = self.runs.values().filter(|run| run.fills);
+        let others: i64 = others.map(|run| i64::from(run.demand)).sum();
+        let idle = self.idle_millicores() - i64::from(demand);
+        let is_excluded = interference.headroom_alone(&self.headroom, share) < 0.0;
+        if is_excluded || is_overcommitted(idle + others, capacity) {
+            return None;
+        }
+        let processors = missing_processors(idle, capacity) as f64 / f64::from(capacity.max(1));
+        let headroom = interference.headroom_with(&self.headroom, share).min(0.0);
+        Some(((processors - headroom) * 1_000.0) as u64)
+    }
+
     /// Number of tasks of a step here.
     fn count_tasks(&self, step: StepId) -> usize {
         self.runs.keys().filter(|task| task.step == step).count()
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -2,7 +2,7 @@
 //! without it until it runs again, and under load other tasks would take up all room that becomes
 //! free.
 
-use super::candidates::{Candidates, Search};
+use super::candidates::{Candidates, Search, max_set_aside};
 use super::jobs::waiting_steps;
 use super::shard::{Now, Phase, Shard, ShardAction};
 use crate::base::{Millis, Name, Size};
@@ -11,11 +11,6 @@
 /// Most restarts for which a placement pass searches a worker. Each search looks at all workers; the next
 /// pass goes on behind them.
 const MAX_SEARCHES: usize = 32;
-/// Most workers that are kept free of other tasks. Each is chosen among all workers.
-const MAX_SET_ASIDE: usize = 32;
-/// At most one of this many workers is kept free of other tasks for restarts that find no room, so that
-/// the loss of many workers does not stop all other work.
-const SET_ASIDE_DIVISOR: usize = 16;
 /// How long a restart waits for room before a worker is set aside for it, in milliseconds: a worker that
 /// is set aside stands partly idle.
 const SET_ASIDE_WAIT: Millis = Millis(1_000);
@@ -118,14 +113,9 @@
             }
         }
         // The restarts themselves may use these workers: a smaller one must not wait for a larger one.
-        lacking_room.truncate(
-            candidates
-                .len()
-                .div_ceil(SET_ASIDE_DIVISOR)
-                .min(MAX_SET_ASIDE),
-        );
+        lacking_room.truncate(max_set_aside(candidates));
         for step in lacking_room {
-            self.set_aside(step, candidates);
+            self.set_aside(now, step, candidates);
         }
     }
 
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -1,6 +1,6 @@
 //! Assigns waiting tasks to workers and orders their starts.
 
-use super::candidates::{Candidates, MAX_COMPARED, Search, UnmetRequirements};
+use super::candidates::{Candidates, MAX_COMPARED, Search, UnmetRequirements, max_set_aside};
 use super::shard::{Now, Phase, Shard, ShardAction, WorkerTag};
 use super::worker::{Run, RunState};
 use crate::base::{Millis, Name};
@@ -24,6 +24,15 @@
 /// have changed; what else changes with time, such as learned slopes, counts from the next full pass.
 const FULL_PASS_INTERVAL: Millis = Millis(250);
 
+/// Why a step has waiting tasks after a pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Waiting {
+    /// No worker has room for one of them.
+    LacksRoom,
+    /// They are not to start yet.
+    Held,
+}
+
 impl Shard {
     /// Places waiting tasks in the order of `ready` as far as workers have room.
     pub(super) fn place(&mut self, now: Now, out: &mut Vec<ShardAction>) {
@@ -65,9 +74,16 @@
         unmet: &mut Vec<UnmetRequirements>,
         out: &mut Vec<ShardAction>,
     ) -> bool {
+        let mut set_aside = 0;
+        let max_set_aside = max_set_aside(candidates);
         for key in keys {
             match self.place_step(now, *key, candidates, unmet, out) {
-                Some(()) => {}
+                // Smaller tasks would take up each bit of room that becomes free.
+                Some(Waiting::LacksRoom) if key.is_starved() && set_aside < max_set_aside => {
+                    set_aside += 1;
+                    self.set_aside(now, key.step, candidates);
+                }
+                Some(_) => {}
                 None => {
                     self.ready.remove(key);
                 }
@@ -80,8 +96,8 @@
         true
     }
 
-    /// Places the waiting tasks of one step. Returns `None` if none is left, so that the step
-    /// leaves `ready`.
+    /// Places the waiting tasks of one step, or one of them if the job is starved. Returns `None` if none is
+    /// left, so that the step leaves `ready`.
     fn place_step(
         &mut self,
         now: Now,
@@ -89,7 +105,7 @@
         candidates: &mut Candidates,
         unmet: &mut Vec<UnmetRequirements>,
         out: &mut Vec<ShardAction>,
-    ) -> Option<()> {
+    ) -> Option<Waiting> {
         if self.ending.contains_key(&key.step.job) {
             return None;
         }
@@ -99,10 +115,10 @@
             return None;
         }
         if job.start_permit != StartPermit::Granted {
-            return Some(());
+            return Some(Waiting::Held);
         }
         let Some(queue) = self.queues.queue(&job.queue) else {
-            return Some(());
+            return Some(Waiting::Held);
         };
         let service = queue.service.clone();
         let spec = job.spec.clone();
@@ -110,7 +126,7 @@
         let reserved = spec.reserved();
         let is_unmet = |known: &UnmetRequirements| known.cover(&service, spec, key.step);
         if unmet.iter().any(|known| known.is_new && is_unmet(known)) {
-            return Some(());
+            return Some(Waiting::LacksRoom);
         }
         let known_unmet = unmet.iter().position(is_unmet);
         let has_trials = !job.trials.is_empty();
@@ -129,19 +145,19 @@
             .filter(|task| !self.may_run_elsewhere(task) && !self.lost_runs.awaits_record(task))
             .collect();
         if waiting.is_empty() {
-            return Some(());
+            return Some(Waiting::Held);
         }
         if spec.gang {
             let awaits_proof = waiting.iter().any(|task| self.awaits_proof(now, *task));
             if waiting.len() == usize::from(spec.count) && !awaits_proof {
                 self.place_gang(now, &service, spec, &waiting, candidates, out);
             }
-            return Some(());
+            return Some(Waiting::Held);
         }
         let mut is_held = false;
         for task in waiting {
             if self.has_max_pending_starts() {
-                return Some(());
+                return Some(Waiting::Held);
             }
             if has_trials && self.awaits_proof(now, task) {
                 is_held = true;
@@ -172,7 +188,7 @@
             }
             if spec.lasts && found.is_some_and(|slot| Self::has_max_starts(candidates, slot)) {
                 // It would stay for long on a worker that is worse; the best one answers soon.
-                return Some(());
+                return Some(Waiting::Held);
             }
             let Some(slot) = found else {
                 let known = known_unmet.and_then(|index| unmet.get_mut(index));
@@ -189,15 +205,15 @@
                         is_new: true,
                     }),
                 }
-                return Some(());
+                return Some(Waiting::LacksRoom);
             };
             self.start_task(now, slot, spec, task, None, out);
             self.update_candidate(candidates, slot);
             if key.is_starved() {
-                return Some(());
+                return Some(Waiting::Held);
             }
         }
-        (only_found || is_held).then_some(())
+        (only_found || is_held).then_some(Waiting::Held)
     }
 
     /// Places all tasks of a gang, or none.
--- a/src/request/job/fit.rs
+++ b/src/request/job/fit.rs
@@ -89,7 +89,13 @@
 /// Whether a worker of `capacity` millicores with `idle` of them left, which may be negative, has too few idle
 /// processors for the best-effort tasks there.
 pub fn is_overcommitted(idle: i64, capacity: u32) -> bool {
-    idle < -i64::from(capacity.max(1)) * MAX_OVERCOMMIT_PERCENT / 100
+    missing_processors(idle, capacity) > 0
+}
+
+/// Millicores that such a worker has too few for the best-effort tasks there.
+pub fn missing_processors(idle: i64, capacity: u32) -> i64 {
+    let least = -i64::from(capacity.max(1)) * MAX_OVERCOMMIT_PERCENT / 100;
+    (least - idle).max(0)
 }
 
 fn score(task: &TaskRequirements<'_>, worker: &CandidateWorker<'_>) -> Option<i64> {
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -15,7 +15,9 @@
     BestEffortGroup, Contention, Headroom, ImageInterference, LearnedImage, LearnedSlope,
     OVER_BOUND_SHARE, ServingTask, next_speed_limit,
 };
-pub use fit::{CandidateWorker, TaskRequirements, choose_worker, is_overcommitted};
+pub use fit::{
+    CandidateWorker, TaskRequirements, choose_worker, is_overcommitted, missing_processors,
+};
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
 pub use order::{ObjectiveStatus, OrderKey, TurnState, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
