Admission: a job is refused while others that need the same lack room for too long

Cause: whatever the backlog, every job was accepted.

A new job is now refused, with Retry-After, while an accepted one that needs the same or less waits for room and has been open for longer than the objectives of both, and 5 s at least. Nothing of a refused job is stored, so "not accepted" is true; a repeat of an accepted job is still answered as accepted. Jobs on trial after a crash are no sign of a backlog. One line and one counter a refusal.

Both cases of the test failed before: no job was ever refused for a backlog. tasks_beside_one_that_crashes_its_workers_do_not_fail lets all workers crash for seconds, so some of its later jobs are refused now; it submits these again as their clients do, fails if they are refused for ever, and still asks for the same end of every job. The test of a large best-effort task submits it before the smaller ones are late.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -42,15 +42,36 @@
 }
 
 impl UnmetRequirements {
+    pub(super) fn of(service: &Name, spec: &StepSpec, step: StepId) -> UnmetRequirements {
+        UnmetRequirements {
+            reserved: spec.reserved(),
+            demand: spec.size.processors,
+            fills: spec.fills,
+            lasts: spec.lasts,
+            image: spec.image.clone(),
+            service: service.clone(),
+            step: (spec.label.is_some() || spec.spread > 0).then_some(step),
+            is_new: true,
+        }
+    }
+
     /// Whether a task of the step needs the same or more.
     pub(super) fn cover(&self, service: &Name, spec: &StepSpec, step: StepId) -> bool {
+        self.cover_new(service, spec) || self.step == Some(step) && self.cover_size(service, spec)
+    }
+
+    /// Whether a task of a step of another job needs the same or more.
+    pub(super) fn cover_new(&self, service: &Name, spec: &StepSpec) -> bool {
+        self.step.is_none() && self.cover_size(service, spec)
+    }
+
+    fn cover_size(&self, service: &Name, spec: &StepSpec) -> bool {
         self.service == *service
             && self.fills == spec.fills
             && self.lasts == spec.lasts
             && self.demand <= spec.size.processors
             && (!spec.fills || self.image == spec.image)
             && self.reserved.fits(&spec.reserved())
-            && self.step.is_none_or(|only| only == step)
     }
 }
 
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -154,7 +154,12 @@
 }
 
 /// Whether no worker had room for a task of a step in the last pass.
-fn lacks_room(queues: &QueueIndex, unmet: &[UnmetRequirements], job: &Job, step: StepId) -> bool {
+pub(super) fn lacks_room(
+    queues: &QueueIndex,
+    unmet: &[UnmetRequirements],
+    job: &Job,
+    step: StepId,
+) -> bool {
     let spec = job.spec.steps.get(usize::from(step.step));
     let queue = queues.queue(&job.queue);
     spec.zip(queue).is_some_and(|(spec, queue)| {
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -1,6 +1,7 @@
 //! One shard: the jobs and workers that one owner schedules, and the journal that makes its state
 //! durable.
 
+mod backlog;
 mod candidates;
 mod clearing;
 mod crashes;
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -3,6 +3,7 @@
 use super::journal::Commit;
 use super::shard::{Now, Phase, Reply, Request, Shard, ShardAction};
 use crate::base::Name;
+use crate::process::telemetry;
 use crate::request::job::{Job, JobId, Outcome, StartPermit};
 use crate::version::{JobRecord, JobStateRecord, ShardRecord};
 
@@ -52,6 +53,12 @@
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
+                if let Some(retry_after) = self.retry_after_backlog(now, &queue, &spec) {
+                    telemetry::count_refusal("backlog");
+                    tracing::info!(%job, %queue, retry_after, "submission refused: others that need the same lack room");
+                    out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
+                    return;
+                }
                 let record = JobRecord {
                     queue: queue.clone(),
                     accepted: now.wall,
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -123,7 +123,6 @@
         let service = queue.service.clone();
         let spec = job.spec.clone();
         let spec = spec.steps.get(usize::from(key.step.step))?;
-        let reserved = spec.reserved();
         let is_unmet = |known: &UnmetRequirements| known.cover(&service, spec, key.step);
         if unmet.iter().any(|known| known.is_new && is_unmet(known)) {
             return Some(Waiting::LacksRoom);
@@ -194,16 +193,7 @@
                 let known = known_unmet.and_then(|index| unmet.get_mut(index));
                 match known {
                     Some(known) => known.is_new = true,
-                    None => unmet.push(UnmetRequirements {
-                        reserved,
-                        demand: spec.size.processors,
-                        fills: spec.fills,
-                        lasts: spec.lasts,
-                        image: spec.image.clone(),
-                        service,
-                        step: (spec.label.is_some() || spec.spread > 0).then_some(step),
-                        is_new: true,
-                    }),
+                    None => unmet.push(UnmetRequirements::of(&service, spec, step)),
                 }
                 return Some(Waiting::LacksRoom);
             };
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -74,6 +74,11 @@
     pub idle_since: Option<u64>,
 }
 
+/// Time in which a job is to end, in milliseconds from its acceptance or due time.
+pub fn objective(queue: &Queue, spec: &JobSpec) -> u64 {
+    ((spec.critical_path() as f64 * queue.stretch) as u64).saturating_add(queue.objective)
+}
+
 /// Sort key at `now`, in Unix milliseconds, of a step of `turn`.
 ///
 /// Within a priority the earliest objective comes first. A job that can no longer meet its
@@ -107,8 +112,7 @@
         .steps
         .get(usize::from(step.step))
         .is_some_and(|step| step.lasts);
-    let objective =
-        ((spec.critical_path() as f64 * queue.stretch) as u64).saturating_add(queue.objective);
+    let objective = objective(queue, spec);
     let remaining = spec.critical_path_from(step.step);
     let on_time_end = start.saturating_add(objective);
     let late_end = start.saturating_add(objective.saturating_mul(OVERDUE_FACTOR));
