Shard tests: the simulated network answers an order once

Cause: an order that is late or whose answer is lost gets `NoAnswer` at its timeout. If the worker then refused connections, or another one had its address, the owner got a second answer to the same order. With workers that refuse connections and late orders in one history, the count of start orders without an answer fell below zero ("attempt to subtract with overflow" in orders.rs).

Change: an order that nobody carries out is answered only if its sender still waits. No check changes.

--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -368,19 +368,15 @@
             }
             Message::Order(owner, tag, call, delivery, incarnation) => {
                 let worker = worker_index(&call);
-                let Some(target) = self.fleet.workers.get(worker) else {
-                    let answer = Err(CallError::Refused);
-                    self.send(5, Message::Answer(owner, tag, answer));
+                let target = self.fleet.workers.get(worker).filter(|target| {
+                    !target.is_gone && !target.is_refused && target.returns_at.is_none()
+                });
+                let Some(target) = target else {
+                    self.answer_unserved(owner, tag, delivery, Err(CallError::Refused));
                     return;
                 };
-                if target.is_gone || target.is_refused || target.returns_at.is_some() {
-                    let answer = Err(CallError::Refused);
-                    self.send(5, Message::Answer(owner, tag, answer));
-                    return;
-                }
                 if call.worker != self.worker_name(worker) {
-                    let answer = Ok(WorkerAnswer::WrongWorker);
-                    self.send(5, Message::Answer(owner, tag, answer));
+                    self.answer_unserved(owner, tag, delivery, Ok(WorkerAnswer::WrongWorker));
                     return;
                 }
                 let is_cut = target.is_unreachable || self.cuts.workers.contains(&(owner, worker));
@@ -422,6 +418,19 @@
         }
     }
 
+    /// Answers an order that no worker has carried out, unless its sender has got an answer at its timeout.
+    fn answer_unserved(
+        &mut self,
+        owner: usize,
+        tag: WorkerTag,
+        delivery: Delivery,
+        answer: Result<WorkerAnswer, CallError>,
+    ) {
+        if delivery == Delivery::Answered {
+            self.send(5, Message::Answer(owner, tag, answer));
+        }
+    }
+
     /// Returns true with probability `share`.
     fn chance(&mut self, share: f64) -> bool {
         share > 0.0 && self.rng.f64() < share
