Tell the next owner the waits when the store turns the owner away

By reading, long-running tasks of a lost worker have no run for up to 10 s if the store turns the owner away soon after the loss; 9 s is the bound of LOST. If the worker had restarted just before, its task could run twice at once.

Cause: an owner that the store turns away can store neither its resignation nor the waits and long leases of workers. The next one waits for 8.1 s from its claim, or too little after a restart.

Change: the call to take over carries them (`PeerCall::HandOver`). The owner grants no leases from then on unless the call was certainly not sent or was declined; without an answer it asks again without the waits, and gives up after 1.5 s.

Tests: the model of the hosts can lose requests to take over and their replies, and hosts of an earlier version do not know the new call. The parameter of a_change_of_the_owner_does_not_prolong_the_wait is a kind of change instead of a flag; its cases are kept.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -6,10 +6,10 @@
 use super::message::KnownOwner;
 use super::peers::Peer;
 use super::rank::{Rank, is_low_capacity};
-use super::streams::{HOSTS_STREAM, OWNER_KEY, SHARD_STREAM};
+use super::streams::{HOSTS_STREAM, OWNER_KEY, shard_partition};
 use crate::base::{Millis, Name};
 use crate::connection::{KeyedRecord, Partition, StoreAnswer, StoreCall, StoreRequest};
-use crate::process::shard::{Now, RegistryChange, Shard};
+use crate::process::shard::{Handover, Now, RegistryChange, Shard};
 use crate::version::{EPOCH_BITS, OwnerRecord, ShardRecord};
 
 /// An owner counts as gone once the last message that any host received from it is older than this,
@@ -201,7 +201,7 @@
             Some(at) if now.steady.since(at) < ANSWER_TIME => {}
             Some(at) => {
                 if self.may_claim(now, at, out) {
-                    self.claim(now, out);
+                    self.claim(now, None, out);
                 } else if now.steady.since(at) >= ROUND_TIME {
                     self.start_round(now, out);
                 }
@@ -417,7 +417,13 @@
         )
     }
 
-    pub(super) fn claim(&mut self, now: Now, out: &mut Vec<HostAction>) {
+    /// Claims the shard; `handover` is what its owner has told this host.
+    pub(super) fn claim(
+        &mut self,
+        now: Now,
+        handover: Option<Handover>,
+        out: &mut Vec<HostAction>,
+    ) {
         let ordinal = (self.claim.max_epoch >> EPOCH_BITS) + 1;
         let mask = (1 << EPOCH_BITS) - 1;
         let epoch = (ordinal << EPOCH_BITS) | (self.settings.record.boot & mask);
@@ -437,7 +443,8 @@
         );
         let value = ShardRecord::Owner(owner.clone()).value();
         let mut actions = Vec::new();
-        let shard = Shard::claim(
+        let shard = Shard::claim_after(
+            handover,
             self.settings.shard.clone(),
             shard_partition(),
             owner,
@@ -490,10 +497,3 @@
         .is_none_or(|presence| presence.is_stopping);
     !is_stopping && peer.store_age(now).is_some_and(|age| age <= STORE_AGE)
 }
-
-pub(super) fn shard_partition() -> Partition {
-    Partition {
-        stream: SHARD_STREAM.into(),
-        part: 0,
-    }
-}
--- a/src/process/host/handover.rs
+++ b/src/process/host/handover.rs
@@ -4,11 +4,12 @@
 
 use super::claim::{OWNER_AGE, STORE_AGE, is_candidate};
 use super::host::{Host, HostAction, PeerPurpose};
-use super::message::PeerCall;
+use super::message::{PeerCall, PeerReply};
 use super::peers::Peer;
 use super::rank::{Rank, is_low_capacity};
 use crate::base::{Millis, Name};
-use crate::process::shard::{ISOLATION_TIME, Now};
+use crate::connection::CallError;
+use crate::process::shard::{Handover, ISOLATION_TIME, Now};
 
 /// The owner hands over the shard after its appends have failed for this long, in milliseconds.
 const HANDOVER_TIME: Millis = Millis(500);
@@ -28,6 +29,9 @@
 /// A stopping owner grants leases again if no host has taken over after this time, in milliseconds; they would
 /// expire otherwise.
 const MAX_RESIGNATION_TIME: Millis = Millis(1_500);
+/// An owner that grants no leases, since it does not know whether another host acts on that, gives up the shard
+/// after this time, in milliseconds.
+const MAX_SUSPENSION_TIME: Millis = Millis(1_500);
 /// Minimum time from the claim until a low-capacity owner hands over to a high-capacity host, in
 /// milliseconds.
 const MIN_OWNERSHIP_TIME: Millis = Millis(1_500);
@@ -67,7 +71,9 @@
         if self.claim.is_handing_over {
             return;
         }
-        if self.stopping.is_some() {
+        if let Some(time) = shard.suspended_for(now.steady) {
+            self.end_suspension(now, epoch, time, out);
+        } else if self.stopping.is_some() {
             self.resign_and_hand_over(now, epoch, out);
         } else if is_failing && self.is_ignored_by_store(now, failing_for) {
             let time = failing_for.unwrap_or_default();
@@ -180,6 +186,18 @@
             .min_by_key(|peer| Rank::of(peer, max_processor))
     }
 
+    /// Asks again, after a host has not answered that may have claimed the shard as of the end of this owner's
+    /// leases. So this owner grants no more, and it gives up if no host answers.
+    fn end_suspension(&mut self, now: Now, epoch: u64, time: Millis, out: &mut Vec<HostAction>) {
+        if time <= MAX_SUSPENSION_TIME {
+            self.hand_over(now, epoch, Successor::Any, out);
+            return;
+        }
+        tracing::warn!(epoch, "no other host has answered; giving up the shard");
+        self.claim.handed_over = Some(now.steady);
+        self.give_up_shard(now, out);
+    }
+
     /// Asks the best-ranked host that `successor` allows to take over the shard.
     fn hand_over(&mut self, now: Now, epoch: u64, successor: Successor, out: &mut Vec<HostAction>) {
         let Some(peer) = self.successor(now, successor) else {
@@ -188,31 +206,44 @@
         tracing::info!(epoch, to = %peer.record.name, "handing over the shard");
         let address = peer.record.control;
         self.claim.is_handing_over = true;
-        let message = PeerCall::TakeOver { epoch };
-        self.call_peer(
-            PeerPurpose::TakeOver { epoch },
-            address,
-            message,
-            HANDOVER_CALL_TIMEOUT,
-            out,
-        );
+        let shard = self.shard.as_mut();
+        let handover = match successor {
+            Successor::StoreAnswers { .. } => shard.and_then(|shard| shard.suspend_leases(now)),
+            Successor::Any | Successor::HighCapacity => None,
+        };
+        let has_waits = handover.is_some();
+        let message = match handover {
+            Some(handover) => PeerCall::HandOver(handover),
+            None => PeerCall::TakeOver { epoch },
+        };
+        let purpose = PeerPurpose::TakeOver { epoch, has_waits };
+        self.call_peer(purpose, address, message, HANDOVER_CALL_TIMEOUT, out);
     }
 
     pub(super) fn handle_take_over_answer(
         &mut self,
         now: Now,
         epoch: u64,
-        accepted: bool,
+        has_waits: bool,
+        answer: Result<PeerReply, CallError>,
         out: &mut Vec<HostAction>,
     ) {
         self.claim.is_handing_over = false;
-        let is_same = self
-            .shard
-            .as_ref()
-            .is_some_and(|shard| shard.epoch() == epoch);
-        if accepted && is_same {
-            self.claim.handed_over = Some(now.steady);
-            self.give_up_shard(now, out);
+        let Some(shard) = self.shard.as_mut().filter(|shard| shard.epoch() == epoch) else {
+            return;
+        };
+        match answer {
+            Ok(PeerReply::TakeOver(true)) => {
+                self.claim.handed_over = Some(now.steady);
+                self.give_up_shard(now, out);
+            }
+            Ok(PeerReply::TakeOver(false)) | Err(CallError::NotSent | CallError::Refused)
+                if has_waits =>
+            {
+                shard.resume_leases(now);
+            }
+            // The peer may have claimed the shard without an answer.
+            _ => {}
         }
     }
 
@@ -223,19 +254,24 @@
         handed_over.is_some_and(|at| now.steady.since(at) < CLAIM_TIME)
     }
 
-    /// Handles the owner's request to take over the shard; returns whether this host does.
-    pub(super) fn take_over(&mut self, now: Now, epoch: u64, out: &mut Vec<HostAction>) -> bool {
+    /// Answers the owner's request to take over the shard.
+    pub(super) fn take_over(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        epoch: u64,
+        handover: Option<Handover>,
+        out: &mut Vec<HostAction>,
+    ) {
         let has_store = self
             .store_heard
             .is_some_and(|at| now.steady.since(at) <= STORE_AGE);
         self.claim.max_epoch = self.claim.max_epoch.max(epoch);
-        if !has_store || self.config.version == 0 || self.stopping.is_some() {
-            return false;
-        }
-        if self.shard.is_none() {
-            self.claim(now, out);
+        let accepts = has_store && self.config.version > 0 && self.stopping.is_none();
+        if accepts && self.shard.is_none() {
+            self.claim(now, handover, out);
         }
-        true
+        out.push(HostAction::PeerReply(ticket, PeerReply::TakeOver(accepts)));
     }
 
     /// Gives up the shard. The next owner recovers its state from the store and the workers.
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -130,6 +130,8 @@
     },
     TakeOver {
         epoch: u64,
+        /// Whether the peer was told how long workers have been without a lease.
+        has_waits: bool,
     },
     /// Orders to workers.
     Orders(SentBatch),
@@ -401,9 +403,9 @@
                 }
                 self.ask_shard(now, Origin::Peer(ticket), request, out);
             }
-            PeerCall::TakeOver { epoch } => {
-                let accepts = self.take_over(now, epoch, out);
-                out.push(HostAction::PeerReply(ticket, PeerReply::TakeOver(accepts)));
+            PeerCall::TakeOver { epoch } => self.take_over(now, ticket, epoch, None, out),
+            PeerCall::HandOver(handover) => {
+                self.take_over(now, ticket, handover.epoch, Some(handover), out);
             }
             PeerCall::Orders(batch) => self.relay_orders(now, ticket, None, batch, out),
             PeerCall::NumberedOrders(number, batch) => {
@@ -447,9 +449,8 @@
             PeerPurpose::Forward { ticket, sent } => {
                 self.handle_forward_answer(now, ticket, sent, answer, out);
             }
-            PeerPurpose::TakeOver { epoch } => {
-                let accepted = matches!(answer, Ok(PeerReply::TakeOver(true)));
-                self.handle_take_over_answer(now, epoch, accepted, out);
+            PeerPurpose::TakeOver { epoch, has_waits } => {
+                self.handle_take_over_answer(now, epoch, has_waits, answer, out);
             }
             PeerPurpose::Orders(sent) => self.handle_batch_answer(now, sent, answer, out),
         }
--- a/src/process/host/message.rs
+++ b/src/process/host/message.rs
@@ -7,7 +7,7 @@
 
 use super::relay::{BatchNumber, OrderBatch, RelayedAnswer, SessionId};
 use crate::base::Name;
-use crate::process::shard::{Reply, Request};
+use crate::process::shard::{Handover, Reply, Request};
 use crate::version::QueueTable;
 
 /// The record under which a host registers itself in the store.
@@ -70,6 +70,9 @@
         session: SessionId,
         number: u64,
     },
+    /// As `TakeOver`, from an owner that grants no leases from then on unless the receiver declines. Hosts of
+    /// earlier versions do not know this call.
+    HandOver(Handover),
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -16,7 +16,7 @@
 use crate::version::{ShardRecord, decode_bounded};
 
 pub(super) const HOSTS_STREAM: &str = "keyed.jayfork-hosts";
-pub(super) const SHARD_STREAM: &str = "keyed.jayfork-shard";
+const SHARD_STREAM: &str = "keyed.jayfork-shard";
 /// Key of the newest owner's record in the stream of hosts.
 pub(super) const OWNER_KEY: &str = "owner";
 /// The key of a host's record is this prefix followed by the host's name.
@@ -484,3 +484,10 @@
         }
     }
 }
+
+pub(super) fn shard_partition() -> Partition {
+    Partition {
+        stream: SHARD_STREAM.into(),
+        part: 0,
+    }
+}
--- a/src/process/shard/leases.rs
+++ b/src/process/shard/leases.rs
@@ -65,7 +65,8 @@
     pub(super) fn record_waits(&mut self, now: Millis) {
         let longest = wait_for(self.settings.lease).0;
         let epoch = self.owner.epoch;
-        let has_resigned = self.resignation.is_some();
+        let resignation = self.resignation.as_ref();
+        let has_resigned = resignation.is_some_and(|resignation| !resignation.is_told);
         for worker in self.workers.iter_mut() {
             let min_silence = match has_resigned {
                 true => Millis(0),
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -5,6 +5,7 @@
 mod clearing;
 mod crashes;
 mod diagnostics;
+mod handover;
 mod jobs;
 mod journal;
 mod leases;
@@ -26,6 +27,7 @@
 mod worker;
 mod workers;
 
+pub use handover::{Handover, WorkerWait};
 pub use journal::{Commit, Journal};
 pub use recovery::ISOLATION_TIME;
 pub use shard::{
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -224,6 +224,7 @@
         let mut remaining: Vec<(Name, Vec<TaskKey>)> = Vec::new();
         let mut superseded: Vec<(Name, SupersededRecord)> = Vec::new();
         let mut resignation = None;
+        let mut last_owner = None;
         for record in records {
             match record {
                 ShardRecord::Job(id, Some(job)) => {
@@ -251,8 +252,8 @@
                 ShardRecord::Resignation(Some(record)) => resignation = Some(record),
                 ShardRecord::Remaining(id, Some(tasks)) => remaining.push((id, tasks)),
                 ShardRecord::Superseded(id, Some(runs)) => superseded.push((id, runs)),
-                ShardRecord::Owner(_)
-                | ShardRecord::Lease(_, None)
+                ShardRecord::Owner(owner) => last_owner = Some(owner.epoch),
+                ShardRecord::Lease(_, None)
                 | ShardRecord::Job(_, None)
                 | ShardRecord::State(_, None)
                 | ShardRecord::Deferred(_, false)
@@ -269,6 +270,7 @@
         self.lost_runs.restore(now.steady, superseded);
         let has_resigned = self.end_resignation(now, resignation);
         self.restore_waits(waits, has_resigned);
+        self.apply_handover(now, last_owner);
         self.restore_remaining(remaining);
         for (id, state) in states {
             match state {
--- a/src/process/shard/resignation.rs
+++ b/src/process/shard/resignation.rs
@@ -10,10 +10,39 @@
 /// From the begin of a resignation, this owner grants no leases until the deletion of its record is stored.
 #[derive(Debug)]
 pub(super) struct Resignation {
-    since: Millis,
+    pub since: Millis,
     is_stored: bool,
     /// Whether its deletion is being stored.
     is_ending: bool,
+    /// Whether another host was told of it instead, so that there is no record.
+    pub is_told: bool,
+}
+
+impl Resignation {
+    pub fn begin(now: Millis) -> Self {
+        Resignation {
+            since: now,
+            is_stored: false,
+            is_ending: false,
+            is_told: false,
+        }
+    }
+
+    pub fn told(now: Millis) -> Self {
+        Resignation {
+            is_told: true,
+            ..Resignation::begin(now)
+        }
+    }
+
+    /// That of an earlier owner, which ends once a record is stored.
+    pub fn ending(now: Millis) -> Self {
+        Resignation {
+            is_stored: true,
+            is_ending: true,
+            ..Resignation::begin(now)
+        }
+    }
 }
 
 impl Shard {
@@ -27,11 +56,7 @@
             return;
         }
         self.has_begun_to_resign = true;
-        self.resignation = Some(Resignation {
-            since: now.steady,
-            is_stored: false,
-            is_ending: false,
-        });
+        self.resignation = Some(Resignation::begin(now.steady));
         self.record_waits(now.steady);
         let record = ResignationRecord {
             epoch: self.owner.epoch,
@@ -62,11 +87,7 @@
         let Some(record) = record else {
             return false;
         };
-        self.resignation = Some(Resignation {
-            since: now.steady,
-            is_stored: true,
-            is_ending: true,
-        });
+        self.resignation = Some(Resignation::ending(now.steady));
         let deletion = ShardRecord::Resignation(None);
         self.journal.push(&deletion, Some(Commit::ResignationEnded));
         record.is_known_to(self.owner.epoch)
@@ -80,10 +101,7 @@
             .is_some_and(|resignation| resignation.is_ending)
         {
             self.resignation = None;
-            self.needs_placement = true;
-            for worker in self.workers.iter_mut() {
-                worker.next_poll = now.steady;
-            }
+            self.poll_all_workers(now.steady);
         }
     }
 
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -8,6 +8,7 @@
 
 use super::candidates::UnmetRequirements;
 use super::clearing::WaitingDemand;
+use super::handover::Handover;
 use super::journal::Journal;
 use super::lost_runs::LostRuns;
 use super::recovery::LoadRange;
@@ -271,13 +272,18 @@
     pub(super) resignation: Option<Resignation>,
     /// Whether this owner has set it before.
     pub(super) has_begun_to_resign: bool,
+    /// What the owner before has told this one, until the records are read.
+    pub(super) handover: Option<Handover>,
+    /// When this owner last told another host that it grants no more leases.
+    pub(super) suspended_at: Option<Millis>,
     /// Whether a newer owner is known.
     pub(super) is_superseded: bool,
 }
 
 impl Shard {
-    /// Claims the shard. The epoch of `owner` must be higher than every earlier one.
-    pub fn claim(
+    /// Claims the shard after an owner that has told its state, if there is one.
+    pub fn claim_after(
+        handover: Option<Handover>,
         settings: ShardSettings,
         partition: Partition,
         owner: OwnerRecord,
@@ -285,8 +291,7 @@
         now: Now,
         out: &mut Vec<ShardAction>,
     ) -> Shard {
-        let mut journal = Journal::new(partition.clone(), owner.epoch, now.steady);
-        journal.push(&ShardRecord::Owner(owner.clone()), Some(Commit::Owner));
+        let journal = Journal::new(partition.clone(), owner.epoch, now.steady);
         let mut shard = Shard {
             settings,
             partition,
@@ -331,8 +336,12 @@
             last_waiting_log: now.steady,
             resignation: None,
             has_begun_to_resign: false,
+            handover,
+            suspended_at: None,
             is_superseded: false,
         };
+        let record = shard.claim_record();
+        shard.journal.push(&record, Some(Commit::Owner));
         shard.flush_journal(now, out);
         shard
     }
--- a/tests/host_messages.rs
+++ b/tests/host_messages.rs
@@ -9,6 +9,7 @@
 use jayfork::base::Millis;
 use jayfork::connection::{CallError, Mesh, MeshHandler, Order, StartOrder, TimeLimit, WorkerCall};
 use jayfork::process::host::{BatchNumber, OrderBatch, PeerCall, PeerReply, SessionId};
+use jayfork::process::shard::{Handover, WorkerWait};
 use jayfork::request::job::{JobId, StepId, TaskKey};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -142,6 +143,18 @@
     }
 }
 
+fn handover() -> PeerCall {
+    let wait = WorkerWait {
+        worker: "i-1".into(),
+        waited: 3_000,
+        is_long: true,
+    };
+    PeerCall::HandOver(Handover {
+        epoch: 1 << 16,
+        waits: vec![wait],
+    })
+}
+
 #[derive(Clone, Copy)]
 enum Fault {
     /// The message ends after each of its bytes but the last.
@@ -178,12 +191,14 @@
     batch_cut_off = { batch(), Fault::CutOff },
     numbered_batch_cut_off = { numbered_batch(), Fault::CutOff },
     question_cut_off = { question(), Fault::CutOff },
+    handover_cut_off = { handover(), Fault::CutOff },
     batch_of_unknown_kind = { batch(), Fault::UnknownKind },
     question_of_unknown_kind = { question(), Fault::UnknownKind },
     reply_as_a_call = { batch(), Fault::Reply },
     batch_longer = { batch(), Fault::Longer },
     numbered_batch_longer = { numbered_batch(), Fault::Longer },
     question_longer = { question(), Fault::Longer },
+    handover_longer = { handover(), Fault::Longer },
     batch_too_large = { batch(), Fault::TooLarge },
     numbered_batch_too_large = { numbered_batch(), Fault::TooLarge },
     question_too_large = { question(), Fault::TooLarge },
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -10,4 +10,5 @@
 mod relay_replies;
 mod relays;
 mod scale;
+mod turned_away;
 mod world;
--- a/tests/ownership/planned_stop.rs
+++ b/tests/ownership/planned_stop.rs
@@ -7,7 +7,7 @@
 const WORKER: &str = "i-0";
 
 /// A small cluster with one worker, and its owner.
-fn cluster() -> (World, usize) {
+pub fn cluster() -> (World, usize) {
     let mut world = World::start(1, &[(HIGH_CAPACITY, 2); 3]);
     let entry = r#"{"service":"s","address":"10.0.1.1:1","zone":"centre-0","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,"seq":1,"capacity":{"cpu":8000,"memMb":8000},"labels":["a","r"]}"#;
     world.register(WORKER, entry);
@@ -19,7 +19,7 @@
 }
 
 /// Renewals of leases that a host has sent, by time.
-fn renewals(world: &World, host: usize) -> Vec<u64> {
+pub fn renewals(world: &World, host: usize) -> Vec<u64> {
     let orders = world.sent_orders.iter();
     let renewals = orders.filter(|order| order.host == host && order.renews);
     renewals.map(|order| order.at).collect()
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -84,7 +84,7 @@
     pub renews: bool,
 }
 
-/// What is lost when the connection to a relay breaks.
+/// What is lost when the connection to a relay or to the next owner breaks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Lost {
     /// A batch of orders.
@@ -93,6 +93,10 @@
     Reply,
     /// Some bytes of such a reply; what is left may be readable.
     Bytes,
+    /// A request to take over the shard.
+    TakeOver,
+    /// The reply to it.
+    TakeOverReply,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -153,7 +157,7 @@
     pub frozen_hosts: Vec<usize>,
     /// Hosts that reach no worker, and how their calls end.
     pub cut_from_workers: HashMap<usize, CallError>,
-    /// Hosts that do not understand a request to send orders.
+    /// Hosts that do not understand a request to send orders, nor how long workers have no lease.
     pub old_hosts: Vec<usize>,
     /// Hosts that understand it only if the batches have no numbers.
     pub unnumbered_hosts: Vec<usize>,
@@ -359,6 +363,11 @@
                     let to = usize::from(address.port()) - 1;
                     let after = self.delay();
                     let is_cut = self.cut_hosts.contains(&index) != self.cut_hosts.contains(&to);
+                    if is_take_over(&message) && self.loses(Lost::TakeOver) {
+                        let answer = Err(CallError::NoAnswer);
+                        self.send(timeout.0, Message::PeerReply(index, call, answer));
+                        continue;
+                    }
                     if is_batch(&message) && self.loses(Lost::Batch) {
                         let answer = Err(CallError::NoAnswer);
                         self.send(after, Message::PeerReply(index, call, answer));
@@ -379,6 +388,13 @@
                     self.sent_configs[index] += usize::from(carries_config(&reply));
                     if let Some((caller, call)) = self.callers.remove(&ticket) {
                         let is_batch = self.batch_tickets.remove(&ticket);
+                        let takes_over = matches!(reply, PeerReply::TakeOver(_));
+                        if takes_over && self.loses(Lost::TakeOverReply) {
+                            let answer = Err(CallError::NoAnswer);
+                            let after = self.delay();
+                            self.send(after, Message::PeerReply(caller, call, answer));
+                            continue;
+                        }
                         if is_batch && has_answers(&reply) && self.loses(Lost::Reply) {
                             let answer = Err(CallError::NoAnswer);
                             let after = self.delay();
@@ -436,7 +452,7 @@
 
     fn understands(&self, host: usize, call: &PeerCall) -> bool {
         match call {
-            PeerCall::Orders(_) => !self.old_hosts.contains(&host),
+            PeerCall::Orders(_) | PeerCall::HandOver(_) => !self.old_hosts.contains(&host),
             PeerCall::NumberedOrders(..) | PeerCall::BatchOutcome { .. } => {
                 !self.old_hosts.contains(&host) && !self.unnumbered_hosts.contains(&host)
             }
@@ -628,6 +644,10 @@
         .map(|(message, _)| message)
 }
 
+fn is_take_over(call: &PeerCall) -> bool {
+    matches!(call, PeerCall::TakeOver { .. } | PeerCall::HandOver(_))
+}
+
 fn is_batch(call: &PeerCall) -> bool {
     matches!(call, PeerCall::Orders(_) | PeerCall::NumberedOrders(..))
 }
--- a/tests/shard/handover.rs
+++ b/tests/shard/handover.rs
@@ -1,6 +1,7 @@
 //! Planned changes of the owner while workers are lost: what the owner before knew of their leases counts for
 //! the next one.
 
+use jayfork::process::shard::Handover;
 use jayfork::version::{ResignationRecord, ShardRecord};
 use yare::parameterized;
 
@@ -13,7 +14,44 @@
 /// Time for which an owner that is cut off goes on, in milliseconds.
 const ISOLATION_TIME: u64 = 1_500;
 
+/// Time for which the store turns an owner away before the owner hands over, in milliseconds.
+const TURNED_AWAY_TIME: u64 = 600;
+
+/// How the owner changes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Change {
+    Planned,
+    Killed,
+    /// The store turns the owner away, and it hands over without a record.
+    TurnedAway,
+}
+
 impl World {
+    fn change_owner(&mut self, change: Change) {
+        match change {
+            Change::Planned => self.hand_over(),
+            Change::Killed => {
+                self.kill(0);
+                self.run(CLAIM_DELAY);
+                self.claim();
+            }
+            Change::TurnedAway => {
+                self.cuts.store.insert(0);
+                self.run(TURNED_AWAY_TIME);
+                let handover = self.suspend(0);
+                self.claim_after(Some(handover), 2 << 16);
+                self.kill(0);
+            }
+        }
+    }
+
+    /// Lets an owner stop granting leases and returns what it tells the next one.
+    pub fn suspend(&mut self, owner: usize) -> Handover {
+        let time = self.time();
+        let shard = self.owners[owner].as_mut().expect("a live owner");
+        shard.suspend_leases(time).expect("may stop")
+    }
+
     /// Lets the owner resign and the next one claim the shard, as at a planned stop.
     fn hand_over(&mut self) {
         let owner = self.owner().expect("an owner");
@@ -71,15 +109,20 @@
 /// Guards against a long-running task that has no run for more than 9 s because the next owner waits for a lost
 /// worker from its own claim on, whatever time has passed: the worker has ended without a trace or has left.
 #[parameterized(
-    at_once = { 0, true, false },
-    before_a_call_fails = { 800, true, false },
-    after_a_call_has_failed = { 2_000, true, false },
-    before_the_lease_ends = { 5_000, true, false },
-    at_once_by_a_leaving_worker = { 0, true, true },
-    later_by_a_leaving_worker = { 2_000, true, true },
-    unplanned = { 5_000, false, false },
+    at_once = { 0, Change::Planned, false },
+    before_a_call_fails = { 800, Change::Planned, false },
+    after_a_call_has_failed = { 2_000, Change::Planned, false },
+    before_the_lease_ends = { 5_000, Change::Planned, false },
+    at_once_by_a_leaving_worker = { 0, Change::Planned, true },
+    later_by_a_leaving_worker = { 2_000, Change::Planned, true },
+    unplanned = { 5_000, Change::Killed, false },
+    turned_away_soon = { 100, Change::TurnedAway, false },
+    turned_away_before_a_call_fails = { 800, Change::TurnedAway, false },
+    turned_away_after_a_call_has_failed = { 1_400, Change::TurnedAway, false },
+    turned_away_before_the_lease_ends = { 5_000, Change::TurnedAway, false },
+    turned_away_by_a_leaving_worker = { 1_400, Change::TurnedAway, true },
 )]
-fn a_change_of_the_owner_does_not_prolong_the_wait(delay: u64, is_planned: bool, leaves: bool) {
+fn a_change_of_the_owner_does_not_prolong_the_wait(delay: u64, change: Change, leaves: bool) {
     for seed in 0..10 {
         let (mut world, holder) = world_with_full_workers(seed);
         if leaves {
@@ -96,13 +139,7 @@
         }
         let lost = world.now;
         world.run(delay);
-        if is_planned {
-            world.hand_over();
-        } else {
-            world.kill(0);
-            world.run(CLAIM_DELAY);
-            world.claim();
-        }
+        world.change_owner(change);
         world.run(lost + RESTART_LIMIT - world.now);
         assert_eq!(world.running(1), 1, "seed {seed}");
         world.assert_no_violations();
@@ -184,6 +221,107 @@
     }
 }
 
+/// The second owner, which claims the shard after the first one has told how long workers have been without a lease.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Second {
+    ClaimsByItself,
+    IsTold,
+    /// The store turns it away soon after its claim.
+    IsToldAndTurnedAway,
+}
+
+/// Guards against two runs of a task at once because an owner trusts what an earlier one has told it, although
+/// another owner has reached the worker and granted it a lease since.
+#[parameterized(
+    by_itself = { Second::ClaimsByItself },
+    told = { Second::IsTold },
+    told_and_turned_away = { Second::IsToldAndTurnedAway },
+)]
+fn what_an_owner_tells_counts_only_for_the_next_one(second: Second) {
+    for delay in 0..120 {
+        let (mut world, holder) = world_with_full_workers(delay);
+        world.cuts.store.insert(0);
+        world.cuts.workers.insert((0, holder));
+        world.run(4_000);
+        let handover = world.suspend(0);
+        let told = (second != Second::ClaimsByItself).then(|| handover.clone());
+        world.claim_after(told, 2 << 16);
+        world.kill(0);
+        world.run(delay * STEP);
+        if second == Second::IsToldAndTurnedAway {
+            world.cuts.store.insert(1);
+            world.run(400);
+        }
+        world.fleet.workers[holder].is_unreachable = true;
+        world.kill(1);
+        world.claim_after(Some(handover), (2 << 16) | 1);
+        world.run(300);
+        world.cancel(2);
+        world.run(15_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(1), 1, "delay {delay}");
+    }
+}
+
+/// Guards against the same because the owner that tells its state grants a lease afterwards.
+#[test]
+fn an_owner_grants_no_leases_once_it_has_told_the_next_one() {
+    for delay in 0..60 {
+        let (mut world, holder) = world_with_full_workers(delay);
+        world.cuts.store.insert(0);
+        world.cuts.workers.insert((0, holder));
+        world.run(1_500);
+        let handover = world.suspend(0);
+        world.cuts.workers.remove(&(0, holder));
+        world.run(delay * 4 * STEP);
+        world.fleet.workers[holder].is_unreachable = true;
+        world.claim_after(Some(handover), 2 << 16);
+        world.kill(0);
+        world.run(300);
+        world.cancel(2);
+        world.run(15_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(1), 1, "delay {delay}");
+    }
+}
+
+/// Guards against the same because an owner before the one that tells its state is isolated and still grants leases.
+#[parameterized(
+    before_the_records_are_read = { 0 },
+    once_they_are_read = { 100 },
+    later = { 1_400 },
+)]
+fn an_owner_tells_nothing_soon_after_its_claim(delay: u64) {
+    let (mut world, _) = world_with_full_workers(7);
+    world.claim();
+    world.run(delay);
+    let time = world.time();
+    let shard = world.owners[1].as_mut().expect("a live owner");
+    assert_eq!(shard.suspend_leases(time), None);
+    assert_eq!(shard.suspended_for(time.steady), None);
+}
+
+/// Guards against a worker that nobody renews, or that starts nothing, after a host has declined the shard.
+#[test]
+fn an_owner_grants_leases_again_once_the_shard_is_declined() {
+    let (mut world, _) = world_with_full_workers(7);
+    let starts = world.fleet.starts;
+    world.suspend(0);
+    world.run(300);
+    let time = world.time();
+    let shard = world.owners[0].as_mut().expect("a live owner");
+    assert_eq!(shard.suspend_leases(time), None);
+    shard.resume_leases(time);
+    assert_eq!(shard.suspend_leases(time), None);
+    world.run(10_000);
+    assert_eq!(world.fleet.starts, starts);
+    world.submit(4, &long_running(1, 8_000));
+    world.cancel(1);
+    world.run(1_000);
+    assert_eq!(world.running(4), 1);
+    world.assert_no_violations();
+}
+
 /// Guards against two runs of a task at once because an owner resigns soon after its claim, while the one before
 /// it, which is only cut off, still grants leases.
 #[parameterized(
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -22,6 +22,7 @@
 mod specs;
 mod store;
 mod success_model;
+mod told;
 mod waits;
 mod wide_jobs;
 mod world;
--- a/tests/shard/restarts.rs
+++ b/tests/shard/restarts.rs
@@ -6,7 +6,7 @@
 
 use yare::parameterized;
 
-use super::world::{World, chain, long_running};
+use super::world::{STEP, World, chain, long_running};
 
 /// Time within which a long-running task has to run again after its last run if there is room, in
 /// milliseconds.
@@ -210,6 +210,29 @@
     assert_eq!(world.running(3), 1);
 }
 
+/// Guards against the same fault when the owner cannot record the restart, since the store turns it away. The owner
+/// tells the next one.
+#[test]
+fn a_next_owner_is_told_of_a_lease_from_before_a_restart() {
+    for seed in 0..10 {
+        let (mut world, first, free) = world_with_a_restarted_worker(seed);
+        while world.running(3) == 0 {
+            world.run(STEP);
+        }
+        world.cuts.store.insert(first);
+        world.run(600);
+        let handover = world.suspend(first);
+        world.fleet.workers[free].is_unreachable = true;
+        world.claim_after(Some(handover), 2 << 16);
+        world.kill(first);
+        world.run(500);
+        world.cancel(1);
+        world.run(16_000);
+        world.assert_no_violations();
+        assert_eq!(world.running(3), 1, "seed {seed}");
+    }
+}
+
 /// Guards against a long-running task that lacks memory rather than processors and does not start again,
 /// because another worker is kept free for it in each pass.
 #[test]
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -12,8 +12,8 @@
 };
 use jayfork::platform::{RegistryEntry, WorkerState};
 use jayfork::process::shard::{
-    Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag,
-    WorkerTag,
+    Handover, Now, RegistryChange, Reply, Request, Shard, ShardAction, ShardEvent, ShardSettings,
+    StoreTag, WorkerTag,
 };
 use jayfork::request::job::{JobId, JobSpec, StepId, TaskKey};
 use jayfork::version::{OwnerRecord, Queue, QueueTable};
@@ -140,6 +140,11 @@
 
     /// The same with the given epoch.
     pub fn claim_with_epoch(&mut self, epoch: u64) -> usize {
+        self.claim_after(None, epoch)
+    }
+
+    /// The same after an owner that has told its state.
+    pub fn claim_after(&mut self, handover: Option<Handover>, epoch: u64) -> usize {
         let index = self.owners.len();
         let owner = OwnerRecord {
             host: format!("host-{index}").into(),
@@ -157,7 +162,8 @@
         };
         let mut out = Vec::new();
         let queues = self.queues();
-        let shard = Shard::claim(settings, partition, owner, queues, self.time(), &mut out);
+        let now = self.time();
+        let shard = Shard::claim_after(handover, settings, partition, owner, queues, now, &mut out);
         self.owners.push(Some(shard));
         self.perform(index, out);
         let listed_workers =
