--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -27,6 +27,7 @@
 mod store;
 mod success_model;
 mod superseded;
+mod told;
 mod wait_model;
 mod waits;
 mod wide_jobs;
