Call a crash sure only if the worker fell silent during the start

Cause: a crash of a worker counted as surely caused by a run if no report had shown the run 200 ms after its confirmed start. Without any report after the start, since the answer to a request was lost, that holds however long the worker lived on. That and one true crash ended the job. A record of the suspicion passed this on to the next owner.

Change: a crash is sure only if, within a second of the start, a request for a report has failed that was sent after the worker's last answer. All other crashes count towards the limit of three, as those past the start do. The record of a suspicion names the evidence in place of a flag; records of earlier versions are read as before. Calls without an answer have a file of their own.

The tests of records moved to tests/shard/crash_records.rs.

--- a/src/process/shard/crashes.rs
+++ b/src/process/shard/crashes.rs
@@ -11,13 +11,13 @@
 use super::worker::{Run, RunState, Worker};
 use crate::base::{Millis, Name};
 use crate::request::job::{JobId, Outcome, Suspicion, TaskCrashes, TaskKey};
-use crate::version::{ShardRecord, SuspectRecord};
+use crate::version::{ShardRecord, StartEvidence, SuspectRecord};
 
-/// Crashed workers after which a task is given up, if each worker had confirmed the start and the start was
-/// not over. Each change of the owner may lose one crash, since starts are not recorded.
+/// Crashed workers after which a task is given up, if each worker had confirmed the start and fell silent
+/// during it. Each change of the owner may lose one crash, since starts are not recorded.
 const MAX_CRASHES: usize = 2;
-/// The same if the start of any of the runs was over before the crash, which may have another cause, or
-/// was not confirmed, so that the order may never have been carried out.
+/// The same if the start of any of the runs was over before the crash or may have been, so that the crash may
+/// have another cause, or was not confirmed, so that the order may never have been carried out.
 const MAX_LATE_CRASHES: usize = 3;
 /// A worker that reports this long after a start order has survived the start, in milliseconds. The
 /// order may take up to 700 ms.
@@ -53,6 +53,8 @@
     pub seen: Millis,
     /// When the last report of the earlier incarnation arrived.
     pub last_report: Option<Millis>,
+    /// Since when the earlier incarnation was silent.
+    pub silent_since: Millis,
 }
 
 impl Shard {
@@ -69,7 +71,7 @@
             run: run.run,
             incarnation: worker.incarnation_of(run),
             lost: now.wall,
-            is_recent: !worker.is_past_start(run),
+            start: worker.start_evidence(run, now.steady),
         };
         worker.suspects.push(SuspectRun {
             record,
@@ -123,8 +125,9 @@
     /// Counts the crash of a worker against the tasks whose runs have caused it, as far as is known.
     fn count_crashes(&mut self, now: Now, worker_id: &Name, proven: &[SuspectRun]) {
         // Most likely the newest run has crashed the worker.
-        let has_recent = proven.iter().any(|suspect| suspect.record.is_recent);
-        let is_blamed = |suspect: &SuspectRecord| suspect.is_recent || !has_recent;
+        let is_recent = |suspect: &SuspectRecord| suspect.start != StartEvidence::Over;
+        let has_recent = proven.iter().any(|suspect| is_recent(&suspect.record));
+        let is_blamed = |suspect: &SuspectRecord| is_recent(suspect) || !has_recent;
         let records = proven.iter().map(|suspect| &suspect.record);
         let blamed = records.filter(|record| is_blamed(record)).count();
         for SuspectRun {
@@ -141,7 +144,7 @@
                 job.clear_suspicion(suspect.task, suspect.run);
                 continue;
             }
-            let is_sure = suspect.is_recent && *is_confirmed;
+            let is_sure = suspect.start == StartEvidence::Interrupted && *is_confirmed;
             let (crashes, sure) = job.count_crash(suspect.task, suspect.run, is_sure, now.steady);
             if crashes == 0 {
                 continue;
@@ -276,6 +279,25 @@
         }
     }
 
+    /// Since when the incarnation of a run has been silent, as far as is known.
+    fn silent_since_with(&self, run: &Run, now: Millis) -> Millis {
+        match self.restart {
+            Some(restart) if run.started < restart.seen => restart.silent_since,
+            _ => self.silence.since.unwrap_or(now),
+        }
+    }
+
+    /// What is known of the start of a run that is lost now.
+    fn start_evidence(&self, run: &Run, now: Millis) -> StartEvidence {
+        if self.is_past_start(run) {
+            StartEvidence::Over
+        } else if self.silent_since_with(run, now) < run.started + SURVIVAL_TIME {
+            StartEvidence::Interrupted
+        } else {
+            StartEvidence::Unknown
+        }
+    }
+
     /// Whether a report has shown that the process survived the start of a run.
     fn has_survived(&self, run: &Run) -> bool {
         let last_report = self.last_report_with(run);
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -9,6 +9,7 @@
 mod journal;
 mod leases;
 mod lost_runs;
+mod misses;
 mod recovery;
 mod remaining;
 mod reports;
--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -96,9 +96,7 @@
         };
         worker.pending_starts = worker.pending_starts.saturating_sub(1);
         worker.has_changed = true;
-        if answer.is_err() {
-            worker.note_miss(now.steady);
-        }
+        worker.note_answer(now.steady, &answer);
         let Some(run) = worker
             .runs
             .get_mut(&task)
@@ -148,16 +146,13 @@
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
+        worker.note_answer(now.steady, &answer);
         let is_confirmed = match answer {
             Ok(WorkerAnswer::Accepted { clock }) => {
                 worker.set_clock(clock, now.steady);
                 true
             }
-            Ok(_) => false,
-            Err(_) => {
-                worker.note_miss(now.steady);
-                false
-            }
+            _ => false,
         };
         let Some(run) = worker
             .runs
@@ -198,6 +193,7 @@
             }
             answer => {
                 worker.note_miss(now.steady);
+                worker.silence.note_failure(now.steady, sent);
                 let is_in_place = worker.was_asked_in_place(sent);
                 // Connections that are refused prove nothing: a network may refuse them too.
                 let is_replaced = is_in_place && matches!(answer, Ok(WorkerAnswer::WrongWorker));
@@ -255,6 +251,7 @@
         let granted = self.settings.granted_lease();
         worker.record_lease(now.steady, granted, &mut self.journal);
         worker.last_report = Some(now.steady);
+        worker.silence.end(now.steady);
         worker.report_from(sent);
         let is_first = worker.first_report.is_none();
         worker.first_report.get_or_insert(now.steady);
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -6,6 +6,7 @@
 
 use super::crashes::{SuspectRun, WorkerRestart};
 use super::leases::RecordedWait;
+use super::misses::{Misses, Silence};
 use super::remaining::RecordedRuns;
 use crate::base::{Millis, Name, Size};
 use crate::request::job::{BestEffortGroup, Headroom, JobId, ServingTask, TaskKey};
@@ -70,9 +71,6 @@
     pub is_confirmed: bool,
 }
 
-/// How long orders take another way after a call without an answer, in milliseconds.
-const DETOUR_TIME: Millis = Millis(10_000);
-
 /// One worker, over all its incarnations.
 #[derive(Debug)]
 pub struct Worker {
@@ -168,9 +166,8 @@
     pub first_full_report: Option<Millis>,
     /// Calls without an answer since the last report.
     pub unanswered: u32,
-    /// Calls without an answer of which each came less than `DETOUR_TIME` after the one before, and the
-    /// time of the last.
-    misses: (u32, Millis),
+    pub misses: Misses,
+    pub silence: Silence,
     /// Jobs with a run that failed here since a run last succeeded. A job counts once: if several
     /// of its runs fail, the job may be the cause rather than the worker.
     pub failed_jobs: Vec<JobId>,
@@ -242,7 +239,8 @@
             first_report: None,
             first_full_report: None,
             unanswered: 0,
-            misses: (0, Millis(0)),
+            misses: Misses::default(),
+            silence: Silence::default(),
             failed_jobs: Vec::new(),
             suspect_until: Millis(0),
             over_since: None,
@@ -254,21 +252,6 @@
         }
     }
 
-    /// Counts a call without an answer.
-    pub fn note_miss(&mut self, now: Millis) {
-        self.unanswered += 1;
-        self.misses = (self.detour(now) + 1, now);
-    }
-
-    /// Number of ways to the worker that have failed lately.
-    pub fn detour(&self, now: Millis) -> u32 {
-        let (count, last) = self.misses;
-        match now.since(last) < DETOUR_TIME {
-            true => count,
-            false => 0,
-        }
-    }
-
     /// Sets the address of its entry.
     pub fn list_at(&mut self, now: Millis, address: SocketAddr) {
         self.listed_address = address;
@@ -323,6 +306,7 @@
             self.restart = Some(WorkerRestart {
                 seen: now,
                 last_report: self.last_report,
+                silent_since: self.silence.since.unwrap_or(now),
             });
         }
         self.incarnation = Some(incarnation);
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -28,6 +28,7 @@
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
     Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord,
-    ResignationRecord, ShardRecord, SupersededRecord, SuspectRecord, WaitRecord, WorkerRecord,
+    ResignationRecord, ShardRecord, StartEvidence, SupersededRecord, SuspectRecord, WaitRecord,
+    WorkerRecord,
 };
 pub use suspicion::Suspicion;
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -104,8 +104,19 @@
     pub incarnation: u64,
     /// When it was lost, in Unix milliseconds.
     pub lost: u64,
-    /// Whether its worker had not reported since its start was over.
-    pub is_recent: bool,
+    pub start: StartEvidence,
+}
+
+/// What is known of the start of a run that was lost with its worker. Earlier versions wrote whether the worker
+/// had not reported since the start was over; the first two variants are encoded like that flag.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StartEvidence {
+    /// A report has shown the run after its start.
+    Over,
+    /// The worker fell silent during the start.
+    Interrupted,
+    /// The worker fell silent later, or at an unknown time, and no report has shown the run after its start.
+    Unknown,
 }
 
 /// Runs that were lost with a worker and whose tasks may have started again. If one of them has succeeded or failed, its
--- a/tests/shard/crashes.rs
+++ b/tests/shard/crashes.rs
@@ -1,8 +1,7 @@
 //! Tasks that crash the workers that start them, and workers that crash for other reasons.
 
 use jayfork::process::shard::Reply;
-use jayfork::request::job::{JobId, JobSpec, Outcome, StepId, TaskCrashes, TaskKey};
-use jayfork::version::{JobStateRecord, ShardRecord, SuspectRecord};
+use jayfork::request::job::{JobId, JobSpec, Outcome};
 use yare::parameterized;
 
 use super::fleet::Worker;
@@ -330,6 +329,73 @@
     assert_eq!(world.running(1), 1);
 }
 
+/// Guards against a job that fails after one crash because a restart long after an earlier start counts too:
+/// the answers to the requests for reports in between were lost.
+#[parameterized(
+    ended = { false },
+    long_running = { true },
+)]
+fn a_restart_long_after_a_start_and_one_crash_do_not_fail_a_job(lasts: bool) {
+    let mut world = world_with_unheard_start(lasts);
+    world.run(1_400);
+    world.fleet.restart(world.now, 0);
+    next_holder(&mut world, 1);
+    world.run(50);
+    world.fleet.restart(world.now, 0);
+    world.run(12_000);
+    check_healthy_job(&mut world, lasts);
+}
+
+/// Guards against the same fault when the next owner learns of the restart.
+#[test]
+fn a_restart_long_after_a_start_is_no_sure_crash_for_the_next_owner() {
+    let mut world = world_with_unheard_start(true);
+    world.run(1_400);
+    world.fleet.workers[0].is_unreachable = true;
+    while !has_record(&world, "u/") {
+        world.run(STEP);
+    }
+    let owner = world.owner().expect("an owner");
+    world.kill(owner);
+    world.claim();
+    world.fleet.restart(world.now, 0);
+    world.fleet.workers[0].is_unreachable = false;
+    next_holder(&mut world, 1);
+    world.run(50);
+    world.fleet.restart(world.now, 0);
+    world.run(12_000);
+    check_healthy_job(&mut world, true);
+}
+
+/// A simulation of one worker that has confirmed the start of a task and isn't heard for more than two seconds
+/// after that, although it runs on.
+fn world_with_unheard_start(lasts: bool) -> World {
+    let mut world = world_with_owner(7, 1, false);
+    world.runtimes = 300..400;
+    // A quarter of this is the share of reports that are lost.
+    world.faults.answer_loss = 4.0;
+    world.run(60);
+    world.faults.answer_loss = 0.0;
+    let spec = match lasts {
+        true => long_running(1, 1_000),
+        false => chain(&[1], 1_000),
+    };
+    world.submit(1, &spec);
+    next_holder(&mut world, 1);
+    world
+}
+
+/// Checks that job 1 has not failed.
+fn check_healthy_job(world: &mut World, lasts: bool) {
+    world.assert_no_violations();
+    let expected = match lasts {
+        true => None,
+        false => COMPLETED,
+    };
+    assert_eq!(outcome(world, 1), expected);
+    assert_eq!(world.running(1), usize::from(lasts));
+}
+
 /// Guards against a task that fails because it is tried again on a worker on which one that crashes its
 /// workers has just started.
 #[test]
@@ -377,60 +443,6 @@
     assert_eq!(world.running(1), 1);
 }
 
-/// Guards against records of an earlier version that can no longer be read because crashes are recorded
-/// too.
-#[test]
-fn records_without_crashes_are_still_read() {
-    // Turn 3 comes next; in turn 2, task 1 of step 0 is done and task 0 has failed as run 65537.
-    let value = [0, 3, 1, 2, 1, 1, 2, 1, 0, 1, 252, 1, 0, 1, 0, 0];
-    let decoded = ShardRecord::decode("s/0000000000000007", &value);
-    let Ok(ShardRecord::State(JobId(7), Some(JobStateRecord::Open(progress)))) = decoded else {
-        panic!("{decoded:?}");
-    };
-    assert_eq!(progress.next_turn, 3);
-    let step = &progress.turns[0].steps[0];
-    assert!(step.is_done(1) && !step.is_done(0));
-    assert_eq!(step.failures, [(0, vec![65_537])]);
-}
-
-/// Guards against crashes that a later owner reads differently than they were recorded.
-#[test]
-fn recorded_crashes_are_read_back() {
-    let crashes = TaskCrashes {
-        turn: 2,
-        step: 1,
-        index: 300,
-        runs: vec![65_537, 131_074],
-    };
-    for value in [Some(vec![crashes]), None] {
-        let record = ShardRecord::Crashes(JobId(7), value);
-        let decoded = ShardRecord::decode(&record.key(), &record.value());
-        assert_eq!(decoded, Ok(record));
-    }
-}
-
-/// Guards against suspicions that a later owner reads differently than they were recorded.
-#[test]
-fn recorded_suspicions_are_read_back() {
-    let step = StepId {
-        job: JobId(7),
-        turn: 2,
-        step: 1,
-    };
-    let suspect = SuspectRecord {
-        task: TaskKey { step, index: 300 },
-        run: 65_537,
-        incarnation: 1_796_000_000_000,
-        lost: 1_796_000_006_000,
-        is_recent: true,
-    };
-    for value in [Some(vec![suspect]), None] {
-        let record = ShardRecord::Suspects("worker-1".into(), value);
-        let decoded = ShardRecord::decode(&record.key(), &record.value());
-        assert_eq!(decoded, Ok(record));
-    }
-}
-
 /// Guards against crashes that are proven seconds late because the next worker at the address is there
 /// for less than the pause between two requests for reports: the task was started five times.
 #[test]
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod cases;
 mod crash_model;
+mod crash_records;
 mod crashes;
 mod cuts;
 mod diagnostics;
