--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -11,6 +11,7 @@
 mod journal;
 mod leases;
 mod lost_runs;
+mod misses;
 mod recovery;
 mod remaining;
 mod reports;
@@ -20,6 +21,7 @@
 mod runs;
 #[allow(clippy::module_inception)]
 mod shard;
+mod stalls;
 mod start_window;
 mod starts;
 mod throttle;
