Recovery: steps that only an isolated owner may have begun are noted too

Cause: an owner that is cut off with some workers sees the first step of a job end and starts the next one there. The next owner does not know of that end. After its recovery `note_unheard` covered only the waiting tasks of steps whose dependencies it knew to be done, so the successes of the other steps were not withheld when the workers returned.

Change: `note_unheard` covers the waiting tasks of all steps of the recovered jobs but long-running ones. `note_unheard_tasks`, for leaving workers, leaves out long-running tasks too: they have no success that could count twice, and a late failure of one was withheld, and with it all later ends of its worker.

--- a/src/process/shard/lost_runs.rs
+++ b/src/process/shard/lost_runs.rs
@@ -4,7 +4,6 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use super::jobs::waiting_steps;
 use super::shard::Shard;
 use super::starts::run_number;
 use super::worker::Worker;
@@ -329,6 +328,12 @@
     matches!(end.ending, Ending::Done | Ending::Failed)
 }
 
+/// Whether the runs of a step can succeed. Long-running ones only fail, which does not count against their attempts.
+fn can_succeed(job: &Job, id: StepId) -> bool {
+    let step = job.spec.steps.get(usize::from(id.step));
+    step.is_some_and(|step| !step.lasts)
+}
+
 impl Shard {
     /// Remembers that the waiting tasks of these jobs are going to start although some workers have not reported.
     pub(super) fn note_unheard(
@@ -340,25 +345,29 @@
             return;
         }
         let jobs = jobs.into_iter().filter_map(|id| self.jobs.get(&id));
-        let steps = jobs.flat_map(|job| waiting_steps(job).into_iter().map(move |id| (job, id)));
-        let can_succeed = |(job, id): &(&Job, StepId)| {
-            let spec = job.spec.steps.get(usize::from(id.step));
-            spec.is_some_and(|spec| !spec.lasts)
-        };
-        let tasks = steps
-            .filter(can_succeed)
-            .flat_map(|(job, id)| job.waiting_tasks(id));
+        // An isolated owner may have begun steps whose dependencies this owner does not know to be done.
+        let steps = jobs.flat_map(|job| job.steps().map(move |step| (job, step)));
+        let tasks: Vec<TaskKey> = steps
+            .filter(|(job, step)| can_succeed(job, *step))
+            .flat_map(|(job, step)| job.waiting_tasks(step))
+            .collect();
         let first_run = run_number(self.owner.epoch, 0);
         self.lost_runs.add_unheard(first_run, workers, tasks);
     }
 
     /// The same for the tasks that a leaving worker may have run.
     pub(super) fn note_unheard_tasks(&mut self, worker: &Name, tasks: &[TaskKey]) {
+        let is_covered = |task: &TaskKey| {
+            let job = self.jobs.get(&task.step.job);
+            job.is_some_and(|job| can_succeed(job, task.step))
+        };
+        let tasks: Vec<TaskKey> = tasks.iter().copied().filter(is_covered).collect();
+        if tasks.is_empty() {
+            return;
+        }
         let first_run = run_number(self.owner.epoch, 0);
         let workers = [worker.clone()];
-        let tasks = tasks.iter().copied();
-        let open = tasks.filter(|task| self.jobs.contains_key(&task.step.job));
-        self.lost_runs.add_unheard(first_run, workers, open);
+        self.lost_runs.add_unheard(first_run, workers, tasks);
     }
 
     /// Remembers a run that is lost with a silent worker, if it may have succeeded before.
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -267,6 +267,17 @@
         self.step(key.step)?.tasks.get(usize::from(key.index))
     }
 
+    /// All steps of the open turns.
+    pub fn steps(&self) -> impl Iterator<Item = StepId> {
+        self.turns.iter().flat_map(|(number, turn)| {
+            (0..turn.steps.len()).map(|index| StepId {
+                job: self.id,
+                turn: *number,
+                step: index as u16,
+            })
+        })
+    }
+
     /// Tasks of a step without a run.
     pub fn waiting_tasks(&self, id: StepId) -> impl Iterator<Item = TaskKey> {
         let tasks = self.step(id).into_iter().flat_map(|step| &step.tasks);
--- a/tests/shard/absences.rs
+++ b/tests/shard/absences.rs
@@ -125,6 +125,32 @@
     world.assert_no_violations();
 }
 
+/// Guards against ends that are never acknowledged because a long-running task failed on a leaving worker that the next
+/// owner could not reach: it has no success that could count twice.
+#[test]
+fn a_late_failure_of_a_long_running_task_is_acknowledged() {
+    let (mut world, leaving) = world_with_a_leaving_worker(7);
+    world.fleet.workers[leaving].is_unreachable = true;
+    world.fleet.fail_job(world.now, JobId(1));
+    world.run(100);
+    world.kill(0);
+    world.claim();
+    world.cancel(2);
+    world.run(10_000);
+    assert_eq!(world.running(1), 1);
+    assert_ne!(world.holder(1), leaving);
+    // It stays after all and is the only worker with room for these tasks.
+    world.fleet.workers[leaving].is_leaving = false;
+    world.fleet.workers[leaving].is_unreachable = false;
+    world.refresh(leaving);
+    world.run(1_000);
+    world.submit(4, &chain(&[1, 1], 8_000));
+    world.run(10_000);
+    world.assert_no_violations();
+    assert_eq!(world.fleet.done.len(), 2);
+    assert_eq!(world.fleet.acknowledged, world.fleet.done);
+}
+
 /// Guards against two runs of a task at once because the next owner takes a task for ended that it has found on
 /// another worker, to which it was moved after the leaving worker's runs were recorded.
 #[test]
