Recovery: the registry's state of a worker outlives its record

What callers saw (rule LOST): tasks wait although a worker has room for them. It had announced that it leaves, was ready again while there was no owner, and got no task until its entry changed.

Cause: the next owner sees the entry before it has read the records, and `Shard::restore` replaced the state in the entry by `is_leaving` of the older record. So the record of the worker's runs (`r/ID`), which bars starts, was not deleted.

Change: `restore` takes `is_leaving` only for workers whose entry this owner has not seen.

--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -236,13 +236,17 @@
                 ShardRecord::Crashes(id, Some(counted)) => crashes.push((id, counted)),
                 ShardRecord::Contention(learned) => self.contention.restore(&learned),
                 ShardRecord::Worker(id, Some(record)) => {
+                    // An entry in the registry that this owner has seen is newer than the record.
                     let worker = self.workers.get_or_insert(&id, || {
-                        Worker::new(id.clone(), record.address, record.service, now.steady)
+                        let address = record.address;
+                        let mut worker =
+                            Worker::new(id.clone(), address, record.service, now.steady);
+                        worker.is_draining = record.is_leaving;
+                        worker
                     });
                     worker.reported_address = Some(record.address);
                     worker.is_recorded = true;
                     worker.is_recovered = true;
-                    worker.is_draining = record.is_leaving;
                     worker.recorded_leaving = record.is_leaving;
                 }
                 ShardRecord::Lease(id, Some(lease)) => leases.push((id, lease)),
