--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -57,15 +57,11 @@
 
     /// Whether a task of the step needs the same or more.
     pub(super) fn cover(&self, service: &Name, spec: &StepSpec, step: StepId) -> bool {
-        self.cover_new(service, spec) || self.step == Some(step) && self.cover_size(service, spec)
+        self.step.is_none_or(|only| only == step) && self.cover_size(service, spec)
     }
 
-    /// Whether a task of a step of another job needs the same or more.
-    pub(super) fn cover_new(&self, service: &Name, spec: &StepSpec) -> bool {
-        self.step.is_none() && self.cover_size(service, spec)
-    }
-
-    fn cover_size(&self, service: &Name, spec: &StepSpec) -> bool {
+    /// The same without the limits of either step on its workers.
+    pub(super) fn cover_size(&self, service: &Name, spec: &StepSpec) -> bool {
         self.service == *service
             && self.fills == spec.fills
             && self.lasts == spec.lasts
@@ -242,15 +238,15 @@
 
     /// Removes the worker that lacks least for a task of the step from `candidates`, so
     /// that the room of the runs that end there is kept for it. Room that long-running tasks hold does
-    /// not become free.
-    pub(super) fn set_aside(&self, now: Now, step: StepId, candidates: &mut Candidates) {
+    /// not become free. Returns whether there is such a worker.
+    pub(super) fn set_aside(&self, now: Now, step: StepId, candidates: &mut Candidates) -> bool {
         let Some(job) = self.jobs.get(&step.job) else {
-            return;
+            return false;
         };
         let spec = job.spec.steps.get(usize::from(step.step));
         let queue = self.queues.queue(&job.queue);
         let (Some(spec), Some(queue)) = (spec, queue) else {
-            return;
+            return false;
         };
         let reserved = spec.reserved();
         let interference = self
@@ -279,6 +275,7 @@
         if let Some((index, _)) = best {
             candidates.remove(index);
         }
+        best.is_some()
     }
 }
 
@@ -340,7 +337,7 @@
         let demand = spec.size.processors;
         let capacity = self.capacity.processors;
         let share = self.share(demand);
-        let others = self.runs.values().filter(|run| run.fills);
+        let others = self.runs.values().filter(|run| run.fills && !run.lasts);
         let others: i64 = others.map(|run| i64::from(run.demand)).sum();
         let idle = self.idle_millicores() - i64::from(demand);
         let is_excluded = interference.headroom_alone(&self.headroom, share) < 0.0;
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -1,6 +1,8 @@
 //! The turns and steps of jobs (a turn is one occurrence of a repeating job): which steps can be
 //! placed, and the record of a job's progress.
 
+use std::collections::BTreeSet;
+
 use super::candidates::UnmetRequirements;
 use super::journal::Commit;
 use super::shard::{Now, Phase, Shard};
@@ -45,19 +47,19 @@
             let turn = TurnState {
                 start: job.turn_start(step.turn),
                 has_begun: job.has_begun(step.turn),
-                idle_since: job.idle_since(step.turn),
+                idle_since: job.idle_since(step),
             };
             let key = order_key(queue, &job.spec, turn, self.wall, step);
             self.ready.insert(key);
         }
     }
 
-    /// Replaces the order keys of a turn that has begun, or of a starved job that has got its turn, since `key`
+    /// Replaces the order keys of a turn that has begun, or of a starved step that has got its turn, since `key`
     /// was made.
     pub(super) fn replace_new_key(&mut self, key: OrderKey) {
         let StepId { job: id, turn, .. } = key.step;
         let is_outdated = |job: &Job| match key.is_starved() {
-            true => !job.is_idle(),
+            true => job.idle_since(key.step).is_none(),
             false => key.gives_way() && job.has_begun(turn),
         };
         if !self.jobs.get(&id).is_some_and(is_outdated) {
@@ -136,9 +138,13 @@
     pub(super) fn replace_expired_keys(&mut self) {
         let is_expired = |key: &OrderKey| key.expires < self.wall;
         let expired: Vec<OrderKey> = self.ready.iter().copied().filter(is_expired).collect();
+        let mut jobs = BTreeSet::new();
         for key in expired {
             self.ready.remove(&key);
-            self.enqueue(key.step.job);
+            jobs.insert(key.step.job);
+        }
+        for id in jobs {
+            self.enqueue(id);
         }
     }
 
--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeSet;
 
 use crate::base::{Millis, Name};
-use crate::connection::{CallError, Fence, KeyedRecord, Partition, StoreAnswer, StoreRequest};
+use crate::connection::{
+    CallError, Fence, KeyedRecord, Partition, StoreAnswer, StoreCall, StoreRequest,
+};
 use crate::request::job::JobId;
 use crate::version::ShardRecord;
 
@@ -18,6 +20,10 @@
 /// Most bytes in one append; the store accepts up to 2 MiB.
 const MAX_BATCH_BYTES: usize = 1 << 20;
 
+/// Timeout of a call to the store, in milliseconds. The store usually answers within a few
+/// milliseconds, and within a few hundred when it is slow.
+const STORE_TIMEOUT: Millis = Millis(1_500);
+
 /// What takes effect once a record is stored.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Commit {
@@ -284,3 +290,10 @@
         withdrawn
     }
 }
+
+pub(super) fn store_call(request: StoreRequest) -> StoreCall {
+    StoreCall {
+        request,
+        timeout: STORE_TIMEOUT,
+    }
+}
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 
+use super::journal::store_call;
 use super::journal::{Appended, Commit};
 use super::reports::STOP_ALLOWANCE;
 use super::requests::Ended;
-use super::shard::{Now, Phase, RegistryChange, Shard, ShardAction, StoreTag, store_call};
+use super::shard::{Now, Phase, RegistryChange, Shard, ShardAction, StoreTag};
 use super::worker::Worker;
 use crate::base::{Millis, Name};
 use crate::connection::{CallError, StoreAnswer, StoreRequest};
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -53,7 +53,7 @@
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
-                if let Some(retry_after) = self.retry_after_backlog(now, &queue, &spec) {
+                if let Some(retry_after) = self.retry_after_backlog(&queue, &spec) {
                     telemetry::count_refusal("backlog");
                     tracing::info!(%job, %queue, retry_after, "submission refused: others that need the same lack room");
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::backlog::Backlog;
 use super::candidates::UnmetRequirements;
 use super::clearing::WaitingDemand;
 use super::handover::Handover;
@@ -24,11 +25,7 @@
 use crate::request::job::{Contention, Job, JobId, JobSpec, OrderKey, Outcome, StepId, TaskKey};
 use crate::version::{OwnerRecord, QueueIndex, QueueTable, ShardRecord};
 
-use super::journal::Commit;
-
-/// Timeout of a call to the store, in milliseconds. The store usually answers within a few
-/// milliseconds, and within a few hundred when it is slow.
-const STORE_TIMEOUT: Millis = Millis(1_500);
+use super::journal::{Commit, store_call};
 
 /// Shortest time between two placement passes, in milliseconds; each pass checks all workers.
 const PLACEMENT_INTERVAL: Millis = Millis(15);
@@ -252,6 +249,8 @@
     pub(super) placement_passes: usize,
     /// Requirements that no worker had room for in earlier placement passes.
     pub(super) unmet: Vec<UnmetRequirements>,
+    /// Late steps that lack room.
+    pub(super) backlog: Backlog,
     /// When a placement pass last checked all workers.
     pub(super) last_full_pass: Millis,
     /// Best-effort tasks that wait for a worker.
@@ -324,6 +323,7 @@
             last_placement: Millis(0),
             placement_passes: 0,
             unmet: Vec::new(),
+            backlog: Backlog::default(),
             last_full_pass: Millis(0),
             waiting_demand: WaitingDemand::default(),
             last_rating: Millis(0),
@@ -489,10 +489,3 @@
         self.ends_recorded(&worker);
     }
 }
-
-pub(super) fn store_call(request: StoreRequest) -> StoreCall {
-    StoreCall {
-        request,
-        timeout: STORE_TIMEOUT,
-    }
-}
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -80,8 +80,7 @@
             match self.place_step(now, *key, candidates, unmet, out) {
                 // Smaller tasks would take up each bit of room that becomes free.
                 Some(Waiting::LacksRoom) if key.is_starved() && set_aside < max_set_aside => {
-                    set_aside += 1;
-                    self.set_aside(now, key.step, candidates);
+                    set_aside += usize::from(self.set_aside(now, key.step, candidates));
                 }
                 Some(_) => {}
                 None => {
@@ -96,7 +95,7 @@
         true
     }
 
-    /// Places the waiting tasks of one step, or one of them if the job is starved. Returns `None` if none is
+    /// Places the waiting tasks of one step, or one of them if it is starved. Returns `None` if none is
     /// left, so that the step leaves `ready`.
     fn place_step(
         &mut self,
@@ -148,8 +147,15 @@
         }
         if spec.gang {
             let awaits_proof = waiting.iter().any(|task| self.awaits_proof(now, *task));
-            if waiting.len() == usize::from(spec.count) && !awaits_proof {
-                self.place_gang(now, &service, spec, &waiting, candidates, out);
+            if waiting.len() == usize::from(spec.count)
+                && !awaits_proof
+                && !self.place_gang(now, &service, spec, &waiting, candidates, out)
+            {
+                // One worker that is kept free would not help a gang, so it counts as held.
+                unmet.push(UnmetRequirements {
+                    step: Some(key.step),
+                    ..UnmetRequirements::of(&service, spec, key.step)
+                });
             }
             return Some(Waiting::Held);
         }
@@ -206,7 +212,7 @@
         (only_found || is_held).then_some(Waiting::Held)
     }
 
-    /// Places all tasks of a gang, or none.
+    /// Places all tasks of a gang, or none; returns whether they had room.
     fn place_gang(
         &mut self,
         now: Now,
@@ -215,9 +221,9 @@
         tasks: &[TaskKey],
         candidates: &mut Candidates,
         out: &mut Vec<ShardAction>,
-    ) {
+    ) -> bool {
         let Some(step) = tasks.first().map(|task| task.step) else {
-            return;
+            return true;
         };
         let mut trials = tasks
             .iter()
@@ -263,8 +269,9 @@
                 self.start_task(now, slot, spec, *task, Some(ordinal), out);
                 self.update_candidate(candidates, slot);
             }
-            return;
+            return true;
         }
+        false
     }
 
     /// The racks to try for a gang, the one with its data first. The last entry, `None`, allows
@@ -315,7 +322,7 @@
         }
         let payload = job.spec.payload.clone();
         job.has_started = true;
-        job.last_start = now.wall;
+        job.note_start(task.step, now.wall);
         job.set_state(task, TaskState::Placed);
         let Some(entry) = job.task_mut(task) else {
             return;
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -76,6 +76,8 @@
     pub tasks: Vec<Task>,
     pub done: u16,
     pub placed: u16,
+    /// When this owner last ordered a run of any task, in Unix milliseconds; 0 if it has not.
+    pub last_start: u64,
 }
 
 impl Step {
@@ -84,6 +86,7 @@
             tasks: vec![Task::default(); usize::from(count)],
             done: 0,
             placed: 0,
+            last_start: 0,
         }
     }
 
@@ -119,8 +122,6 @@
     pub outcome: Option<Outcome>,
     /// Whether this owner or an earlier one has ordered a run of any task.
     pub has_started: bool,
-    /// When this owner last ordered a run of any task, in Unix milliseconds; 0 if it has not.
-    pub last_start: u64,
     pub start_permit: StartPermit,
     /// Tasks whose newest run may have crashed its worker.
     pub trials: BTreeMap<TaskKey, Trial>,
@@ -149,7 +150,6 @@
             next_turn: 0,
             outcome: None,
             has_started: false,
-            last_start: 0,
             start_permit: StartPermit::default(),
             trials: BTreeMap::new(),
         }
@@ -192,11 +192,18 @@
         steps.map(|step| step.placed).all(|placed| placed == 0)
     }
 
-    /// Since when none of its tasks has a run, in Unix milliseconds, as far as that matters for a turn; `None`
-    /// if one has.
-    pub fn idle_since(&self, turn: u32) -> Option<u64> {
-        self.is_idle()
-            .then(|| self.turn_start(turn).max(self.last_start))
+    /// Since when no task of a step has a run, in Unix milliseconds; `None` if one has.
+    pub fn idle_since(&self, id: StepId) -> Option<u64> {
+        let step = self.step(id).filter(|step| step.placed == 0)?;
+        let start = self.turn_start(id.turn).max(self.accepted);
+        Some(start.max(step.last_start))
+    }
+
+    /// Notes that a run of a task is ordered at `now`, in Unix milliseconds.
+    pub fn note_start(&mut self, id: StepId, now: u64) {
+        if let Some(step) = self.step_mut(id) {
+            step.last_start = now;
+        }
     }
 
     /// Opens the turns that are due at `now` (Unix milliseconds) and returns their numbers.
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -8,13 +8,14 @@
 const OVERDUE_FACTOR: u64 = 3;
 /// A late job has to start this many times its remaining run time before it becomes overdue.
 const LEAD_FACTOR: u64 = 2;
-/// How long an overdue job waits with nothing running before one of its tasks comes first, in milliseconds.
+/// How long a step of an overdue job waits with nothing running before one of its tasks comes first, in
+/// milliseconds.
 const STARVED_TIME: u64 = 5_000;
 
 /// State of a job relative to its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ObjectiveStatus {
-    /// The job is overdue and nothing of it has run for a while. One of its tasks comes before all others
+    /// The job is overdue and nothing of the step has run for a while. One of its tasks comes before all others
     /// of its priority, since whoever accepts a job has to run it, also while newer ones keep coming.
     Starved,
     /// The job meets its objective if its next step starts now, or it is late and has to start soon
@@ -70,7 +71,7 @@
     pub start: u64,
     /// Whether any of its tasks has been placed.
     pub has_begun: bool,
-    /// Since when no task of the job has a run, in Unix milliseconds; `None` if one has.
+    /// Since when no task of the step has a run, in Unix milliseconds; `None` if one has.
     pub idle_since: Option<u64>,
 }
 
@@ -148,7 +149,8 @@
     OrderKey {
         priority: queue.priority,
         is_long_running,
-        is_new: !turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue,
+        is_new: status != ObjectiveStatus::Starved
+            && (!turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue),
         status,
         due,
         step,
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -27,6 +27,8 @@
 /// Simulated time between two polls of the owners, in milliseconds.
 pub const STEP: u64 = 5;
 pub const QUEUE: &str = "proofs";
+/// A queue of lower priority.
+pub const LOW_QUEUE: &str = "merges";
 const SERVICE: &str = "assembly";
 /// Time at which the simulation starts, in milliseconds.
 const START: u64 = 1_000_000;
@@ -125,19 +127,20 @@
     }
 
     fn queues(&self) -> Arc<QueueTable> {
+        let queue = |name: &str, priority| Queue {
+            name: name.into(),
+            host: "example".into(),
+            prefix: format!("/{name}/").into(),
+            service: SERVICE.into(),
+            priority,
+            objective: 400,
+            stretch: 1.5,
+            attempts: self.attempts,
+            has_advice: false,
+        };
         Arc::new(QueueTable {
             version: 1,
-            queues: vec![Queue {
-                name: QUEUE.into(),
-                host: "example".into(),
-                prefix: "/proofs/".into(),
-                service: SERVICE.into(),
-                priority: 0,
-                objective: 400,
-                stretch: 1.5,
-                attempts: self.attempts,
-                has_advice: false,
-            }],
+            queues: vec![queue(QUEUE, 0), queue(LOW_QUEUE, 1)],
             services: Vec::new(),
             max_body: 1 << 20,
         })
@@ -227,21 +230,27 @@
     }
 
     pub fn submit(&mut self, id: u64, spec: &JobSpec) -> u64 {
-        for (step, shape) in spec.steps.iter().enumerate() {
-            for index in 0..shape.count {
+        self.submit_to(QUEUE, id, spec)
+    }
+
+    pub fn submit_to(&mut self, queue: &str, id: u64, spec: &JobSpec) -> u64 {
+        let attempts = u64::from(self.attempts);
+        for turn in 0..spec.turns.max(1) {
+            for (step, shape) in spec.steps.iter().enumerate() {
                 let step = StepId {
                     job: JobId(id),
-                    turn: 0,
+                    turn,
                     step: step as u16,
                 };
-                let attempts = u64::from(self.attempts);
-                let key = TaskKey { step, index };
-                self.fleet.specs.insert(key, (spec.clone(), attempts));
+                for index in 0..shape.count {
+                    let key = TaskKey { step, index };
+                    self.fleet.specs.insert(key, (spec.clone(), attempts));
+                }
             }
         }
         self.ask(Request::Submit {
             job: JobId(id),
-            queue: QUEUE.into(),
+            queue: queue.into(),
             spec: Arc::new(spec.clone()),
         })
     }
