Placement: no worker is kept free for a gang that is covered by another's unmet needs

Read in the diff: a starved gang set a worker aside in each pass in which a smaller task of another job had found no room, although one worker does not help it, and added its unmet needs again in each partial pass. Both are left out now. The 20 cases of tests/shard on backlogs pass.

--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -124,7 +124,11 @@
         let spec = spec.steps.get(usize::from(key.step.step))?;
         let is_unmet = |known: &UnmetRequirements| known.cover(&service, spec, key.step);
         if unmet.iter().any(|known| known.is_new && is_unmet(known)) {
-            return Some(Waiting::LacksRoom);
+            // One worker that is kept free would not help a gang.
+            return Some(match spec.gang {
+                true => Waiting::Held,
+                false => Waiting::LacksRoom,
+            });
         }
         let known_unmet = unmet.iter().position(is_unmet);
         let has_trials = !job.trials.is_empty();
@@ -150,8 +154,8 @@
             if waiting.len() == usize::from(spec.count)
                 && !awaits_proof
                 && !self.place_gang(now, &service, spec, &waiting, candidates, out)
+                && known_unmet.is_none()
             {
-                // One worker that is kept free would not help a gang, so it counts as held.
                 unmet.push(UnmetRequirements {
                     step: Some(key.step),
                     ..UnmetRequirements::of(&service, spec, key.step)
