--- a/tests/shard/backlog.rs
+++ b/tests/shard/backlog.rs
@@ -37,7 +37,7 @@
 
 /// Longest time that an accepted job may have nothing running while others run, in milliseconds: three times the
 /// objective of the jobs here, two intervals of the check for such jobs, and the time in which room becomes free.
-const LONGEST_WAIT: u64 = 16_000;
+pub const LONGEST_WAIT: u64 = 16_000;
 
 /// Submits a job every `interval` milliseconds for `time` and returns those that were accepted.
 fn keep_submitting(
@@ -58,7 +58,7 @@
     accepted.map(|(id, _)| *id).collect()
 }
 
-fn has_started(world: &mut World, id: u64) -> bool {
+pub fn has_started(world: &mut World, id: u64) -> bool {
     matches!(
         world.state(id),
         Some(Reply::State {
--- a/tests/shard/backlog_limits.rs
+++ b/tests/shard/backlog_limits.rs
@@ -4,11 +4,9 @@
 use jayfork::request::job::{JobId, JobSpec, StepId, TaskKey};
 use yare::parameterized;
 
+use super::backlog::{LONGEST_WAIT, has_started};
 use super::world::{LOW_QUEUE, QUEUE, World, chain, long_running};
 
-/// Longest time that an accepted job may have nothing running while others run, in milliseconds.
-const LONGEST_WAIT: u64 = 16_000;
-
 /// A simulation of workers with 8 processors each, and runs of about a second.
 fn world(workers: usize) -> World {
     let mut world = World::new(7, workers, 8_000);
@@ -18,16 +16,6 @@
     world
 }
 
-fn has_started(world: &mut World, id: u64) -> bool {
-    matches!(
-        world.state(id),
-        Some(Reply::State {
-            has_started: true,
-            ..
-        })
-    )
-}
-
 fn gang(count: u16, processors: u32) -> JobSpec {
     let mut spec = chain(&[count], processors);
     spec.steps[0].gang = true;
