Log the turns of starved steps

Change: the line "steps are starved", once a second while there are any: how many there are, how many became starved and how many got a turn since the last line, and the most workers that a pass kept free. Placement is unchanged.

--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -50,6 +50,7 @@
                 idle_since: job.idle_since(step),
             };
             let key = order_key(queue, &job.spec, turn, self.wall, step);
+            self.starved_turns.note_queued(&key);
             self.ready.insert(key);
         }
     }
@@ -65,6 +66,7 @@
         if !self.jobs.get(&id).is_some_and(is_outdated) {
             return;
         }
+        self.starved_turns.note_run(&key);
         self.ready
             .retain(|other| other.step.job != id || other.step.turn != turn);
         self.insert_steps(id);
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -25,6 +25,7 @@
 mod start_window;
 mod starts;
 mod throttle;
+mod turns;
 mod waiting;
 mod watch;
 mod worker;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -16,6 +16,7 @@
 use super::requests::Ended;
 use super::resignation::Resignation;
 use super::start_window::StartWindow;
+use super::turns::StarvedTurns;
 use super::workers::Workers;
 use crate::base::{Millis, Name};
 use crate::connection::{
@@ -267,6 +268,7 @@
     /// Long-running steps that waited when this was last logged, in the order of placement.
     pub(super) waiting_steps: Vec<StepId>,
     pub(super) last_waiting_log: Millis,
+    pub(super) starved_turns: StarvedTurns,
     /// While it is set, this owner grants no leases.
     pub(super) resignation: Option<Resignation>,
     /// Whether this owner has set it before.
@@ -334,6 +336,7 @@
             last_sweep: now.steady,
             waiting_steps: Vec::new(),
             last_waiting_log: now.steady,
+            starved_turns: StarvedTurns::default(),
             resignation: None,
             has_begun_to_resign: false,
             handover,
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -75,6 +75,7 @@
         out: &mut Vec<ShardAction>,
     ) -> bool {
         let mut set_aside = 0;
+        let mut is_complete = true;
         let max_set_aside = max_set_aside(candidates);
         for key in keys {
             match self.place_step(now, *key, candidates, unmet, out) {
@@ -89,10 +90,12 @@
             }
             self.replace_new_key(*key);
             if self.has_max_pending_starts() {
-                return false;
+                is_complete = false;
+                break;
             }
         }
-        true
+        self.starved_turns.note_set_aside(set_aside);
+        is_complete
     }
 
     /// Places the waiting tasks of one step, or one of them if it is starved. Returns `None` if none is
--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -67,6 +67,7 @@
         }
         self.last_waiting_log = now.steady;
         self.log_starved(now);
+        self.log_turns();
         let waiting: Vec<StepId> = self.waiting_long_running().collect();
         let previous: HashSet<StepId> = std::mem::replace(&mut self.waiting_steps, waiting)
             .into_iter()
--- a/tests/shard/backlog.rs
+++ b/tests/shard/backlog.rs
@@ -135,3 +135,32 @@
     assert!(has_started(&mut world, 9));
     world.assert_no_violations();
 }
+
+/// Guards against logs that don't tell whether starved steps get their turns as fast as others become starved.
+#[test]
+fn turns_of_starved_steps_are_counted() {
+    let (lines, _) = observed(|| {
+        let mut world = World::new(7, 2, 8_000);
+        world.runtimes = 900..1_000;
+        world.claim();
+        world.run(500);
+        keep_submitting(&mut world, 1, &chain(&[2], 1_000), 100, 40_000);
+        // The backlog ends, and so do the lines.
+        world.run(40_000);
+        world.assert_no_violations();
+    });
+    let is_wanted = |line: &&serde_json::Value| line["message"] == "steps are starved";
+    let lines: Vec<_> = lines.iter().filter(is_wanted).collect();
+    let sum = |name: &str| -> u64 {
+        let values = lines.iter().map(|line| line[name].as_u64());
+        values.map(|value| value.expect("a number")).sum()
+    };
+    assert!((2..80).contains(&lines.len()), "{}", lines.len());
+    assert!(sum("new") > 1, "{lines:?}");
+    assert_eq!(sum("new"), sum("turns"), "{lines:?}");
+    assert!(sum("set_aside") > 0, "{lines:?}");
+    let last = lines.last().expect("a line");
+    assert_eq!(last["starved"], 0, "{last}");
+    let is_bounded = |line: &&serde_json::Value| line["set_aside"].as_u64() <= Some(1);
+    assert!(lines.iter().all(is_bounded), "{lines:?}");
+}
