Log what excludes the job that has waited longest

Change: the line "serving tasks exclude the waiting job" after it, at most one a second: the serving image that excludes most workers, the slope, information and age of that pair, and on how many excluded workers the measured baseline would bear the task alone, at a tenth of its speed, and that beside the others. The learned model also keeps when a pair was last seen together. Placement is unchanged.

--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -96,7 +96,7 @@
             fills = spec.fills,
             processors = spec.size.processors,
             memory = spec.size.memory,
-            workers = ?self.rejections(now, *id, job, spec),
+            workers = ?self.rejections(now, *id, job, spec).0,
             "long-running tasks wait"
         );
     }
@@ -116,6 +116,7 @@
         let Some((key, job, spec)) = first else {
             return;
         };
+        let (rejections, excluded) = self.rejections(now, key.step, job, spec);
         let best_effort = starved.iter().filter(|(_, _, spec)| spec.fills);
         tracing::info!(
             job = %job.id,
@@ -130,10 +131,11 @@
             image = spec.image.as_deref().unwrap_or_default(),
             processors = spec.size.processors,
             memory = spec.size.memory,
-            workers = ?self.rejections(now, key.step, job, spec),
+            workers = ?rejections,
             usage = ?self.usage(now),
             "job waits with nothing running"
         );
+        self.log_exclusion(now, job.id, spec, &excluded);
     }
 
     fn usage(&self, now: Now) -> Usage {
@@ -170,11 +172,19 @@
         Some((job, job.spec.steps.get(usize::from(id.step))?))
     }
 
-    fn rejections(&self, now: Now, id: StepId, job: &Job, spec: &StepSpec) -> Rejections {
+    /// Counts the workers by the reason for which they get no task of the step, and returns the excluded ones.
+    fn rejections(
+        &self,
+        now: Now,
+        id: StepId,
+        job: &Job,
+        spec: &StepSpec,
+    ) -> (Rejections, Vec<&Worker>) {
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let mut rejections = Rejections::default();
+        let mut excluded = Vec::new();
         let Some(queue) = self.queues.queue(&job.queue) else {
-            return rejections;
+            return (rejections, excluded);
         };
         let interference = self
             .contention
@@ -200,8 +210,11 @@
                     &mut rejections.eligible
                 };
             *count += 1;
+            if rejections.excluded > excluded.len() {
+                excluded.push(worker);
+            }
         }
-        rejections
+        (rejections, excluded)
     }
 }
 
--- a/src/request/job/contention.rs
+++ b/src/request/job/contention.rs
@@ -22,7 +22,7 @@
 const PRIOR_SLOPE: f64 = 2.0;
 /// Information (see `Regression::information`) from which a pair counts as known: three reports of
 /// a task that takes a tenth of a worker.
-const KNOWN_INFORMATION: f64 = 0.03;
+pub(super) const KNOWN_INFORMATION: f64 = 0.03;
 /// Upper bound of the information on a pair that an earlier owner has recorded: fifty reports of a
 /// task that takes a tenth of a worker.
 const MAX_RESTORED_INFORMATION: f64 = 0.5;
@@ -35,7 +35,7 @@
 /// about the amount of interference.
 const MAX_TAIL: f64 = 6.0;
 /// Lower tail latencies count as this share of the bound.
-const MIN_TAIL: f64 = 0.1;
+pub(super) const MIN_TAIL: f64 = 0.1;
 /// Most serving images that are tracked, and most trials that are remembered for each of them;
 /// further images count as unknown.
 const MAX_IMAGES: usize = 256;
@@ -44,7 +44,7 @@
 const MAX_BEST_EFFORT_IMAGES: usize = 48;
 /// Target of placement and speed limits for the tail latency, as a share of the bound. The rest is
 /// for changes of the load within the half second by which measurements lag.
-const TARGET_TAIL: f64 = 0.9;
+pub(super) const TARGET_TAIL: f64 = 0.9;
 /// Factor by which the tail latency may rise with the load before the next report changes the speed
 /// limits.
 const LOAD_RISE: f64 = 1.1;
@@ -135,12 +135,14 @@
 
 /// What has been learned of the interference with one serving image.
 #[derive(Debug)]
-struct ServingImage {
+pub(super) struct ServingImage {
     /// Logarithm of the ratio of tail latency to baseline as a function of the shares that
     /// best-effort images use.
-    regression: Regression,
+    pub(super) regression: Regression,
     /// Index of each best-effort image in `regression`.
-    coefficient_indices: HashMap<Name, usize>,
+    pub(super) coefficient_indices: HashMap<Name, usize>,
+    /// When a best-effort image was last seen beside the serving image, by its index in `regression`.
+    pub(super) observed: HashMap<usize, Millis>,
     /// When a task of each unknown best-effort image was last started beside the serving image.
     trials: HashMap<Name, Millis>,
 }
@@ -166,7 +168,7 @@
 pub struct Contention {
     images: Vec<ServingImage>,
     image_indices: HashMap<Name, usize>,
-    baselines: BaselineTails,
+    pub(super) baselines: BaselineTails,
 }
 
 impl Contention {
@@ -192,6 +194,7 @@
                 .and_then(|best_effort_name| image.coefficient_index(best_effort_name))
             {
                 values.push((index, group.used));
+                image.observed.insert(index, now);
             }
         }
         image
@@ -208,6 +211,7 @@
             let image = ServingImage {
                 regression: Regression::new(0.0),
                 coefficient_indices: HashMap::new(),
+                observed: HashMap::new(),
                 trials: HashMap::new(),
             };
             self.image_indices.insert(name.clone(), self.images.len());
@@ -216,7 +220,7 @@
         self.images.get_mut(*self.image_indices.get(name)?)
     }
 
-    fn image(&self, name: &Name) -> Option<&ServingImage> {
+    pub(super) fn image(&self, name: &Name) -> Option<&ServingImage> {
         self.images.get(*self.image_indices.get(name)?)
     }
 
@@ -239,8 +243,7 @@
             let Some(image) = self.image_mut(&entry.image) else {
                 return;
             };
-            let slopes = entry.slopes.iter();
-            for slope in slopes.filter(|slope| slope.slope.is_finite()) {
+            for slope in entry.slopes.iter().filter(|slope| slope.slope.is_finite()) {
                 if let Some(index) = image.coefficient_index(&slope.image) {
                     let weight = f64::from(slope.information).clamp(0.0, MAX_RESTORED_INFORMATION);
                     let value = f64::from(slope.slope).clamp(0.0, MAX_SLOPE);
@@ -282,7 +285,11 @@
 
     /// Rise of the logarithm of a serving task's tail latency caused by the best-effort tasks
     /// beside it.
-    fn current_interference(&self, serving: &ServingTask, best_effort: &[BestEffortGroup]) -> f64 {
+    pub(super) fn current_interference(
+        &self,
+        serving: &ServingTask,
+        best_effort: &[BestEffortGroup],
+    ) -> f64 {
         let image = serving.image.as_ref();
         let terms = best_effort
             .iter()
@@ -292,7 +299,7 @@
 
     /// Logarithm of the ratio of the target to a serving task's baseline, which is assumed to be at
     /// least `min_baseline`.
-    fn log_headroom(
+    pub(super) fn log_headroom(
         &self,
         now: Millis,
         serving: &ServingTask,
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -2,6 +2,7 @@
 
 mod baseline_tails;
 mod contention;
+mod exclusion;
 mod fit;
 #[allow(clippy::module_inception)]
 mod job;
@@ -15,6 +16,7 @@
     BestEffortGroup, Contention, Headroom, ImageInterference, LearnedImage, LearnedSlope,
     OVER_BOUND_SHARE, ServingTask, next_speed_limit,
 };
+pub use exclusion::{MeasuredHeadroom, PairKnowledge};
 pub use fit::{
     CandidateWorker, TaskRequirements, choose_worker, is_overcommitted, missing_processors,
 };
--- a/tests/shard/backlog.rs
+++ b/tests/shard/backlog.rs
@@ -164,3 +164,57 @@
     let is_bounded = |line: &&serde_json::Value| line["set_aside"].as_u64() <= Some(1);
     assert!(lines.iter().all(is_bounded), "{lines:?}");
 }
+
+/// The last line of such a message.
+fn last_line<'a>(lines: &'a [serde_json::Value], message: &str) -> &'a serde_json::Value {
+    let mut lines = lines.iter();
+    lines
+        .rfind(|line| line["message"] == message)
+        .expect("a line")
+}
+
+/// Guards against logs that don't tell whether what excludes a task from workers was measured, and whether their
+/// serving tasks would bear it at a lower speed.
+#[parameterized(
+    unknown_pair = { 0.5, false, 2 },
+    known_pair = { 0.5, true, 2 },
+    // The serving tasks are at their target, without room for a rise of the load.
+    at_the_target = { 0.85, false, 0 },
+)]
+fn the_exclusion_of_a_job_is_explained(tail: f64, is_known: bool, limited: u64) {
+    let (lines, _) = observed(|| {
+        let mut world = world_with_serving_tasks(3_000, tail);
+        if is_known {
+            // Shows the interference of the image.
+            world.submit(10, &best_effort(2, 1_600));
+            world.run(8_000);
+        }
+        world.submit(3, &best_effort(1, 12_000));
+        world.run(8_000);
+        world.assert_no_violations();
+    });
+    let waits = last_line(&lines, "job waits with nothing running");
+    let workers = waits["workers"].as_str().expect("a text");
+    assert!(workers.contains("excluded: 2"), "{waits}");
+    let line = last_line(&lines, "serving tasks exclude the waiting job");
+    assert_eq!(line["job"], waits["job"], "{line}");
+    assert_eq!(
+        (&line["workers"], &line["excluded"]),
+        (&1.into(), &2.into())
+    );
+    assert!(
+        ["search", "map"]
+            .iter()
+            .any(|image| line["serving"] == *image)
+    );
+    assert_eq!(line["is_known"], is_known, "{line}");
+    assert_eq!(line["age"].as_u64().is_some(), is_known, "{line}");
+    let slope = line["slope"].as_f64().expect("a number");
+    assert!((1.5..2.5).contains(&slope), "{line}");
+    // Single tasks report too rarely for a known baseline.
+    assert_eq!((&line["unmeasured"], &line["over"]), (&2.into(), &0.into()));
+    assert_eq!(line["bearing"], 0, "{line}");
+    for name in ["limited", "beside"] {
+        assert_eq!(line[name], limited, "{name} in {line}");
+    }
+}
