Report whether a job ended in time

Cause: the end of a job did not tell how long it was open, or whether that was within its objective.

Change: "job ends" has the fields open, objective and status, and jayfork_ended_jobs_total counts ended jobs by outcome and status. Jobs that repeat or run until they are cancelled have no objective as a whole.

--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -4,7 +4,7 @@
 use super::shard::{Now, Phase, Reply, Request, Shard, ShardAction};
 use crate::base::Name;
 use crate::process::telemetry;
-use crate::request::job::{Job, JobId, Outcome, StartPermit};
+use crate::request::job::{EndStatus, Job, JobId, Outcome, StartPermit, objective};
 use crate::version::{JobRecord, JobStateRecord, ShardRecord};
 
 /// Seconds after which a client may try again while the store cannot be written to. Short outages
@@ -162,7 +162,19 @@
         if !job.trials.is_empty() {
             self.journal.push(&ShardRecord::Crashes(id, None), None);
         }
-        tracing::info!(job = %id, ?outcome, "job ends");
+        let open = now.wall.saturating_sub(job.accepted);
+        let objective = self.job_objective(job);
+        let status = EndStatus::of(open, objective);
+        telemetry::count_ended_job(outcome.label(), status.label());
+        tracing::info!(job = %id, ?outcome, open, objective, ?status, "job ends");
+    }
+
+    /// Time in which a job is to end, in milliseconds from its acceptance, if it has one as a whole.
+    fn job_objective(&self, job: &Job) -> Option<u64> {
+        let lasts = job.spec.steps.iter().any(|step| step.lasts);
+        let is_timed = job.spec.turns == 0 && !lasts;
+        let queue = self.queues.queue(&job.queue).filter(|_| is_timed)?;
+        Some(objective(queue, &job.spec))
     }
 
     /// Applies the acceptance of a job once it is stored.
--- a/src/process/telemetry.rs
+++ b/src/process/telemetry.rs
@@ -17,6 +17,7 @@
 pub const REFUSALS: &str = "jayfork_refusals_total";
 pub const EVICTIONS: &str = "jayfork_evictions_total";
 pub const LOST_RUNS: &str = "jayfork_lost_runs_total";
+pub const ENDED_JOBS: &str = "jayfork_ended_jobs_total";
 pub const LATE_ENDS: &str = "jayfork_late_ends_total";
 pub const WORKERS_HEARD_AGAIN: &str = "jayfork_workers_heard_again_total";
 pub const LEASE_EXPIRIES: &str = "jayfork_lease_lapses_total";
@@ -101,6 +102,10 @@
     describe_counter!(REFUSALS, "Refused requests and jobs by reason");
     describe_counter!(EVICTIONS, "Evicted tasks by cause");
     describe_counter!(LOST_RUNS, "Runs counted as lost by cause");
+    describe_counter!(
+        ENDED_JOBS,
+        "Ended jobs by outcome and by status relative to their objective"
+    );
     describe_counter!(
         LATE_ENDS,
         "Reported ends of runs that were counted as lost, by ending"
@@ -165,6 +170,11 @@
     counter!(LOST_RUNS, "cause" => cause).increment(1);
 }
 
+/// Counts an ended job; `status` is `in_time`, `late`, `overdue` or `untimed`.
+pub fn count_ended_job(outcome: &'static str, status: &'static str) {
+    counter!(ENDED_JOBS, "outcome" => outcome, "status" => status).increment(1);
+}
+
 /// Counts the reported end of a run that was counted as lost.
 pub fn count_late_end(ending: &'static str) {
     counter!(LATE_ENDS, "ending" => ending).increment(1);
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -27,6 +27,17 @@
     Cancelled,
 }
 
+impl Outcome {
+    /// The value of a metric label.
+    pub fn label(self) -> &'static str {
+        match self {
+            Outcome::Completed => "completed",
+            Outcome::Failed => "failed",
+            Outcome::Cancelled => "cancelled",
+        }
+    }
+}
+
 /// How a run of a task ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Ending {
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -21,7 +21,7 @@
     CandidateWorker, TaskRequirements, choose_worker, is_overcommitted, missing_processors,
 };
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
-pub use order::{ObjectiveStatus, OrderKey, TurnState, objective, order_key};
+pub use order::{EndStatus, ObjectiveStatus, OrderKey, TurnState, objective, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
 pub use trials::{Suspicion, TaskCrashes, Trial};
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -27,6 +27,39 @@
     Overdue,
 }
 
+/// When a job ended, relative to its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndStatus {
+    InTime,
+    Late,
+    /// Nobody waited for the result any more.
+    Overdue,
+    /// The job has no objective as a whole: it repeats, runs until it is cancelled, or its queue is unknown.
+    Untimed,
+}
+
+impl EndStatus {
+    /// Status of a job that was open for `open` milliseconds.
+    pub fn of(open: u64, objective: Option<u64>) -> EndStatus {
+        match objective {
+            None => EndStatus::Untimed,
+            Some(objective) if open <= objective => EndStatus::InTime,
+            Some(objective) if open <= objective.saturating_mul(OVERDUE_FACTOR) => EndStatus::Late,
+            Some(_) => EndStatus::Overdue,
+        }
+    }
+
+    /// The value of a metric label.
+    pub fn label(self) -> &'static str {
+        match self {
+            EndStatus::InTime => "in_time",
+            EndStatus::Late => "late",
+            EndStatus::Overdue => "overdue",
+            EndStatus::Untimed => "untimed",
+        }
+    }
+}
+
 /// Sort key of a step; the smallest key is placed first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct OrderKey {
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -42,6 +42,7 @@
         telemetry::QUEUE_TIME,
         telemetry::REFUSALS,
         telemetry::EVICTIONS,
+        telemetry::ENDED_JOBS,
         telemetry::LEASE_EXPIRIES,
         telemetry::LOG_LAG,
         telemetry::APPEND_TIME,
--- a/tests/shard/diagnostics.rs
+++ b/tests/shard/diagnostics.rs
@@ -10,7 +10,7 @@
 use tracing::Dispatch;
 use tracing::subscriber::NoSubscriber;
 
-use super::world::{World, long_running};
+use super::world::{World, chain, long_running};
 
 #[derive(Clone, Default)]
 struct LogBuffer(Arc<Mutex<Vec<u8>>>);
@@ -118,3 +118,52 @@
         assert!(metrics.lines().any(|line| line == expected), "{metrics}");
     }
 }
+
+/// Guards against logs and counters that don't tell whether a job ended in time.
+#[test]
+fn the_end_of_a_job_is_compared_with_its_objective() {
+    let (lines, metrics) = observed(|| {
+        let mut world = World::new(7, 1, 8_000);
+        world.claim();
+        world.run(500);
+        for (id, runtime) in [(1, 500), (2, 2_500), (3, 6_000)] {
+            world.runtimes = runtime..runtime + 1;
+            world.submit(id, &chain(&[1], 1_000));
+            world.run(1_000);
+        }
+        world.submit(4, &long_running(1, 1_000));
+        world.run(7_000);
+        world.cancel(4);
+        world.run(1_000);
+        world.assert_no_violations();
+    });
+    let ends: Vec<&Value> = lines
+        .iter()
+        .filter(|line| line["message"] == "job ends")
+        .collect();
+    let statuses: Vec<&str> = ends
+        .iter()
+        .filter_map(|line| line["status"].as_str())
+        .collect();
+    assert_eq!(
+        statuses,
+        ["InTime", "Late", "Overdue", "Untimed"],
+        "{ends:?}"
+    );
+    for (end, runtime) in ends.iter().zip([500, 2_500, 6_000]) {
+        let open = end["open"].as_u64().expect("a time");
+        assert!((runtime..runtime + 1_000).contains(&open), "{end}");
+        assert!(end["objective"].as_u64().is_some(), "{end}");
+    }
+    assert!(ends[3]["objective"].is_null(), "{ends:?}");
+    for (outcome, status) in [
+        ("completed", "in_time"),
+        ("completed", "late"),
+        ("completed", "overdue"),
+        ("cancelled", "untimed"),
+    ] {
+        let expected =
+            format!(r#"jayfork_ended_jobs_total{{outcome="{outcome}",status="{status}"}} 1"#);
+        assert!(metrics.lines().any(|line| line == expected), "{metrics}");
+    }
+}
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -28,6 +28,7 @@
     refusals = { || telemetry::count_refusal("deadline"), r#"jayfork_refusals_total{reason="deadline"} 1"# },
     evictions = { || telemetry::count_eviction("interference"), r#"jayfork_evictions_total{cause="interference"} 1"# },
     lost_runs = { || telemetry::count_lost_run("lease_over"), r#"jayfork_lost_runs_total{cause="lease_over"} 1"# },
+    ended_jobs = { || telemetry::count_ended_job("completed", "late"), r#"jayfork_ended_jobs_total{outcome="completed",status="late"} 1"# },
     late_ends = { || telemetry::count_late_end("done"), r#"jayfork_late_ends_total{ending="done"} 1"# },
     workers_heard_again = { telemetry::count_heard_again, "jayfork_workers_heard_again_total 1" },
     lease_expiries = { telemetry::count_lease_expiry, "jayfork_lease_lapses_total 1" },
