--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -538,14 +538,16 @@
     }
 
     fn report(&self, now: u64, clock: u64) -> WorkerReport {
-        let used: u32 = self.runs.values().map(|run| run.pace.used()).sum();
-        let share = f64::from(used) / f64::from(self.capacity.processors);
+        let paces = || self.runs.values().map(|run| &run.pace);
+        let processors = self.capacity.processors;
         let running = self.runs.iter().map(|(task, run)| RunReport {
             task: *task,
             run: run.run,
             checkpoint: None,
             percent: run.pace.percent(now - run.started),
-            measurement: run.pace.measurement(self.quiet_tail, share),
+            measurement: run
+                .pace
+                .measurement(self.quiet_tail, run.pace.interference(paces(), processors)),
         });
         WorkerReport {
             clock,
--- a/tests/shard/pace.rs
+++ b/tests/shard/pace.rs
@@ -1,17 +1,29 @@
 //! Best-effort tasks beside serving tasks.
 
+use jayfork::base::Name;
 use jayfork::process::shard::Reply;
 use jayfork::request::job::{JobSpec, Outcome, StepSpec};
 
 use super::world::{STEP, World, chain, long_running};
 
-/// Rise of the logarithm of the tail latency of serving tasks if best-effort ones take a whole worker.
+/// Slope of most pairs of images.
 const SLOPE: f64 = 2.0;
+/// Slopes of the other pairs of a serving and a best-effort image.
+const SLOPES: [(&str, &str, f64); 7] = [
+    ("chat", "archive", 9.0),
+    ("feed", "archive", 8.0),
+    ("cart", "archive", 7.0),
+    ("mail", "archive", 1.2),
+    ("chat", "resize", 1.0),
+    ("feed", "resize", 1.5),
+    ("cart", "resize", 2.5),
+];
 
 /// Speed and measurements of one run.
 pub struct Pace {
     runtime: u64,
     demand: u32,
+    image: Option<Name>,
     fills: bool,
     lasts: bool,
     /// Bound of the tail latency of a serving task.
@@ -27,6 +39,7 @@
         Pace {
             runtime,
             demand: step.size.processors,
+            image: step.image.clone(),
             fills: step.fills,
             lasts: step.lasts,
             tail_bound: step.tail_bound,
@@ -61,10 +74,16 @@
         }
     }
 
-    /// What a report says, if serving tasks have `quiet_tail` of their bound without others and best-effort
-    /// tasks use `share` of the worker.
-    pub fn measurement(&self, quiet_tail: Option<f64>, share: f64) -> Option<u64> {
-        let tail = quiet_tail? * (SLOPE * share).exp();
+    /// Rise of the logarithm of its tail latency by the tasks beside it on a worker.
+    pub fn interference<'a>(&self, others: impl Iterator<Item = &'a Pace>, processors: u32) -> f64 {
+        let rises = others.map(|other| slope(self, other) * f64::from(other.used()));
+        rises.sum::<f64>() / f64::from(processors)
+    }
+
+    /// What a report says, if serving tasks have `quiet_tail` of their bound without others, and others
+    /// raise its logarithm by `interference`.
+    pub fn measurement(&self, quiet_tail: Option<f64>, interference: f64) -> Option<u64> {
+        let tail = quiet_tail? * interference.exp();
         match self.fills {
             true => Some(u64::from(self.used())),
             false if self.tail_bound > 0 => Some((f64::from(self.tail_bound) * tail) as u64),
@@ -73,8 +92,17 @@
     }
 }
 
-fn serving(image: &str, processors: u32) -> JobSpec {
-    let mut spec = long_running(1, processors);
+/// Rise of the logarithm of the tail latency of a serving task if a best-effort one takes the whole worker.
+fn slope(serving: &Pace, best_effort: &Pace) -> f64 {
+    let images = (serving.image.as_deref(), best_effort.image.as_deref());
+    let mut slopes = SLOPES.iter();
+    let found =
+        slopes.find(|(serving, best_effort, _)| images == (Some(serving), Some(best_effort)));
+    found.map_or(SLOPE, |(_, _, slope)| *slope)
+}
+
+pub fn serving(image: &str, count: u16, processors: u32) -> JobSpec {
+    let mut spec = long_running(count, processors);
     spec.steps[0].tail_bound = 1_000;
     spec.steps[0].image = Some(image.into());
     spec
@@ -94,9 +122,9 @@
     world.runtimes = runtime..runtime + 1;
     world.claim();
     world.run(500);
-    world.submit(1, &serving("search", 4_000));
+    world.submit(1, &serving("search", 1, 4_000));
     world.run(300);
-    world.submit(2, &serving("map", 4_000));
+    world.submit(2, &serving("map", 1, 4_000));
     world.run(300);
     assert_ne!(world.holder(1), world.holder(2));
     for worker in &mut world.fleet.workers {
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    fn queues(&self) -> Arc<QueueTable> {
+    pub fn queues(&self) -> Arc<QueueTable> {
         let queue = |name: &str, priority| Queue {
             name: name.into(),
             host: "example".into(),
@@ -316,7 +316,8 @@
     }
 
     /// Carries out the actions of an owner.
-    fn perform(&mut self, owner: usize, actions: Vec<ShardAction>) {
+    fn perform(&mut self, owner: usize, mut actions: Vec<ShardAction>) {
+        sort_throttles(&mut actions);
         for action in actions {
             match action {
                 ShardAction::Reply(ticket, reply) => {
@@ -504,6 +505,19 @@
     }
 }
 
+/// Sorts successive speed limits by task. An owner gives those of a worker in the order of a hash table, which
+/// differs between two runs of a simulation.
+fn sort_throttles(actions: &mut [ShardAction]) {
+    let task = |action: &ShardAction| match action {
+        ShardAction::Worker(WorkerTag::Throttle { task, .. }, _) => Some(*task),
+        _ => None,
+    };
+    let groups = actions.chunk_by_mut(|one, other| task(one).is_some() && task(other).is_some());
+    for group in groups {
+        group.sort_by_key(task);
+    }
+}
+
 /// Index of the worker at the address of a call.
 fn worker_index(call: &WorkerCall) -> usize {
     match call.address {
