Admission: a job is refused if it would end too late by the work of accepted jobs

Cause: the limit looked at a sign. It refused a job while one first step that needed no more lacked room and was late. Later steps of accepted jobs, and large tasks that smaller newcomers pass, were never counted, so the queue grew from 17 to 185 steps while jobs were accepted all the time.

Change: the owner sums the work that accepted jobs still have, of all their steps, by the room that it needs (service, priority, image of best-effort tasks, label), and measures how fast it is done. A new job is refused, with the time until there is room for it, if it would end after twice its objective (5 s at least) and tasks that need no more lack room. Work and rate are in the same unit, declared run times, so their error cancels out. One job counts for half of the limit at most; tasks that fit on no worker and gangs hold back no others.

--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -1,107 +1,315 @@
-//! Refuses jobs that could not be served in time, because others that need the same lack room.
+//! Compares the work of the accepted jobs with the rate at which it is done, and refuses jobs that would end too late.
+
+use std::collections::{HashMap, VecDeque};
 
 use super::candidates::UnmetRequirements;
 use super::jobs::lacks_room;
-use super::shard::{Now, Shard};
-use crate::base::{Millis, Name};
-use crate::request::job::{JobSpec, ObjectiveStatus, OrderKey, StepSpec, objective};
+use super::shard::{Now, Phase, Shard};
+use crate::base::{Millis, Name, Size};
+use crate::request::job::{Job, JobId, JobSpec, OrderKey, StepSpec, objective};
 use crate::version::Queue;
 
+/// A job that would end after this many times its objective is refused. Less than the time at which it is overdue,
+/// since some jobs end later than expected.
+const LIMIT_FACTOR: u64 = 2;
+/// Jobs that would end within this time are accepted, in milliseconds. A change of the owner or the loss of a worker
+/// may cause such a wait, and is over soon.
+const MIN_LIMIT: u64 = 5_000;
+/// Part of the limit that the work of one job counts for at most, so that a single wide one holds back no others.
+const MAX_JOB_SHARE: f64 = 0.5;
 /// Bounds of the time after which the client of a refused job may try again, in seconds.
-const MIN_RETRY: u32 = 1;
-const MAX_RETRY: u32 = 30;
-/// Shorter waits are no sign of a backlog, in milliseconds: a change of the owner or the loss of a worker may cause
-/// them, and is over soon.
-const MIN_WAIT: u64 = 5_000;
-/// Interval at which the late steps are collected, in milliseconds.
-const COLLECTION_INTERVAL: Millis = Millis(250);
-
-/// Steps that lack room and whose jobs have missed their objectives.
+const MIN_RETRY: u64 = 1;
+const MAX_RETRY: u64 = 30;
+/// Interval of the measurements, in milliseconds.
+const MEASURING_INTERVAL: Millis = Millis(500);
+/// Bounds of the time over which the rate is measured, in milliseconds.
+const MIN_WINDOW: Millis = Millis(3_000);
+const MAX_WINDOW: Millis = Millis(10_000);
+
+/// Work of the open jobs by the room that it needs, in processor-seconds by the declared run times. These may be far
+/// from the real ones; the rate has the same unit, so that the error cancels out in the expected wait.
 #[derive(Debug, Default)]
 pub(super) struct Backlog {
-    steps: Vec<LateStep>,
-    last_collection: Millis,
+    loads: HashMap<WorkClass, WorkLoad>,
+    /// The largest of each resource that a usable worker of a service has.
+    largest: HashMap<Name, Size>,
+    last_measured: Millis,
 }
 
-/// A step that a new job with the same requirements would have to wait for.
-#[derive(Debug)]
-struct LateStep {
-    requirements: UnmetRequirements,
-    label: Option<Name>,
+/// Steps that compete for the same room.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct WorkClass {
+    service: Name,
     priority: u8,
-    /// How long its job has been open, in milliseconds.
-    waited: u64,
+    fills: bool,
+    /// Image of best-effort tasks; which workers bear them depends on it.
+    image: Option<Name>,
+    label: Option<Name>,
+    gang: bool,
 }
 
-impl LateStep {
-    /// Whether a task of a new job would have to wait for room as long.
-    fn is_ahead_of(&self, queue: &Queue, spec: &StepSpec) -> bool {
-        let has_label = self.label.is_none() || self.label == spec.label;
-        self.priority <= queue.priority
-            && has_label
-            && self.requirements.cover_size(&queue.service, spec)
+impl WorkClass {
+    fn of(queue: &Queue, spec: &StepSpec) -> WorkClass {
+        WorkClass {
+            service: queue.service.clone(),
+            priority: queue.priority,
+            fills: spec.fills,
+            image: spec.image.clone().filter(|_| spec.fills),
+            label: spec.label.clone(),
+            gang: spec.gang,
+        }
+    }
+
+    /// Whether a new job with steps of class `other` would wait for the work of this one.
+    fn is_ahead_of(&self, other: &WorkClass) -> bool {
+        self.service == other.service
+            && self.priority <= other.priority
+            && self.fills == other.fills
+            && self.image == other.image
+            && (self.label.is_none() || self.label == other.label)
+            && (!self.gang || other.gang)
+    }
+}
+
+#[derive(Debug, Default)]
+struct WorkLoad {
+    /// What each open job still has, without the progress of its runs.
+    owed: Vec<(JobId, f64)>,
+    /// What has been done since the first measurement.
+    done: f64,
+    /// What the runs at work have done.
+    progress: f64,
+    /// Processors that the runs at work use.
+    at_work: f64,
+    /// Sums of `done` and `progress` at earlier measurements.
+    samples: VecDeque<(Millis, f64)>,
+    /// What waiting tasks need that lack room.
+    lacking: Vec<UnmetRequirements>,
+}
+
+impl WorkLoad {
+    /// Processor-seconds a second, or `None` if it has not been measured for long enough.
+    fn rate(&self, now: Millis) -> Option<f64> {
+        let (since, before) = self.samples.front()?;
+        let window = now.since(*since);
+        let gain = (self.done + self.progress - before) * 1_000.0;
+        // What runs now is known sooner than what it gets done.
+        (window >= MIN_WINDOW).then(|| (gain / window.0 as f64).max(self.at_work))
+    }
+
+    fn add_sample(&mut self, now: Millis) {
+        self.samples.push_back((now, self.done + self.progress));
+        while self
+            .samples
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) > MAX_WINDOW)
+        {
+            self.samples.pop_front();
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        let first = self.samples.front().map(|(_, work)| *work);
+        self.owed.is_empty() && first.is_none_or(|work| work == self.done)
+    }
+}
+
+/// When a new job is expected to end, in milliseconds from now.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Forecast {
+    pub end: u64,
+    /// The end up to which it is accepted.
+    pub limit: u64,
+}
+
+impl Forecast {
+    /// Seconds after which the client may submit the job again, or `None` if it can be accepted. By then the work
+    /// that is too much is done if others keep coming as fast as it is done.
+    pub fn retry_after(&self) -> Option<u32> {
+        let excess = self.end.checked_sub(self.limit).filter(|ms| *ms > 0)?;
+        Some(excess.div_ceil(1_000).clamp(MIN_RETRY, MAX_RETRY) as u32)
+    }
+}
+
+impl Backlog {
+    fn load(&mut self, queue: &Queue, spec: &StepSpec) -> &mut WorkLoad {
+        self.loads.entry(WorkClass::of(queue, spec)).or_default()
+    }
+
+    /// Forgets what is measured anew each time.
+    fn clear(&mut self) {
+        self.largest.clear();
+        for load in self.loads.values_mut() {
+            load.owed.clear();
+            load.progress = 0.0;
+            load.at_work = 0.0;
+            load.lacking.clear();
+        }
+    }
+
+    /// Adds what is left of a job's step, unless its tasks fit on no worker.
+    fn add_owed(&mut self, id: JobId, queue: &Queue, spec: &StepSpec, tasks: usize) {
+        let largest = self.largest.get(&queue.service);
+        if tasks > 0 && !spec.lasts && largest.is_some_and(|largest| spec.size.fits(largest)) {
+            let work = spec.work() * tasks as f64;
+            let owed = &mut self.load(queue, spec).owed;
+            match owed.last_mut().filter(|(last, _)| *last == id) {
+                Some((_, sum)) => *sum += work,
+                None => owed.push((id, work)),
+            }
+        }
+    }
+
+    /// Counts tasks of a step that have succeeded.
+    pub(super) fn count_done(&mut self, queue: &Queue, spec: &StepSpec, tasks: usize) {
+        self.load(queue, spec).done += spec.work() * tasks as f64;
+    }
+
+    /// Milliseconds until the work is done that comes before a step of a new job, if tasks that need no more lack
+    /// room.
+    fn wait(&self, now: Millis, queue: &Queue, spec: &StepSpec, limit: u64) -> Option<u64> {
+        let class = WorkClass::of(queue, spec);
+        let loads = self.loads.iter();
+        let ahead: Vec<&WorkLoad> = loads
+            .filter(|(other, _)| other.is_ahead_of(&class))
+            .map(|(_, load)| load)
+            .collect();
+        let mut lacking = ahead.iter().flat_map(|load| &load.lacking);
+        if !lacking.any(|unmet| unmet.cover_size(&queue.service, spec)) {
+            return None;
+        }
+        let rates = ahead.iter().map(|load| load.rate(now));
+        let rate = rates.sum::<Option<f64>>()?.max(f64::MIN_POSITIVE);
+        let most = rate * limit as f64 / 1_000.0 * MAX_JOB_SHARE;
+        let owed = ahead.iter().flat_map(|load| &load.owed);
+        let owed: f64 = owed.map(|(_, work)| work.min(most)).sum();
+        let progress: f64 = ahead.iter().map(|load| load.progress).sum();
+        Some(((owed - progress).max(0.0) * 1_000.0 / rate) as u64)
     }
 }
 
 impl Shard {
-    /// Collects the late steps that lack room.
-    pub(super) fn collect_backlog(&mut self, now: Now) {
-        if now.steady.since(self.backlog.last_collection) < COLLECTION_INTERVAL {
+    /// Measures what the open jobs still have to do, and how much of it is done.
+    pub(super) fn measure_backlog(&mut self, now: Now) {
+        if now.steady.since(self.backlog.last_measured) < MEASURING_INTERVAL {
             return;
         }
-        let steps = self.ready.iter();
-        self.backlog = Backlog {
-            steps: steps.filter_map(|key| self.late_step(now, key)).collect(),
-            last_collection: now.steady,
+        let mut backlog = std::mem::take(&mut self.backlog);
+        backlog.last_measured = now.steady;
+        backlog.clear();
+        for worker in self.workers.iter().filter(|it| it.is_usable(now.steady)) {
+            let largest = backlog.largest.entry(worker.service.clone()).or_default();
+            *largest = largest.max(&worker.capacity);
+        }
+        for id in &self.accepted {
+            self.add_job(&mut backlog, *id);
+        }
+        self.add_runs(&mut backlog);
+        for key in &self.ready {
+            self.add_lacking(&mut backlog, key);
+        }
+        // The rate of a new owner says little before all runs are known.
+        let is_active = self.phase == Phase::Active;
+        for load in backlog.loads.values_mut() {
+            match is_active {
+                true => load.add_sample(now.steady),
+                false => load.samples.clear(),
+            }
+        }
+        backlog.loads.retain(|_, load| !load.is_idle());
+        self.backlog = backlog;
+    }
+
+    fn add_job(&self, backlog: &mut Backlog, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let Some(queue) = self.queues.queue(&job.queue) else {
+            return;
         };
+        for step in job.steps() {
+            let Some((spec, state)) = job
+                .spec
+                .steps
+                .get(usize::from(step.step))
+                .zip(job.step(step))
+            else {
+                continue;
+            };
+            backlog.add_owed(id, queue, spec, state.tasks.len() - usize::from(state.done));
+        }
+    }
+
+    fn add_runs(&self, backlog: &mut Backlog) {
+        for worker in self.workers.iter() {
+            for (task, run) in &worker.runs {
+                if run.lasts || run.is_orphaned {
+                    continue;
+                }
+                let Some((job, spec)) = self.step_spec(task.step) else {
+                    continue;
+                };
+                let Some(queue) = self.queues.queue(&job.queue) else {
+                    continue;
+                };
+                let load = backlog.load(queue, spec);
+                load.progress += spec.work() * f64::from(run.percent) / 100.0;
+                let speed = f64::from(run.speed_limit.min(100)) / 100.0;
+                load.at_work += f64::from(run.demand) / 1_000.0 * speed;
+            }
+        }
     }
 
-    fn late_step(&self, now: Now, key: &OrderKey) -> Option<LateStep> {
-        let (job, spec) = self.step_spec(key.step)?;
-        let start = job.turn_start(key.step.turn).max(job.accepted);
-        let waited = now.wall.saturating_sub(start);
-        // Overdue jobs come after new ones until they are starved.
-        let gives_way =
-            key.status() == ObjectiveStatus::Overdue && job.idle_since(key.step).is_none();
-        // Gangs, steps with a limit of tasks a worker and jobs on trial wait for other reasons as well.
+    /// Adds a waiting step that lacks room. Gangs, steps with a limit of tasks a worker and jobs on trial wait for
+    /// other reasons as well.
+    fn add_lacking(&self, backlog: &mut Backlog, key: &OrderKey) {
+        let Some((job, spec)) = self.step_spec(key.step) else {
+            return;
+        };
+        let Some(queue) = self.queues.queue(&job.queue) else {
+            return;
+        };
         let is_special = spec.gang || spec.spread > 0 || !job.trials.is_empty();
-        if waited < MIN_WAIT || gives_way || is_special {
-            return None;
+        if is_special || !lacks_room(&self.queues, &self.unmet, job, key.step) {
+            return;
         }
-        let queue = self.queues.queue(&job.queue)?;
-        let is_late = waited > objective(queue, &job.spec);
-        if !is_late || !lacks_room(&self.queues, &self.unmet, job, key.step) {
-            return None;
+        let lacking = &mut backlog.load(queue, spec).lacking;
+        if !lacking
+            .iter()
+            .any(|unmet| unmet.cover_size(&queue.service, spec))
+        {
+            lacking.push(UnmetRequirements::of(&queue.service, spec, key.step));
         }
-        Some(LateStep {
-            requirements: UnmetRequirements::of(&queue.service, spec, key.step),
-            label: spec.label.clone(),
-            priority: queue.priority,
-            waited,
-        })
     }
 
-    /// Seconds after which a client may submit a job again that would not meet its objective, or `None` if it can
-    /// be accepted. It would not if a late step that lacks room comes first, needs no more, and has been open for
-    /// longer than the objective of the new job. A backlog shrinks about as slowly as it has grown, so the client
-    /// comes back after half of that time.
-    pub(super) fn retry_after_backlog(&self, queue: &Name, spec: &JobSpec) -> Option<u32> {
+    /// When a new job is expected to end, or `None` if nothing keeps it from starting or too little is known. Its
+    /// later steps count too, since others of accepted jobs wait for the same room.
+    pub(super) fn forecast(&self, now: Now, queue: &Name, spec: &JobSpec) -> Option<Forecast> {
         let queue = self.queues.queue(queue)?;
         // The turns of a repeating job may be due much later.
         if spec.turns > 0 {
             return None;
         }
-        let limit = objective(queue, spec);
-        let first_steps = spec
-            .steps
-            .iter()
-            .filter(|step| step.after.is_empty() && !step.lasts);
-        let waits = first_steps.flat_map(|step| {
-            let late = self.backlog.steps.iter();
-            late.filter(|late| late.waited > limit && late.is_ahead_of(queue, step))
-                .map(|late| late.waited)
-        });
-        let longest = waits.max()?;
-        Some(((longest / 2_000) as u32).clamp(MIN_RETRY, MAX_RETRY))
+        let limit = (objective(queue, spec) * LIMIT_FACTOR).max(MIN_LIMIT);
+        let steps = spec.steps.iter().enumerate();
+        let ends = steps
+            .filter(|(_, step)| !step.lasts)
+            .filter_map(|(index, step)| {
+                let wait = self.backlog.wait(now.steady, queue, step, limit)?;
+                Some(wait.saturating_add(spec.critical_path_from(index as u16)))
+            });
+        let end = ends.max()?;
+        Some(Forecast { end, limit })
+    }
+
+    /// Counts the work of a job that has just been accepted.
+    pub(super) fn note_accepted(&mut self, job: &Job) {
+        let Some(queue) = self.queues.queue(&job.queue) else {
+            return;
+        };
+        for step in &job.spec.steps {
+            self.backlog
+                .add_owed(job.id, queue, step, usize::from(step.count));
+        }
     }
 }
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -53,12 +53,15 @@
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
-                if let Some(retry_after) = self.retry_after_backlog(&queue, &spec) {
+                let forecast = self.forecast(now, &queue, &spec);
+                let (end, limit) = forecast.map(|it| (it.end, it.limit)).unzip();
+                if let Some(retry_after) = forecast.and_then(|it| it.retry_after()) {
                     telemetry::count_refusal("backlog");
-                    tracing::info!(%job, %queue, retry_after, "submission refused: others that need the same lack room");
+                    tracing::info!(%job, %queue, retry_after, end, limit, "submission refused: the job would end too late");
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
+                tracing::info!(%job, %queue, end, limit, "job accepted");
                 let record = JobRecord {
                     queue: queue.clone(),
                     accepted: now.wall,
@@ -70,6 +73,7 @@
                 if self.has_backlog() {
                     self.defer(&mut accepted);
                 }
+                self.note_accepted(&accepted);
                 self.jobs.insert(job, accepted);
                 self.tickets.entry(job).or_default().push(ticket);
             }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -177,10 +177,14 @@
                     .collect(),
                 false => vec![end.task],
             };
+            let count = tasks.len();
             for task in tasks {
                 job.set_state(task, TaskState::Done);
                 self.lost_runs.end_task(task);
             }
+            if let Some(queue) = self.queues.queue(&job.queue) {
+                self.backlog.count_done(queue, step, count);
+            }
             self.journal.mark_dirty(id);
             let is_step_done = job.step(end.task.step).is_some_and(|step| step.is_done());
             let is_job_done = is_step_done && job.close_turn(end.task.step.turn);
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -250,7 +250,7 @@
     pub(super) placement_passes: usize,
     /// Requirements that no worker had room for in earlier placement passes.
     pub(super) unmet: Vec<UnmetRequirements>,
-    /// Late steps that lack room.
+    /// What the open jobs still have to do.
     pub(super) backlog: Backlog,
     /// When a placement pass last checked all workers.
     pub(super) last_full_pass: Millis,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -59,7 +59,7 @@
         self.make_room_for_best_effort(now);
         self.open_due(now);
         self.replace_expired_keys();
-        self.collect_backlog(now);
+        self.measure_backlog(now);
         self.expire_outcomes(now);
         self.lost_runs.expire(now.steady);
         self.record_waits(now.steady);
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -156,6 +156,11 @@
 }
 
 impl StepSpec {
+    /// Work of one task by its declared run time, in processor-seconds.
+    pub fn work(&self) -> f64 {
+        f64::from(self.size.processors) * f64::from(self.runtime.max(1)) / 1_000_000.0
+    }
+
     /// What a worker reserves for one task; best-effort tasks reserve no processors.
     pub fn reserved(&self) -> Size {
         match self.fills {
