Order: all tasks of a job come first once it is long overdue

Callers saw accepted jobs of wide steps that ended after up to 155 s. They get one task every 5 s while they are overdue: 80 s for a step of 16 tasks, whatever the number of such jobs.

Change: a job that has been open for six times its objective, and for the time that its own tasks need on a quarter of the processors, comes before all others of its priority with all its tasks, the oldest first. A worker is kept free for such a step as for a starved one. The sort key's simulations in the tests know the new time; no check of theirs has changed.

--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -31,8 +31,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Backlog {
     loads: HashMap<WorkClass, WorkLoad>,
-    /// The largest of each resource that a usable worker of a service has.
-    largest: HashMap<Name, Size>,
+    rooms: HashMap<Name, Room>,
     last_measured: Millis,
 }
 
@@ -114,6 +113,15 @@
     }
 }
 
+/// What the usable workers of a service have.
+#[derive(Debug, Default)]
+struct Room {
+    /// The largest of each resource.
+    largest: Size,
+    /// Millicores of all of them.
+    processors: u64,
+}
+
 /// When a new job is expected to end, in milliseconds from now.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Forecast {
@@ -138,7 +146,7 @@
 
     /// Forgets what is measured anew each time.
     fn clear(&mut self) {
-        self.largest.clear();
+        self.rooms.clear();
         for load in self.loads.values_mut() {
             load.owed.clear();
             load.progress = 0.0;
@@ -149,8 +157,8 @@
 
     /// Adds what is left of a job's step, unless its tasks fit on no worker.
     fn add_owed(&mut self, id: JobId, queue: &Queue, spec: &StepSpec, tasks: usize) {
-        let largest = self.largest.get(&queue.service);
-        if tasks > 0 && !spec.lasts && largest.is_some_and(|largest| spec.size.fits(largest)) {
+        let room = self.rooms.get(&queue.service);
+        if tasks > 0 && !spec.lasts && room.is_some_and(|room| spec.size.fits(&room.largest)) {
             let work = spec.work() * tasks as f64;
             let owed = &mut self.load(queue, spec).owed;
             match owed.last_mut().filter(|(last, _)| *last == id) {
@@ -186,6 +194,12 @@
         let progress: f64 = ahead.iter().map(|load| load.progress).sum();
         Some(((owed - progress).max(0.0) * 1_000.0 / rate) as u64)
     }
+
+    /// Time that the tasks of a turn need on a part of the workers, or `None` if no usable workers are known.
+    pub(super) fn wave_time(&self, queue: &Queue, spec: &JobSpec) -> Option<u64> {
+        let room = self.rooms.get(&queue.service)?;
+        Some(spec.wave_time(room.processors))
+    }
 }
 
 impl Shard {
@@ -198,8 +212,9 @@
         backlog.last_measured = now.steady;
         backlog.clear();
         for worker in self.workers.iter().filter(|it| it.is_usable(now.steady)) {
-            let largest = backlog.largest.entry(worker.service.clone()).or_default();
-            *largest = largest.max(&worker.capacity);
+            let room = backlog.rooms.entry(worker.service.clone()).or_default();
+            room.largest = room.largest.max(&worker.capacity);
+            room.processors += u64::from(worker.capacity.processors);
         }
         for id in &self.accepted {
             self.add_job(&mut backlog, *id);
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -48,6 +48,7 @@
                 start: job.turn_start(step.turn),
                 has_begun: job.has_begun(step.turn),
                 idle_since: job.idle_since(step),
+                wave_time: queue.and_then(|queue| self.backlog.wave_time(queue, &job.spec)),
             };
             let key = order_key(queue, &job.spec, turn, self.wall, step);
             self.starved_turns.note_queued(&key);
@@ -59,14 +60,20 @@
     /// was made.
     pub(super) fn replace_new_key(&mut self, key: OrderKey) {
         let StepId { job: id, turn, .. } = key.step;
-        let is_outdated = |job: &Job| match key.is_starved() {
-            true => job.idle_since(key.step).is_none(),
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let has_run = job.idle_since(key.step).is_none();
+        let is_outdated = match key.is_starved() {
+            true => has_run,
             false => key.gives_way() && job.has_begun(turn),
         };
-        if !self.jobs.get(&id).is_some_and(is_outdated) {
+        if has_run {
+            self.starved_turns.note_run(&key);
+        }
+        if !is_outdated {
             return;
         }
-        self.starved_turns.note_run(&key);
         self.ready
             .retain(|other| other.step.job != id || other.step.turn != turn);
         self.insert_steps(id);
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -80,7 +80,7 @@
         for key in keys {
             match self.place_step(now, *key, candidates, unmet, out) {
                 // Smaller tasks would take up each bit of room that becomes free.
-                Some(Waiting::LacksRoom) if key.is_starved() && set_aside < max_set_aside => {
+                Some(Waiting::LacksRoom) if key.comes_first() && set_aside < max_set_aside => {
                     set_aside += usize::from(self.set_aside(now, key.step, candidates));
                 }
                 Some(_) => {}
--- a/src/process/shard/turns.rs
+++ b/src/process/shard/turns.rs
@@ -28,7 +28,7 @@
 
     /// Takes note that the step of a key has a run.
     pub(super) fn note_run(&mut self, key: &OrderKey) {
-        if key.is_starved() && self.starved.remove(&key.step) {
+        if key.comes_first() && self.starved.remove(&key.step) {
             self.turns += 1;
         }
     }
@@ -42,8 +42,12 @@
 impl Shard {
     /// Logs how many steps are starved, and what has changed since the last call.
     pub(super) fn log_turns(&mut self) {
-        let starved = self.ready.iter().filter(|key| key.is_starved());
+        let known = &self.starved_turns.starved;
         // Steps also leave with the end of their job, or with a run that a worker still had.
+        let starved = self
+            .ready
+            .iter()
+            .filter(|key| key.is_starved() || (key.comes_first() && known.contains(&key.step)));
         let starved: BTreeSet<StepId> = starved.map(|key| key.step).collect();
         let turns = std::mem::take(&mut self.starved_turns);
         if !starved.is_empty() || turns.new > 0 || turns.turns > 0 {
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -11,10 +11,15 @@
 /// How long a step of an overdue job waits with nothing running before one of its tasks comes first, in
 /// milliseconds.
 const STARVED_TIME: u64 = 5_000;
+/// After this many times its objective, and the time that its tasks need on a part of the workers, all tasks of a job
+/// come first.
+const LONG_OVERDUE_FACTOR: u64 = 2 * OVERDUE_FACTOR;
 
 /// State of a job relative to its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ObjectiveStatus {
+    /// The job has been overdue for so long that all its tasks come before all others of its priority.
+    LongOverdue,
     /// The job is overdue and nothing of the step has run for a while. One of its tasks comes before all others
     /// of its priority, since whoever accepts a job has to run it, also while newer ones keep coming.
     Starved,
@@ -91,6 +96,11 @@
         self.status == ObjectiveStatus::Starved
     }
 
+    /// Whether one or all of the tasks come before all others of the priority.
+    pub fn comes_first(&self) -> bool {
+        self.is_starved() || self.status == ObjectiveStatus::LongOverdue
+    }
+
     /// Whether the key would come earlier if the turn had begun.
     pub fn gives_way(&self) -> bool {
         self.is_new && !self.is_long_running && self.status != ObjectiveStatus::Overdue
@@ -106,6 +116,9 @@
     pub has_begun: bool,
     /// Since when no task of the step has a run, in Unix milliseconds; `None` if one has.
     pub idle_since: Option<u64>,
+    /// Milliseconds that its tasks need on a part of the workers, so that a wide job does not come before all others
+    /// while it could not have ended yet; `None` if that is not known.
+    pub wave_time: Option<u64>,
 }
 
 /// Time in which a job is to end, in milliseconds from its acceptance or due time.
@@ -118,7 +131,8 @@
 /// Within a priority the earliest objective comes first. A job that can no longer meet its
 /// objective gives way to those that can, until it has to start to be of any use. Ordering by
 /// objective alone would finish every job of the backlog after a surge slightly too late. Overdue
-/// jobs run once the backlog is gone, but each gets a turn for one task in bounded time.
+/// jobs run once the backlog is gone, but each gets a turn for one task in bounded time, and all its tasks come first in the
+/// end, since one task at a time would not end a wide job.
 ///
 /// A job that has begun is finished before a new one begins, unless it is overdue. The more tasks a
 /// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
@@ -151,6 +165,10 @@
     let on_time_end = start.saturating_add(objective);
     let late_end = start.saturating_add(objective.saturating_mul(OVERDUE_FACTOR));
     let lead = remaining * LEAD_FACTOR;
+    let first_from = turn.wave_time.map_or(u64::MAX, |wave_time| {
+        let patience = objective.saturating_mul(LONG_OVERDUE_FACTOR);
+        start.saturating_add(patience).saturating_add(wave_time)
+    });
     let (status, due, expires) = match now + remaining {
         // Long-running tasks are useful however late they start.
         _ if is_long_running => (ObjectiveStatus::StartNow, on_time_end, u64::MAX),
@@ -169,21 +187,24 @@
             late_end,
             late_end.saturating_sub(remaining),
         ),
+        _ if first_from <= now => (ObjectiveStatus::LongOverdue, start, u64::MAX),
         _ => match turn.idle_since {
             Some(since) if since + STARVED_TIME <= now => {
-                (ObjectiveStatus::Starved, since, u64::MAX)
+                (ObjectiveStatus::Starved, since, first_from)
             }
             since => {
                 let check = since.unwrap_or(now).saturating_add(STARVED_TIME);
-                (ObjectiveStatus::Overdue, start, check)
+                (ObjectiveStatus::Overdue, start, check.min(first_from))
             }
         },
     };
     OrderKey {
         priority: queue.priority,
         is_long_running,
-        is_new: status != ObjectiveStatus::Starved
-            && (!turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue),
+        is_new: !matches!(
+            status,
+            ObjectiveStatus::LongOverdue | ObjectiveStatus::Starved
+        ) && (!turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue),
         status,
         due,
         step,
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -237,6 +237,14 @@
         ends.into_iter().flatten().max().unwrap_or(0)
     }
 
+    /// Milliseconds that the tasks of a turn need on a quarter of `processors`, which are in millicores, by their
+    /// declared run times. Long-running tasks are left out.
+    pub fn wave_time(&self, processors: u64) -> u64 {
+        let steps = self.steps.iter().filter(|step| !step.lasts);
+        let work: f64 = steps.map(|step| step.work() * f64::from(step.count)).sum();
+        (work * 4_000_000.0 / processors.max(1) as f64) as u64
+    }
+
     /// Whether any step is long-running.
     pub fn has_long_running_step(&self) -> bool {
         self.steps.iter().any(|step| step.lasts)
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -48,6 +48,7 @@
             start,
             has_begun: false,
             idle_since: Some(start),
+            wave_time: Some(0),
         };
         order_key(Some(&queue), &spec(runtime, lasts), turn, start, step(job))
     };
--- a/tests/surge_sizes.rs
+++ b/tests/surge_sizes.rs
@@ -130,6 +130,7 @@
                 start: job.arrived,
                 has_begun: job.has_begun,
                 idle_since: (job.running == 0).then_some(job.arrived.max(job.last_start)),
+                wave_time: Some(job.spec.wave_time(u64::from(CAPACITY))),
             };
             let step = StepId {
                 job: JobId(index as u64),
