Admission: smaller best-effort jobs don't pass several larger ones without a limit

Callers saw large accepted jobs that ended long after their objective, while smaller ones of the same image kept being accepted.

Cause: the limit on acceptance counted only while a task that needs no more lacked room. Best-effort tasks share idle time, so each smaller task takes what the larger ones lack, and a newcomer that needs a little less than all of them was always accepted.

Change: once two best-effort jobs of the same kind lack room, a smaller one is accepted by the same forecast as others. One job alone, which may never fit, holds back no smaller ones, and reserved processors that are too few for the larger job are used as before.

No test of its own tells the two apart: in a small model (six jobs of two tasks of 3,500 millicores beside smaller ones) the larger jobs ended at the same time. overload.rs passes with both.

--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -1,6 +1,6 @@
 //! Compares the work of the accepted jobs with the rate at which it is done, and refuses jobs that would end too late.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use super::candidates::UnmetRequirements;
 use super::jobs::lacks_room;
@@ -17,6 +17,9 @@
 const MIN_LIMIT: u64 = 5_000;
 /// Part of the limit that the work of one job counts for at most, so that a single wide one holds back no others.
 const MAX_JOB_SHARE: f64 = 0.5;
+/// If this many best-effort jobs lack room, one that needs less counts as one that lacks it too: what it would use is
+/// idle time that the others need.
+const MIN_LACKING_JOBS: usize = 2;
 /// Bounds of the time after which the client of a refused job may try again, in seconds.
 const MIN_RETRY: u64 = 1;
 const MAX_RETRY: u64 = 30;
@@ -84,6 +87,8 @@
     samples: VecDeque<(Millis, f64)>,
     /// What waiting tasks need that lack room.
     lacking: Vec<UnmetRequirements>,
+    /// Jobs with such tasks.
+    lacking_jobs: BTreeSet<JobId>,
 }
 
 impl WorkLoad {
@@ -152,6 +157,7 @@
             load.progress = 0.0;
             load.at_work = 0.0;
             load.lacking.clear();
+            load.lacking_jobs.clear();
         }
     }
 
@@ -173,8 +179,8 @@
         self.load(queue, spec).done += spec.work() * tasks as f64;
     }
 
-    /// Milliseconds until the work is done that comes before a step of a new job, if tasks that need no more lack
-    /// room.
+    /// Milliseconds until the work is done that comes before a step of a new job, if tasks that need no more, or
+    /// several best-effort jobs, lack room.
     fn wait(&self, now: Millis, queue: &Queue, spec: &StepSpec, limit: u64) -> Option<u64> {
         let class = WorkClass::of(queue, spec);
         let loads = self.loads.iter();
@@ -182,8 +188,11 @@
             .filter(|(other, _)| other.is_ahead_of(&class))
             .map(|(_, load)| load)
             .collect();
+        let jobs: usize = ahead.iter().map(|load| load.lacking_jobs.len()).sum();
         let mut lacking = ahead.iter().flat_map(|load| &load.lacking);
-        if !lacking.any(|unmet| unmet.cover_size(&queue.service, spec)) {
+        let is_covered = lacking.any(|unmet| unmet.cover_size(&queue.service, spec));
+        let takes_others_room = spec.fills && jobs >= MIN_LACKING_JOBS;
+        if !is_covered && !takes_others_room {
             return None;
         }
         let rates = ahead.iter().map(|load| load.rate(now));
@@ -288,7 +297,9 @@
         if is_special || !lacks_room(&self.queues, &self.unmet, job, key.step) {
             return;
         }
-        let lacking = &mut backlog.load(queue, spec).lacking;
+        let load = backlog.load(queue, spec);
+        load.lacking_jobs.insert(job.id);
+        let lacking = &mut load.lacking;
         if !lacking
             .iter()
             .any(|unmet| unmet.cover_size(&queue.service, spec))
