Requests with little time left are refused at once, or answered in time

Cause: 200 ms of the client's time are reserved for the answer's way back. With less than that the request was sent to the owner with a deadline that had passed, so it counted as uncertain, whatever the owner answered (it refuses most of them in a backlog), and an accepted job might run for nobody.

Change: a request with under 100 ms left is refused with 503 and Retry-After without being sent, so "has not run" is true; with 100 to 400 ms half of the time is reserved.

--- a/src/process/host/forward.rs
+++ b/src/process/host/forward.rs
@@ -11,8 +11,12 @@
 
 /// How long a client waits if its request does not say so, in milliseconds.
 const DEFAULT_WAIT_TIME: Millis = Millis(3_000);
-/// Part of the client's waiting time that is reserved for the answer's way back, in milliseconds.
+/// Part of the client's waiting time that is reserved for the answer's way back, in milliseconds; half of a shorter
+/// one.
 const ANSWER_RESERVE_TIME: Millis = Millis(200);
+/// A request whose client waits for less than this is refused at once, in milliseconds: the owner's answer would come
+/// too late, and nobody would know whether it was carried out.
+const MIN_WAIT_TIME: Millis = Millis(100);
 /// Timeout of one attempt to reach the owner, in milliseconds. A submission is stored within some
 /// 50 ms, or a few hundred if the store is slow.
 const ATTEMPT_TIME: Millis = Millis(1_500);
@@ -83,9 +87,18 @@
             }
         };
         let wait = decoded.wait.map_or(DEFAULT_WAIT_TIME, Millis);
+        if wait < MIN_WAIT_TIME {
+            tracing::info!(request = ?describe(&request), wait = wait.0, "request refused: its client waits for too short a time");
+            out.push(HostAction::Answer(
+                ticket,
+                refusal(503, OWNER_RETRY_SECONDS),
+            ));
+            return;
+        }
+        let reserve = ANSWER_RESERVE_TIME.min(Millis(wait.0 / 2));
         let pending = PendingRequest {
             request,
-            deadline: now.steady + wait.since(ANSWER_RESERVE_TIME),
+            deadline: now.steady + wait.since(reserve),
             retry_at: None,
             is_uncertain: false,
             arrived: now.steady,
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -10,5 +10,6 @@
 mod relay_replies;
 mod relays;
 mod scale;
+mod short_waits;
 mod turned_away;
 mod world;
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -5,8 +5,8 @@
 
 use jayfork::base::{Millis, Name};
 use jayfork::connection::{
-    CallError, Fence, KeyedRecord, Order, Page, Partition, StoreAnswer, StoreCall, StoreRequest,
-    WorkerAnswer, WorkerReport,
+    CallError, Fence, FrontReply, KeyedRecord, Order, Page, Partition, StoreAnswer, StoreCall,
+    StoreRequest, WorkerAnswer, WorkerReport,
 };
 use jayfork::platform::{CONFIG_KEY, CONFIG_STREAM, REGISTRY_STREAM};
 use jayfork::process::host::{
@@ -165,6 +165,8 @@
     pub loss: Option<Loss>,
     /// Messages so far that could have been lost.
     loss_count: usize,
+    /// Answers to clients by ticket, and when they were given.
+    pub answers: HashMap<u64, (u64, FrontReply)>,
 }
 
 impl World {
@@ -202,6 +204,7 @@
             unnumbered_hosts: Vec::new(),
             loss: None,
             loss_count: 0,
+            answers: HashMap::new(),
         };
         world.publish(1);
         for (index, (processor, _)) in hosts.iter().enumerate() {
@@ -214,7 +217,12 @@
 
     /// Stores a configuration without queues.
     pub fn publish(&mut self, version: u64) {
-        let text = format!(r#"{{"version":{version},"routes":[],"services":[]}}"#);
+        self.publish_routes(version, "");
+    }
+
+    /// Stores a configuration with these routes.
+    pub fn publish_routes(&mut self, version: u64, routes: &str) {
+        let text = format!(r#"{{"version":{version},"routes":[{routes}],"services":[]}}"#);
         let config = KeyedRecord {
             key: CONFIG_KEY.to_owned(),
             value: text.into(),
@@ -445,7 +453,10 @@
                     self.ordered_workers.insert((call.worker, call.address));
                     self.send(after, Message::WorkerAnswer(index, origin, answer));
                 }
-                HostAction::Answer(..) | HostAction::Ready(_) | HostAction::Drain => {}
+                HostAction::Answer(ticket, reply) => {
+                    self.answers.insert(ticket, (self.now, reply));
+                }
+                HostAction::Ready(_) | HostAction::Drain => {}
             }
         }
     }
