Admission: stuck jobs hold back no others, and jobs that can't run are limited

A reader who had not seen the work showed with tests (tests/shard/backlog_accepts.rs) that the new limit refused jobs that could run at once, or accepted others without a limit.

- Best-effort jobs that no worker bears made the rate 0 and the wait endless, so that 30 of 30 smaller jobs of their image were refused.
They count for nothing now; without any rate only what needs as much as a waiting job is refused, for 5 s.
- Without a usable worker, or for tasks that fit on none, no work was counted, and 400 of 400 jobs were accepted.
They are refused like others.
- The processors at work counted as a rate, although it is in declared run times: with run times ten times too short everything was accepted.
They are scaled by what they got done in the window.
- Rates of work that has other room, without the label or of a higher priority, hid the backlog of the own.
The longer of both waits counts.
A kind without a rate no longer voids the others' rates.
- A wide job with too short a declared run time took all the room once it was long overdue: starved steps of others come first now.
Turns of repeating jobs are never long overdue.

--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -73,6 +73,16 @@
     }
 }
 
+/// Sums at an earlier measurement.
+#[derive(Debug, Clone, Copy)]
+struct Sample {
+    at: Millis,
+    /// Work done and in progress, by declared run times.
+    work: f64,
+    /// Processor-seconds used for it.
+    used: f64,
+}
+
 #[derive(Debug, Default)]
 struct WorkLoad {
     /// What each open job still has, without the progress of its runs.
@@ -83,8 +93,11 @@
     progress: f64,
     /// Processors that the runs at work use.
     at_work: f64,
-    /// Sums of `done` and `progress` at earlier measurements.
-    samples: VecDeque<(Millis, f64)>,
+    /// Processor-seconds that runs have used since the first measurement.
+    used: f64,
+    samples: VecDeque<Sample>,
+    /// Jobs of which a step fits on no worker, even without other best-effort tasks there.
+    stuck: BTreeSet<JobId>,
     /// What waiting tasks need that lack room.
     lacking: Vec<UnmetRequirements>,
     /// Jobs with such tasks.
@@ -92,29 +105,51 @@
 }
 
 impl WorkLoad {
-    /// Processor-seconds a second, or `None` if it has not been measured for long enough.
+    /// Work done a second, or `None` if it has not been measured for long enough.
     fn rate(&self, now: Millis) -> Option<f64> {
-        let (since, before) = self.samples.front()?;
-        let window = now.since(*since);
-        let gain = (self.done + self.progress - before) * 1_000.0;
-        // What runs now is known sooner than what it gets done.
-        (window >= MIN_WINDOW).then(|| (gain / window.0 as f64).max(self.at_work))
+        let first = self.samples.front()?;
+        let window = now.since(first.at);
+        let gain = (self.done + self.progress - first.work).max(0.0);
+        let used = self.used - first.used;
+        // What runs now is known sooner than what it gets done. Declared run times may be far from the real ones.
+        let now_at_work = match used > 0.0 {
+            true => self.at_work * gain / used,
+            false => 0.0,
+        };
+        (window >= MIN_WINDOW).then(|| (gain * 1_000.0 / window.0 as f64).max(now_at_work))
     }
 
     fn add_sample(&mut self, now: Millis) {
-        self.samples.push_back((now, self.done + self.progress));
+        if let Some(last) = self.samples.back() {
+            self.used += self.at_work * now.since(last.at).0 as f64 / 1_000.0;
+        }
+        self.samples.push_back(Sample {
+            at: now,
+            work: self.done + self.progress,
+            used: self.used,
+        });
         while self
             .samples
             .front()
-            .is_some_and(|(at, _)| now.since(*at) > MAX_WINDOW)
+            .is_some_and(|sample| now.since(sample.at) > MAX_WINDOW)
         {
             self.samples.pop_front();
         }
     }
 
+    /// Milliseconds until its work is done at this rate, without that of jobs that are stuck; a job counts for
+    /// `max_counted` at most.
+    fn time(&self, rate: f64, max_counted: f64) -> f64 {
+        let owed = self.owed.iter().filter(|(id, _)| !self.stuck.contains(id));
+        let owed: f64 = owed.map(|(_, work)| work.min(max_counted)).sum();
+        (owed - self.progress).max(0.0) * 1_000.0 / rate
+    }
+
     fn is_idle(&self) -> bool {
-        let first = self.samples.front().map(|(_, work)| *work);
-        self.owed.is_empty() && first.is_none_or(|work| work == self.done)
+        let first = self.samples.front().map(|sample| sample.work);
+        self.owed.is_empty()
+            && self.lacking.is_empty()
+            && first.is_none_or(|work| work == self.done)
     }
 }
 
@@ -158,13 +193,19 @@
             load.at_work = 0.0;
             load.lacking.clear();
             load.lacking_jobs.clear();
+            load.stuck.clear();
         }
     }
 
+    /// Whether a task may fit on a worker; unknown without usable workers.
+    fn may_fit(&self, queue: &Queue, spec: &StepSpec) -> bool {
+        let room = self.rooms.get(&queue.service);
+        room.is_none_or(|room| spec.size.fits(&room.largest))
+    }
+
     /// Adds what is left of a job's step, unless its tasks fit on no worker.
     fn add_owed(&mut self, id: JobId, queue: &Queue, spec: &StepSpec, tasks: usize) {
-        let room = self.rooms.get(&queue.service);
-        if tasks > 0 && !spec.lasts && room.is_some_and(|room| spec.size.fits(&room.largest)) {
+        if tasks > 0 && !spec.lasts && self.may_fit(queue, spec) {
             let work = spec.work() * tasks as f64;
             let owed = &mut self.load(queue, spec).owed;
             match owed.last_mut().filter(|(last, _)| *last == id) {
@@ -195,17 +236,29 @@
         if !is_covered && !takes_others_room {
             return None;
         }
-        let rates = ahead.iter().map(|load| load.rate(now));
-        let rate = rates.sum::<Option<f64>>()?.max(f64::MIN_POSITIVE);
-        let most = rate * limit as f64 / 1_000.0 * MAX_JOB_SHARE;
-        let owed = ahead.iter().flat_map(|load| &load.owed);
-        let owed: f64 = owed.map(|(_, work)| work.min(most)).sum();
-        let progress: f64 = ahead.iter().map(|load| load.progress).sum();
-        Some(((owed - progress).max(0.0) * 1_000.0 / rate) as u64)
+        let mut rates = ahead.iter().filter_map(|load| load.rate(now)).peekable();
+        rates.peek()?;
+        let rate: f64 = rates.sum();
+        // Nothing of the kind is served. A task that needs less may have room all the same.
+        if rate <= 0.0 || !self.may_fit(queue, spec) {
+            return is_covered.then_some(limit + MIN_LIMIT);
+        }
+        let share = limit as f64 / 1_000.0 * MAX_JOB_SHARE;
+        let together: f64 = ahead.iter().map(|load| load.time(rate, rate * share)).sum();
+        // Others may be served faster, on workers without its label or because of their priority.
+        let own = self.loads.get(&class).and_then(|load| {
+            let rate = load.rate(now).filter(|rate| *rate > 0.0)?;
+            Some(load.time(rate, rate * share))
+        });
+        Some(together.max(own.unwrap_or(0.0)) as u64)
     }
 
-    /// Time that the tasks of a turn need on a part of the workers, or `None` if no usable workers are known.
+    /// Time that the tasks of a job need on a part of the workers, or `None` if no usable workers are known or the job
+    /// repeats: its turns may have been due long before it came.
     pub(super) fn wave_time(&self, queue: &Queue, spec: &JobSpec) -> Option<u64> {
+        if spec.turns > 0 {
+            return None;
+        }
         let room = self.rooms.get(&queue.service)?;
         Some(spec.wave_time(room.processors))
     }
@@ -230,7 +283,7 @@
         }
         self.add_runs(&mut backlog);
         for key in &self.ready {
-            self.add_lacking(&mut backlog, key);
+            self.add_lacking(now, &mut backlog, key);
         }
         // The rate of a new owner says little before all runs are known.
         let is_active = self.phase == Phase::Active;
@@ -286,7 +339,7 @@
 
     /// Adds a waiting step that lacks room. Gangs, steps with a limit of tasks a worker and jobs on trial wait for
     /// other reasons as well.
-    fn add_lacking(&self, backlog: &mut Backlog, key: &OrderKey) {
+    fn add_lacking(&self, now: Now, backlog: &mut Backlog, key: &OrderKey) {
         let Some((job, spec)) = self.step_spec(key.step) else {
             return;
         };
@@ -297,8 +350,13 @@
         if is_special || !lacks_room(&self.queues, &self.unmet, job, key.step) {
             return;
         }
+        let is_stuck = spec.fills && !self.could_bear(now, &queue.service, spec);
         let load = backlog.load(queue, spec);
-        load.lacking_jobs.insert(job.id);
+        if is_stuck {
+            load.stuck.insert(job.id);
+        } else {
+            load.lacking_jobs.insert(job.id);
+        }
         let lacking = &mut load.lacking;
         if !lacking
             .iter()
@@ -308,6 +366,17 @@
         }
     }
 
+    /// Whether a worker could bear a best-effort task if no other one were there.
+    fn could_bear(&self, now: Now, service: &Name, spec: &StepSpec) -> bool {
+        let image = spec.image.as_ref();
+        let interference = self.contention.interference(now.steady, image);
+        let mut workers = self
+            .workers
+            .iter()
+            .filter(|worker| worker.service == *service && worker.is_usable(now.steady));
+        workers.any(|worker| worker.missing_for(spec, &interference).is_some())
+    }
+
     /// When a new job is expected to end, or `None` if nothing keeps it from starting or too little is known. Its
     /// later steps count too, since others of accepted jobs wait for the same room.
     pub(super) fn forecast(&self, now: Now, queue: &Name, spec: &JobSpec) -> Option<Forecast> {
--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -333,7 +333,11 @@
     /// What a best-effort task lacks here until others have ended: the share of the processors, and of the
     /// rise of the tail latency that its serving tasks bear, in thousandths. `None` if it would not start here
     /// beside the serving tasks alone.
-    fn missing_for(&self, spec: &StepSpec, interference: &ImageInterference) -> Option<u64> {
+    pub(super) fn missing_for(
+        &self,
+        spec: &StepSpec,
+        interference: &ImageInterference,
+    ) -> Option<u64> {
         let demand = spec.size.processors;
         let capacity = self.capacity.processors;
         let share = self.share(demand);
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -18,11 +18,11 @@
 /// State of a job relative to its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum ObjectiveStatus {
-    /// The job has been overdue for so long that all its tasks come before all others of its priority.
-    LongOverdue,
     /// The job is overdue and nothing of the step has run for a while. One of its tasks comes before all others
     /// of its priority, since whoever accepts a job has to run it, also while newer ones keep coming.
     Starved,
+    /// The job has been overdue for so long that all its tasks come before those of jobs that are not.
+    LongOverdue,
     /// The job meets its objective if its next step starts now, or it is late and has to start soon
     /// to end before it is overdue.
     StartNow,
@@ -165,7 +165,7 @@
     let on_time_end = start.saturating_add(objective);
     let late_end = start.saturating_add(objective.saturating_mul(OVERDUE_FACTOR));
     let lead = remaining * LEAD_FACTOR;
-    let first_from = turn.wave_time.map_or(u64::MAX, |wave_time| {
+    let long_overdue_from = turn.wave_time.map_or(u64::MAX, |wave_time| {
         let patience = objective.saturating_mul(LONG_OVERDUE_FACTOR);
         start.saturating_add(patience).saturating_add(wave_time)
     });
@@ -187,14 +187,18 @@
             late_end,
             late_end.saturating_sub(remaining),
         ),
-        _ if first_from <= now => (ObjectiveStatus::LongOverdue, start, u64::MAX),
+        _ if long_overdue_from <= now => (ObjectiveStatus::LongOverdue, start, u64::MAX),
         _ => match turn.idle_since {
             Some(since) if since + STARVED_TIME <= now => {
-                (ObjectiveStatus::Starved, since, first_from)
+                (ObjectiveStatus::Starved, since, long_overdue_from)
             }
             since => {
                 let check = since.unwrap_or(now).saturating_add(STARVED_TIME);
-                (ObjectiveStatus::Overdue, start, check.min(first_from))
+                (
+                    ObjectiveStatus::Overdue,
+                    start,
+                    check.min(long_overdue_from),
+                )
             }
         },
     };
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -3,6 +3,7 @@
 
 mod absences;
 mod backlog;
+mod backlog_accepts;
 mod backlog_limits;
 mod blocked_jobs;
 mod callers;
