--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -63,7 +63,7 @@
     }
 
     /// Whether a new job with steps of class `other` would wait for the work of this one.
-    fn is_ahead_of(&self, other: &WorkClass) -> bool {
+    fn competes_with(&self, other: &WorkClass) -> bool {
         self.service == other.service
             && self.priority <= other.priority
             && self.fills == other.fills
@@ -226,7 +226,7 @@
         let class = WorkClass::of(queue, spec);
         let loads = self.loads.iter();
         let ahead: Vec<&WorkLoad> = loads
-            .filter(|(other, _)| other.is_ahead_of(&class))
+            .filter(|(other, _)| other.competes_with(&class))
             .map(|(_, load)| load)
             .collect();
         let jobs: usize = ahead.iter().map(|load| load.lacking_jobs.len()).sum();
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -10,6 +10,8 @@
 
 /// Most tasks in one job, over all steps; a larger job is refused.
 const MAX_TASKS: u64 = 20_000;
+/// Part of a service's processors that a single job may need without counting as wide.
+const WIDE_SHARE: f64 = 0.25;
 /// Longest payload of a job, in bytes.
 const MAX_PAYLOAD: usize = 4_000;
 
@@ -237,12 +239,12 @@
         ends.into_iter().flatten().max().unwrap_or(0)
     }
 
-    /// Milliseconds that the tasks of a turn need on a quarter of `processors`, which are in millicores, by their
-    /// declared run times. Long-running tasks are left out.
+    /// Milliseconds that the tasks of a turn need on the part of `processors` (millicores) that a job may use without
+    /// counting as wide, by their declared run times. Long-running tasks are left out.
     pub fn wave_time(&self, processors: u64) -> u64 {
         let steps = self.steps.iter().filter(|step| !step.lasts);
         let work: f64 = steps.map(|step| step.work() * f64::from(step.count)).sum();
-        (work * 4_000_000.0 / processors.max(1) as f64) as u64
+        (work * 1_000_000.0 / (processors.max(1) as f64 * WIDE_SHARE)) as u64
     }
 
     /// Whether any step is long-running.
--- a/tests/shard/backlog.rs
+++ b/tests/shard/backlog.rs
@@ -40,7 +40,7 @@
 pub const LONGEST_WAIT: u64 = 16_000;
 
 /// Submits a job every `interval` milliseconds for `time` and returns those that were accepted.
-fn keep_submitting(
+pub fn keep_submitting(
     world: &mut World,
     first: u64,
     spec: &JobSpec,
--- a/tests/shard/backlog_accepts.rs
+++ b/tests/shard/backlog_accepts.rs
@@ -1,45 +1,12 @@
 //! Which jobs a backlog accepts and refuses, with estimates that are wrong, stuck jobs, labels and priorities.
 
 use jayfork::process::shard::Reply;
-use jayfork::request::job::JobSpec;
 
-use super::backlog::has_started;
+use super::backlog::{has_started, keep_submitting};
+use super::backlog_limits::{declared, world};
 use super::pace::{best_effort, world_with_serving_tasks};
 use super::world::{LOW_QUEUE, QUEUE, World, chain};
 
-fn world(workers: usize) -> World {
-    let mut world = World::new(7, workers, 8_000);
-    world.runtimes = 900..1_000;
-    world.claim();
-    world.run(500);
-    world
-}
-
-fn declared(mut spec: JobSpec, runtime: u32) -> JobSpec {
-    spec.steps[0].runtime = runtime;
-    spec
-}
-
-fn flood(
-    world: &mut World,
-    queue: &str,
-    first: u64,
-    spec: &JobSpec,
-    interval: u64,
-    time: u64,
-) -> Vec<u64> {
-    let mut tickets = Vec::new();
-    for id in first..first + time / interval {
-        tickets.push((id, world.submit_to(queue, id, spec)));
-        world.run(interval);
-    }
-    world.run(200);
-    let accepted = tickets
-        .iter()
-        .filter(|(_, ticket)| world.replies.get(ticket) == Some(&Reply::Accepted));
-    accepted.map(|(id, _)| *id).collect()
-}
-
 fn unstarted(world: &mut World, ids: &[u64]) -> usize {
     ids.iter().filter(|id| !has_started(world, **id)).count()
 }
@@ -49,7 +16,7 @@
 fn underestimated_jobs_are_limited() {
     let mut world = world(2);
     let spec = declared(chain(&[4], 1_000), 50);
-    let accepted = flood(&mut world, QUEUE, 1, &spec, 100, 30_000);
+    let accepted = keep_submitting(&mut world, 1, &spec, 100, 30_000);
     world.run(14_000);
     let n = unstarted(&mut world, &accepted);
     assert_eq!(
@@ -85,7 +52,7 @@
 fn small_jobs_alone_are_accepted() {
     let mut world = world_with_serving_tasks(3_000, 0.5);
     world.run(10_000);
-    let accepted = flood(&mut world, QUEUE, 10, &best_effort(1, 300), 2_000, 60_000);
+    let accepted = keep_submitting(&mut world, 10, &best_effort(1, 300), 2_000, 60_000);
     assert_eq!((accepted.len(), unstarted(&mut world, &accepted)), (30, 0));
 }
 
@@ -96,7 +63,7 @@
     for worker in &mut world.fleet.workers {
         worker.is_gone = true;
     }
-    let accepted = flood(&mut world, QUEUE, 1, &chain(&[4], 1_000), 100, 40_000);
+    let accepted = keep_submitting(&mut world, 1, &chain(&[4], 1_000), 100, 40_000);
     assert!(accepted.len() < 200, "{} of 400 accepted", accepted.len());
 }
 
@@ -104,7 +71,7 @@
 #[test]
 fn jobs_that_fit_nowhere_are_limited() {
     let mut world = world(2);
-    let accepted = flood(&mut world, QUEUE, 1, &chain(&[1], 100_000), 100, 40_000);
+    let accepted = keep_submitting(&mut world, 1, &chain(&[1], 100_000), 100, 40_000);
     assert!(accepted.len() < 200, "{} of 400 accepted", accepted.len());
 }
 
@@ -206,7 +173,7 @@
 #[test]
 fn the_first_seconds_of_a_burst_are_limited() {
     let mut world = world(2);
-    let accepted = flood(&mut world, QUEUE, 1, &chain(&[4], 1_000), 10, 3_000);
+    let accepted = keep_submitting(&mut world, 1, &chain(&[4], 1_000), 10, 3_000);
     world.run(16_000);
     let n = unstarted(&mut world, &accepted);
     assert_eq!(n, 0, "{n} of {} not started 16 s later", accepted.len());
@@ -222,7 +189,7 @@
     spec.turns = 500;
     world.submit(1, &spec);
     world.run(100);
-    let accepted = flood(&mut world, QUEUE, 10, &chain(&[1], 1_000), 600, 36_000);
+    let accepted = keep_submitting(&mut world, 10, &chain(&[1], 1_000), 600, 36_000);
     let early: Vec<u64> = accepted
         .iter()
         .copied()
--- a/tests/shard/backlog_limits.rs
+++ b/tests/shard/backlog_limits.rs
@@ -8,7 +8,7 @@
 use super::world::{LOW_QUEUE, QUEUE, World, chain, long_running};
 
 /// A simulation of workers with 8 processors each, and runs of about a second.
-fn world(workers: usize) -> World {
+pub fn world(workers: usize) -> World {
     let mut world = World::new(7, workers, 8_000);
     world.runtimes = 900..1_000;
     world.claim();
@@ -137,7 +137,7 @@
     assert!(has_started(&mut world, 9));
 }
 
-fn declared(mut spec: JobSpec, runtime: u32) -> JobSpec {
+pub fn declared(mut spec: JobSpec, runtime: u32) -> JobSpec {
     spec.steps[0].runtime = runtime;
     spec
 }
