Review: a flapping minion ends a long-running job as failed (LOST)

Cause: a crash of a worker within a second of a start counts against the task; after two or three of them the job ends as failed (`count_crashes` in src/process/shard/crashes.rs), also if one worker has crashed each time and the task is long-running.

One minion of ten goes down and up with a period of 1.4 s for 6.5 s, while a job of ten long-running tasks fills all minions.

--- /dev/null
+++ b/review/standin-2/cases.rs
@@ -0,0 +1,178 @@
+//! The cases: what is submitted, the disruption, and the check of the rule.
+
+use std::time::Duration;
+
+use crate::record::{Event, What};
+use crate::system::{Setup, System};
+use crate::workers::Kind;
+
+pub enum Verdict {
+    Broken(String),
+    Held(String),
+    NotRun(String),
+}
+
+pub struct Case {
+    pub setup: Setup,
+    pub run: fn(&System, bool) -> Verdict,
+}
+
+fn kind(cpu: u64, label: &str) -> Kind {
+    Kind { cpu, label: label.to_owned() }
+}
+
+pub fn find(name: &str) -> Option<Case> {
+    let setup = |minions, cpu, attempts| Setup { hosts: 3, minions, kind: kind(cpu, "a"), attempts };
+    match name {
+        "flap" => Some(Case { setup: setup(10, 4_000, 3), run: flap }),
+        "gang" => Some(Case { setup: setup(10, 4_000, 3), run: gang }),
+        "kind" => Some(Case { setup: setup(10, 6_000, 3), run: kind_changes }),
+        _ => None,
+    }
+}
+
+fn sleep(ms: u64) {
+    std::thread::sleep(Duration::from_millis(ms));
+}
+
+fn events(system: &System) -> Vec<Event> {
+    system.record.events.lock().unwrap().clone()
+}
+
+fn failed_ends(system: &System, job: &str) -> usize {
+    let is_failed = |event: &&Event| event.task.starts_with(job) && event.what == What::Ended { how: "failed" };
+    events(system).iter().filter(is_failed).count()
+}
+
+/// One minion goes down and up while a job that lasts fills all minions.
+fn flap(system: &System, has_trouble: bool) -> Verdict {
+    const JOB: &str = "5c0e7a21d94b36f8";
+    const PERIOD: u64 = 1_400;
+    const LENGTH: u64 = 6_500;
+    let steps = r#"[{"count":10,"cpu":3000,"memMb":6400,"estRuntimeMs":500,"longRunning":true,"image":"index-1"}]"#;
+    if !system.submit(JOB, r#"{"lasts":true,"cpu":3000}"#, steps) {
+        return Verdict::NotRun("the job was not accepted".to_owned());
+    }
+    if !system.wait(Duration::from_secs(10), |system| system.running(JOB) == 10) {
+        return Verdict::NotRun("the job's tasks did not start".to_owned());
+    }
+    sleep(3_000);
+    let minion = &system.fleet.minions[0];
+    let start = system.record.now();
+    while has_trouble && system.record.now() < start + LENGTH {
+        system.record.line(&format!("minion {} goes down", minion.id));
+        minion.crash();
+        sleep(PERIOD / 2);
+        system.fleet.start(minion, kind(4_000, "a"));
+        sleep(PERIOD / 2);
+    }
+    let mut shown = String::new();
+    for _ in 0..20 {
+        sleep(1_000);
+        shown = system.state(JOB);
+        if shown == "failed" || shown == "cancelled" {
+            break;
+        }
+    }
+    sleep(1_000);
+    let (running, failed) = (system.running(JOB), failed_ends(system, JOB));
+    let text = format!("the job is shown as {shown}; {running} of its tasks run; {failed} ends of its runs were failed");
+    match shown.as_str() {
+        "failed" | "cancelled" if failed < 3 => Verdict::Broken(text),
+        _ => Verdict::Held(text),
+    }
+}
+
+/// A gang that saves its progress loses a member with its minion and starts again.
+fn gang(system: &System, has_trouble: bool) -> Verdict {
+    const JOB: &str = "3a0e7a21d94b36f1";
+    let steps = r#"[{"count":4,"cpu":3000,"memMb":1024,"estRuntimeMs":12000,"gang":true,"checkpointing":true}]"#;
+    if !system.submit(JOB, r#"{"ms":12000,"cpu":3000,"gang":4,"saves":true}"#, steps) {
+        return Verdict::NotRun("the job was not accepted".to_owned());
+    }
+    if !system.wait(Duration::from_secs(10), |system| system.running(JOB) == 4) {
+        return Verdict::NotRun("the job's tasks did not start".to_owned());
+    }
+    sleep(5_000);
+    let mut calm_from = system.record.now();
+    if has_trouble {
+        let member = format!("{JOB}.0.0.2");
+        let Some(minion) = system.fleet.minions.iter().find(|minion| minion.runs_task(&member)) else {
+            return Verdict::NotRun("no minion runs the member".to_owned());
+        };
+        system.record.line(&format!("minion {} crashes", minion.id));
+        minion.crash();
+        sleep(1_000);
+        system.fleet.start(minion, kind(4_000, "a"));
+        // A machine is in touch and the surroundings are calm `contactMs` after a disruption.
+        calm_from = system.record.now() + 4_000;
+    }
+    let mut shown = String::new();
+    for _ in 0..40 {
+        sleep(1_000);
+        shown = system.state(JOB);
+        if shown == "completed" || shown == "failed" {
+            break;
+        }
+    }
+    let events = events(system);
+    // Only runs that also began in calm count.
+    let began = |run: u64| {
+        let starts = events.iter().filter(|event| event.run == run && matches!(event.what, What::Started { .. }));
+        starts.map(|event| event.at).min().unwrap_or(0)
+    };
+    let alone = events.iter().filter(|event| event.what == What::Ended { how: "alone" });
+    let counted = alone.filter(|event| event.at >= calm_from && began(event.run) >= calm_from).count();
+    let mut values: Vec<&str> = Vec::new();
+    let last = events.iter().map(|event| event.run).max().unwrap_or(0);
+    for event in events.iter().filter(|event| event.run == last) {
+        if let What::Started { checkpoint, .. } = &event.what {
+            values.push(checkpoint.as_deref().unwrap_or("none"));
+        }
+    }
+    let text = format!("{counted} runs that began in calm ended alone; the job is shown as {shown}; checkpoints of the last run: {values:?}");
+    match counted {
+        0 => Verdict::Held(text),
+        _ => Verdict::Broken(text),
+    }
+}
+
+/// A minion crashes while the store is down and comes back under its id with less capacity; tasks wait all the while.
+fn kind_changes(system: &System, has_trouble: bool) -> Verdict {
+    for index in 0..12 {
+        let id = format!("7b0e7a21d94b36{index:02x}");
+        let steps = r#"[{"count":60,"cpu":1000,"memMb":256,"estRuntimeMs":1500}]"#;
+        system.submit(&id, r#"{"ms":1500,"cpu":1000}"#, steps);
+    }
+    sleep(1_000);
+    if has_trouble {
+        let minion = &system.fleet.minions[0];
+        system.record.line("the store is down");
+        system.store.set_down(true);
+        sleep(300);
+        system.record.line(&format!("minion {} crashes", minion.id));
+        minion.crash();
+        sleep(1_000);
+        system.fleet.start(minion, kind(4_000, "a"));
+        sleep(3_200);
+        system.store.set_down(false);
+        system.record.line("the store is back");
+    }
+    sleep(2_000);
+    let events = events(system);
+    let over: Vec<String> = events
+        .iter()
+        .filter_map(|event| match &event.what {
+            What::Started { used, cpu, .. } if used > cpu => {
+                Some(format!("{} on {} at {}: {used} of {cpu}", event.task, event.minion, event.at))
+            }
+            _ => None,
+        })
+        .collect();
+    let starts = events.iter().filter(|event| matches!(event.what, What::Started { .. })).count();
+    let text = format!("{} of {starts} starts brought a minion over its capacity; the first: {:?}", over.len(), over.first());
+    match over.is_empty() {
+        true => Verdict::Held(text),
+        false => Verdict::Broken(text),
+    }
+}
