Review: a long-running task waits 30 s after two lost minions (LOST)

Cause: `awaits_proof` in src/request/job/trials.rs holds a task for 30 s if two of its runs were lost with their workers soon after the start, also a long-running one, and also if both workers are gone for good.

Two minions of ten are lost for good, 7 s apart, each 0.5 s after the task started on it.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -26,6 +26,8 @@
     match name {
         "flap" => Some(Case { setup: setup(10, 4_000, 3), run: flap }),
         "gang" => Some(Case { setup: setup(10, 4_000, 3), run: gang }),
+        "dark" => Some(Case { setup: setup(10, 4_000, 3), run: dark }),
+        "waiting" => Some(Case { setup: setup(10, 4_000, 3), run: waiting }),
         "kind" => Some(Case { setup: setup(10, 6_000, 3), run: kind_changes }),
         _ => None,
     }
@@ -176,3 +178,84 @@
         false => Verdict::Broken(text),
     }
 }
+
+/// Two minions are lost for good, each soon after a task that lasts has started on it.
+fn dark(system: &System, has_trouble: bool) -> Verdict {
+    const JOB: &str = "2f0e7a21d94b36c7";
+    const TASK: &str = "2f0e7a21d94b36c7.0.0.0";
+    let steps = r#"[{"count":1,"cpu":2000,"memMb":6400,"estRuntimeMs":500,"longRunning":true,"image":"index-1"}]"#;
+    if !system.submit(JOB, r#"{"lasts":true,"cpu":2000}"#, steps) {
+        return Verdict::NotRun("the job was not accepted".to_owned());
+    }
+    for _ in 0..if has_trouble { 2 } else { 0 } {
+        if !system.wait(Duration::from_secs(12), |system| system.running(JOB) == 1) {
+            return Verdict::NotRun("the task did not start".to_owned());
+        }
+        sleep(500);
+        let Some(minion) = system.fleet.minions.iter().find(|minion| minion.runs_task(TASK)) else {
+            return Verdict::NotRun("no minion runs the task".to_owned());
+        };
+        system.record.line(&format!("minion {} loses power for good", minion.id));
+        minion.go_dark();
+    }
+    let lost = system.record.now();
+    system.wait(Duration::from_secs(12), |system| system.running(JOB) == 1);
+    let waited = system.record.now() - lost;
+    let is_back = system.running(JOB) == 1;
+    system.wait(Duration::from_secs(40), |system| system.running(JOB) == 1);
+    let total = system.record.now() - lost;
+    let text = format!("after its last run the task did not run for {total} ms, with room on all other minions");
+    // From 6 s after the last run it may have nothing running for 3 s.
+    match is_back && waited <= 9_000 {
+        true => Verdict::Held(text),
+        false => Verdict::Broken(text),
+    }
+}
+
+/// The only minion with room refuses all starts, as an unhealthy one does, while two jobs wait.
+fn waiting(system: &System, has_trouble: bool) -> Verdict {
+    const BLOCKER: &str = "1a0e7a21d94b36b0";
+    let steps = r#"[{"count":9,"cpu":4000,"memMb":6400,"estRuntimeMs":500,"longRunning":true,"image":"index-1"}]"#;
+    if !system.submit(BLOCKER, r#"{"lasts":true,"cpu":4000}"#, steps) {
+        return Verdict::NotRun("the first job was not accepted".to_owned());
+    }
+    if !system.wait(Duration::from_secs(10), |system| system.running(BLOCKER) == 9) {
+        return Verdict::NotRun("the first job's tasks did not start".to_owned());
+    }
+    sleep(2_000);
+    let free = system.fleet.minions.iter().find(|minion| minion.is_idle());
+    let Some(free) = free else {
+        return Verdict::NotRun("no minion is free".to_owned());
+    };
+    if has_trouble {
+        system.record.line(&format!("minion {} answers 503 to all starts", free.id));
+        free.set_refusing(true);
+    }
+    let jobs = ["4c0e7a21d94b36d1", "4c0e7a21d94b36d2"];
+    for job in jobs {
+        if !system.submit(job, r#"{"ms":1000,"cpu":1000}"#, r#"[{"count":1,"cpu":1000,"memMb":256,"estRuntimeMs":1000}]"#) {
+            return Verdict::NotRun("a job was not accepted".to_owned());
+        }
+    }
+    sleep(5_500);
+    let begun = |job: &&&str| {
+        let is_start = |event: &Event| event.task.starts_with(**job) && matches!(event.what, What::Started { .. });
+        events(system).iter().any(is_start)
+    };
+    let before = jobs.iter().filter(|job| !begun(job)).count() as u64;
+    let shown = match system.send("GET", "", "", 3) {
+        Some((200, body)) => crate::json::Json::parse(&body).and_then(|json| json.num("waiting")),
+        _ => None,
+    };
+    let after = jobs.iter().filter(|job| !begun(job)).count() as u64;
+    free.set_refusing(false);
+    let Some(shown) = shown else {
+        return Verdict::NotRun("the queue gave no number".to_owned());
+    };
+    let truth = before.min(after);
+    let text = format!("`waiting` is {shown}, and {truth} jobs that were accepted over 5 s before had not begun");
+    match shown * 2 < truth {
+        true => Verdict::Broken(text),
+        false => Verdict::Held(text),
+    }
+}
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     pub query: HashMap<String, String>,
     pub headers: HashMap<String, String>,
@@ -83,7 +82,7 @@
     let mut line = String::new();
     reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
     let mut parts = line.split_whitespace();
-    let method = parts.next()?.to_owned();
+    parts.next()?;
     let target = parts.next()?.to_owned();
     let headers = read_headers(reader)?;
     let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
@@ -92,7 +91,7 @@
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = pairs.map(|(name, value)| (name.to_owned(), unescape(value))).collect();
-    Some(Request { method, path: path.to_owned(), query, headers, body })
+    Some(Request { path: path.to_owned(), query, headers, body })
 }
 
 fn read_headers(reader: &mut BufReader<TcpStream>) -> Option<HashMap<String, String>> {
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -5,6 +5,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -50,8 +51,8 @@
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).ok()?;
         let store = Arc::new(Store::default());
-        let listener = TcpListener::bind(("127.0.0.1", 0)).ok()?;
-        let store_address = listener.local_addr().ok()?;
+        let store_address = free_address();
+        let listener = TcpListener::bind(store_address).ok()?;
         let serving = store.clone();
         std::thread::spawn(move || http::serve(listener, || true, move |request| serving.answer(&request)));
         let config = format!(
@@ -60,7 +61,7 @@
         );
         store.put("keyed.op", "config", &config);
         let fleet = Fleet::open(setup.minions, SERVICE, &setup.kind, store.clone(), record.clone());
-        let ports = free_ports(setup.hosts * 4);
+        let ports: Vec<SocketAddr> = (0..setup.hosts * 4).map(|_| free_address()).collect();
         let seeds: Vec<String> = ports.chunks(4).map(|ports| ports[2].to_string()).collect();
         let mut system = System { store, fleet, hosts: Vec::new(), record, folder };
         for (index, ports) in ports.chunks(4).enumerate() {
@@ -189,11 +190,19 @@
     answer.is_some_and(|(status, _)| status == 200)
 }
 
-/// Addresses on which nothing listens; all are drawn before any is released.
-fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind(("127.0.0.1", 0)).expect("a port is free")).collect();
-    listeners.iter().map(|listener| listener.local_addr().expect("a listener has an address")).collect()
+/// An address on which nothing listens, another one at each call. Its port is not one that the system gives to
+/// connections, so that it stays free while nothing listens there.
+pub fn free_address() -> SocketAddr {
+    const FIRST: u32 = 12_000;
+    const COUNT: u32 = 18_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let index = std::process::id().wrapping_mul(97) + NEXT.fetch_add(1, Ordering::SeqCst);
+        let address = SocketAddr::from(([127, 0, 0, 1], (FIRST + index % COUNT) as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// The template of the deploy file, filled in with the settings of a small site.
@@ -223,7 +232,6 @@
 
 unsafe extern "C" {
     fn prctl(option: i32, value: u64, ...) -> i32;
-    fn kill(pid: i32, signal: i32) -> i32;
 }
 
 /// Has the kernel kill the process when the thread that started it ends.
@@ -244,11 +252,4 @@
             let _ = child.wait();
         }
     }
-
-    /// Sends a signal to the host's process.
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = self.child.lock().unwrap().as_ref() {
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
 }
--- a/review/standin-2/workers.rs
+++ b/review/standin-2/workers.rs
@@ -20,7 +20,7 @@
 pub const GANG: u64 = 3_000;
 const SAVE: u64 = 2_000;
 const RESTORE: u64 = 250;
-const HEARTBEAT: u64 = 1_500;
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
 
 #[derive(Clone, PartialEq)]
 pub struct Kind {
@@ -67,17 +67,20 @@
     last_end: u64,
     closed: HashMap<String, u64>,
     seq: u64,
-    last_beat: Option<Instant>,
 }
 
 pub struct Minion {
     pub id: String,
     pub address: SocketAddr,
     pub life: Mutex<Option<Life>>,
+    /// When it last wrote its entry; `None` if the store has none of it.
+    last_beat: Mutex<Option<Instant>>,
     changed: Condvar,
     is_open: Arc<AtomicBool>,
     /// Whether it has lost power: its port gives no sign.
     is_dark: Arc<AtomicBool>,
+    /// Whether it answers starts with 503 and does nothing.
+    is_refusing: AtomicBool,
 }
 
 /// All minions of the deployment.
@@ -110,7 +113,6 @@
             last_end: 0,
             closed: HashMap::new(),
             seq: 0,
-            last_beat: None,
         }
     }
 
@@ -195,8 +197,12 @@
         self.changed.notify_all();
     }
 
-    pub fn is_up(&self) -> bool {
-        self.life.lock().unwrap().is_some()
+    pub fn set_refusing(&self, is_refusing: bool) {
+        self.is_refusing.store(is_refusing, Ordering::SeqCst);
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.life.lock().unwrap().as_ref().is_some_and(|life| life.runs.is_empty())
     }
 
     pub fn runs_task(&self, task: &str) -> bool {
@@ -209,16 +215,15 @@
     pub fn open(count: usize, service: &str, kind: &Kind, store: Arc<Store>, record: Arc<Record>) -> Arc<Fleet> {
         let mut minions = Vec::new();
         for index in 0..count {
-            let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port is free");
-            let address = listener.local_addr().expect("a listener has an address");
-            drop(listener);
             minions.push(Arc::new(Minion {
                 id: format!("i-{:08x}", 0x7f00_0000 + index),
-                address,
+                address: crate::system::free_address(),
                 life: Mutex::new(None),
+                last_beat: Mutex::new(None),
                 changed: Condvar::new(),
                 is_open: Arc::default(),
                 is_dark: Arc::default(),
+                is_refusing: AtomicBool::new(false),
             }));
         }
         let service = service.to_owned();
@@ -283,7 +288,7 @@
             self.service, minion.address, life.kind.cpu, life.kind.label, life.clock(), life.seq, life.born
         );
         if self.store.put("keyed.servers", &minion.id, &entry) {
-            life.last_beat = Some(Instant::now());
+            *minion.last_beat.lock().unwrap() = Some(Instant::now());
         }
     }
 
@@ -384,12 +389,16 @@
             }
         }
         for minion in &self.minions {
-            let is_due = minion.life.lock().unwrap().as_ref().is_some_and(|life| {
-                life.last_beat.is_none_or(|at| at.elapsed() >= Duration::from_millis(HEARTBEAT))
-            });
-            if is_due {
+            let silent_for = minion.last_beat.lock().unwrap().map(|at| at.elapsed());
+            let is_up = minion.life.lock().unwrap().is_some();
+            if is_up && silent_for.is_none_or(|time| time >= HEARTBEAT) {
                 self.beat(minion);
             }
+            // The store drops the entry after three heartbeats.
+            if !is_up && silent_for.is_some_and(|time| time >= 3 * HEARTBEAT) && self.store.put("keyed.servers", &minion.id, "") {
+                self.record.line(&format!("the entry of minion {} has expired", minion.id));
+                *minion.last_beat.lock().unwrap() = None;
+            }
         }
     }
 
@@ -415,6 +424,10 @@
         let number = json.num("run").unwrap_or(0);
         let accepted = Some((200, format!(r#"{{"clockMs":{clock}}}"#).into_bytes()));
         match request.path.as_str() {
+            "/run-start" if minion.is_refusing.load(Ordering::SeqCst) => {
+                self.record.line(&format!("start of {task} run {number} on {} is answered 503", minion.id));
+                Some((503, Vec::new()))
+            }
             "/run-start" => {
                 life.extend(json.num("untilMs"));
                 if life.runs.iter().any(|run| run.task == task && run.run == number) {
