Review: accepted jobs are answered 410 after their route got another name (LOST); report

Cause: jobs are kept by the name of their queue; after a version with the same host, path and service under another name, `reply_state` finds another queue and `place_step` none.

Case: review/7, a script. A version renames the only route while a job of two steps runs.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 for program in target/release/jayforkd target/review-2/standin; do
   [ -x "$program" ] || { echo "not run: $program is missing"; exit 2; }
 done
-exec target/review-2/standin kind review/7/record.txt
+exec target/review-2/standin route review/7/record.txt
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/6 to review/8 start. Needs only the Rust toolchain.
+# Builds the stand-ins that the scripts of review/6 to review/9 start. Needs only the Rust toolchain.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::record::{Event, What};
-use crate::system::{Setup, System};
+use crate::system::{Setup, System, publish_config};
 use crate::workers::Kind;
 
 pub enum Verdict {
@@ -25,6 +25,7 @@
     let setup = |minions, cpu, attempts| Setup { hosts: 3, minions, kind: kind(cpu, "a"), attempts };
     match name {
         "gang" => Some(Case { setup: setup(10, 4_000, 3), run: gang }),
+        "route" => Some(Case { setup: setup(10, 4_000, 3), run: route }),
         "waiting" => Some(Case { setup: setup(10, 4_000, 3), run: waiting }),
         "kind" => Some(Case { setup: setup(10, 6_000, 3), run: kind_changes }),
         _ => None,
@@ -180,3 +181,30 @@
         false => Verdict::Held(text),
     }
 }
+
+/// A version of the configuration takes a route away and adds one with the same host, path and service under
+/// another name, while a job of it runs.
+fn route(system: &System, has_trouble: bool) -> Verdict {
+    const JOB: &str = "0d0e7a21d94b36a6";
+    let steps = r#"[{"count":4,"cpu":1000,"memMb":256,"estRuntimeMs":4000},{"count":4,"cpu":1000,"memMb":256,"estRuntimeMs":4000,"dependsOn":[0]}]"#;
+    if !system.submit(JOB, r#"{"ms":4000,"cpu":1000}"#, steps) {
+        return Verdict::NotRun("the job was not accepted".to_owned());
+    }
+    if !system.wait(Duration::from_secs(10), |system| system.running(JOB) == 4) {
+        return Verdict::NotRun("the job's tasks did not start".to_owned());
+    }
+    sleep(1_000);
+    if has_trouble {
+        system.record.line("the configuration changes");
+        publish_config(&system.store, 9, "r-73d3zji", 3);
+    }
+    sleep(20_000);
+    let shown = system.state(JOB);
+    let events = events(system);
+    let done = events.iter().filter(|event| event.what == What::Ended { how: "done" }).count();
+    let text = format!("the job is shown as {shown}; {done} of its 8 tasks have run");
+    match shown.as_str() {
+        "410" => Verdict::Broken(text),
+        _ => Verdict::Held(text),
+    }
+}
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -17,6 +17,9 @@
 
 pub const HOST: &str = "nony24.example";
 const SERVICE: &str = "huvo11a";
+/// The configuration at the start.
+const FIRST_VERSION: u64 = 7;
+const FIRST_ROUTE: &str = "r-3hwrr6x";
 /// How long a client waits for an answer.
 const WAIT: Duration = Duration::from_millis(3_000);
 
@@ -55,11 +58,7 @@
         let listener = TcpListener::bind(store_address).ok()?;
         let serving = store.clone();
         std::thread::spawn(move || http::serve(listener, || true, move |request| serving.answer(&request)));
-        let config = format!(
-            r#"{{"version":7,"routes":[{{"name":"r-3hwrr6x","host":"{HOST}","pathPrefix":"/lohu930/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":2500,"priority":0,"service":"{SERVICE}","attempts":{},"stretch":2.2}}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"spare":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
-            setup.attempts
-        );
-        store.put("keyed.op", "config", &config);
+        publish_config(&store, FIRST_VERSION, FIRST_ROUTE, setup.attempts);
         let fleet = Fleet::open(setup.minions, SERVICE, &setup.kind, store.clone(), record.clone());
         let ports: Vec<SocketAddr> = (0..setup.hosts * 4).map(|_| free_address()).collect();
         let seeds: Vec<String> = ports.chunks(4).map(|ports| ports[2].to_string()).collect();
@@ -185,6 +184,14 @@
     }
 }
 
+/// Writes a version of the configuration with one route.
+pub fn publish_config(store: &Store, version: u64, route: &str, attempts: u64) {
+    let config = format!(
+        r#"{{"version":{version},"routes":[{{"name":"{route}","host":"{HOST}","pathPrefix":"/lohu930/","kind":"non_idempotent","timeoutMs":3000,"targetLatencyMs":2500,"priority":0,"service":"{SERVICE}","attempts":{attempts},"stretch":2.2}}],"services":[{{"name":"{SERVICE}","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"enforcesCapacity":false,"spare":false}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+    );
+    store.put("keyed.op", "config", &config);
+}
+
 fn is_ready(address: SocketAddr) -> bool {
     let answer = http::call(address, "GET", "/readiness", "localhost", "", Duration::from_millis(500));
     answer.is_some_and(|(status, _)| status == 200)
