Log open jobs whose queue a new configuration does not name

Change: one warning for each configuration with the number of open jobs without a queue, and a line for each request that is answered as if there were no such job although the job is known in another queue. The job is kept, and its queue is looked up by a name that is gone. Conclusion: the name of the queue, not the job, is what is lost.

--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -106,7 +106,19 @@
                 outcome: None,
                 has_started: job.has_started,
             },
-            None => Reply::Gone,
+            None => {
+                self.log_other_queue(id, queue);
+                Reply::Gone
+            }
+        }
+    }
+
+    /// Logs that a request for a known job is answered as if there were no such job.
+    fn log_other_queue(&self, id: JobId, asked: &Name) {
+        let open = self.jobs.get(&id).map(|job| &job.queue);
+        let known = open.or_else(|| self.ended.get(&id).map(|ended| &ended.queue));
+        if let Some(known) = known {
+            tracing::info!(job = %id, queue = %known, %asked, "no such job in the queue that was asked: it belongs to another one");
         }
     }
 
@@ -128,6 +140,7 @@
         }
         let is_open = self.jobs.get(&id).is_some_and(|job| job.queue == *queue);
         if !is_open {
+            self.log_other_queue(id, queue);
             out.push(ShardAction::Reply(ticket, Reply::Gone));
             return;
         }
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -362,6 +362,17 @@
             }
             ShardEvent::Queues(queues) => {
                 self.queues = queues.into();
+                let jobs = self.jobs.values();
+                let jobs_without_queue = jobs
+                    .filter(|job| self.queues.queue(&job.queue).is_none())
+                    .count();
+                if jobs_without_queue > 0 {
+                    tracing::warn!(
+                        jobs_without_queue,
+                        jobs = self.jobs.len(),
+                        "open jobs have no queue in the new configuration"
+                    );
+                }
                 self.rebuild_order();
             }
             ShardEvent::Store(StoreTag::Append, answer) => {
