Jobs stay in their queue whatever versions do to its name

Cause: the name was the identity of a queue, in the records of jobs and ends, in the requests between hosts and in each lookup of its settings. Clients know only host and path. A lookup without a result was decided in a dozen places: held, retried without a limit, without objective or forecast; swapped names found the wrong queue. Change: jobs refer to a queue by an id that stays. The owner follows the queue from version to version, by its address, else by its name, and records what it has become (q/ID). A dropped queue stays as the last configuration described it, so each lookup has a result. Requests between hosts carry the queue that the host has found and its version; an owner of an earlier version of the program gets them in the earlier form after one attempt. Between hosts with different versions a job of another queue is answered 503 instead of 410; a submission to a queue that the owner's newer version has dropped is refused. Why it works: what identifies a queue to clients, its address, is followed first, and each step is recorded before the next one can matter, so any owner finds it; nothing depends on which name a host has seen. Tests changed: order_key takes a queue instead of an option; a job without a queue no longer exists. Nothing is checked less.

--- a/src/process/host/forward.rs
+++ b/src/process/host/forward.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 
 use super::host::{Host, HostAction, PeerPurpose};
-use super::message::{PeerCall, PeerReply};
+use super::message::PeerReply;
+use super::request_form::SentRequest;
 use crate::base::Millis;
 use crate::connection::{CallError, FrontReply, FrontRequest};
 use crate::platform::{ClientCall, decode_client, encode_backlog, encode_job_state};
 use crate::process::shard::{Now, Reply, Request, ShardEvent};
+use crate::version::QueueRef;
 
 /// How long a client waits if its request does not say so, in milliseconds.
 const DEFAULT_WAIT_TIME: Millis = Millis(3_000);
@@ -71,7 +73,10 @@
                 return;
             }
         };
-        let queue = queue.name.clone();
+        let queue = QueueRef::Matched {
+            version: config.version,
+            queue: Arc::new(queue.clone()),
+        };
         let request = match decoded.call {
             ClientCall::Submit(job, spec) => Request::Submit {
                 job,
@@ -125,11 +130,9 @@
             return;
         };
         let left = pending.deadline.since(now.steady);
-        let purpose = PeerPurpose::Forward {
-            ticket,
-            sent: now.steady,
-        };
-        let message = PeerCall::Request(request);
+        let boot = self.owner.as_ref().map_or(0, |owner| owner.boot);
+        let (sent, message) = self.request_form.call(now.steady, boot, ticket, request);
+        let purpose = PeerPurpose::Forward(sent);
         self.call_peer(purpose, address, message, left.min(ATTEMPT_TIME), out);
     }
 
@@ -160,11 +163,16 @@
     pub(super) fn handle_forward_answer(
         &mut self,
         now: Now,
-        ticket: u64,
-        sent: Millis,
+        request: SentRequest,
         answer: Result<PeerReply, CallError>,
         out: &mut Vec<HostAction>,
     ) {
+        let SentRequest { ticket, sent, .. } = request;
+        match &answer {
+            Ok(_) => self.request_form.answered(request),
+            Err(CallError::NoAnswer) => self.request_form.closed(now.steady, request),
+            Err(_) => {}
+        }
         let retry_at = now.steady + RETRY_TIME;
         match answer {
             Ok(PeerReply::Shard(reply)) => {
@@ -221,7 +229,7 @@
         };
         if let Request::Submit { job, queue, .. } = &pending.request {
             let status = answer.status;
-            tracing::info!(%job, %queue, status, "submission answered");
+            tracing::info!(%job, queue = %queue.name(), status, "submission answered");
         }
         out.push(HostAction::Answer(ticket, answer));
     }
@@ -283,7 +291,7 @@
         Request::Submit { job, .. } => ("submit", job.to_string()),
         Request::State { job, .. } => ("state", job.to_string()),
         Request::Cancel { job, .. } => ("cancel", job.to_string()),
-        Request::Backlog { queue } => ("backlog", queue.to_string()),
+        Request::Backlog { queue } => ("backlog", queue.name().to_string()),
     }
 }
 
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -11,12 +11,15 @@
 use super::pause::PauseWatch;
 use super::peers::Peers;
 use super::relay::{OrderLinks, OrderOrigin, RelaySessions, SentBatch};
+use super::request_form::{RequestForm, SentRequest};
 use super::streams::Streams;
 use crate::base::{Millis, Name};
 use crate::connection::{
     CallError, FrontReply, FrontRequest, StoreAnswer, StoreCall, WorkerAnswer, WorkerCall,
 };
-use crate::process::shard::{Now, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag};
+use crate::process::shard::{
+    Now, Request, Shard, ShardAction, ShardEvent, ShardSettings, StoreTag,
+};
 use crate::version::QueueTable;
 
 /// Pause between a failed hello to the owner and the next one, in milliseconds.
@@ -124,10 +127,7 @@
         holder: SocketAddr,
         sent: Millis,
     },
-    Forward {
-        ticket: u64,
-        sent: Millis,
-    },
+    Forward(SentRequest),
     TakeOver {
         epoch: u64,
         /// Whether the peer was told how long workers have been without a lease.
@@ -165,6 +165,7 @@
     pub(super) pending_requests: HashMap<u64, PendingRequest>,
     /// Origins of the requests that the own shard has not answered, by the ID given to the shard.
     pub(super) origins: HashMap<u64, Origin>,
+    pub(super) request_form: RequestForm,
     pub(super) peer_calls: HashMap<u64, PeerPurpose>,
     /// Orders of the own shard that other hosts send to workers.
     pub(super) order_links: OrderLinks,
@@ -208,6 +209,7 @@
             claim: Claim::default(),
             pending_requests: HashMap::new(),
             origins: HashMap::new(),
+            request_form: RequestForm::default(),
             peer_calls: HashMap::new(),
             order_links: OrderLinks::default(),
             relay_sessions: RelaySessions::default(),
@@ -395,14 +397,8 @@
                 };
                 out.push(HostAction::PeerReply(ticket, reply));
             }
-            PeerCall::Request(request) => {
-                if self.shard.is_none() {
-                    let owner = self.known_owner(now.steady);
-                    out.push(HostAction::PeerReply(ticket, PeerReply::NotOwner { owner }));
-                    return;
-                }
-                self.ask_shard(now, Origin::Peer(ticket), request, out);
-            }
+            PeerCall::Request(request) => self.serve_request(now, ticket, request.into(), out),
+            PeerCall::QueueRequest(request) => self.serve_request(now, ticket, request, out),
             PeerCall::TakeOver { epoch } => self.take_over(now, ticket, epoch, None, out),
             PeerCall::HandOver(handover) => {
                 self.take_over(now, ticket, handover.epoch, Some(handover), out);
@@ -417,6 +413,22 @@
         }
     }
 
+    /// Passes the request of a client of another host to the shard.
+    fn serve_request(
+        &mut self,
+        now: Now,
+        ticket: u64,
+        request: Request,
+        out: &mut Vec<HostAction>,
+    ) {
+        if self.shard.is_none() {
+            let owner = self.known_owner(now.steady);
+            out.push(HostAction::PeerReply(ticket, PeerReply::NotOwner { owner }));
+            return;
+        }
+        self.ask_shard(now, Origin::Peer(ticket), request, out);
+    }
+
     fn handle_peer_answer(
         &mut self,
         now: Now,
@@ -446,9 +458,7 @@
             PeerPurpose::Config { holder, sent } => {
                 self.handle_config_answer(now, holder, sent, answer, out);
             }
-            PeerPurpose::Forward { ticket, sent } => {
-                self.handle_forward_answer(now, ticket, sent, answer, out);
-            }
+            PeerPurpose::Forward(sent) => self.handle_forward_answer(now, sent, answer, out),
             PeerPurpose::TakeOver { epoch, has_waits } => {
                 self.handle_take_over_answer(now, epoch, has_waits, answer, out);
             }
--- a/src/process/host/message.rs
+++ b/src/process/host/message.rs
@@ -8,7 +8,8 @@
 use super::relay::{BatchNumber, OrderBatch, RelayedAnswer, SessionId};
 use crate::base::Name;
 use crate::process::shard::{Handover, Reply, Request};
-use crate::version::QueueTable;
+use crate::request::job::{JobId, JobSpec};
+use crate::version::{QueueRef, QueueTable};
 
 /// The record under which a host registers itself in the store.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -48,6 +49,73 @@
     pub is_stopping: bool,
 }
 
+/// A client's request in the form of earlier versions of the program, which name its queue.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum NamedRequest {
+    Submit {
+        job: JobId,
+        queue: Name,
+        spec: Arc<JobSpec>,
+    },
+    State {
+        job: JobId,
+        queue: Name,
+    },
+    Cancel {
+        job: JobId,
+        queue: Name,
+    },
+    Backlog {
+        queue: Name,
+    },
+}
+
+impl From<NamedRequest> for Request {
+    fn from(request: NamedRequest) -> Self {
+        match request {
+            NamedRequest::Submit { job, queue, spec } => Request::Submit {
+                job,
+                queue: QueueRef::Named(queue),
+                spec,
+            },
+            NamedRequest::State { job, queue } => Request::State {
+                job,
+                queue: QueueRef::Named(queue),
+            },
+            NamedRequest::Cancel { job, queue } => Request::Cancel {
+                job,
+                queue: QueueRef::Named(queue),
+            },
+            NamedRequest::Backlog { queue } => Request::Backlog {
+                queue: QueueRef::Named(queue),
+            },
+        }
+    }
+}
+
+impl From<Request> for NamedRequest {
+    fn from(request: Request) -> Self {
+        match request {
+            Request::Submit { job, queue, spec } => NamedRequest::Submit {
+                job,
+                queue: queue.name().clone(),
+                spec,
+            },
+            Request::State { job, queue } => NamedRequest::State {
+                job,
+                queue: queue.name().clone(),
+            },
+            Request::Cancel { job, queue } => NamedRequest::Cancel {
+                job,
+                queue: queue.name().clone(),
+            },
+            Request::Backlog { queue } => NamedRequest::Backlog {
+                queue: queue.name().clone(),
+            },
+        }
+    }
+}
+
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum PeerCall {
     Hello {
@@ -55,7 +123,7 @@
         /// Whether the answer is to contain the receiver's configuration if it is newer.
         wants_config: bool,
     },
-    Request(Request),
+    Request(NamedRequest),
     /// The owner with this epoch asks the receiver to claim the shard.
     TakeOver {
         epoch: u64,
@@ -73,6 +141,8 @@
     /// As `TakeOver`, from an owner that grants no leases from then on unless the receiver declines. Hosts of
     /// earlier versions do not know this call.
     HandOver(Handover),
+    /// As `Request`, with the address of the queue. Hosts of earlier versions do not know this call.
+    QueueRequest(Request),
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -15,10 +15,11 @@
 mod peers;
 mod rank;
 mod relay;
+mod request_form;
 mod runtime;
 mod streams;
 
 pub use host::{Host, HostAction, HostEvent, HostSettings, StorePurpose};
-pub use message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
+pub use message::{HostRecord, KnownOwner, NamedRequest, PeerCall, PeerReply, Presence};
 pub use relay::{BatchNumber, OrderBatch, OrderOrigin, RelayedAnswer, RelayedOrder, SessionId};
 pub use runtime::{Error, Result, run};
--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -301,9 +301,7 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return;
-        };
+        let queue = self.queues.get(&job.queue);
         for step in job.steps() {
             let Some((spec, state)) = job
                 .spec
@@ -326,9 +324,7 @@
                 let Some((job, spec)) = self.step_spec(task.step) else {
                     continue;
                 };
-                let Some(queue) = self.queues.queue(&job.queue) else {
-                    continue;
-                };
+                let queue = self.queues.get(&job.queue);
                 let load = backlog.load(queue, spec);
                 load.progress += spec.work() * f64::from(run.percent) / 100.0;
                 let speed = f64::from(run.speed_limit.min(100)) / 100.0;
@@ -343,9 +339,7 @@
         let Some((job, spec)) = self.step_spec(key.step) else {
             return;
         };
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return;
-        };
+        let queue = self.queues.get(&job.queue);
         let is_special = spec.gang || spec.spread > 0 || !job.trials.is_empty();
         if is_special || !lacks_room(&self.queues, &self.unmet, job, key.step) {
             return;
@@ -379,8 +373,7 @@
 
     /// When a new job is expected to end, or `None` if nothing keeps it from starting or too little is known. Its
     /// later steps count too, since others of accepted jobs wait for the same room.
-    pub(super) fn forecast(&self, now: Now, queue: &Name, spec: &JobSpec) -> Option<Forecast> {
-        let queue = self.queues.queue(queue)?;
+    pub(super) fn forecast(&self, now: Now, queue: &Queue, spec: &JobSpec) -> Option<Forecast> {
         // The turns of a repeating job may be due much later.
         if spec.turns > 0 {
             return None;
@@ -399,9 +392,7 @@
 
     /// Counts the work of a job that has just been accepted.
     pub(super) fn note_accepted(&mut self, job: &Job) {
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return;
-        };
+        let queue = self.queues.get(&job.queue);
         for step in &job.spec.steps {
             self.backlog
                 .add_owed(job.id, queue, step, usize::from(step.count));
--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -157,13 +157,10 @@
         let Some(job) = self.jobs.get(&task.step.job) else {
             return false;
         };
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return false;
-        };
         let Some(spec) = job.spec.steps.get(usize::from(task.step.step)) else {
             return false;
         };
-        let (service, step) = (&queue.service, task.step);
+        let (service, step) = (&self.queues.get(&job.queue).service, task.step);
         let found = self.find_worker(now, service, spec, step, candidates, Search::default());
         let mut others = candidates.iter_mut();
         let candidate = others.find(|candidate| Some(candidate.slot) == found);
@@ -243,11 +240,10 @@
         let Some(job) = self.jobs.get(&step.job) else {
             return false;
         };
-        let spec = job.spec.steps.get(usize::from(step.step));
-        let queue = self.queues.queue(&job.queue);
-        let (Some(spec), Some(queue)) = (spec, queue) else {
+        let Some(spec) = job.spec.steps.get(usize::from(step.step)) else {
             return false;
         };
+        let service = &self.queues.get(&job.queue).service;
         let reserved = spec.reserved();
         let interference = self
             .contention
@@ -257,7 +253,7 @@
             .enumerate()
             .filter_map(|(index, candidate)| {
                 let worker = self.workers.at(candidate.slot)?;
-                let is_suitable = worker.service == queue.service
+                let is_suitable = worker.service == *service
                     && reserved.fits(&worker.capacity.saturating_sub(&worker.long_reserved))
                     && worker.allows(step, spec);
                 if !is_suitable {
--- a/src/process/shard/clearing.rs
+++ b/src/process/shard/clearing.rs
@@ -140,9 +140,10 @@
             let (Some(image), true) = (spec.image.as_ref(), spec.fills) else {
                 continue;
             };
-            if let (Some(queue), Some(step)) = (self.queues.queue(&job.queue), job.step(key.step)) {
+            if let Some(step) = job.step(key.step) {
+                let service = &self.queues.get(&job.queue).service;
                 let millicores = step.waiting() as u64 * u64::from(spec.size.processors);
-                demand.add(now.steady, &queue.service, image, millicores);
+                demand.add(now.steady, service, image, millicores);
             }
         }
         demand.continue_from(now.steady, &self.waiting_demand);
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -5,9 +5,10 @@
 
 use super::candidates::UnmetRequirements;
 use super::journal::Commit;
+use super::queues::Queues;
 use super::shard::{Now, Phase, Shard};
 use crate::request::job::{Job, JobId, OrderKey, StartPermit, StepId, TurnState, order_key};
-use crate::version::{JobStateRecord, QueueIndex, ShardRecord};
+use crate::version::{JobStateRecord, ShardRecord};
 
 /// Jobs in the order of placement that may start without waiting for the store, of those that found no
 /// room in the last pass and of the others. The jobs behind them are recorded as not started.
@@ -42,13 +43,13 @@
         if self.ending.contains_key(&id) {
             return;
         }
-        let queue = self.queues.queue(&job.queue);
+        let queue = self.queues.get(&job.queue);
         for step in waiting_steps(job) {
             let turn = TurnState {
                 start: job.turn_start(step.turn),
                 has_begun: job.has_begun(step.turn),
                 idle_since: job.idle_since(step),
-                wave_time: queue.and_then(|queue| self.backlog.wave_time(queue, &job.spec)),
+                wave_time: self.backlog.wave_time(queue, &job.spec),
             };
             let key = order_key(queue, &job.spec, turn, self.wall, step);
             self.starved_turns.note_queued(&key);
@@ -170,16 +171,16 @@
 
 /// Whether no worker had room for a task of a step in the last pass.
 pub(super) fn lacks_room(
-    queues: &QueueIndex,
+    queues: &Queues,
     unmet: &[UnmetRequirements],
     job: &Job,
     step: StepId,
 ) -> bool {
     let spec = job.spec.steps.get(usize::from(step.step));
-    let queue = queues.queue(&job.queue);
-    spec.zip(queue).is_some_and(|(spec, queue)| {
+    let service = &queues.get(&job.queue).service;
+    spec.is_some_and(|spec| {
         let mut unmet = unmet.iter();
-        unmet.any(|known| known.cover(&queue.service, spec, step))
+        unmet.any(|known| known.cover(service, spec, step))
     })
 }
 
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -13,6 +13,7 @@
 mod leases;
 mod lost_runs;
 mod misses;
+mod queues;
 mod recovery;
 mod remaining;
 mod reports;
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -13,7 +13,8 @@
 use crate::platform::{RegistryEntry, WorkerState};
 use crate::request::job::{Job, JobId, StartPermit, TaskCrashes, TaskKey};
 use crate::version::{
-    JobStateRecord, LeaseRecord, ShardRecord, SupersededRecord, SuspectRecord, WaitRecord,
+    JobStateRecord, LeaseRecord, QueueRecord, ShardRecord, SupersededRecord, SuspectRecord,
+    WaitRecord,
 };
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
@@ -217,6 +218,7 @@
     fn restore(&mut self, now: Now) {
         let records = std::mem::take(&mut self.loaded_records);
         let mut states: Vec<(JobId, JobStateRecord)> = Vec::new();
+        let mut queues: Vec<(Name, QueueRecord)> = Vec::new();
         let mut deferred: Vec<JobId> = Vec::new();
         let mut crashes: Vec<(JobId, Vec<TaskCrashes>)> = Vec::new();
         let mut leases: Vec<(Name, LeaseRecord)> = Vec::new();
@@ -234,6 +236,7 @@
                     self.accepted.insert(id);
                 }
                 ShardRecord::State(id, Some(state)) => states.push((id, state)),
+                ShardRecord::Queue(id, Some(queue)) => queues.push((id, queue)),
                 ShardRecord::Deferred(id, true) => deferred.push(id),
                 ShardRecord::Crashes(id, Some(counted)) => crashes.push((id, counted)),
                 ShardRecord::Contention(learned) => self.contention.restore(&learned),
@@ -259,6 +262,7 @@
                 ShardRecord::Superseded(id, Some(runs)) => superseded.push((id, runs)),
                 ShardRecord::Owner(owner) => last_owner = Some(owner.epoch),
                 ShardRecord::Lease(_, None)
+                | ShardRecord::Queue(_, None)
                 | ShardRecord::Job(_, None)
                 | ShardRecord::State(_, None)
                 | ShardRecord::Deferred(_, false)
@@ -291,6 +295,10 @@
                 }
             }
         }
+        let used = self.used_queues();
+        for record in self.queues.restore(queues, &used) {
+            self.journal.push(&record, None);
+        }
         self.recovered = self.jobs.keys().copied().collect();
         for id in deferred {
             match self.jobs.get_mut(&id) {
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -1,21 +1,26 @@
 //! Requests of clients: submission, state and cancellation of jobs, and the length of the backlog.
 
+use std::collections::BTreeSet;
+
 use super::journal::Commit;
 use super::shard::{Now, Phase, Reply, Request, Shard, ShardAction};
 use crate::base::Name;
 use crate::process::telemetry;
 use crate::request::job::{EndStatus, Job, JobId, Outcome, StartPermit, objective};
-use crate::version::{JobRecord, JobStateRecord, ShardRecord};
+use crate::version::{JobRecord, JobStateRecord, QueueRef, ShardRecord};
 
 /// Seconds after which a client may try again while the store cannot be written to. Short outages
 /// end within a few seconds.
 const OUTAGE_RETRY: u32 = 1;
+/// Seconds after which a client may submit a job again that a host with an earlier configuration has sent.
+const CONFIG_RETRY: u32 = 1;
 /// Most requests that are held while the records are loaded; further ones get `Unavailable`.
 const MAX_HELD_REQUESTS: usize = 4_096;
 
 /// An ended job whose outcome can still be queried.
 #[derive(Debug, Clone)]
 pub(super) struct Ended {
+    /// Id of its queue.
     pub queue: Name,
     pub outcome: Outcome,
     /// Unix milliseconds.
@@ -53,7 +58,16 @@
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
-                let forecast = self.forecast(now, &queue, &spec);
+                let Some(found) = self.queues.find(&queue) else {
+                    // The client finds the newer configuration when it tries again.
+                    telemetry::count_refusal("queue");
+                    tracing::info!(%job, queue = %queue.name(), "submission refused: the configuration has no such queue");
+                    let retry_after = CONFIG_RETRY;
+                    out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
+                    return;
+                };
+                let queue = found.queue.name.clone();
+                let forecast = self.forecast(now, &found.queue, &spec);
                 let (end, limit) = forecast.map(|it| (it.end, it.limit)).unzip();
                 if let Some(retry_after) = forecast.and_then(|it| it.retry_after()) {
                     telemetry::count_refusal("backlog");
@@ -61,15 +75,19 @@
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
-                tracing::info!(%job, %queue, end, limit, "job accepted");
+                let (id, queue_record) = self.queues.assign(found);
+                if let Some(record) = queue_record {
+                    self.journal.push(&record, None);
+                }
+                tracing::info!(%job, %queue, %id, end, limit, "job accepted");
                 let record = JobRecord {
-                    queue: queue.clone(),
+                    queue: id.clone(),
                     accepted: now.wall,
                     spec: (*spec).clone(),
                 };
                 let record = ShardRecord::Job(job, Some(record));
                 self.journal.push(&record, Some(Commit::Accepted(job)));
-                let mut accepted = Job::new(job, queue, spec, now.wall);
+                let mut accepted = Job::new(job, id, spec, now.wall);
                 if self.has_backlog() {
                     self.defer(&mut accepted);
                 }
@@ -83,43 +101,64 @@
             }
             Request::Cancel { job, queue } => self.cancel_job(now, ticket, job, &queue, out),
             Request::Backlog { queue } => {
+                let queues = self.queues.ids(&queue);
                 let waiting = self
                     .accepted
                     .iter()
                     .filter_map(|id| self.jobs.get(id))
-                    .filter(|job| job.queue == queue && !job.has_started)
+                    .filter(|job| queues.contains(&job.queue) && !job.has_started)
                     .count();
                 out.push(ShardAction::Reply(ticket, Reply::Backlog(waiting as u64)));
             }
         }
     }
 
-    fn reply_state(&self, id: JobId, queue: &Name) -> Reply {
-        if let Some(ended) = self.ended.get(&id).filter(|ended| ended.queue == *queue) {
+    fn reply_state(&self, id: JobId, queue: &QueueRef) -> Reply {
+        if let Some(reply) = self.deny(id, queue) {
+            return reply;
+        }
+        if let Some(ended) = self.ended.get(&id) {
             return Reply::State {
                 outcome: Some(ended.outcome),
                 has_started: true,
             };
         }
-        match self.jobs.get(&id).filter(|job| job.queue == *queue) {
+        match self.jobs.get(&id) {
             Some(job) => Reply::State {
                 outcome: None,
                 has_started: job.has_started,
             },
-            None => {
-                self.log_other_queue(id, queue);
-                Reply::Gone
-            }
+            None => Reply::Gone,
         }
     }
 
-    /// Logs that a request for a known job is answered as if there were no such job.
-    fn log_other_queue(&self, id: JobId, asked: &Name) {
-        let open = self.jobs.get(&id).map(|job| &job.queue);
-        let known = open.or_else(|| self.ended.get(&id).map(|ended| &ended.queue));
-        if let Some(known) = known {
-            tracing::info!(job = %id, queue = %known, %asked, "no such job in the queue that was asked: it belongs to another one");
+    /// The reply to a request for a job that does not belong to the queue that was asked: there is no such job, unless
+    /// the hosts have different configurations and it may belong to that queue all the same.
+    fn deny(&self, id: JobId, asked: &QueueRef) -> Option<Reply> {
+        let ended = self.ended.get(&id).map(|ended| &ended.queue);
+        let queue = ended.or_else(|| self.jobs.get(&id).map(|job| &job.queue))?;
+        if self.queues.ids(asked).contains(queue) {
+            return None;
         }
+        let is_certain = self.queues.is_certain(asked, queue);
+        tracing::info!(job = %id, %queue, asked = %asked.name(), is_certain, "the job belongs to another queue than the one that was asked");
+        Some(match is_certain {
+            true => Reply::Gone,
+            false => Reply::Unavailable,
+        })
+    }
+
+    /// Ids of the queues that jobs belong to.
+    pub(super) fn used_queues(&self) -> BTreeSet<Name> {
+        let open = self.jobs.values().map(|job| &job.queue);
+        let ended = self.ended.values().map(|ended| &ended.queue);
+        let mut used = BTreeSet::new();
+        for id in open.chain(ended) {
+            if !used.contains(id) {
+                used.insert(id.clone());
+            }
+        }
+        used
     }
 
     fn cancel_job(
@@ -127,20 +166,18 @@
         now: Now,
         ticket: u64,
         id: JobId,
-        queue: &Name,
+        queue: &QueueRef,
         out: &mut Vec<ShardAction>,
     ) {
-        if self
-            .ended
-            .get(&id)
-            .is_some_and(|ended| ended.queue == *queue)
-        {
+        if let Some(reply) = self.deny(id, queue) {
+            out.push(ShardAction::Reply(ticket, reply));
+            return;
+        }
+        if self.ended.contains_key(&id) {
             out.push(ShardAction::Reply(ticket, Reply::Cancelled));
             return;
         }
-        let is_open = self.jobs.get(&id).is_some_and(|job| job.queue == *queue);
-        if !is_open {
-            self.log_other_queue(id, queue);
+        if !self.jobs.contains_key(&id) {
             out.push(ShardAction::Reply(ticket, Reply::Gone));
             return;
         }
@@ -190,8 +227,7 @@
     fn job_objective(&self, job: &Job) -> Option<u64> {
         let lasts = job.spec.steps.iter().any(|step| step.lasts);
         let is_timed = job.spec.turns == 0 && !lasts;
-        let queue = self.queues.queue(&job.queue).filter(|_| is_timed)?;
-        Some(objective(queue, &job.spec))
+        is_timed.then(|| objective(self.queues.get(&job.queue), &job.spec))
     }
 
     /// Applies the acceptance of a job once it is stored.
--- a/src/process/shard/restarts.rs
+++ b/src/process/shard/restarts.rs
@@ -151,10 +151,8 @@
         if is_held || !is_permitted || !job.is_ready(key.step.turn, key.step.step) {
             return Restart::Waiting;
         }
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return Restart::Waiting;
-        };
-        let (service, spec) = (queue.service.clone(), job.spec.clone());
+        let service = self.queues.get(&job.queue).service.clone();
+        let spec = job.spec.clone();
         let Some(spec) = spec.steps.get(usize::from(key.step.step)) else {
             return Restart::Over;
         };
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -182,9 +182,8 @@
                 job.set_state(task, TaskState::Done);
                 self.lost_runs.end_task(task);
             }
-            if let Some(queue) = self.queues.queue(&job.queue) {
-                self.backlog.count_done(queue, step, count);
-            }
+            let queue = self.queues.get(&job.queue);
+            self.backlog.count_done(queue, step, count);
             self.journal.mark_dirty(id);
             let is_step_done = job.step(end.task.step).is_some_and(|step| step.is_done());
             let is_job_done = is_step_done && job.close_turn(end.task.step.turn);
@@ -201,9 +200,7 @@
         if end.ending == Ending::Failed {
             let failures = job.count_failure(end.task, end.run);
             self.journal.mark_dirty(id);
-            // The limit of attempts is unknown if the queue is gone; the task is then retried.
-            let queue = self.queues.queue(&job.queue);
-            let attempts = queue.map_or(usize::MAX, |queue| usize::from(queue.attempts));
+            let attempts = usize::from(self.queues.get(&job.queue).attempts);
             tracing::info!(task = %end.task, run = end.run, worker = %worker_id, failures, attempts, "run failed");
             if !step.lasts && failures >= attempts {
                 self.end_job(now, id, Outcome::Failed);
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -12,6 +12,7 @@
 use super::handover::Handover;
 use super::journal::Journal;
 use super::lost_runs::LostRuns;
+use super::queues::Queues;
 use super::recovery::LoadRange;
 use super::requests::Ended;
 use super::resignation::Resignation;
@@ -24,7 +25,7 @@
 };
 use crate::platform::RegistryEntry;
 use crate::request::job::{Contention, Job, JobId, JobSpec, OrderKey, Outcome, StepId, TaskKey};
-use crate::version::{OwnerRecord, QueueIndex, QueueTable, ShardRecord};
+use crate::version::{OwnerRecord, QueueIndex, QueueRef, QueueTable, ShardRecord};
 
 use super::journal::{Commit, store_call};
 
@@ -67,19 +68,19 @@
 pub enum Request {
     Submit {
         job: JobId,
-        queue: Name,
+        queue: QueueRef,
         spec: Arc<JobSpec>,
     },
     State {
         job: JobId,
-        queue: Name,
+        queue: QueueRef,
     },
     Cancel {
         job: JobId,
-        queue: Name,
+        queue: QueueRef,
     },
     Backlog {
-        queue: Name,
+        queue: QueueRef,
     },
 }
 
@@ -203,7 +204,7 @@
     pub(super) phase: Phase,
     /// When the claim was known to be stored; until then, earlier owners may renew leases.
     pub(super) claimed_at: Millis,
-    pub(super) queues: QueueIndex,
+    pub(super) queues: Queues,
     pub(super) journal: Journal,
     pub(super) jobs: HashMap<JobId, Job>,
     /// Outcomes of ended jobs, kept for `status_keep`.
@@ -299,7 +300,7 @@
             owner,
             phase: Phase::Claiming,
             claimed_at: now.steady,
-            queues: queues.into(),
+            queues: QueueIndex::from(queues).into(),
             journal,
             jobs: HashMap::new(),
             ended: HashMap::new(),
@@ -361,17 +362,9 @@
                 self.needs_placement = true;
             }
             ShardEvent::Queues(queues) => {
-                self.queues = queues.into();
-                let jobs = self.jobs.values();
-                let jobs_without_queue = jobs
-                    .filter(|job| self.queues.queue(&job.queue).is_none())
-                    .count();
-                if jobs_without_queue > 0 {
-                    tracing::warn!(
-                        jobs_without_queue,
-                        jobs = self.jobs.len(),
-                        "open jobs have no queue in the new configuration"
-                    );
+                let used = self.used_queues();
+                for record in self.queues.apply(queues.into(), &used) {
+                    self.journal.push(&record, None);
                 }
                 self.rebuild_order();
             }
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -119,10 +119,7 @@
         if job.start_permit != StartPermit::Granted {
             return Some(Waiting::Held);
         }
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return Some(Waiting::Held);
-        };
-        let service = queue.service.clone();
+        let service = self.queues.get(&job.queue).service.clone();
         let spec = job.spec.clone();
         let spec = spec.steps.get(usize::from(key.step.step))?;
         let is_unmet = |known: &UnmetRequirements| known.cover(&service, spec, key.step);
--- a/src/process/shard/waiting.rs
+++ b/src/process/shard/waiting.rs
@@ -183,14 +183,12 @@
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let mut rejections = Rejections::default();
         let mut excluded = Vec::new();
-        let Some(queue) = self.queues.queue(&job.queue) else {
-            return (rejections, excluded);
-        };
+        let service = &self.queues.get(&job.queue).service;
         let interference = self
             .contention
             .interference(now.steady, spec.image.as_ref());
         for worker in self.workers.iter() {
-            if worker.service != queue.service {
+            if worker.service != *service {
                 continue;
             }
             let count =
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -122,6 +122,7 @@
 #[derive(Debug, Clone)]
 pub struct Job {
     pub id: JobId,
+    /// Id of its queue, which stays the same if the queue gets another name.
     pub queue: Name,
     pub spec: Arc<JobSpec>,
     /// Time at which the job was accepted, in Unix milliseconds.
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -138,24 +138,13 @@
 /// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
 /// would be wasted, and most of all that of the largest jobs.
 pub fn order_key(
-    queue: Option<&Queue>,
+    queue: &Queue,
     spec: &JobSpec,
     turn: TurnState,
     now: u64,
     step: StepId,
 ) -> OrderKey {
     let start = turn.start;
-    let Some(queue) = queue else {
-        return OrderKey {
-            priority: u8::MAX,
-            is_long_running: false,
-            is_new: !turn.has_begun,
-            status: ObjectiveStatus::StartNow,
-            due: start,
-            step,
-            expires: u64::MAX,
-        };
-    };
     let is_long_running = spec
         .steps
         .get(usize::from(step.step))
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -20,14 +20,14 @@
 };
 pub use journal::{AppendOutcome, Journal};
 pub use ledger::{Ledger, LedgerTiming, PendingPosition, RequeueReason, Task, TaskChange};
-pub use queues::{Queue, QueueIndex, QueueTable, Service};
+pub use queues::{Queue, QueueIndex, QueueRef, QueueTable, Service};
 pub use quota_check::QuotaCheck;
 pub use record::{Batch, Outcome, Phase, Record, Restated, TaskResult, TaskSpec};
 pub use retain::RestatementSchedule;
 pub(crate) use shard_record::EPOCH_BITS;
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
-    Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord,
+    Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord, QueueRecord,
     ResignationRecord, ShardRecord, StartEvidence, SupersededRecord, SuspectRecord, WaitRecord,
     WorkerRecord,
 };
--- a/src/version/queues.rs
+++ b/src/version/queues.rs
@@ -49,6 +49,57 @@
     pub connections: u32,
 }
 
+/// The queue that a host has found for a request of a client.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum QueueRef {
+    /// By name alone, as hosts of earlier versions of the program tell it.
+    Named(Name),
+    Matched {
+        /// Version of the configuration in which it was found.
+        version: u64,
+        queue: Arc<Queue>,
+    },
+}
+
+impl QueueRef {
+    pub fn name(&self) -> &Name {
+        match self {
+            QueueRef::Named(name) => name,
+            QueueRef::Matched { queue, .. } => &queue.name,
+        }
+    }
+}
+
+impl From<&str> for QueueRef {
+    fn from(name: &str) -> Self {
+        QueueRef::Named(name.into())
+    }
+}
+
+impl Queue {
+    /// A queue of which only the name is known: no service runs its tasks until a configuration names it.
+    pub fn unknown(name: Name) -> Queue {
+        Queue {
+            name,
+            host: "".into(),
+            prefix: "".into(),
+            service: "".into(),
+            priority: u8::MAX,
+            objective: 0,
+            stretch: 1.0,
+            attempts: u16::MAX,
+            has_advice: false,
+        }
+    }
+
+    /// Whether clients send requests for both queues to the same authority and path.
+    pub fn shares_address(&self, other: &Queue) -> bool {
+        !self.host.is_empty()
+            && self.host.eq_ignore_ascii_case(&other.host)
+            && self.prefix == other.prefix
+    }
+}
+
 impl QueueTable {
     /// The queue with the longest prefix of `path` under `host`, and the rest of the path.
     pub fn find<'a, 'b>(&'a self, host: &str, path: &'b str) -> Option<(&'a Queue, &'b str)> {
@@ -60,17 +111,27 @@
     }
 }
 
-/// One version of the configuration with its queues by name. The placement looks up a queue for each
-/// waiting step, and there may be thousands of both.
+/// One version of the configuration with its queues by name and by address.
 #[derive(Debug, Clone, Default)]
 pub struct QueueIndex {
     table: Arc<QueueTable>,
-    positions: HashMap<Name, usize>,
+    names: HashMap<Name, usize>,
+    /// By authority, in lower case, and path.
+    addresses: HashMap<(String, Name), usize>,
 }
 
 impl QueueIndex {
+    pub fn version(&self) -> u64 {
+        self.table.version
+    }
+
     pub fn queue(&self, name: &str) -> Option<&Queue> {
-        self.table.queues.get(*self.positions.get(name)?)
+        self.table.queues.get(*self.names.get(name)?)
+    }
+
+    /// The queue with the address of another one, which may be of another version.
+    pub fn queue_at(&self, other: &Queue) -> Option<&Queue> {
+        self.table.queues.get(*self.addresses.get(&address(other))?)
     }
 
     /// Whether the configuration names a service.
@@ -82,12 +143,23 @@
 }
 
 impl From<Arc<QueueTable>> for QueueIndex {
-    /// If several queues have one name, the first one counts.
+    /// If several queues have one name, the first one counts; of those with one address the last one, as in
+    /// `QueueTable::find`.
     fn from(table: Arc<QueueTable>) -> Self {
-        let mut positions = HashMap::with_capacity(table.queues.len());
+        let mut names = HashMap::with_capacity(table.queues.len());
+        let mut addresses = HashMap::with_capacity(table.queues.len());
         for (position, queue) in table.queues.iter().enumerate() {
-            positions.entry(queue.name.clone()).or_insert(position);
+            names.entry(queue.name.clone()).or_insert(position);
+            addresses.insert(address(queue), position);
+        }
+        QueueIndex {
+            table,
+            names,
+            addresses,
         }
-        QueueIndex { table, positions }
     }
 }
+
+fn address(queue: &Queue) -> (String, Name) {
+    (queue.host.to_ascii_lowercase(), queue.prefix.clone())
+}
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::queues::Queue;
 use crate::base::Name;
 use crate::request::job::{
     JobId, JobProgress, JobSpec, LearnedImage, Outcome, TaskCrashes, TaskKey,
@@ -131,9 +132,20 @@
     pub runs: Vec<(TaskKey, u64)>,
 }
 
+/// A queue that jobs belong to. Configurations may give it another name or path, or drop it; its jobs stay in it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QueueRecord {
+    /// As the newest configuration that has it describes it.
+    pub queue: Queue,
+    /// Version of that configuration, or of an earlier one with the same description.
+    pub version: u64,
+}
+
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobRecord {
+    /// Id of the queue: its name when an owner first recorded it. In records of earlier versions of the program,
+    /// which have no record of the queue, its name when the job was accepted.
     pub queue: Name,
     /// Time of acceptance in Unix milliseconds.
     pub accepted: u64,
@@ -145,6 +157,7 @@
 pub enum JobStateRecord {
     Open(JobProgress),
     Ended {
+        /// As in `JobRecord`.
         queue: Name,
         outcome: Outcome,
         /// Time of the end in Unix milliseconds.
@@ -160,6 +173,8 @@
     /// It has a record of its own, since hosts of earlier versions skip unknown keys but could not decode
     /// another form of the worker's record.
     Lease(Name, Option<LeaseRecord>),
+    /// By the queue's id. Hosts of earlier versions take the id for the queue's name.
+    Queue(Name, Option<QueueRecord>),
     Job(JobId, Option<JobRecord>),
     State(JobId, Option<JobStateRecord>),
     /// Whether the job is known not to have started: true until its first start is permitted. Jobs
@@ -194,6 +209,7 @@
             ShardRecord::Owner(_) => OWNER.to_owned(),
             ShardRecord::Worker(id, _) => format!("w/{id}"),
             ShardRecord::Lease(id, _) => format!("l/{id}"),
+            ShardRecord::Queue(id, _) => format!("q/{id}"),
             ShardRecord::Job(id, _) => format!("j/{id}"),
             ShardRecord::State(id, _) => format!("s/{id}"),
             ShardRecord::Deferred(id, _) => format!("n/{id}"),
@@ -213,6 +229,7 @@
             ShardRecord::Owner(owner) => encode(owner),
             ShardRecord::Worker(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Lease(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Queue(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Job(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::State(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Deferred(_, true) => Bytes::from_static(&[1]),
@@ -248,6 +265,7 @@
         match kind {
             "w" => Ok(ShardRecord::Worker(id.into(), decode_optional(key, value)?)),
             "l" => Ok(ShardRecord::Lease(id.into(), decode_optional(key, value)?)),
+            "q" => Ok(ShardRecord::Queue(id.into(), decode_optional(key, value)?)),
             "j" => Ok(ShardRecord::Job(
                 id.parse().map_err(|_| unknown())?,
                 decode_optional(key, value)?,
--- a/tests/host_messages.rs
+++ b/tests/host_messages.rs
@@ -8,8 +8,10 @@
 
 use jayfork::base::Millis;
 use jayfork::connection::{CallError, Mesh, MeshHandler, Order, StartOrder, TimeLimit, WorkerCall};
-use jayfork::process::host::{BatchNumber, OrderBatch, PeerCall, PeerReply, SessionId};
-use jayfork::process::shard::{Handover, WorkerWait};
+use jayfork::process::host::{
+    BatchNumber, NamedRequest, OrderBatch, PeerCall, PeerReply, SessionId,
+};
+use jayfork::process::shard::{Handover, Request, WorkerWait};
 use jayfork::request::job::{JobId, StepId, TaskKey};
 use serde::ser::SerializeTuple;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -155,6 +157,32 @@
     })
 }
 
+/// Guards against requests of hosts with an earlier version of the program that can no longer be read. The bytes are
+/// those that it sent.
+#[parameterized(
+    submit = { &[1, 0, 7, 1, 113, 1, 112, 0, 0, 0, 0] },
+    state = { &[1, 1, 7, 1, 113] },
+    cancel = { &[1, 2, 7, 1, 113] },
+    backlog = { &[1, 3, 1, 113] },
+)]
+fn requests_that_name_their_queue_are_read(bytes: &[u8]) {
+    let config = bincode::config::standard();
+    let (call, length): (PeerCall, usize) =
+        bincode::serde::decode_from_slice(bytes, config).expect("decodes");
+    assert_eq!(length, bytes.len());
+    let PeerCall::Request(named) = call else {
+        panic!("{call:?}");
+    };
+    let request = Request::from(named);
+    let (Request::Submit { queue, .. }
+    | Request::State { queue, .. }
+    | Request::Cancel { queue, .. }
+    | Request::Backlog { queue }) = &request;
+    assert_eq!(&**queue.name(), "q");
+    let again = PeerCall::Request(NamedRequest::from(request));
+    assert_eq!(encode(&again), bytes);
+}
+
 #[derive(Clone, Copy)]
 enum Fault {
     /// The message ends after each of its bytes but the last.
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -50,7 +50,7 @@
             idle_since: Some(start),
             wave_time: Some(0),
         };
-        order_key(Some(&queue), &spec(runtime, lasts), turn, start, step(job))
+        order_key(&queue, &spec(runtime, lasts), turn, start, step(job))
     };
     // The job id decides between equal keys, so the ids are in the opposite order.
     assert!(key(first, 2) < key(second, 1));
--- a/tests/on_platform.rs
+++ b/tests/on_platform.rs
@@ -110,6 +110,7 @@
             wait_until(&format!("completion of {path}"), JOB_LIMIT, || {
                 let reply = self.client.get(front, path);
                 reply.is_ok_and(|reply| {
+                    assert_ne!(reply.status, 410, "{path} is not known");
                     reply.status == 200 && reply.json::<Value>()["state"] == "completed"
                 })
             });
@@ -153,6 +154,26 @@
         self.control("/restore", &json!({}));
     }
 
+    /// Writes a version of the configuration with queues that are given by their names and paths.
+    fn publish(&self, version: u64, queues: &[(&str, &str)]) {
+        let route = |(name, prefix): &(&str, &str)| {
+            json!({
+                "name": name,
+                "host": "127.0.0.1",
+                "pathPrefix": prefix,
+                "targetLatencyMs": 400,
+                "service": "backend",
+                "attempts": 4,
+                "stretch": 2.0,
+            })
+        };
+        let routes: Vec<Value> = queues.iter().map(route).collect();
+        self.control(
+            "/config",
+            &json!({ "version": version, "routes": routes, "services": [{ "name": "backend" }] }),
+        );
+    }
+
     fn control(&self, path: &str, body: &Value) {
         let reply = self.client.post_json(&self.platform.control, path, body);
         assert_eq!(reply.expect("the stand-in answers").status, 200);
@@ -266,3 +287,44 @@
     let runs = deployment.runs();
     assert_eq!(runs["ran_twice_at_once"], json!([]), "{runs}");
 }
+
+/// Guards against accepted jobs that are not known, or go no further, after versions have changed the names of queues:
+/// hosts and owners found queues by their names. Where only the path changes, jobs are known at the new one.
+#[parameterized(
+    new_name = { &[&[("layout", "/proofs/")]], "/proofs/", false },
+    new_name_and_owner = { &[&[("layout", "/proofs/")]], "/proofs/", true },
+    swapped_names = { &[&[("merges", "/proofs/"), ("proofs", "/merges/")]], "/proofs/", false },
+    swapped_names_and_owner = { &[&[("merges", "/proofs/"), ("proofs", "/merges/")]], "/proofs/", true },
+    away_for_a_version = { &[&[("merges", "/merges/")], &[("layout", "/proofs/")]], "/proofs/", false },
+    away_for_a_version_and_owner = { &[&[("merges", "/merges/")], &[("layout", "/proofs/")]], "/proofs/", true },
+    another_path = { &[&[("proofs", "/other/")]], "/other/", false },
+    another_path_and_owner = { &[&[("proofs", "/other/")]], "/other/", true },
+)]
+fn accepted_jobs_complete_whatever_their_queue_is_called(
+    versions: &[&[(&str, &str)]],
+    prefix: &str,
+    kills_owner: bool,
+) {
+    /// Time in which all hosts apply a version.
+    const APPLY_TIME: Duration = Duration::from_millis(2_500);
+    let mut deployment = Deployment::start("on-platform-queues");
+    let owner = deployment.owner();
+    let jobs = deployment.submit(3, RUN_MS);
+    for (version, queues) in (2..).zip(versions) {
+        deployment.publish(version, queues);
+        std::thread::sleep(APPLY_TIME);
+    }
+    if kills_owner {
+        deployment.hosts[owner].process.kill();
+    }
+    let moved: Vec<String> = jobs
+        .iter()
+        .map(|path| path.replace("/proofs/", prefix))
+        .collect();
+    for (index, host) in deployment.hosts.iter().enumerate() {
+        if index != owner || !kills_owner {
+            deployment.wait_for_completion(&host.front, &moved);
+        }
+    }
+    deployment.assert_done_once(jobs.len());
+}
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -4,6 +4,7 @@
 mod config_sources;
 mod odd_records;
 mod planned_stop;
+mod queue_requests;
 mod relay_host;
 mod relay_messages;
 mod relay_model;
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -161,6 +161,8 @@
     pub old_hosts: Vec<usize>,
     /// Hosts that understand it only if the batches have no numbers.
     pub unnumbered_hosts: Vec<usize>,
+    /// Hosts that understand requests of clients only if these name their queue.
+    pub named_hosts: Vec<usize>,
     /// Messages that are lost with their connections.
     pub loss: Option<Loss>,
     /// Messages so far that could have been lost.
@@ -202,6 +204,7 @@
             cut_from_workers: HashMap::new(),
             old_hosts: Vec::new(),
             unnumbered_hosts: Vec::new(),
+            named_hosts: Vec::new(),
             loss: None,
             loss_count: 0,
             answers: HashMap::new(),
@@ -464,6 +467,7 @@
     fn understands(&self, host: usize, call: &PeerCall) -> bool {
         match call {
             PeerCall::Orders(_) | PeerCall::HandOver(_) => !self.old_hosts.contains(&host),
+            PeerCall::QueueRequest(_) => !self.named_hosts.contains(&host),
             PeerCall::NumberedOrders(..) | PeerCall::BatchOutcome { .. } => {
                 !self.old_hosts.contains(&host) && !self.unnumbered_hosts.contains(&host)
             }
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -16,7 +16,7 @@
     StoreTag, WorkerTag,
 };
 use jayfork::request::job::{JobId, JobSpec, StepId, TaskKey};
-use jayfork::version::{OwnerRecord, Queue, QueueTable};
+use jayfork::version::{OwnerRecord, Queue, QueueRef, QueueTable};
 
 use super::cuts::Cuts;
 use super::fleet::Fleet;
@@ -29,7 +29,7 @@
 pub const QUEUE: &str = "proofs";
 /// A queue of lower priority.
 pub const LOW_QUEUE: &str = "merges";
-const SERVICE: &str = "assembly";
+pub const SERVICE: &str = "assembly";
 /// Time at which the simulation starts, in milliseconds.
 const START: u64 = 1_000_000;
 
@@ -97,6 +97,10 @@
     /// Whether another worker takes over the address of a worker that has crashed.
     pub renames: bool,
     pub cuts: Cuts,
+    /// Configuration of the owners, unless it is the usual one.
+    pub table: Option<Arc<QueueTable>>,
+    /// Services of the workers in turn.
+    pub services: Vec<&'static str>,
 }
 
 impl World {
@@ -116,6 +120,8 @@
             orders: Orders::default(),
             renames: false,
             cuts: Cuts::default(),
+            table: None,
+            services: vec![SERVICE],
         }
     }
 
@@ -127,6 +133,9 @@
     }
 
     pub fn queues(&self) -> Arc<QueueTable> {
+        if let Some(table) = &self.table {
+            return table.clone();
+        }
         let queue = |name: &str, priority| Queue {
             name: name.into(),
             host: "example".into(),
@@ -188,10 +197,14 @@
         index
     }
 
+    pub fn service_of(&self, worker: usize) -> &'static str {
+        self.services[worker % self.services.len()]
+    }
+
     /// The entry of a worker in the registry.
     pub fn entry(&self, worker: usize) -> RegistryChange {
         let entry = RegistryEntry {
-            service: SERVICE.into(),
+            service: self.service_of(worker).into(),
             address: format!("10.0.0.{}:80", worker + 1)
                 .parse()
                 .expect("an address"),
@@ -234,6 +247,11 @@
     }
 
     pub fn submit_to(&mut self, queue: &str, id: u64, spec: &JobSpec) -> u64 {
+        self.submit_as(QueueRef::Named(queue.into()), id, spec)
+    }
+
+    /// Submits a job to the queue that a host has found.
+    pub fn submit_as(&mut self, queue: QueueRef, id: u64, spec: &JobSpec) -> u64 {
         let attempts = u64::from(self.attempts);
         for turn in 0..spec.turns.max(1) {
             for (step, shape) in spec.steps.iter().enumerate() {
@@ -250,7 +268,7 @@
         }
         self.ask(Request::Submit {
             job: JobId(id),
-            queue: queue.into(),
+            queue,
             spec: Arc::new(spec.clone()),
         })
     }
--- a/tests/surge.rs
+++ b/tests/surge.rs
@@ -88,7 +88,7 @@
                 idle_since: (open.running == 0).then_some(open.arrived.max(open.last_start)),
                 wave_time: Some(2 * u64::from(TASKS_PER_STEP) * RUNTIME * 4 / u64::from(SLOTS)),
             };
-            let key = order_key(Some(&queue(2, 1_000, 2.0)), &spec(), turn, now, step);
+            let key = order_key(&queue(2, 1_000, 2.0), &spec(), turn, now, step);
             (Some(key), 0)
         }
         Order::Objective => (None, open.arrived + objective()),
--- a/tests/surge_sizes.rs
+++ b/tests/surge_sizes.rs
@@ -138,7 +138,7 @@
                 step: job.step,
             };
             (
-                order_key(Some(&queue(2, 1_000, 2.0)), &job.spec, turn, now, step),
+                order_key(&queue(2, 1_000, 2.0), &job.spec, turn, now, step),
                 index,
             )
         })
