The members of a gang resume from one checkpoint

Cause: each member was started with its own checkpoint: the others with what they saved as they broke off, the lost one with its last report. Members with different values can't work together. Change: what a member saves is kept for the whole gang; the newest run counts, and in it what was saved at the end of a member. The model of the workers now has gangs and checkpoints and checks each start.

--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -166,10 +166,10 @@
         if task.state == TaskState::Done {
             return;
         }
-        if end.checkpoint.is_some() {
-            task.checkpoint = end.checkpoint.clone();
-        }
         let was_waiting = task.state == TaskState::Waiting;
+        if let Some(checkpoint) = &end.checkpoint {
+            job.save(end.task, end.run, checkpoint, true);
+        }
         if end.ending == Ending::Done && !step.lasts {
             let tasks: Vec<TaskKey> = match step.gang {
                 true => (0..step.count)
@@ -229,11 +229,12 @@
             return;
         }
         self.suspect_run(now, worker_id, task, &run);
-        let job = self.jobs.get_mut(&task.step.job);
-        if let Some(entry) = job.and_then(|job| job.task_mut(task)) {
-            entry.has_run |= run.state != RunState::Starting;
-            if run.checkpoint.is_some() {
-                entry.checkpoint = run.checkpoint;
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            if let Some(checkpoint) = &run.checkpoint {
+                job.save(task, run.run, checkpoint, false);
+            }
+            if let Some(entry) = job.task_mut(task) {
+                entry.has_run |= run.state != RunState::Starting;
             }
         }
         let age = now.steady.since(run.started).0;
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -328,12 +328,17 @@
         job.has_started = true;
         job.note_start(task.step, now.wall);
         job.set_state(task, TaskState::Placed);
+        // Records of earlier versions of the program may have several checkpoints for a gang.
+        let shared = job
+            .gang_checkpoint(task.step)
+            .filter(|_| spec.gang)
+            .cloned();
         let Some(entry) = job.task_mut(task) else {
             return;
         };
         entry.runs = ordinal.unwrap_or(entry.runs + 1);
         let run = run_number(epoch, entry.runs);
-        let checkpoint = entry.checkpoint.clone();
+        let checkpoint = shared.or_else(|| entry.checkpoint.clone());
         let is_trial = job.trial_since(task).is_some();
         let mut placed = new_run(spec, run, now.steady);
         placed.checkpoint.clone_from(&checkpoint);
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -89,6 +89,8 @@
     pub placed: u16,
     /// When this owner last ordered a run of any task, in Unix milliseconds; 0 if it has not.
     pub last_start: u64,
+    /// Of a gang: the run that has saved its checkpoint, and whether it saved it at its end.
+    saved_by: (u64, bool),
 }
 
 impl Step {
@@ -98,6 +100,7 @@
             done: 0,
             placed: 0,
             last_start: 0,
+            saved_by: (0, false),
         }
     }
 
@@ -280,6 +283,36 @@
         task.failed_runs.len()
     }
 
+    /// Keeps what a run has saved, at its end or before, for the next run of its task. The members of a gang have to resume from
+    /// one checkpoint, and that of any of them serves all: that of the newest run counts, and of its checkpoints those
+    /// at the ends of members.
+    pub fn save(&mut self, key: TaskKey, run: u64, checkpoint: &Arc<str>, at_end: bool) {
+        let spec = self.spec.steps.get(usize::from(key.step.step));
+        let is_gang = spec.is_some_and(|spec| spec.gang);
+        if !is_gang {
+            if let Some(task) = self.task_mut(key) {
+                task.checkpoint = Some(checkpoint.clone());
+            }
+            return;
+        }
+        let Some(step) = self.step_mut(key.step) else {
+            return;
+        };
+        if (run, at_end) < step.saved_by {
+            return;
+        }
+        step.saved_by = (run, at_end);
+        for task in &mut step.tasks {
+            task.checkpoint = Some(checkpoint.clone());
+        }
+    }
+
+    /// The checkpoint from which a gang resumes.
+    pub fn gang_checkpoint(&self, id: StepId) -> Option<&Arc<str>> {
+        let mut tasks = self.step(id)?.tasks.iter();
+        tasks.find_map(|task| task.checkpoint.as_ref())
+    }
+
     pub fn step(&self, id: StepId) -> Option<&Step> {
         self.turns.get(&id.turn)?.steps.get(usize::from(id.step))
     }
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -3,6 +3,7 @@
 //! workers.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
 
 use jayfork::base::Size;
 use jayfork::connection::{
@@ -11,6 +12,7 @@
 use jayfork::request::job::{Ending, JobId, JobSpec, TaskKey};
 
 use super::crash_model::CRASH_DELAY;
+use super::gang_model::Gangs;
 use super::pace::Pace;
 use super::success_model::{Failures, Lapses, Successes};
 
@@ -27,6 +29,10 @@
     fails: bool,
     size: Size,
     pub pace: Pace,
+    /// Whether it saves its progress; only gangs do in this model.
+    pub saves: bool,
+    /// What it resumed from, or has saved since.
+    pub checkpoint: Option<Arc<str>>,
 }
 
 /// A run that is being stopped: it takes room, but the worker lists it neither as running nor as ended.
@@ -34,6 +40,7 @@
     task: TaskKey,
     run: u64,
     size: Size,
+    checkpoint: Option<Arc<str>>,
     until: u64,
 }
 
@@ -109,6 +116,9 @@
     /// Starts of each task after `MAX_CRASHES` crashes.
     pub late_starts: HashMap<TaskKey, u32>,
     pub starts: u64,
+    pub gangs: Gangs,
+    /// Ends of members that have waited for the others of their gang in vain.
+    pub alone: u64,
     pub violations: Vec<String>,
     /// Events of each task, for the messages of violations.
     history: HashMap<TaskKey, Vec<String>>,
@@ -155,6 +165,8 @@
             crashes: HashMap::new(),
             late_starts: HashMap::new(),
             starts: 0,
+            gangs: Gangs::new(),
+            alone: 0,
             violations: Vec::new(),
             history: HashMap::new(),
         }
@@ -264,6 +276,7 @@
         for (task, text) in events {
             self.log_event(task, text);
         }
+        self.advance_gangs(now);
     }
 
     /// Carries out an order with fencing token `token`. A run that starts takes `runtime`
@@ -370,13 +383,14 @@
         let Some((spec, _)) = self.specs.get(&task) else {
             return refused(clock, Refusal::Malformed);
         };
-        let step = &spec.steps[usize::from(task.step.step)];
+        let step = spec.steps[usize::from(task.step.step)].clone();
+        self.note_member(now, start, &step);
         let size = step.reserved();
         let ends = match step.lasts {
             true => u64::MAX,
             false => now + runtime,
         };
-        let pace = Pace::new(step, runtime);
+        let pace = Pace::new(&step, runtime);
         let worker = &mut self.workers[index];
         if self.crashing.contains(&task.step.job) {
             worker.crash_at.get_or_insert(now + CRASH_DELAY);
@@ -390,6 +404,8 @@
                 fails,
                 size,
                 pace,
+                saves: step.gang && step.saves,
+                checkpoint: start.checkpoint.clone(),
             },
         );
         let running = worker.runs.values().map(|run| &run.size);
@@ -485,6 +501,7 @@
             task,
             run: run.run,
             size: run.size,
+            checkpoint: run.checkpoint,
             until: now + STOP_TIME,
         });
     }
@@ -501,7 +518,7 @@
                 task: stopped.task,
                 run: stopped.run,
                 ending: Ending::Stopped,
-                checkpoint: None,
+                checkpoint: stopped.checkpoint,
             });
             self.next_end += 1;
         }
@@ -518,7 +535,7 @@
         self.runs.contains_key(task) || self.stopping.iter().any(|run| run.task == *task)
     }
 
-    fn end(&mut self, task: TaskKey, ending: Ending) {
+    pub fn end(&mut self, task: TaskKey, ending: Ending) {
         let Some(run) = self.runs.remove(&task) else {
             return;
         };
@@ -532,7 +549,7 @@
             task,
             run: run.run,
             ending,
-            checkpoint: None,
+            checkpoint: run.checkpoint,
         });
         self.next_end += 1;
     }
@@ -543,7 +560,7 @@
         let running = self.runs.iter().map(|(task, run)| RunReport {
             task: *task,
             run: run.run,
-            checkpoint: None,
+            checkpoint: run.checkpoint.clone(),
             percent: run.pace.percent(now - run.started),
             measurement: run
                 .pace
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -15,6 +15,8 @@
 mod cuts;
 mod diagnostics;
 mod fleet;
+mod gang_model;
+mod gangs;
 mod handover;
 mod hosts;
 mod orders;
