A new owner resumes tasks from what their last runs saved

Found by a case of the test of gangs that passed before its fix: after a change of the owner the gang began anew. Callers saw: work that had been saved is done again after a change of the owner, if the ends that told of it were acknowledged before; not a broken rule, but work thrown away. Cause: the end of a run that is neither done nor failed is acknowledged together with the records that it led to, and it led to none: checkpoints were recorded only when something else changed the job's progress. The same with runs lost with their workers. Change: a checkpoint that is saved marks the job's progress for the next record. Before: the_next_owner_resumes_from_what_was_saved fails (the gang starts without a checkpoint). After: passes.

--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -169,6 +169,7 @@
         let was_waiting = task.state == TaskState::Waiting;
         if let Some(checkpoint) = &end.checkpoint {
             job.save(end.task, end.run, checkpoint, true);
+            self.journal.mark_dirty(id);
         }
         if end.ending == Ending::Done && !step.lasts {
             let tasks: Vec<TaskKey> = match step.gang {
@@ -232,6 +233,7 @@
         if let Some(job) = self.jobs.get_mut(&task.step.job) {
             if let Some(checkpoint) = &run.checkpoint {
                 job.save(task, run.run, checkpoint, false);
+                self.journal.mark_dirty(task.step.job);
             }
             if let Some(entry) = job.task_mut(task) {
                 entry.has_run |= run.state != RunState::Starting;
--- a/tests/shard/gang_model.rs
+++ b/tests/shard/gang_model.rs
@@ -90,6 +90,11 @@
         self.gangs = gangs;
     }
 
+    /// Whether all gangs at work have resumed from a checkpoint.
+    pub fn have_resumed(&self) -> bool {
+        self.gangs.values().all(|gang| gang.checkpoint.is_some())
+    }
+
     /// The members that run, with their workers.
     fn members(&self, step: StepId, run: u64) -> Vec<(usize, TaskKey)> {
         let workers = self.workers.iter().enumerate();
--- a/tests/shard/gangs.rs
+++ b/tests/shard/gangs.rs
@@ -25,6 +25,27 @@
     Twice,
 }
 
+/// Guards against saved progress that is lost with the owner, since the ends that told of it are acknowledged and not recorded.
+#[test]
+fn the_next_owner_resumes_from_what_was_saved() {
+    let mut world = World::new(4, 5, 4_000);
+    world.runtimes = 14_000..14_001;
+    world.claim();
+    world.run(1_000);
+    world.submit(1, &gang());
+    world.run(3_500);
+    let worker = world.holder(1);
+    world.fleet.restart(world.now, worker);
+    world.run(400);
+    assert_eq!(world.running(1), 0);
+    world.kill(0);
+    world.claim();
+    world.run(4_000);
+    assert_eq!(world.running(1), 3);
+    assert!(world.fleet.have_resumed());
+    world.assert_no_violations();
+}
+
 /// Guards against members of a gang that resume from different checkpoints after the loss of one: they can't work
 /// together, end alone again and again, and the job never completes.
 #[parameterized(
