A restarted worker gets no starts before its new capacity is known

Cause: a new incarnation kept the capacity and labels of the entry of the one before; the start time in the entry was never compared with that of the reports. Change: a worker whose last entry is of an earlier incarnation than its reports is not usable.

--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -280,6 +280,7 @@
     pub(super) fn is_usable(&self, now: Millis) -> bool {
         self.is_ready
             && self.is_recorded
+            && self.is_described()
             && self.may_lease()
             && !self.is_closed()
             && !self.is_exclusive()
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -379,6 +379,7 @@
                 worker.service = entry.service;
                 worker.data_centre = Some(entry.data_centre);
                 worker.capacity = entry.capacity;
+                worker.listed_start = entry.start_time;
                 worker.labels = entry.labels;
                 let was_listed = std::mem::replace(&mut worker.is_listed, true);
                 worker.is_draining = entry.state == WorkerState::Draining;
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -89,6 +89,8 @@
     pub data_centre: Option<Name>,
     pub capacity: Size,
     pub labels: Vec<Name>,
+    /// Start of the incarnation that wrote its last entry, in Unix milliseconds; `None` if the entry doesn't give it.
+    pub listed_start: Option<u64>,
     /// Whether the registry lists it as ready.
     pub is_ready: bool,
     /// Whether the registry lists it.
@@ -201,6 +203,7 @@
             data_centre: None,
             capacity: Size::ZERO,
             labels: Vec::new(),
+            listed_start: None,
             is_ready: false,
             is_listed: false,
             is_draining: false,
@@ -319,6 +322,12 @@
         self.suspect_until = Millis(0);
     }
 
+    /// Whether its last entry is of the incarnation that reports. Another one may have another capacity or other labels.
+    pub fn is_described(&self) -> bool {
+        let known = self.listed_start.zip(self.incarnation);
+        known.is_none_or(|(listed, reported)| listed >= reported)
+    }
+
     /// End, on the worker's clock, of a lease of `length` from now; `None` before its first answer and
     /// while it may get no lease.
     pub fn lease_end(&self, now: Millis, length: Millis) -> Option<u64> {
--- a/tests/shard/capacity.rs
+++ b/tests/shard/capacity.rs
@@ -1,6 +1,7 @@
 //! Workers whose capacity changes while they run tasks.
 
 use jayfork::base::Size;
+use jayfork::process::shard::{RegistryChange, ShardEvent};
 
 use super::fleet::Worker;
 use super::world::{World, chain, long_running};
@@ -63,6 +64,37 @@
     world.assert_no_violations();
 }
 
+/// Guards against starts by the capacity of an earlier incarnation while the registry has no entry of the new one yet,
+/// as in an outage of the store.
+#[test]
+fn a_restarted_worker_gets_no_starts_before_its_capacity_is_known() {
+    let mut world = World::new(7, 1, 6_000);
+    world.runtimes = 3_000..3_001;
+    world.claim();
+    world.run(500);
+    let announce = |world: &mut World| {
+        let RegistryChange::Set(id, mut entry) = world.entry(0) else {
+            panic!("no entry");
+        };
+        entry.start_time = Some(world.fleet.workers[0].incarnation);
+        let event = ShardEvent::Registry(vec![RegistryChange::Set(id, entry)]);
+        world.event(0, event);
+    };
+    announce(&mut world);
+    world.submit(1, &chain(&[40], 1_000));
+    world.run(1_500);
+    assert_eq!(world.running(1), 6);
+    world.fleet.restart(world.now, 0);
+    world.fleet.workers[0].capacity.processors = 4_000;
+    world.run(4_000);
+    world.assert_no_violations();
+    assert_eq!(world.running(1), 0);
+    announce(&mut world);
+    world.run(500);
+    world.assert_no_violations();
+    assert_eq!(world.running(1), 4);
+}
+
 /// Guards against starts on a worker that is over its capacity in another dimension than the task uses.
 #[test]
 fn a_worker_over_its_capacity_in_one_dimension_gets_no_starts() {
