Jobs whose starts were all refused are waiting

Cause: the flag that an order to start has left, which the permits of a backlog need, was also what clients were told. Change: a job has run once a worker has confirmed a start, listed a run or reported an end; clients are told that.

--- a/src/process/shard/reports.rs
+++ b/src/process/shard/reports.rs
@@ -110,6 +110,7 @@
                 if is_starting {
                     run.state = RunState::Active { since: now.steady };
                 }
+                self.note_run(task);
                 return;
             }
             Err(CallError::NoAnswer | CallError::Malformed) => {
@@ -303,6 +304,7 @@
             self.adopt(now, worker_id, listed);
             return;
         };
+        let is_new = !run.is_confirmed;
         run.is_confirmed = true;
         if run.state == RunState::Starting {
             run.state = RunState::Active { since: now.steady };
@@ -315,6 +317,16 @@
         if listed.checkpoint.is_some() {
             run.checkpoint = listed.checkpoint.clone();
         }
+        if is_new {
+            self.note_run(listed.task);
+        }
+    }
+
+    /// Notes that a worker has confirmed a run of a task.
+    fn note_run(&mut self, task: TaskKey) {
+        if let Some(job) = self.jobs.get_mut(&task.step.job) {
+            job.has_run = true;
+        }
     }
 
     /// Requests the next report of a worker whose ends have been recorded. Ends since its last
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -106,7 +106,7 @@
                     .accepted
                     .iter()
                     .filter_map(|id| self.jobs.get(id))
-                    .filter(|job| queues.contains(&job.queue) && !job.has_started)
+                    .filter(|job| queues.contains(&job.queue) && !job.has_run)
                     .count();
                 out.push(ShardAction::Reply(ticket, Reply::Backlog(waiting as u64)));
             }
@@ -126,7 +126,7 @@
         match self.jobs.get(&id) {
             Some(job) => Reply::State {
                 outcome: None,
-                has_started: job.has_started,
+                has_started: job.has_run,
             },
             None => Reply::Gone,
         }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -70,6 +70,7 @@
             if is_open && is_waiting && !self.orphaned_tasks.contains(&task_key) {
                 is_current = true;
                 job.has_started = true;
+                job.has_run = true;
                 job.set_state(task_key, TaskState::Placed);
                 if let Some(task) = job.task_mut(task_key) {
                     task.is_found = true;
@@ -156,6 +157,7 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
+        job.has_run = true;
         let spec = job.spec.clone();
         let Some(step) = spec.steps.get(usize::from(end.task.step.step)) else {
             return;
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -135,8 +135,10 @@
     /// Number of the next turn that will be due.
     pub next_turn: u32,
     pub outcome: Option<Outcome>,
-    /// Whether this owner or an earlier one has ordered a run of any task.
+    /// Whether this owner or an earlier one has ordered a run of any task. The order may have been refused.
     pub has_started: bool,
+    /// Whether a worker has confirmed a run of any task.
+    pub has_run: bool,
     pub start_permit: StartPermit,
     /// Tasks whose newest run may have crashed its worker.
     pub trials: BTreeMap<TaskKey, Trial>,
@@ -165,6 +167,7 @@
             next_turn: 0,
             outcome: None,
             has_started: false,
+            has_run: false,
             start_permit: StartPermit::default(),
             trials: BTreeMap::new(),
         }
@@ -407,6 +410,7 @@
     /// Restores the progress that an earlier owner recorded.
     pub fn restore(&mut self, progress: &JobProgress) {
         self.has_started = true;
+        self.has_run = true;
         self.next_turn = progress.next_turn;
         self.turns.clear();
         for saved in &progress.turns {
--- a/tests/shard/backlog.rs
+++ b/tests/shard/backlog.rs
@@ -1,12 +1,12 @@
 //! Jobs that wait in a backlog.
 
-use jayfork::process::shard::Reply;
+use jayfork::process::shard::{Reply, Request};
 use jayfork::request::job::JobSpec;
 use yare::parameterized;
 
 use super::diagnostics::observed;
 use super::pace::{best_effort, world_with_serving_tasks};
-use super::world::{World, chain};
+use super::world::{QUEUE, World, chain};
 
 /// Guards against logs that don't tell why an accepted job has nothing running: which job, for how long, and what
 /// each worker lacks for it.
@@ -58,6 +58,30 @@
     accepted.map(|(id, _)| *id).collect()
 }
 
+/// Guards against jobs that are shown as running, and are left out of the number of waiting jobs, although all their
+/// starts were refused.
+#[test]
+fn a_job_whose_starts_are_refused_is_waiting() {
+    let mut world = World::new(1, 1, 8_000);
+    world.claim();
+    world.run(500);
+    world.fleet.workers[0].is_refused = true;
+    world.submit(1, &chain(&[2], 1_000));
+    world.run(300);
+    let waiting = |world: &mut World| {
+        let ticket = world.ask(Request::Backlog {
+            queue: QUEUE.into(),
+        });
+        world.replies.get(&ticket).copied()
+    };
+    assert_eq!(waiting(&mut world), Some(Reply::Backlog(1)));
+    assert!(!has_started(&mut world, 1));
+    world.fleet.workers[0].is_refused = false;
+    world.run(2_000);
+    assert_eq!(waiting(&mut world), Some(Reply::Backlog(0)));
+    assert!(has_started(&mut world, 1));
+}
+
 pub fn has_started(world: &mut World, id: u64) -> bool {
     matches!(
         world.state(id),
