A new owner tells the others of its claim at once

Seen: after a hand-over a third host claims the shard 0.25 s after the next owner has; the wait for silent workers begins anew. Cause: it had asked all hosts while that claim was being stored, so no answer named an owner, and nothing told it afterwards. Change: once its claim is stored, an owner says hello to those who may claim the shard.

--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -87,6 +87,8 @@
     /// When a peer last agreed to take over the shard from this host.
     pub handed_over: Option<Millis>,
     pub claimed_at: Millis,
+    /// Epoch of the newest own claim that the others have been told of.
+    announced_epoch: u64,
 }
 
 impl Claim {
@@ -179,6 +181,7 @@
     pub(super) fn check_owner(&mut self, now: Now, out: &mut Vec<HostAction>) {
         if self.shard.is_some() {
             self.claim.search_started = None;
+            self.announce_claim(now, out);
             self.check_ownership(now, out);
             return;
         }
@@ -241,6 +244,12 @@
         }
         claim.round_started = Some(now.steady);
         claim.responders.clear();
+        self.claim.asked = self.greet_candidates(now, out);
+    }
+
+    /// Sends a hello to all peers, or in a large cluster to the best-ranked ones that are not silent; returns their
+    /// names.
+    fn greet_candidates(&mut self, now: Now, out: &mut Vec<HostAction>) -> Vec<Name> {
         let targets = self.peers.search_targets(
             self.max_processor(),
             self.is_low_capacity(),
@@ -252,7 +261,19 @@
                 self.send_hello(now, address, false, out);
             }
         }
-        self.claim.asked = targets;
+        targets
+    }
+
+    /// Tells those who may claim the shard that this host has. They have asked it while its claim was being stored.
+    fn announce_claim(&mut self, now: Now, out: &mut Vec<HostAction>) {
+        let claimed = self.shard.as_ref().filter(|shard| shard.is_claimed());
+        let Some(epoch) = claimed.map(Shard::epoch) else {
+            return;
+        };
+        if self.claim.announced_epoch != epoch {
+            self.claim.announced_epoch = epoch;
+            self.greet_candidates(now, out);
+        }
     }
 
     /// Whether more than a quarter of the high-capacity hosts have not answered in this search.
--- a/tests/ownership/cases.rs
+++ b/tests/ownership/cases.rs
@@ -174,6 +174,39 @@
     }
 }
 
+/// Guards against a host that has asked all others while the next owner's claim was being stored, and claims the shard
+/// right after it: nobody has told it of that claim.
+#[parameterized(
+    near_store = { 50 },
+    farther_store = { 70 },
+    far_store = { 120 },
+)]
+fn only_one_host_claims_the_shard_after_a_hand_over(delay: u64) {
+    let large = [2, delay, delay].map(|store_delay| (HIGH_CAPACITY, store_delay));
+    let small = [1, 1, delay].map(|store_delay| (LOW_CAPACITY, store_delay));
+    let hosts: Vec<(u32, u64)> = large.into_iter().chain(small).collect();
+    for (outage, seed) in [900, 1_100, 1_500]
+        .into_iter()
+        .flat_map(|outage| (1..=40).map(move |seed| (outage, seed)))
+    {
+        let mut world = World::start(seed, &hosts);
+        world.run(5_000);
+        let owners = world.owners();
+        let claim_count = world.claim_count;
+        world.refused_hosts.clone_from(&owners);
+        world.run(outage);
+        world.refused_hosts.clear();
+        world.run(4_000);
+        let claims = world.claim_count - claim_count;
+        let has_changed = world.owners() != owners;
+        assert_eq!(
+            claims,
+            usize::from(has_changed),
+            "seed {seed}, outage of {outage} ms"
+        );
+    }
+}
+
 /// Guards against a live owner that is replaced because it is too busy to answer hellos. Its work went
 /// on, and the new owner had to recover all of it under the same load.
 #[parameterized(
