A late answer from before a claim does not end the ownership

Cause: a host that knows of the new owner gets its answer to a hello from before the claim, late, and takes it for a sign that the owner has given up. It claims the shard at once. Change: only an answer to a hello that was sent after this host learned of the owner ends the ownership, or a hello that arrives when none from before can be on its way any more.

--- a/src/process/host/hello.rs
+++ b/src/process/host/hello.rs
@@ -107,13 +107,18 @@
             .as_ref()
             .is_some_and(|reported| reported.host == name && reported.age == 0);
         if let Some(owner) = self.owner.as_ref().filter(|owner| owner.host == name) {
+            let is_restarted = owner.boot != presence.host.boot;
+            // A state that was sent after this host learned of the owner is newer than its claim. Another one may be
+            // from before it and have arrived late.
+            let is_newer = call_sent.is_some_and(|sent| sent > owner.learned);
+            let may_be_newer =
+                call_sent.is_none() && now.steady.since(owner.learned) >= HELLO_TIMEOUT;
+            let has_ended = !is_owner && (is_restarted || is_newer || may_be_newer);
             // The owner's process was restarted, or it gave up the shard.
-            if !is_owner && self.shard.is_none() {
+            if has_ended && self.shard.is_none() {
                 tracing::info!(host = %name, epoch = owner.epoch, "host no longer owns the shard");
-                // A state that was sent after this host learned of the owner is newer than its claim,
-                // so others that still name it are behind.
-                let is_newer = call_sent.is_some_and(|sent| sent > owner.learned);
-                if is_newer || owner.boot != presence.host.boot {
+                // Others that still name it are behind.
+                if is_newer || is_restarted {
                     self.claim.ended_epoch = self.claim.ended_epoch.max(owner.epoch);
                 }
                 self.owner = None;
--- a/tests/ownership/relay_host.rs
+++ b/tests/ownership/relay_host.rs
@@ -105,7 +105,7 @@
     }
 }
 
-fn record(index: usize) -> HostRecord {
+pub fn record(index: usize) -> HostRecord {
     HostRecord {
         name: format!("host-{index}").into(),
         boot: 1,
