Leases count as expired only while the owner certainly owned the shard

Cause: the end of a silent worker's lease was compared with the time now, although the next owner may have renewed it. Change: it is compared with the time at which the newest append was sent that the store has carried out. If a lease is over now and no append since then is stored, the owner appends at once. Price: tasks of silent workers wait for the store in an outage.

--- a/src/process/shard/journal.rs
+++ b/src/process/shard/journal.rs
@@ -69,6 +69,8 @@
     commits: Vec<Commit>,
     /// The same records, each with its own commit, so that they can be withdrawn.
     entries: Vec<Entry>,
+    /// When it was first sent.
+    sent: Millis,
     /// Whether the store may have stored the batch although no answer has confirmed it.
     may_be_stored: bool,
     /// When the append is repeated, or `None` while its answer is awaited.
@@ -98,6 +100,8 @@
     batch: Option<Batch>,
     last_sent: Millis,
     last_stored: Millis,
+    /// When the newest append was sent that the store has carried out.
+    owned_at: Millis,
     failing_since: Option<Millis>,
 }
 
@@ -113,6 +117,7 @@
             batch: None,
             last_sent: Millis(0),
             last_stored: now,
+            owned_at: Millis(0),
             failing_since: None,
         }
     }
@@ -150,6 +155,11 @@
         self.failing_since.map(|since| now.since(since))
     }
 
+    /// The latest time at which certainly no other owner had claimed the shard.
+    pub fn owned_at(&self) -> Millis {
+        self.owned_at
+    }
+
     pub fn last_stored(&self) -> Millis {
         self.last_stored
     }
@@ -201,6 +211,7 @@
             records: entries.iter().map(|entry| entry.record.clone()).collect(),
             commits,
             entries,
+            sent: now,
             may_be_stored: false,
             retry_at: None,
         });
@@ -245,6 +256,7 @@
             Ok(StoreAnswer::Appended) => {
                 self.sequence += 1;
                 self.last_stored = now;
+                self.owned_at = batch.sent;
                 self.failing_since = None;
                 return Appended::Committed(batch.commits);
             }
@@ -254,6 +266,7 @@
             Ok(StoreAnswer::OutOfSequence { expected }) if expected == self.sequence + 1 => {
                 self.sequence += 1;
                 self.last_stored = now;
+                self.owned_at = batch.sent;
                 return Appended::Committed(batch.commits);
             }
             Ok(_) => return Appended::Superseded,
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -78,8 +78,10 @@
 
     /// Counts the runs of a silent worker as lost once their leases have certainly expired, it has left, or it
     /// has confirmed a stop that is over. A task that can succeed may have done so before the stop or the end of
-    /// the lease, so only long-running ones need no report from a worker that is alive.
+    /// the lease, so only long-running ones need no report from a worker that is alive. The lease has to be over
+    /// at a time when no other owner can have renewed it.
     fn expire_runs(&mut self, now: Now) {
+        let owned_at = self.journal.owned_at();
         let stop_time = self.settings.stop_time + STOP_ALLOWANCE;
         let is_stopped = |run: &Run| match run.state {
             RunState::Stopping {
@@ -88,9 +90,11 @@
             } => run.lasts && at + stop_time < now.steady,
             _ => false,
         };
+        let mut needs_proof = false;
         let mut expired: Vec<(Name, TaskKey, Ending)> = Vec::new();
         for worker in self.workers.iter().filter(|worker| worker.unanswered > 0) {
-            let is_over = worker.has_expired(now.steady) || worker.has_left;
+            let is_over = worker.has_expired(owned_at) || worker.has_left;
+            needs_proof |= !is_over && !worker.runs.is_empty() && worker.has_expired(now.steady);
             let may_succeed = worker.may_report_success(now.steady);
             for (task, run) in &worker.runs {
                 let ending = match is_stopped(run) {
@@ -109,6 +113,10 @@
             self.note_lost(&worker, task);
             self.lose_run(now, &worker, task, ending);
         }
+        if needs_proof && !self.journal.has_pending() && self.journal.may_append(now.steady) {
+            let record = ShardRecord::Owner(self.owner.clone());
+            self.journal.push(&record, None);
+        }
     }
 
     /// Moves long-running tasks off workers that are leaving, as far as others have room. A task that is
