Turns that were due before their job came are starved together

Cause: each open turn became starved 5 s after the acceptance and got one task before all other jobs, 51 a second for one job. Change: those turns count together: none is starved while another one has a run or got one in the last 5 s. A starved key that another turn has made void starts nothing, and the keys of all turns are replaced together.

--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -64,6 +64,9 @@
         let Some(job) = self.jobs.get(&id) else {
             return;
         };
+        if key.is_starved() && !self.ready.contains(&key) {
+            return;
+        }
         let has_run = job.idle_since(key.step).is_none();
         let is_outdated = match key.is_starved() {
             true => has_run,
@@ -75,8 +78,7 @@
         if !is_outdated {
             return;
         }
-        self.ready
-            .retain(|other| other.step.job != id || other.step.turn != turn);
+        self.ready.retain(|other| other.step.job != id);
         self.insert_steps(id);
     }
 
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -119,6 +119,10 @@
         if job.start_permit != StartPermit::Granted {
             return Some(Waiting::Held);
         }
+        // Another turn of the job has got the run.
+        if key.is_starved() && job.idle_since(key.step).is_none() {
+            return Some(Waiting::Held);
+        }
         let service = self.queues.get(&job.queue).service.clone();
         let spec = job.spec.clone();
         let spec = spec.steps.get(usize::from(key.step.step))?;
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -210,11 +210,20 @@
         steps.map(|step| step.placed).all(|placed| placed == 0)
     }
 
-    /// Since when no task of a step has a run, in Unix milliseconds; `None` if one has.
+    /// Since when no task of a step has a run, in Unix milliseconds; `None` if one has. Turns that were due before the
+    /// job was accepted count together: there may be many, and they have waited no longer than the job.
     pub fn idle_since(&self, id: StepId) -> Option<u64> {
-        let step = self.step(id).filter(|step| step.placed == 0)?;
-        let start = self.turn_start(id.turn).max(self.accepted);
-        Some(start.max(step.last_start))
+        let was_due = |turn: u32| self.spec.turns > 0 && self.due(turn) < self.accepted;
+        if !was_due(id.turn) {
+            let step = self.step(id).filter(|step| step.placed == 0)?;
+            let start = self.turn_start(id.turn).max(self.accepted);
+            return Some(start.max(step.last_start));
+        }
+        let turns = self.turns.iter().filter(|(turn, _)| was_due(**turn));
+        let mut steps = turns.flat_map(|(_, turn)| &turn.steps);
+        steps.try_fold(self.accepted, |since, step| {
+            (step.placed == 0).then_some(since.max(step.last_start))
+        })
     }
 
     /// Notes that a run of a task is ordered at `now`, in Unix milliseconds.
