A backlog has a limit before its rate is measured

Cause: without a measured rate, for 3 s, no submission was refused. Change: until then the processors of all usable workers count as the rate, once all runs are known. Before: the test fails. After: it passes, with the other tests of backlogs.

--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -35,6 +35,8 @@
 pub(super) struct Backlog {
     loads: HashMap<WorkClass, WorkLoad>,
     rooms: HashMap<Name, Room>,
+    /// Whether all runs were known at the last measurement.
+    is_active: bool,
     last_measured: Millis,
 }
 
@@ -237,8 +239,10 @@
             return None;
         }
         let mut rates = ahead.iter().filter_map(|load| load.rate(now)).peekable();
-        rates.peek()?;
-        let rate: f64 = rates.sum();
+        let rate: f64 = match rates.peek() {
+            Some(_) => rates.sum(),
+            None => self.most_rate(queue)?,
+        };
         // Nothing of the kind is served. A task that needs less may have room all the same.
         if rate <= 0.0 || !self.may_fit(queue, spec) {
             return is_covered.then_some(limit + MIN_LIMIT);
@@ -253,6 +257,13 @@
         Some(together.max(own.unwrap_or(0.0)) as u64)
     }
 
+    /// Work a second if all workers did nothing else, in place of a rate that has not been measured for long enough.
+    /// `None` before all runs are known, when few workers may be usable.
+    fn most_rate(&self, queue: &Queue) -> Option<f64> {
+        let room = self.rooms.get(&queue.service)?;
+        self.is_active.then_some(room.processors as f64 / 1_000.0)
+    }
+
     /// Time that the tasks of a job need on a part of the workers, or `None` if no usable workers are known or the job
     /// repeats: its turns may have been due long before it came.
     pub(super) fn wave_time(&self, queue: &Queue, spec: &JobSpec) -> Option<u64> {
@@ -287,6 +298,7 @@
         }
         // The rate of a new owner says little before all runs are known.
         let is_active = self.phase == Phase::Active;
+        backlog.is_active = is_active;
         for load in backlog.loads.values_mut() {
             match is_active {
                 true => load.add_sample(now.steady),
