Workers whose entry and reports differ by milliseconds in their start are used

Cause: compares the start of the incarnation in a worker's entry with that in its reports to the millisecond. The stand-in of the platform read the clock once for each; where the entry's time was the earlier one, the worker was never used. The stand-in gives one time in both places, as the platform's page says. A comment of queues.rs is corrected.

--- a/examples/standin/platform/worker.rs
+++ b/examples/standin/platform/worker.rs
@@ -66,13 +66,14 @@
 impl Worker {
     pub fn new(
         id: String,
+        born: u64,
         timing: WorkerTiming,
         rng: fastrand::Rng,
         recorder: Arc<RunRecorder>,
     ) -> Self {
         Worker {
             id,
-            born: crate::clock::now().0,
+            born,
             started: Instant::now(),
             timing,
             rng,
--- a/src/process/shard/queues.rs
+++ b/src/process/shard/queues.rs
@@ -46,8 +46,8 @@
         self.index.has_service(name)
     }
 
-    /// The queue for a new job. `None` if the configuration has none: the host that sent the request has an earlier
-    /// configuration, which has another queue at that address.
+    /// The queue for a new job. `None` if there is none: the host that sent the request has an earlier configuration, and this
+    /// one has dropped the queue.
     pub fn find(&self, asked: &QueueRef) -> Option<QueueRecord> {
         let version = self.index.version();
         let (queue, version) = match asked {
--- a/tests/shard/queue_tables.rs
+++ b/tests/shard/queue_tables.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 
 use jayfork::process::shard::{Reply, Request, ShardEvent};
-use jayfork::request::job::JobId;
-use jayfork::request::job::JobSpec;
+use jayfork::request::job::{JobId, JobSpec};
 use jayfork::version::{Queue, QueueRef, QueueTable};
 
 use super::world::{SERVICE, World};
