--- a/benches/shard.rs
+++ b/benches/shard.rs
@@ -135,6 +135,7 @@
             lease: Millis(10_000),
             stop_time: Millis(400),
             status_keep: Millis(120_000),
+            evacuation_bound: None,
         };
         let partition = Partition {
             stream: "shard".into(),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,12 +4,14 @@
 
 mod client;
 mod config;
+mod evacuation;
 mod registry;
 mod store;
 mod worker;
 
 pub use client::{ClientCall, ClientRequest, decode_client, encode_backlog, encode_job_state};
 pub use config::{CONFIG_KEY, CONFIG_STREAM, decode_config};
+pub use evacuation::{EvacuationRequest, decode_evacuation};
 pub use registry::{
     REGISTRY_STREAM, RegistryEntry, WorkerState, decode_registry_entry, decode_worker_id,
 };
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -112,7 +112,7 @@
     })
 }
 
-fn decode_name(field: &'static str, name: &str) -> Result<Name> {
+pub(super) fn decode_name(field: &'static str, name: &str) -> Result<Name> {
     match name.len() <= MAX_NAME {
         true => Ok(name.into()),
         false => Err(field_error(field, name)),
--- a/src/process/host/claim.rs
+++ b/src/process/host/claim.rs
@@ -474,6 +474,8 @@
             &mut actions,
         );
         self.shard = Some(shard);
+        // An owner reads the operator's stream itself.
+        self.config_source = self.find_config_source(now);
         self.perform_shard_actions(now, actions, out);
         // Hosts that start later read from this record which epochs are taken.
         let request = StoreRequest::Append {
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -6,6 +6,7 @@
 
 use super::claim::Claim;
 use super::config::NewerConfig;
+use super::evacuations::Evacuations;
 use super::forward::{Origin, PendingRequest};
 use super::message::{HostRecord, KnownOwner, PeerCall, PeerReply, Presence};
 use super::pause::PauseWatch;
@@ -160,6 +161,7 @@
     pub(super) owner: Option<Owner>,
     pub(super) shard: Option<Shard>,
     pub(super) streams: Streams,
+    pub(super) evacuations: Evacuations,
     pub(super) claim: Claim,
     /// Client requests that are not answered, by ticket.
     pub(super) pending_requests: HashMap<u64, PendingRequest>,
@@ -206,6 +208,7 @@
             owner: None,
             shard: None,
             streams: Streams::new(now.steady),
+            evacuations: Evacuations::default(),
             claim: Claim::default(),
             pending_requests: HashMap::new(),
             origins: HashMap::new(),
@@ -254,6 +257,7 @@
         self.send_due_hellos(now, out);
         self.ask_for_config(now, out);
         self.check_owner(now, out);
+        self.tell_evacuations(now, out);
         let mut actions = Vec::new();
         if let Some(shard) = &mut self.shard {
             shard.poll(now, &mut actions);
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -3,6 +3,7 @@
 
 mod claim;
 mod config;
+mod evacuations;
 mod forward;
 mod handover;
 mod hello;
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -125,6 +125,7 @@
             lease: settings.lease,
             stop_time: settings.stop_time,
             status_keep: settings.status_keep + EXTRA_STATUS_TIME,
+            evacuation_bound: settings.evacuation,
         },
     }
 }
--- a/src/process/host/streams.rs
+++ b/src/process/host/streams.rs
@@ -354,6 +354,10 @@
                 self.shard_event(now, epoch, ShardEvent::Store(tag, answer), out);
             }
             StorePurpose::Config => {
+                let reader = &self.streams.config;
+                let is_listing_start = reader.next.is_none() && reader.page_key.is_none();
+                self.evacuations
+                    .apply(reader.asked, is_listing_start, &answer);
                 let records = match self.streams.config.answered(now.steady, answer, took) {
                     ReadResult::Records(records) | ReadResult::Listing { records, .. } => records,
                     ReadResult::Nothing => return,
--- a/src/process/settings/entry.rs
+++ b/src/process/settings/entry.rs
@@ -16,6 +16,8 @@
 const LEASE_RANGE: (Millis, Millis, Millis) = (Millis(6_000), Millis(1_000), Millis(600_000));
 /// Default, minimum and maximum of `[workers] stop_time`, in ms.
 const STOP_TIME_RANGE: (Millis, Millis, Millis) = (Millis(1_000), Millis(1), Millis(60_000));
+/// Minimum and maximum of `[workers] evacuation`, in ms. Its default is none.
+const EVACUATION_RANGE: (Millis, Millis) = (Millis(1_000), Millis(600_000));
 /// Default, minimum and maximum of `[jobs] status_keep`, in ms.
 const STATUS_KEEP_RANGE: (Millis, Millis, Millis) =
     (Millis(120_000), Millis(1_000), Millis(86_400_000));
@@ -29,7 +31,7 @@
     ("listen", Some(&["front", "ready", "peer", "metrics"])),
     ("peers", Some(&["seeds"])),
     ("store", Some(&["address"])),
-    ("workers", Some(&["lease", "stop_time"])),
+    ("workers", Some(&["lease", "stop_time", "evacuation"])),
     ("jobs", Some(&["status_keep"])),
     ("log", Some(&["level", "format"])),
 ];
@@ -58,6 +60,8 @@
     pub lease: Millis,
     /// Maximum time that a worker takes to stop a run.
     pub stop_time: Millis,
+    /// Longest time from an operator's request to evacuate a data centre to the last start there, if it is limited.
+    pub evacuation: Option<Millis>,
     /// Time for which the outcome of an ended job can be queried.
     pub status_keep: Millis,
     pub log: Log,
@@ -121,6 +125,15 @@
         STOP_TIME_RANGE.1,
         STOP_TIME_RANGE.2,
     );
+    let allowed = "1000 to 600000, or nothing";
+    let evacuation = reader.optional("workers", "evacuation", allowed, |text| match text {
+        "" => Some(None),
+        _ => {
+            let (least, most) = EVACUATION_RANGE;
+            let bound = Millis::parse(text).filter(|bound| (least..=most).contains(bound));
+            bound.map(Some)
+        }
+    });
     let status_keep = reader.optional("jobs", "status_keep", "1 s to 24 h", |text| {
         Millis::parse(text)
             .filter(|keep| (STATUS_KEEP_RANGE.1..=STATUS_KEEP_RANGE.2).contains(keep))
@@ -139,6 +152,7 @@
         store: store?,
         lease,
         stop_time,
+        evacuation: evacuation.flatten(),
         status_keep: status_keep.unwrap_or(STATUS_KEEP_RANGE.0),
         log,
     })
--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -217,6 +217,11 @@
         }
     }
 
+    /// Brings the next measurement forward.
+    pub(super) fn measure_soon(&mut self) {
+        self.last_measured = Millis(0);
+    }
+
     /// Counts tasks of a step that have succeeded.
     pub(super) fn count_done(&mut self, queue: &Queue, spec: &StepSpec, tasks: usize) {
         self.load(queue, spec).done += spec.work() * tasks as f64;
--- a/src/process/shard/candidates.rs
+++ b/src/process/shard/candidates.rs
@@ -279,6 +279,7 @@
     /// Whether it may get tasks: it is ready, recorded and reports regularly.
     pub(super) fn is_usable(&self, now: Millis) -> bool {
         self.is_ready
+            && !self.is_evacuated
             && self.is_recorded
             && self.is_described()
             && self.may_lease()
--- a/src/process/shard/mod.rs
+++ b/src/process/shard/mod.rs
@@ -6,6 +6,7 @@
 mod clearing;
 mod crashes;
 mod diagnostics;
+mod evacuation;
 mod exclusion;
 mod handover;
 mod jobs;
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -377,6 +377,7 @@
                 });
                 worker.list_at(now.steady, entry.address);
                 worker.service = entry.service;
+                worker.is_evacuated = self.evacuations.covers(Some(&entry.data_centre));
                 worker.data_centre = Some(entry.data_centre);
                 worker.capacity = entry.capacity;
                 worker.listed_start = entry.start_time;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -9,6 +9,7 @@
 use super::backlog::Backlog;
 use super::candidates::UnmetRequirements;
 use super::clearing::WaitingDemand;
+use super::evacuation::Evacuations;
 use super::handover::Handover;
 use super::journal::Journal;
 use super::lost_runs::LostRuns;
@@ -54,6 +55,9 @@
     pub stop_time: Millis,
     /// How long the outcome of an ended job can be queried.
     pub status_keep: Millis,
+    /// Longest time from the operator's request to evacuate a data centre to the last start there. With it, an owner
+    /// starts nothing before it knows these requests.
+    pub evacuation_bound: Option<Millis>,
 }
 
 impl ShardSettings {
@@ -171,6 +175,8 @@
     Registry(Vec<RegistryChange>),
     /// The queues at the start and after each new version.
     Queues(Arc<QueueTable>),
+    /// The data centres that the operator wants evacuated, at the start and after each change.
+    Evacuations(Arc<BTreeSet<Name>>),
     Store(StoreTag, Result<StoreAnswer, CallError>),
     Worker(WorkerTag, Result<WorkerAnswer, CallError>),
 }
@@ -261,6 +267,7 @@
     pub(super) last_rating: Millis,
     /// When serving tasks were last moved for best-effort tasks.
     pub(super) last_clearing: Millis,
+    pub(super) evacuations: Evacuations,
     /// Start orders without an answer.
     pub(super) pending_starts: usize,
     pub(super) start_window: StartWindow,
@@ -294,6 +301,7 @@
         out: &mut Vec<ShardAction>,
     ) -> Shard {
         let journal = Journal::new(partition.clone(), owner.epoch, now.steady);
+        let evacuations = Evacuations::new(settings.evacuation_bound);
         let mut shard = Shard {
             settings,
             partition,
@@ -331,6 +339,7 @@
             waiting_demand: WaitingDemand::default(),
             last_rating: Millis(0),
             last_clearing: Millis(0),
+            evacuations,
             pending_starts: 0,
             start_window: StartWindow::default(),
             last_poll: Millis(0),
@@ -368,6 +377,7 @@
                 }
                 self.rebuild_order();
             }
+            ShardEvent::Evacuations(data_centres) => self.apply_evacuations(now, &data_centres),
             ShardEvent::Store(StoreTag::Append, answer) => {
                 self.handle_append_answer(now, answer, out)
             }
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -36,7 +36,7 @@
 impl Shard {
     /// Places waiting tasks in the order of `ready` as far as workers have room.
     pub(super) fn place(&mut self, now: Now, out: &mut Vec<ShardAction>) {
-        if self.ready.is_empty() || self.resignation.is_some() {
+        if self.ready.is_empty() || self.resignation.is_some() || !self.evacuations.is_known() {
             return;
         }
         self.permit_next_jobs();
@@ -288,7 +288,7 @@
         let mut racks: Vec<Name> = self
             .workers
             .iter()
-            .filter(|worker| worker.service == *service && worker.is_ready)
+            .filter(|worker| worker.service == *service && worker.is_ready && !worker.is_evacuated)
             .filter_map(|worker| worker.rack().cloned())
             .collect();
         racks.sort();
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -55,7 +55,7 @@
         self.finish_recovery(now);
         self.release_unheard(now);
         self.expire_runs(now);
-        self.evacuate(now);
+        self.empty_workers(now);
         self.make_room_for_best_effort(now);
         self.open_due(now);
         self.replace_expired_keys();
@@ -119,40 +119,6 @@
         }
     }
 
-    /// Moves long-running tasks off workers that are leaving, as far as others have room. A task that is
-    /// stopped without room elsewhere would be down while its worker still runs.
-    fn evacuate(&mut self, now: Now) {
-        let mut leaving: Vec<(Name, TaskKey)> = Vec::new();
-        let mut moving: Vec<TaskKey> = Vec::new();
-        let workers = self.workers.iter();
-        for worker in workers.filter(|worker| worker.is_listed && !worker.is_ready) {
-            for (task, run) in worker.runs.iter().filter(|(_, run)| run.lasts) {
-                match run.state {
-                    RunState::Active { .. } => leaving.push((worker.id.clone(), *task)),
-                    RunState::Stopping { .. } if !run.is_orphaned => moving.push(*task),
-                    RunState::Starting | RunState::Stopping { .. } => {}
-                }
-            }
-        }
-        if leaving.is_empty() {
-            return;
-        }
-        moving.extend(self.restarts.iter().map(|(_, task)| *task));
-        let mut candidates = self.candidates(now);
-        for task in moving {
-            self.reserve_room(now, task, &mut candidates);
-        }
-        for (worker_id, task) in leaving {
-            if !self.reserve_room(now, task, &mut candidates) {
-                continue;
-            }
-            tracing::info!(%task, worker = %worker_id, "moving a long-running task off a leaving worker");
-            if let Some(worker) = self.workers.get_mut(&worker_id) {
-                worker.stop_run(task);
-            }
-        }
-    }
-
     /// Opens the turns that have come due.
     fn open_due(&mut self, now: Now) {
         while let Some((due, id)) = self.upcoming_turns.first().copied() {
--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -101,6 +101,8 @@
     pub is_listed: bool,
     /// Whether its last entry in the registry says that it is leaving.
     pub is_draining: bool,
+    /// Whether the operator wants its data centre evacuated, so that it gets no starts.
+    pub is_evacuated: bool,
     /// Whether its process has certainly ended: another worker answers at its address.
     pub has_left: bool,
     /// Whether its record is stored. A later owner asks every recorded worker for its runs.
@@ -211,6 +213,7 @@
             is_ready: false,
             is_listed: false,
             is_draining: false,
+            is_evacuated: false,
             has_left: false,
             is_recorded: false,
             recorded_leaving: false,
--- a/src/process/telemetry.rs
+++ b/src/process/telemetry.rs
@@ -10,12 +10,15 @@
     BuildError, Matcher, PrometheusBuilder, PrometheusHandle, PrometheusRecorder,
 };
 
-use crate::base::Millis;
+use crate::base::{Millis, Name};
 
 pub const ANSWERS: &str = "jayfork_answers_total";
 pub const QUEUE_TIME: &str = "jayfork_queue_seconds";
 pub const REFUSALS: &str = "jayfork_refusals_total";
 pub const EVICTIONS: &str = "jayfork_evictions_total";
+pub const EVACUATED_DATA_CENTRES: &str = "jayfork_evacuated_data_centres";
+pub const EVACUATING_RUNS: &str = "jayfork_evacuating_runs";
+pub const TASKS_AWAITING_EVACUATED: &str = "jayfork_tasks_awaiting_evacuated";
 pub const LOST_RUNS: &str = "jayfork_lost_runs_total";
 pub const ENDED_JOBS: &str = "jayfork_ended_jobs_total";
 pub const LATE_ENDS: &str = "jayfork_late_ends_total";
@@ -101,6 +104,18 @@
     );
     describe_counter!(REFUSALS, "Refused requests and jobs by reason");
     describe_counter!(EVICTIONS, "Evicted tasks by cause");
+    describe_gauge!(
+        EVACUATED_DATA_CENTRES,
+        "Data centres that the operator wants evacuated, as the owner knows"
+    );
+    describe_gauge!(
+        EVACUATING_RUNS,
+        "Runs that are left in an evacuated data centre"
+    );
+    describe_gauge!(
+        TASKS_AWAITING_EVACUATED,
+        "Waiting tasks that can start, or have their data, in evacuated data centres only"
+    );
     describe_counter!(LOST_RUNS, "Runs counted as lost by cause");
     describe_counter!(
         ENDED_JOBS,
@@ -165,6 +180,21 @@
     counter!(EVICTIONS, "cause" => cause).increment(1);
 }
 
+/// Sets the number of data centres that are evacuated.
+pub fn set_evacuated_data_centres(count: usize) {
+    gauge!(EVACUATED_DATA_CENTRES).set(count as f64);
+}
+
+/// Sets the number of runs that are left in an evacuated data centre.
+pub fn set_evacuating_runs(data_centre: &Name, runs: usize) {
+    gauge!(EVACUATING_RUNS, "data_centre" => data_centre.to_string()).set(runs as f64);
+}
+
+/// Sets the number of waiting tasks that could start, or have their data, in evacuated data centres only.
+pub fn set_tasks_awaiting_evacuated(tasks: usize) {
+    gauge!(TASKS_AWAITING_EVACUATED).set(tasks as f64);
+}
+
 /// Counts a run as lost; `cause` is `lease_over`, `stopped`, `not_listed` or `process_ended`.
 pub fn count_lost_run(cause: &'static str) {
     counter!(LOST_RUNS, "cause" => cause).increment(1);
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -9,6 +9,7 @@
 mod order;
 mod progress;
 mod regression;
+mod relocation;
 mod spec;
 mod trials;
 
@@ -23,5 +24,6 @@
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
 pub use order::{EndStatus, ObjectiveStatus, OrderKey, TurnState, objective, order_key};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
+pub use relocation::StayingRun;
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
 pub use trials::{Suspicion, TaskCrashes, Trial};
--- a/tests/entry_settings.rs
+++ b/tests/entry_settings.rs
@@ -11,7 +11,7 @@
     processor = 0.25\n[listen]\nfront = 10.1.0.13:8161\nready = 10.1.0.13:8167\n\
     peer = 10.1.0.13:8166\nmetrics = 10.1.0.13:7720\n[peers]\n\
     seeds = 10.1.0.13:8166,10.2.0.30:8166\n[store]\naddress = 10.200.1.7:8169\n[workers]\n\
-    lease = 6000\nstop_time = 400\n[jobs]\nstatus_keep = 120 s\n[log]\nlevel = info\nformat = json\n";
+    lease = 6000\nstop_time = 400\nevacuation = 5000\n[jobs]\nstatus_keep = 120 s\n[log]\nlevel = info\nformat = json\n";
 
 /// Number of the next temporary file.
 static NEXT_NUMBER: AtomicU32 = AtomicU32::new(0);
@@ -34,6 +34,7 @@
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.lease, Millis(6_000));
     assert_eq!(settings.stop_time, Millis(400));
+    assert_eq!(settings.evacuation, Some(Millis(5_000)));
     assert_eq!(settings.status_keep, Millis(120_000));
 }
 
@@ -43,6 +44,7 @@
     unknown_key = { "processor = 0.25", "procesor = 0.25", "procesor" },
     missing_key = { "front = 10.1.0.13:8161\n", "", "front" },
     host_name_for_an_address = { "10.200.1.7:8169", "store:8169", "address" },
+    zero_evacuation = { "evacuation = 5000", "evacuation = 0", "evacuation" },
     zero_lease = { "lease = 6000", "lease = 0", "lease" },
     unknown_unit = { "120 s", "120 days", "status_keep" },
     bad_seed = { ",10.2.0.30:8166", ",10.2.0.30", "seeds" },
@@ -54,6 +56,13 @@
     assert!(error.contains(key), "{error}");
 }
 
+/// Guards against a deployment without a bound on evacuations that doesn't start: its template leaves the value empty.
+#[test]
+fn a_bound_on_evacuations_may_be_left_out() {
+    let text = VALID.replace("evacuation = 5000", "evacuation = ");
+    assert_eq!(open(&text).expect("valid settings").evacuation, None);
+}
+
 /// Guards against a deployment template that lacks a section or key, or has an unknown one.
 #[test]
 fn the_deployment_template_has_all_keys() {
--- a/tests/on_platform.rs
+++ b/tests/on_platform.rs
@@ -59,6 +59,7 @@
                 ("{{platform.address}}", &platform.service),
                 ("{{bounds.holdMaxMs}}", "10000"),
                 ("{{bounds.stopMs}}", "400"),
+                ("{{bounds.evacMs}}", "5000"),
                 ("{{bounds.status_s}}", "120"),
             ]);
             let path = dir.join(&format!("{name}.ini"));
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -694,6 +694,7 @@
         lease: Millis(LEASE),
         stop_time: Millis(400),
         status_keep: Millis(120_000),
+        evacuation_bound: None,
     }
 }
 
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -14,6 +14,8 @@
 mod crashes;
 mod cuts;
 mod diagnostics;
+mod evacuation;
+mod evacuation_model;
 mod fleet;
 mod gang_model;
 mod gangs;
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -19,6 +19,7 @@
 use jayfork::version::{OwnerRecord, Queue, QueueRef, QueueTable};
 
 use super::cuts::Cuts;
+use super::evacuation_model::Operator;
 use super::fleet::Fleet;
 use super::orders::Orders;
 pub use super::specs::{chain, long_running};
@@ -101,6 +102,7 @@
     pub table: Option<Arc<QueueTable>>,
     /// Services of the workers in turn.
     pub services: Vec<&'static str>,
+    pub operator: Operator,
 }
 
 impl World {
@@ -122,6 +124,7 @@
             cuts: Cuts::default(),
             table: None,
             services: vec![SERVICE],
+            operator: Operator::default(),
         }
     }
 
@@ -181,6 +184,7 @@
             lease: Millis(self.max_lease()),
             stop_time: Millis(400),
             status_keep: Millis(120_000),
+            evacuation_bound: self.operator.bound.map(Millis),
         };
         let mut out = Vec::new();
         let queues = self.queues();
@@ -208,7 +212,7 @@
             address: format!("10.0.0.{}:80", worker + 1)
                 .parse()
                 .expect("an address"),
-            data_centre: "east".into(),
+            data_centre: self.operator.data_centre(worker).into(),
             state: match self.fleet.workers[worker].is_leaving {
                 true => WorkerState::Draining,
                 false => WorkerState::Ready,
@@ -311,6 +315,7 @@
                 _ => self.deliver(message),
             }
         }
+        self.tell_evacuations();
         for index in 0..self.owners.len() {
             if self.cuts.paused.contains(&index) {
                 continue;
@@ -377,6 +382,7 @@
         if matches!(call.order, Order::Start(_)) {
             self.orders.count_start(&call.worker);
             self.check_record(&call.worker);
+            self.check_evacuation(worker_index(&call));
         }
         let timeout = call.timeout.0;
         let queued = self.orders.send(self.now, &call.order);
