Evacuation of a data centre: no starts there after a bound, and its tasks move at a pace

Change: the host of the owner follows the requests (platform/evacuation.rs decodes them), the shard gives no starts to workers of these data centres, and a new owner places nothing before it has read them (setting evacuation).

--- a/examples/standin/platform/operator.rs
+++ b/examples/standin/platform/operator.rs
@@ -15,8 +15,8 @@
 /// Topic of the workers' entries.
 const REGISTRY: &str = "keyed.servers";
 
-/// Answers `GET /runs` with a summary of all runs, writes the body of `POST /config` to the store. The
-/// other calls change the entry of a worker and its link to the hosts.
+/// Answers `GET /runs` with a summary of all runs, writes the body of `POST /config` and the requests of
+/// `POST /evacuate` and `POST /give-back` to the store. The other calls change the entry of a worker and its link to the hosts.
 #[derive(Clone)]
 pub struct OperatorService {
     store: Arc<Store>,
@@ -24,6 +24,12 @@
     links: Arc<Links>,
 }
 
+/// Names a data centre.
+#[derive(Deserialize)]
+struct PlaceBody {
+    zone: String,
+}
+
 /// Names the worker on which the task started last.
 #[derive(Deserialize)]
 struct TaskBody {
@@ -51,6 +57,16 @@
         Reply::status(200)
     }
 
+    /// Writes or deletes the request to evacuate a data centre.
+    fn change_request(&self, body: &[u8], value: &'static str) -> Reply {
+        let Ok(place) = serde_json::from_slice::<PlaceBody>(body) else {
+            return Reply::status(400);
+        };
+        let key = format!("evacuate/{}", place.zone);
+        self.store.put("keyed.op", &key, value);
+        Reply::status(200)
+    }
+
     /// Says in the entry of a worker that it is leaving.
     fn drain(&self, worker: &str) {
         let entry = self.store.with(REGISTRY, 0, |stream| {
@@ -80,6 +96,8 @@
                 self.store.put("keyed.op", "config", &request.body);
                 Reply::status(200)
             }
+            (&Method::POST, "/evacuate") => self.change_request(&request.body, "{}"),
+            (&Method::POST, "/give-back") => self.change_request(&request.body, ""),
             (&Method::POST, "/cut") => {
                 self.change_worker(&request.body, |service, worker| service.links.cut(worker))
             }
--- a/examples/standin/platform/recorder.rs
+++ b/examples/standin/platform/recorder.rs
@@ -8,6 +8,8 @@
 #[derive(Debug, Default)]
 pub struct RunRecorder {
     tasks: Mutex<HashMap<String, TaskRecord>>,
+    /// Starts on each worker.
+    starts: Mutex<HashMap<String, u64>>,
 }
 
 /// A run that ended as done.
@@ -34,6 +36,9 @@
 
 impl RunRecorder {
     pub fn started(&self, task: &str, worker: &str) {
+        let mut starts = self.starts.lock().expect("no thread panics with the lock");
+        *starts.entry(worker.to_owned()).or_default() += 1;
+        drop(starts);
         self.update(task, |record| {
             record.worker = worker.to_owned();
             record
@@ -87,6 +92,7 @@
         json!({
             "tasks": tasks.len(),
             "starts": sum(|record| record.starts),
+            "starts_on": *self.starts.lock().expect("no thread panics with the lock"),
             "running": sum(|record| record.running),
             "done": sum(|record| record.done.len() as u32),
             "done_twice": named(|record| record.done.len() > 1),
--- a/src/process/cli/client.rs
+++ b/src/process/cli/client.rs
@@ -147,12 +147,21 @@
     ///
     /// Returns the first error if no server answered.
     pub(super) fn call_all<T: DeserializeOwned>(&self, path: &str) -> Result<(Vec<T>, Vec<Error>)> {
+        self.read_all(path, Reply::json)
+    }
+
+    /// The same with `decode`, which reads an answer.
+    pub(super) fn read_all<T>(
+        &self,
+        path: &str,
+        decode: impl Fn(&Reply) -> Result<T>,
+    ) -> Result<(Vec<T>, Vec<Error>)> {
         let call = Call::get(path);
         let mut answers = Vec::new();
         let mut errors = Vec::new();
         for server in &self.servers {
             let answer = match self.attempt(*server, &call) {
-                Attempt::Done(reply) => reply.json(),
+                Attempt::Done(reply) => decode(&reply),
                 Attempt::NotSent(failure) => Err(Error::Unreachable(vec![failure])),
                 Attempt::Failed(error) => Err(error),
             };
--- a/src/process/cli/command.rs
+++ b/src/process/cli/command.rs
@@ -74,6 +74,15 @@
                 )
                 .after_help("Example:\n  jayfork --server 10.1.0.7:7300 status"),
         )
+        .subcommand(
+            Command::new("evacuations")
+                .about("Show the data centres that are evacuated, and what is left there")
+                .after_help(
+                    "The servers are the metrics addresses of entry hosts on the platform. Only the owner of the \
+                     shard knows how far an evacuation is, so give all of them.\n\nExample:\n  \
+                     jayfork --server 10.1.0.13:7720 --server 10.2.0.30:7720 evacuations",
+                ),
+        )
         .subcommand(report())
         .subcommand(settings())
         .subcommand(
--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod contract;
 mod error;
+mod evacuations;
 mod job;
 mod output;
 mod report;
--- a/src/process/cli/run.rs
+++ b/src/process/cli/run.rs
@@ -19,7 +19,7 @@
 use super::command::command;
 use super::error::{Error, Result};
 use super::output::Output;
-use super::{contract, job, report, request, status};
+use super::{contract, evacuations, job, report, request, status};
 
 /// Runs one command and returns its exit code; `jayfork --help` lists the codes.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -54,6 +54,7 @@
         ("job", Some(("cancel", arguments))) => job::cancel(arguments, output),
         ("job", Some(("list", arguments))) => job::list(arguments, output),
         ("request", Some(("send", arguments))) => request::send(arguments, output),
+        ("evacuations", _) => evacuations::show(arguments, output),
         ("status", _) => status::status(arguments, output),
         ("report", Some(("burn", arguments))) => report::burn(arguments, output),
         ("settings", Some(("check", arguments))) => check_settings(arguments, output),
--- a/src/process/shard/evacuation.rs
+++ b/src/process/shard/evacuation.rs
@@ -23,7 +23,7 @@
 const COUNT_INTERVAL: Millis = Millis(1_000);
 
 /// The operator's requests to evacuate data centres, as far as this owner knows them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Evacuations {
     /// Whether the requests are known. Before, any worker may be one that must get no starts.
     is_known: bool,
@@ -48,7 +48,9 @@
     pub fn new(bound: Option<Millis>) -> Self {
         Evacuations {
             is_known: bound.is_none(),
-            ..Evacuations::default()
+            requests: BTreeMap::new(),
+            last_move: Millis(0),
+            last_count: Millis(0),
         }
     }
 
@@ -65,6 +67,21 @@
     }
 }
 
+impl Drop for Evacuations {
+    /// A host that has given up the shard knows no more how far the evacuations are.
+    fn drop(&mut self) {
+        self.requests.keys().for_each(clear_metrics);
+        if !self.requests.is_empty() {
+            telemetry::set_tasks_awaiting_evacuated(0);
+        }
+    }
+}
+
+fn clear_metrics(data_centre: &Name) {
+    telemetry::set_evacuated(data_centre, false);
+    telemetry::set_evacuating_runs(data_centre, 0);
+}
+
 /// Runs of long-running steps that are at work, for each step.
 type AtWork = HashMap<StepId, usize>;
 
@@ -83,7 +100,7 @@
             let progress = self.evacuations.requests.remove(&name);
             let took = progress.map_or(0, |it| now.steady.since(it.since).0);
             tracing::info!(data_centre = %name, took, "evacuation ended; workers get starts again");
-            telemetry::set_evacuating_runs(&name, 0);
+            clear_metrics(&name);
         }
         for name in data_centres.iter() {
             if self.evacuations.requests.contains_key(name) {
@@ -107,13 +124,17 @@
                 is_empty: false,
             };
             self.evacuations.requests.insert(name.clone(), progress);
+            telemetry::set_evacuated(name, true);
+            telemetry::set_evacuating_runs(name, runs);
         }
-        telemetry::set_evacuated_data_centres(data_centres.len());
         for worker in self.workers.iter_mut() {
             let is_evacuated = self.evacuations.covers(worker.data_centre.as_ref());
             worker.has_changed |= worker.is_evacuated != is_evacuated;
             worker.is_evacuated = is_evacuated;
         }
+        if data_centres.is_empty() {
+            telemetry::set_tasks_awaiting_evacuated(0);
+        }
         // The room that new jobs compete for has changed.
         self.backlog.measure_soon();
         self.needs_placement = true;
--- a/src/process/telemetry.rs
+++ b/src/process/telemetry.rs
@@ -16,7 +16,7 @@
 pub const QUEUE_TIME: &str = "jayfork_queue_seconds";
 pub const REFUSALS: &str = "jayfork_refusals_total";
 pub const EVICTIONS: &str = "jayfork_evictions_total";
-pub const EVACUATED_DATA_CENTRES: &str = "jayfork_evacuated_data_centres";
+pub const EVACUATED: &str = "jayfork_evacuated";
 pub const EVACUATING_RUNS: &str = "jayfork_evacuating_runs";
 pub const TASKS_AWAITING_EVACUATED: &str = "jayfork_tasks_awaiting_evacuated";
 pub const LOST_RUNS: &str = "jayfork_lost_runs_total";
@@ -105,8 +105,8 @@
     describe_counter!(REFUSALS, "Refused requests and jobs by reason");
     describe_counter!(EVICTIONS, "Evicted tasks by cause");
     describe_gauge!(
-        EVACUATED_DATA_CENTRES,
-        "Data centres that the operator wants evacuated, as the owner knows"
+        EVACUATED,
+        "1 while the operator wants the data centre evacuated, as the owner knows"
     );
     describe_gauge!(
         EVACUATING_RUNS,
@@ -180,9 +180,10 @@
     counter!(EVICTIONS, "cause" => cause).increment(1);
 }
 
-/// Sets the number of data centres that are evacuated.
-pub fn set_evacuated_data_centres(count: usize) {
-    gauge!(EVACUATED_DATA_CENTRES).set(count as f64);
+/// Sets whether a data centre is evacuated.
+pub fn set_evacuated(data_centre: &Name, is_evacuated: bool) {
+    let value = if is_evacuated { 1.0 } else { 0.0 };
+    gauge!(EVACUATED, "data_centre" => data_centre.to_string()).set(value);
 }
 
 /// Sets the number of runs that are left in an evacuated data centre.
--- a/tests/cli_output.rs
+++ b/tests/cli_output.rs
@@ -269,3 +269,34 @@
     let output = jayfork(&[], &["settings", "check", path.to_str().unwrap()], b"");
     expect(&output, 2, r#"missing key "region" in [host]"#);
 }
+
+const METRICS: &str = "# TYPE jayfork_evacuated gauge\n\
+    jayfork_evacuated{data_centre=\"tn-a\"} 1\njayfork_evacuated{data_centre=\"tn-b\"} 0\n\
+    jayfork_evacuating_runs{data_centre=\"tn-a\"} 341\njayfork_evacuating_runs{data_centre=\"tn-b\"} 0\n\
+    jayfork_tasks_awaiting_evacuated 7\n";
+
+/// Guards against evacuations that have ended, or of a host that doesn't know them, in place of the current ones.
+#[test]
+fn shows_the_evacuations_that_the_owner_knows() {
+    let other = Server::start(&[Answer(200, "jayfork_evacuated{data_centre=\"tn-a\"} 0\n")]);
+    let owner = Server::start(&[Answer(200, METRICS)]);
+    let servers = [other.address.to_string(), owner.address.to_string()];
+    let output = jayfork(&servers, &["evacuations", "--json"], b"");
+    expect(&output, 0, "");
+    let shown: Value = serde_json::from_str(&stdout(&output)).unwrap();
+    assert_eq!(
+        shown,
+        serde_json::json!({ "runs": { "tn-a": 341 }, "awaiting": 7 })
+    );
+}
+
+/// Guards against a table without the numbers, and against an empty one.
+#[parameterized(
+    one = { METRICS, "tn-a         341" },
+    none = { "", "no data centre is evacuated" },
+)]
+fn evacuations_are_shown_as_text(metrics: &'static str, text: &str) {
+    let (output, _) = run(&[Answer(200, metrics)], "evacuations", "");
+    expect(&output, 0, "");
+    assert!(stdout(&output).contains(text), "{}", stdout(&output));
+}
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -42,7 +42,7 @@
         telemetry::QUEUE_TIME,
         telemetry::REFUSALS,
         telemetry::EVICTIONS,
-        telemetry::EVACUATED_DATA_CENTRES,
+        telemetry::EVACUATED,
         telemetry::EVACUATING_RUNS,
         telemetry::TASKS_AWAITING_EVACUATED,
         telemetry::ENDED_JOBS,
--- a/tests/on_platform.rs
+++ b/tests/on_platform.rs
@@ -12,8 +12,10 @@
 
 /// Time limit for jobs of a few seconds; long enough for a change of the owner on a loaded machine.
 const JOB_LIMIT: Duration = Duration::from_secs(60);
-/// Hosts of each test, all of which can own the shard.
+/// Hosts of each test, all of which can own the shard, each in a data centre of its own.
 const HOSTS: usize = 3;
+/// Workers, in these data centres in turn.
+const WORKERS: usize = 4;
 /// Steps of each job, and tasks of each step.
 const STEPS: usize = 2;
 const WIDTH: usize = 3;
@@ -39,7 +41,9 @@
     /// Starts everything and waits until the hosts serve.
     fn start(test: &str) -> Self {
         let dir = TestDir::new(test);
-        let platform = Standin::start(&dir, "platform", &["--workers", "4", "--data-centres", "3"]);
+        let (workers, places) = (WORKERS.to_string(), HOSTS.to_string());
+        let switches = ["--workers", &workers, "--data-centres", &places];
+        let platform = Standin::start(&dir, "platform", &switches);
         let addresses: Vec<[String; 4]> = (0..HOSTS)
             .map(|_| [(); 4].map(|()| format!("127.0.0.1:{}", free_port())))
             .collect();
@@ -175,6 +179,19 @@
         );
     }
 
+    /// Starts so far on the workers of a data centre.
+    fn starts_in(&self, data_centre: usize) -> u64 {
+        let runs = self.runs();
+        let by_worker = runs["starts_on"].as_object().expect("counts by worker");
+        // The last digits of an id are the worker's index.
+        let index = |id: &str| usize::from_str_radix(&id[id.len() - 4..], 16).expect("a number");
+        let there = by_worker
+            .iter()
+            .filter(|(id, _)| index(id) % HOSTS == data_centre);
+        let starts = there.map(|(_, starts)| starts.as_u64().expect("a count"));
+        starts.sum()
+    }
+
     fn control(&self, path: &str, body: &Value) {
         let reply = self.client.post_json(&self.platform.control, path, body);
         assert_eq!(reply.expect("the stand-in answers").status, 200);
@@ -329,3 +346,41 @@
     }
     deployment.assert_done_once(jobs.len());
 }
+
+/// Guards against hosts that start tasks in an evacuated data centre or lose the request with their owner, and against a
+/// data centre that gets no work once it is given back.
+#[test]
+fn no_task_starts_in_an_evacuated_data_centre() {
+    /// Time in which the owner learns of a request.
+    const READ_TIME: Duration = Duration::from_millis(5_000);
+    let place = json!({ "zone": "dc-0" });
+    let mut deployment = Deployment::start("on-platform-evacuate");
+    let owner = deployment.owner();
+    deployment.control("/evacuate", &place);
+    std::thread::sleep(READ_TIME);
+    let before = deployment.starts_in(0);
+    let first = deployment.submit(6, 100);
+    let survivor = (owner + 1) % HOSTS;
+    let front = deployment.hosts[survivor].front.clone();
+    deployment.wait_for_completion(&front, &first);
+    deployment.hosts[owner].process.kill();
+    let path = "/proofs/00000000000000ff";
+    let step = json!({ "count": WIDTH, "cpu": 500, "memMb": 256, "estRuntimeMs": 100 });
+    let body = json!({ "spec": json!({ "run_ms": 100 }).to_string(), "steps": [step] });
+    wait_until("acceptance by the next owner", JOB_LIMIT, || {
+        let reply = deployment.client.post_json(&front, path, &body);
+        reply.is_ok_and(|reply| reply.status == 200)
+    });
+    deployment.wait_for_completion(&front, &[path.to_owned()]);
+    assert_eq!(deployment.starts_in(0), before);
+    assert!(deployment.starts_in(1) > 0);
+    deployment.control("/give-back", &place);
+    std::thread::sleep(READ_TIME);
+    let later = "/proofs/00000000000000fe";
+    let step = json!({ "count": 60, "cpu": 500, "memMb": 256, "estRuntimeMs": 100 });
+    let body = json!({ "spec": json!({ "run_ms": 100 }).to_string(), "steps": [step] });
+    let reply = deployment.client.post_json(&front, later, &body);
+    assert_eq!(reply.expect("an answer").status, 200);
+    deployment.wait_for_completion(&front, &[later.to_owned()]);
+    assert!(deployment.starts_in(0) > before);
+}
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -2,6 +2,7 @@
 
 mod cases;
 mod config_sources;
+mod evacuations;
 mod late_hellos;
 mod odd_records;
 mod planned_stop;
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -82,6 +82,8 @@
     pub worker: Name,
     /// Whether it extends the worker's leases.
     pub renews: bool,
+    /// Whether it starts a task.
+    pub starts: bool,
 }
 
 /// What is lost when the connection to a relay or to the next owner breaks.
@@ -169,6 +171,11 @@
     loss_count: usize,
     /// Answers to clients by ticket, and when they were given.
     pub answers: HashMap<u64, (u64, FrontReply)>,
+    /// Longest time from a request to evacuate a data centre to the last start there, for hosts that start from now
+    /// on.
+    pub evacuation_bound: Option<Millis>,
+    /// Whether the store answers no reads of the operator's stream.
+    pub ignores_operator_reads: bool,
 }
 
 impl World {
@@ -208,6 +215,8 @@
             loss: None,
             loss_count: 0,
             answers: HashMap::new(),
+            evacuation_bound: None,
+            ignores_operator_reads: false,
         };
         world.publish(1);
         for (index, (processor, _)) in hosts.iter().enumerate() {
@@ -247,6 +256,20 @@
         self.stream("keyed.jayfork-hosts").append(&[record], None);
     }
 
+    /// Stores a record of the operator; an empty value deletes it.
+    pub fn write_operator(&mut self, key: &str, value: &str) {
+        let record = KeyedRecord {
+            key: key.to_owned(),
+            value: value.to_owned().into(),
+        };
+        self.stream(CONFIG_STREAM).append(&[record], None);
+    }
+
+    /// Lets the next read of the operator's stream find that its records have expired.
+    pub fn expire_operator(&mut self) {
+        self.stream(CONFIG_STREAM).has_expired = true;
+    }
+
     /// Lets the next read of the registry find that its records have expired.
     pub fn expire_registry(&mut self) {
         self.stream(REGISTRY_STREAM).has_expired = true;
@@ -302,11 +325,26 @@
                 processor,
             },
             seeds: (0..3).map(address).collect(),
-            shard: shard_settings(),
+            shard: ShardSettings {
+                evacuation_bound: self.evacuation_bound,
+                ..shard_settings()
+            },
         };
         self.hosts[index] = Some(Host::new(settings, self.time()));
     }
 
+    /// Starts all hosts, or starts them again.
+    pub fn boot_all(&mut self) {
+        self.store_delays.resize(self.hosts.len(), 2);
+        self.received_calls.resize(self.hosts.len(), 0);
+        self.sent_configs.resize(self.hosts.len(), 0);
+        self.transfer_times.resize(self.hosts.len(), 0);
+        self.open_transfers.resize(self.hosts.len(), 0);
+        for index in 0..self.hosts.len() {
+            self.boot(index, HIGH_CAPACITY);
+        }
+    }
+
     pub fn time(&self) -> Now {
         Now {
             steady: Millis(self.now),
@@ -445,6 +483,7 @@
                                 ..
                             }
                         ),
+                        starts: matches!(call.order, Order::Start(_)),
                     });
                     let is_answering = self.answering_workers.contains(&call.worker);
                     let (after, answer) = match self.cut_from_workers.get(&index) {
@@ -475,6 +514,12 @@
         }
     }
 
+    /// Whether the store does not answer a call of a host.
+    fn ignores(&self, host: usize, purpose: &StorePurpose) -> bool {
+        let is_operator = *purpose == StorePurpose::Config;
+        self.silent_hosts.contains(&host) || is_operator && self.ignores_operator_reads
+    }
+
     /// Whether a message of this kind is lost with its connection.
     fn loses(&mut self, of: Lost) -> bool {
         let Some(loss) = self.loss.filter(|loss| loss.of == of) else {
@@ -539,7 +584,7 @@
             Message::WorkerAnswer(to, origin, answer) => {
                 self.event(to, HostEvent::Worker { origin, answer });
             }
-            Message::Store(from, purpose, call) if self.silent_hosts.contains(&from) => {
+            Message::Store(from, purpose, call) if self.ignores(from, &purpose) => {
                 let after = call.timeout.0.saturating_sub(self.store_delays[from]);
                 let answer = Err(CallError::NoAnswer);
                 self.send(
@@ -614,7 +659,12 @@
                 self.read_configs += usize::from(&*partition.stream == CONFIG_STREAM);
                 let stream = self.streams.entry(partition.clone()).or_default();
                 StoreAnswer::Page(Page {
-                    records: stream.newest.values().cloned().collect(),
+                    records: stream
+                        .newest
+                        .values()
+                        .filter(|record| !record.value.is_empty())
+                        .cloned()
+                        .collect(),
                     unreadable: Vec::new(),
                     has_more: false,
                     end: stream.log.len() as u64,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -13,8 +13,9 @@
     StoreAnswer, StoreRequest, WorkerAnswer, WorkerCall,
 };
 use jayfork::platform::{
-    ClientCall, WorkerState, decode_client, decode_config, decode_registry_entry,
-    decode_store_answer, decode_worker_answer, encode_order, encode_store_request,
+    ClientCall, WorkerState, decode_client, decode_config, decode_evacuation,
+    decode_registry_entry, decode_store_answer, decode_worker_answer, encode_order,
+    encode_store_request,
 };
 use jayfork::request::job::Ending;
 use yare::parameterized;
@@ -398,3 +399,37 @@
     }
     assert!((1..1_500).contains(&lines), "the adapter has {lines} lines");
 }
+
+/// Guards against a request to evacuate a data centre that is lost, taken for its end, or read from another record.
+#[parameterized(
+    requested = { "evacuate/tn-a", "{}", Some(("tn-a", true)) },
+    with_fields = { "evacuate/tn-a", r#"{"later":1}"#, Some(("tn-a", true)) },
+    ended = { "evacuate/tn-a", "", Some(("tn-a", false)) },
+    slash_in_the_name = { "evacuate/a/b", "{}", Some(("a/b", true)) },
+    configuration = { "config", "{}", None },
+    other_request = { "wave/1", "{}", None },
+    prefix_alone = { "evacuate", "{}", None },
+)]
+fn requests_to_evacuate_are_decoded(key: &str, value: &str, expected: Option<(&str, bool)>) {
+    let decoded = decode_evacuation(key, value.as_bytes());
+    let request = decoded.map(|request| request.expect("a request"));
+    let request = request.map(|request| (request.data_centre, request.is_requested));
+    let found = request
+        .as_ref()
+        .map(|(name, is_requested)| (&**name, *is_requested));
+    assert_eq!(found, expected);
+}
+
+/// Guards against a record of another writer that evacuates a data centre.
+#[parameterized(
+    no_name = { "evacuate/", "{}" },
+    control_character = { "evacuate/a\u{7}", "{}" },
+    long_name = { &format!("evacuate/{}", "x".repeat(251)), "{}" },
+    no_json = { "evacuate/tn-a", "yes" },
+    truncated = { "evacuate/tn-a", "{" },
+    bytes = { "evacuate/tn-a", "\u{0}" },
+)]
+fn odd_requests_to_evacuate_are_refused(key: &str, value: &str) {
+    let decoded = decode_evacuation(key, value.as_bytes());
+    assert!(decoded.is_some_and(|request| request.is_err()));
+}
