--- a/src/process/settings/entry.rs
+++ b/src/process/settings/entry.rs
@@ -22,6 +22,11 @@
 const STATUS_KEEP_RANGE: (Millis, Millis, Millis) =
     (Millis(120_000), Millis(1_000), Millis(86_400_000));
 
+/// Default, minimum and maximum of `[limits] memory`, in bytes.
+const MEMORY_RANGE: (u64, u64, u64) = (160 << 20, 32 << 20, 1 << 40);
+/// Default, minimum and maximum of `[limits] descriptors`.
+const DESCRIPTOR_RANGE: (u32, u32, u32) = (1_024, 256, 1_048_576);
+
 /// Sections and their keys.
 const KNOWN_KEYS: &[(&str, Option<&[&str]>)] = &[
     (
@@ -33,6 +38,7 @@
     ("store", Some(&["address"])),
     ("workers", Some(&["lease", "stop_time", "evacuation"])),
     ("jobs", Some(&["status_keep"])),
+    ("limits", Some(&["memory", "descriptors"])),
     ("log", Some(&["level", "format"])),
 ];
 
@@ -64,6 +70,10 @@
     pub evacuation: Option<Millis>,
     /// Time for which the outcome of an ended job can be queried.
     pub status_keep: Millis,
+    /// Memory that the process may use, in bytes.
+    pub memory: u64,
+    /// File descriptors that the process may have open.
+    pub descriptors: u32,
     pub log: Log,
 }
 
@@ -138,6 +148,10 @@
         Millis::parse(text)
             .filter(|keep| (STATUS_KEEP_RANGE.1..=STATUS_KEEP_RANGE.2).contains(keep))
     });
+    let (default, least, most) = MEMORY_RANGE;
+    let memory = reader.number("limits", "memory", default, least, most);
+    let (default, least, most) = DESCRIPTOR_RANGE;
+    let descriptors = reader.number("limits", "descriptors", default, least, most);
     let log = read_log(reader);
     Some(EntrySettings {
         name: name?,
@@ -154,6 +168,8 @@
         stop_time,
         evacuation: evacuation.flatten(),
         status_keep: status_keep.unwrap_or(STATUS_KEEP_RANGE.0),
+        memory,
+        descriptors,
         log,
     })
 }
--- a/tests/entry_settings.rs
+++ b/tests/entry_settings.rs
@@ -11,7 +11,8 @@
     processor = 0.25\n[listen]\nfront = 10.1.0.13:8161\nready = 10.1.0.13:8167\n\
     peer = 10.1.0.13:8166\nmetrics = 10.1.0.13:7720\n[peers]\n\
     seeds = 10.1.0.13:8166,10.2.0.30:8166\n[store]\naddress = 10.200.1.7:8169\n[workers]\n\
-    lease = 6000\nstop_time = 400\nevacuation = 5000\n[jobs]\nstatus_keep = 120 s\n[log]\nlevel = info\nformat = json\n";
+    lease = 6000\nstop_time = 400\nevacuation = 5000\n[jobs]\nstatus_keep = 120 s\n\
+    [limits]\nmemory = 160 MiB\ndescriptors = 4100\n[log]\nlevel = info\nformat = json\n";
 
 /// Number of the next temporary file.
 static NEXT_NUMBER: AtomicU32 = AtomicU32::new(0);
@@ -36,6 +37,7 @@
     assert_eq!(settings.stop_time, Millis(400));
     assert_eq!(settings.evacuation, Some(Millis(5_000)));
     assert_eq!(settings.status_keep, Millis(120_000));
+    assert_eq!((settings.memory, settings.descriptors), (160 << 20, 4_100));
 }
 
 /// Guards against a host that starts with an invalid file, and against an error that does not name
@@ -45,6 +47,10 @@
     missing_key = { "front = 10.1.0.13:8161\n", "", "front" },
     host_name_for_an_address = { "10.200.1.7:8169", "store:8169", "address" },
     zero_evacuation = { "evacuation = 5000", "evacuation = 0", "evacuation" },
+    little_memory = { "160 MiB", "8 MiB", "memory" },
+    memory_without_a_number = { "160 MiB", "much", "memory" },
+    few_descriptors = { "descriptors = 4100", "descriptors = 16", "descriptors" },
+    misspelt_limit = { "descriptors = 4100", "descriptor = 4100", "did you mean" },
     zero_lease = { "lease = 6000", "lease = 0", "lease" },
     unknown_unit = { "120 s", "120 days", "status_keep" },
     bad_seed = { ",10.2.0.30:8166", ",10.2.0.30", "seeds" },
--- a/tests/on_platform.rs
+++ b/tests/on_platform.rs
@@ -65,6 +65,8 @@
                 ("{{bounds.stopMs}}", "400"),
                 ("{{bounds.evacMs}}", "5000"),
                 ("{{bounds.status_s}}", "120"),
+                ("{{limits.memoryMb}}", "160"),
+                ("{{limits.maxFds}}", "4100"),
             ]);
             let path = dir.join(&format!("{name}.ini"));
             std::fs::write(&path, settings).expect("the directory is writable");
