Connections from outside are bounded in memory and number, and give way to others

Cause: the front gathered up to 1 MiB for each connection, whatever the configuration allows, kept each chunk with the block that it had arrived in, and had no bound on all connections together; nor had the listeners for readiness, metrics and other hosts. Change: connection/inbound counts what each connection holds, before it is allocated, and closes those that keep the host waiting for most memory and longest once others need it (choose_dropped). One way to receive a body for both servers (connection/body.rs), with the limit in force and time limits. Shares of the settings' memory and descriptors for each listener.

--- a/src/connection/api.rs
+++ b/src/connection/api.rs
@@ -2,7 +2,6 @@
 
 mod answer;
 mod body;
-mod budget;
 mod call;
 mod connection;
 mod response;
--- a/src/connection/api/body.rs
+++ b/src/connection/api/body.rs
@@ -2,17 +2,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
-use tokio::time::timeout;
+use hyper::body::Incoming;
 
-use super::budget::{Budget, BudgetShare};
 use super::response::ApiResponse;
 use crate::base::Ran;
-
-/// Maximum memory, in bytes, allocated for a body before any of it arrives: a caller may declare
-/// more than it sends.
-const MAX_INITIAL_CAPACITY: u64 = 64 << 10;
+use crate::connection::body::{BodyError, BodyLimits, receive};
+use crate::connection::budget::{Budget, BudgetShare};
 
 /// Receives request bodies within limits.
 #[derive(Debug)]
@@ -42,54 +37,38 @@
     /// # Errors
     ///
     /// Returns the refusal to be sent to the caller.
-    pub async fn receive(&self, mut body: Incoming) -> Result<Bytes, ApiResponse> {
-        let declared = body.size_hint().exact();
-        if declared.is_some_and(|length| length > self.max_size) {
-            return Err(self.too_large());
-        }
-        let capacity = declared.unwrap_or(0).min(MAX_INITIAL_CAPACITY) as usize;
-        let mut bytes = Vec::with_capacity(capacity);
+    pub async fn receive(&self, body: Incoming) -> Result<Bytes, ApiResponse> {
+        let limits = BodyLimits {
+            max_size: self.max_size,
+            pause: self.timeout,
+            // Uploads over slow links may take any time.
+            total: None,
+        };
         let mut share = self.budget.share();
-        while !body.is_end_stream() {
-            let frame = match timeout(self.timeout, body.frame()).await {
-                Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(error))) => return Err(truncated(bytes.len(), &error)),
-                Ok(None) => break,
-                Err(_) => return Err(self.too_slow()),
-            };
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if (bytes.len() + data.len()) as u64 > self.max_size {
-                return Err(self.too_large());
-            }
-            if !share.grow(data.len() as u64) {
-                return Err(too_busy("the memory for request bodies is used up"));
-            }
-            bytes.extend_from_slice(&data);
-        }
+        let bytes = receive(body, limits, &mut share)
+            .await
+            .map_err(refuse_body)?;
         if bytes.is_empty() {
             return Ok(Bytes::new());
         }
         let _share = share;
         Ok(Bytes::from_owner(BudgetedBody { bytes, _share }))
     }
-
-    fn too_large(&self) -> ApiResponse {
-        let reason = format!("the body is larger than {} bytes", self.max_size);
-        refusal(413, "too_large", Some("body"), reason)
-    }
-
-    fn too_slow(&self) -> ApiResponse {
-        let reason = format!("no byte of the body arrived for {:?}", self.timeout);
-        refusal(408, "slow_body", Some("body"), reason)
-    }
 }
 
-fn truncated(length: usize, error: &hyper::Error) -> ApiResponse {
-    tracing::debug!(%error, length, "a request body was truncated");
-    let reason = format!("the body ended after {length} bytes");
-    refusal(400, "truncated_body", Some("body"), reason)
+fn refuse_body(error: BodyError) -> ApiResponse {
+    let field = Some("body");
+    let (status, name, field) = match &error {
+        BodyError::TooLarge(_) => (413, "too_large", field),
+        BodyError::Stopped(_) | BodyError::TooSlow => (408, "slow_body", field),
+        BodyError::Truncated(length, cause) => {
+            tracing::debug!(error = %cause, length, "a request body was truncated");
+            let reason = format!("the body ended after {length} bytes");
+            return refusal(400, "truncated_body", field, reason);
+        }
+        BodyError::NoMemory => (503, "too_busy", None),
+    };
+    refusal(status, name, field, error)
 }
 
 pub fn too_busy(reason: &str) -> ApiResponse {
--- a/src/connection/api/connection.rs
+++ b/src/connection/api/connection.rs
@@ -16,13 +16,13 @@
 
 use super::answer::{AnswerBody, UnwrittenAnswers};
 use super::body::{BodyReceiver, draining, too_busy};
-use super::budget::Budget;
 use super::call::ApiCall;
 use super::response::ApiResponse;
 use super::shared::{InProgress, Shared};
 use super::socket::Socket;
 use super::{ApiHandler, ApiLimits};
 use crate::base::Ran;
+use crate::connection::budget::Budget;
 
 /// Maximum size of a request head in bytes.
 const MAX_HEAD_SIZE: usize = 32 << 10;
--- a/src/connection/api/budget.rs
+++ b/src/connection/budget.rs
@@ -1,6 +1,10 @@
+//! Limit on the memory of request bodies that are used on several threads.
+
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use super::body::MemoryShare;
+
 /// Limit on the number of bytes in use at the same time.
 #[derive(Debug)]
 pub struct Budget {
@@ -28,9 +32,8 @@
     bytes: u64,
 }
 
-impl BudgetShare {
-    /// Takes `bytes` more. Returns false and takes nothing if this exceeds the budget.
-    pub fn grow(&mut self, bytes: u64) -> bool {
+impl MemoryShare for BudgetShare {
+    fn grow(&mut self, bytes: u64) -> bool {
         let used = self.budget.used.fetch_add(bytes, Ordering::Relaxed);
         if used + bytes > self.budget.limit {
             self.budget.used.fetch_sub(bytes, Ordering::Relaxed);
--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
@@ -16,10 +16,12 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
 
+use super::body::{BodyError, BodyLimits, receive};
 use super::error::{Error, Result};
+use super::inbound::{Connection, Inbound};
 use super::traffic::{CountedStream, Purpose};
 
 /// Length of the kernel's queue of connections to be accepted.
@@ -27,8 +29,13 @@
 /// Timeout for reading the head of the next request. It is long because clients keep idle
 /// connections open.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// Maximum size of a request body in bytes.
-const MAX_BODY: usize = 1 << 20;
+/// Maximum size of the buffer for what has arrived of a request, in bytes. Heads of clients have a few hundred.
+const MAX_BUFFER: usize = 16 << 10;
+/// Maximum time without progress of a body, and until all of it has arrived. Clients give a request a few seconds.
+const BODY_PAUSE: Duration = Duration::from_secs(10);
+const BODY_TIME: Duration = Duration::from_secs(30);
+/// Seconds after which a client may try again if its request has found no memory.
+const MEMORY_RETRY: u32 = 1;
 /// Pause after a failed accept, for example when the process is out of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -62,25 +69,33 @@
 }
 
 /// Handle to a running server; clones refer to the same server.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct FrontServer {
     state: Rc<State>,
 }
 
-#[derive(Default)]
 struct State {
+    inbound: Inbound,
+    /// Maximum size of a request body in bytes.
+    max_body: Cell<u64>,
     open_requests: Cell<usize>,
     is_draining: Cell<bool>,
     address: RefCell<Option<SocketAddr>>,
 }
 
 impl FrontServer {
-    /// Listens on `address` and answers each request with `handler`.
+    /// Listens on `address` and answers each request with `handler`. Bodies may have up to `max_body` bytes, until
+    /// `limit_bodies` is called.
     ///
     /// # Errors
     ///
     /// `Bind` if the server cannot listen on `address`.
-    pub fn bind<H, F>(address: SocketAddr, handler: H) -> Result<FrontServer>
+    pub fn bind<H, F>(
+        address: SocketAddr,
+        inbound: Inbound,
+        max_body: u64,
+        handler: H,
+    ) -> Result<FrontServer>
     where
         H: Fn(FrontRequest) -> F + Clone + 'static,
         F: Future<Output = FrontReply> + 'static,
@@ -89,8 +104,16 @@
             address: address.to_string(),
             reason: error.to_string(),
         })?;
-        let front = FrontServer::default();
-        *front.state.address.borrow_mut() = listener.local_addr().ok();
+        let state = State {
+            inbound,
+            max_body: Cell::new(max_body),
+            open_requests: Cell::new(0),
+            is_draining: Cell::new(false),
+            address: RefCell::new(listener.local_addr().ok()),
+        };
+        let front = FrontServer {
+            state: Rc::new(state),
+        };
         spawn_local(accept(front.clone(), listener, handler));
         Ok(front)
     }
@@ -105,6 +128,11 @@
         self.state.open_requests.get()
     }
 
+    /// Sets the maximum size of the bodies that begin to arrive from now on.
+    pub fn limit_bodies(&self, max_body: u64) {
+        self.state.max_body.set(max_body);
+    }
+
     /// Closes each connection after its next reply. Idle connections stay open until then.
     pub fn drain(&self) {
         self.state.is_draining.set(true);
@@ -119,7 +147,12 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                spawn_local(serve(front.clone(), stream, handler.clone()));
+                // Without room for it, the connection is closed.
+                if let Some(connection) = front.state.inbound.admit() {
+                    spawn_local(serve(front.clone(), connection, stream, handler.clone()));
+                }
+                // Connections that were closed for this one return their descriptors first.
+                yield_now().await;
             }
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a client connection");
@@ -129,7 +162,7 @@
     }
 }
 
-async fn serve<H, F>(front: FrontServer, stream: TcpStream, handler: H)
+async fn serve<H, F>(front: FrontServer, connection: Connection, stream: TcpStream, handler: H)
 where
     H: Fn(FrontRequest) -> F + Clone + 'static,
     F: Future<Output = FrontReply> + 'static,
@@ -138,15 +171,14 @@
         tracing::debug!(%error, "cannot set TCP_NODELAY on a client connection");
     }
     let stream = CountedStream::new(stream, Purpose::new("clients"));
+    let connection = &connection;
     let service = service_fn(|request: Request<Incoming>| {
         let (front, handler) = (front.clone(), handler.clone());
         async move {
             let open_request = OpenRequest::start(&front);
-            let reply = match read(request).await {
-                Ok(request) => handler(request).await,
-                Err(refusal) => refusal,
-            };
-            let is_last = front.state.is_draining.get();
+            let reply = answer(&front, connection, request, handler).await;
+            let is_last = front.state.is_draining.get() || reply.is_err();
+            let reply = reply.unwrap_or_else(|refusal| refusal);
             drop(open_request);
             Ok::<_, Infallible>(encode(reply, is_last))
         }
@@ -155,33 +187,79 @@
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .half_close(true)
-        .max_buf_size(32 << 10)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        tracing::debug!(%error, "a client connection closed with an error");
+        .max_buf_size(MAX_BUFFER)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        served = served => {
+            if let Err(error) = served {
+                tracing::debug!(%error, "a client connection closed with an error");
+            }
+        }
+        () = connection.closed() => {
+            tracing::debug!("a client connection was closed for others");
+        }
     }
 }
 
-async fn read(request: Request<Incoming>) -> std::result::Result<FrontRequest, FrontReply> {
+/// Receives a request and passes it to `handler`. The memory of its body counts until the handler has answered.
+///
+/// # Errors
+///
+/// The refusal of a request that did not arrive as a whole; the rest of it is not read.
+async fn answer<H, F>(
+    front: &FrontServer,
+    connection: &Connection,
+    request: Request<Incoming>,
+    handler: H,
+) -> std::result::Result<FrontReply, FrontReply>
+where
+    H: Fn(FrontRequest) -> F,
+    F: Future<Output = FrontReply>,
+{
     let (head, body) = request.into_parts();
     let authority = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let authority = authority.or(head.uri.host()).unwrap_or_default();
     let host = authority.split(':').next().unwrap_or_default().to_owned();
-    let body = match Limited::new(body, MAX_BODY).collect().await {
-        Ok(body) => body.to_bytes(),
+    let limits = BodyLimits {
+        max_size: front.state.max_body.get(),
+        pause: BODY_PAUSE,
+        total: Some(BODY_TIME),
+    };
+    connection.begin_request();
+    let mut memory = connection.memory();
+    let received = receive(body, limits, &mut memory).await;
+    connection.begin_answer();
+    let reply = match received {
+        Ok(body) => {
+            let request = FrontRequest {
+                method: head.method,
+                host,
+                path: head.uri.path().to_owned(),
+                headers: head.headers,
+                body: body.into(),
+            };
+            Ok(handler(request).await)
+        }
         Err(error) => {
             tracing::debug!(%error, "cannot read the body of a client request");
-            return Err(FrontReply::status(400));
+            Err(refuse_body(&error))
         }
     };
-    Ok(FrontRequest {
-        method: head.method,
-        host,
-        path: head.uri.path().to_owned(),
-        headers: head.headers,
-        body,
-    })
+    connection.begin_pause();
+    reply
+}
+
+/// The request has not been passed on, so none of these refusals concerns one that may run.
+fn refuse_body(error: &BodyError) -> FrontReply {
+    match error {
+        BodyError::TooLarge(_) => FrontReply::status(413),
+        BodyError::Stopped(_) | BodyError::TooSlow => FrontReply::status(408),
+        BodyError::Truncated(..) => FrontReply::status(400),
+        BodyError::NoMemory => FrontReply {
+            retry_after: Some(MEMORY_RETRY),
+            ..FrontReply::status(503)
+        },
+    }
 }
 
 fn encode(reply: FrontReply, is_last: bool) -> Response<Full<Bytes>> {
--- a/src/connection/mesh.rs
+++ b/src/connection/mesh.rs
@@ -16,10 +16,12 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout;
 
+use super::body::MemoryShare;
 use super::error::{Error, Result};
+use super::inbound::{Connection, Inbound};
 use super::orders::CallError;
 use super::traffic::{CountedStream, Purpose, count_connection};
 use super::transfer::{Deadline, TimeLimit};
@@ -32,6 +34,10 @@
 const MAX_CALL_TIME: Duration = Duration::from_secs(5);
 /// Length of the kernel's queue of connections to be accepted.
 const BACKLOG: u32 = 256;
+/// Calls on one connection at the same time; further ones wait at their sender.
+const MAX_CALLS: u32 = 512;
+/// Maximum size of the headers of a call, in bytes.
+const MAX_HEADERS: u32 = 16 << 10;
 /// What calls between hosts are counted as.
 const PURPOSE: &str = "peers";
 
@@ -64,12 +70,12 @@
     /// # Errors
     ///
     /// `Bind` if the server cannot listen on `address`.
-    pub fn bind(address: SocketAddr, handler: H) -> Result<Self> {
+    pub fn bind(address: SocketAddr, inbound: Inbound, handler: H) -> Result<Self> {
         let listener = listen(address).map_err(|error| Error::Bind {
             address: address.to_string(),
             reason: error.to_string(),
         })?;
-        spawn_local(accept(listener, handler));
+        spawn_local(accept(listener, inbound, handler));
         Ok(Mesh {
             connections: Rc::default(),
             handler: PhantomData,
@@ -104,7 +110,7 @@
     ) -> std::result::Result<H::Reply, CallError> {
         let mut deadline = Deadline::start(limit);
         let body = deadline.wait(self.send_call(address, call)).await??;
-        decode(&receive(body, deadline).await?)
+        decode(&receive(body, deadline, &mut Unlimited).await?)
     }
 
     /// Sends a call and waits until the reply begins.
@@ -172,11 +178,22 @@
     socket.listen(BACKLOG)
 }
 
-async fn accept<H: MeshHandler>(listener: TcpListener, handler: H) {
+async fn accept<H: MeshHandler>(listener: TcpListener, inbound: Inbound, handler: H) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                spawn_local(serve(stream, peer, handler.clone()));
+                if let Some(connection) = inbound.admit() {
+                    let handler = handler.clone();
+                    spawn_local(async move {
+                        tokio::select! {
+                            () = serve(stream, peer, &connection, handler) => {}
+                            () = connection.closed() => {
+                                tracing::debug!(%peer, "a peer connection was closed for others");
+                            }
+                        }
+                    });
+                }
+                yield_now().await;
             }
             Err(error) => {
                 tracing::warn!(%error, "cannot accept a peer connection");
@@ -186,21 +203,30 @@
     }
 }
 
-async fn serve<H: MeshHandler>(stream: TcpStream, peer: SocketAddr, handler: H) {
+async fn serve<H: MeshHandler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    connection: &Connection,
+    handler: H,
+) {
     set_nodelay(&stream);
     let stream = CountedStream::new(stream, Purpose::new(PURPOSE));
-    let mut connection = match h2::server::handshake(stream).await {
-        Ok(connection) => connection,
+    let mut builder = h2::server::Builder::new();
+    builder
+        .max_concurrent_streams(MAX_CALLS)
+        .max_header_list_size(MAX_HEADERS);
+    let mut streams = match builder.handshake(stream).await {
+        Ok(streams) => streams,
         Err(error) => {
             tracing::debug!(%error, "the HTTP/2 handshake with a peer failed");
             return;
         }
     };
-    while let Some(Ok((request, respond))) = connection.accept().await {
-        let handler = handler.clone();
+    while let Some(Ok((request, respond))) = streams.accept().await {
+        let (handler, connection) = (handler.clone(), connection.clone());
         spawn_local(async move {
             // The caller sees its stream closed.
-            match answer(handler, request.into_body(), respond).await {
+            match answer(handler, &connection, request.into_body(), respond).await {
                 Ok(()) => {}
                 Err(CallError::Malformed) => {
                     tracing::warn!(%peer, "refused a call of a peer that cannot be read");
@@ -213,11 +239,14 @@
 
 async fn answer<H: MeshHandler>(
     handler: H,
+    connection: &Connection,
     body: RecvStream,
     mut respond: h2::server::SendResponse<Bytes>,
 ) -> std::result::Result<(), CallError> {
     let deadline = Deadline::start(TimeLimit::whole(MAX_CALL_TIME));
-    let call: H::Call = decode(&receive(body, deadline).await?)?;
+    let mut memory = connection.memory();
+    let call: H::Call = decode(&receive(body, deadline, &mut memory).await?)?;
+    connection.note_known();
     let reply = handler.serve(call).await;
     let message = encode(&reply)?;
     let response = http::Response::new(());
@@ -239,16 +268,34 @@
         .map_err(|_| CallError::NoAnswer)
 }
 
-async fn receive(
+/// Memory for the replies of peers, which this host has asked for.
+struct Unlimited;
+
+impl MemoryShare for Unlimited {
+    fn grow(&mut self, _: u64) -> bool {
+        true
+    }
+}
+
+async fn receive<S: MemoryShare>(
     mut body: RecvStream,
     mut deadline: Deadline,
+    memory: &mut S,
 ) -> std::result::Result<Vec<u8>, CallError> {
-    let mut message = Vec::new();
+    let mut message: Vec<u8> = Vec::new();
     while let Some(chunk) = deadline.wait(body.data()).await? {
         let chunk = chunk.map_err(|_| CallError::NoAnswer)?;
         if message.len() + chunk.len() > MAX_MESSAGE {
             return Err(CallError::Malformed);
         }
+        let length = message.len() + chunk.len();
+        if length > message.capacity() {
+            let capacity = (message.capacity() * 2).clamp(length, MAX_MESSAGE);
+            if !memory.grow((capacity - message.capacity()) as u64) {
+                return Err(CallError::NoAnswer);
+            }
+            message.reserve_exact(capacity - message.len());
+        }
         message.extend_from_slice(&chunk);
         body.flow_control()
             .release_capacity(chunk.len())
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -2,13 +2,16 @@
 //! servers.
 //!
 //! An entry host with `--on-platform` uses `async_http_client`, `front`, `mesh`, `orders`,
-//! `stream_store` and `traffic`; one without it uses the other modules. Both use `error`.
+//! `stream_store` and `traffic`; one without it uses the other modules. Both use `error` and `body`.
 
 mod api;
 mod async_http_client;
+mod body;
+mod budget;
 mod error;
 mod front;
 mod http;
+mod inbound;
 mod instance;
 mod lease;
 mod lease_action;
@@ -32,6 +35,7 @@
 pub use error::{Error, Result};
 pub use front::{FrontReply, FrontRequest, FrontServer};
 pub use http::HttpClient;
+pub use inbound::{Holder, Inbound, InboundLimits, Shortage, choose_dropped};
 pub use instance::{HttpInstances, InstanceCall, InstanceClient, InstanceOutcome};
 pub use lease::LeaseTable;
 pub use lease_action::{Grant, Lease, LeaseAction, Resource};
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -12,7 +12,7 @@
 pub const CONFIG_KEY: &str = "config";
 
 /// Largest request body in bytes, unless the configuration sets another.
-const DEFAULT_MAX_BODY: u64 = 256 << 10;
+pub const DEFAULT_MAX_BODY: u64 = 256 << 10;
 
 #[derive(Deserialize)]
 struct ConfigBody {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,7 +10,7 @@
 mod worker;
 
 pub use client::{ClientCall, ClientRequest, decode_client, encode_backlog, encode_job_state};
-pub use config::{CONFIG_KEY, CONFIG_STREAM, decode_config};
+pub use config::{CONFIG_KEY, CONFIG_STREAM, DEFAULT_MAX_BODY, decode_config};
 pub use evacuation::{EvacuationRequest, decode_evacuation};
 pub use registry::{
     REGISTRY_STREAM, RegistryEntry, WorkerState, decode_registry_entry, decode_worker_id,
--- a/src/process/host/config.rs
+++ b/src/process/host/config.rs
@@ -234,6 +234,9 @@
             queues = config.queues.len(),
             "configuration applied"
         );
+        if config.max_body != self.config.max_body {
+            out.push(HostAction::BodyLimit(config.max_body));
+        }
         self.config = config;
         self.config_source = self.find_config_source(now);
         let newer = self
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -108,6 +108,8 @@
     },
     /// Sets the answer to readiness checks.
     Ready(bool),
+    /// Sets the maximum size of request bodies, in bytes.
+    BodyLimit(u64),
     /// Closes each client connection after its next answer.
     Drain,
     /// Ends the process once no client request is open.
--- a/src/process/host/io.rs
+++ b/src/process/host/io.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::spawn_local;
 
+use super::admission::Admission;
 use super::host::{HostAction, HostEvent, StorePurpose};
 use super::message::{PeerCall, PeerReply};
 use super::relay::OrderOrigin;
@@ -20,7 +21,7 @@
     TimeLimit, WorkerCall,
 };
 use crate::platform::{
-    decode_store_answer, decode_worker_answer, encode_order, encode_store_request,
+    DEFAULT_MAX_BODY, decode_store_answer, decode_worker_answer, encode_order, encode_store_request,
 };
 use crate::process::runtime::Clock;
 
@@ -93,6 +94,8 @@
     store: SocketAddr,
     mesh: Mesh<PeerHandler>,
     front: FrontServer,
+    /// Largest body for which the host has memory, in bytes.
+    most_body: u64,
     client_calls: Rc<PendingCalls<FrontReply>>,
     peer_calls: Rc<PendingCalls<PeerReply>>,
     is_ready: Rc<Cell<bool>>,
@@ -115,6 +118,7 @@
     /// `Bind` if an address is in use.
     pub fn open(
         addresses: &Addresses,
+        admission: &Admission,
         events: mpsc::UnboundedSender<HostEvent>,
         clock: Clock,
     ) -> crate::connection::Result<Io> {
@@ -125,9 +129,15 @@
             let (client_calls, events) = (client_calls.clone(), events.clone());
             move |request: FrontRequest| serve_client(client_calls.clone(), events.clone(), request)
         };
-        let front = FrontServer::bind(addresses.front, handler)?;
+        let most_body = admission.most_body;
+        let front = FrontServer::bind(
+            addresses.front,
+            admission.clients.clone(),
+            most_body.min(DEFAULT_MAX_BODY),
+            handler,
+        )?;
         let ready = is_ready.clone();
-        FrontServer::bind(addresses.ready, move |_| {
+        FrontServer::bind(addresses.ready, admission.readiness.clone(), 0, move |_| {
             let status = if ready.get() { 200 } else { 503 };
             async move { FrontReply::status(status) }
         })?;
@@ -135,13 +145,14 @@
             events: events.clone(),
             calls: peer_calls.clone(),
         };
-        let mesh = Mesh::bind(addresses.peer, handler)?;
+        let mesh = Mesh::bind(addresses.peer, admission.peers.clone(), handler)?;
         Ok(Io {
             events,
             http_client: AsyncHttpClient::new(),
             store: addresses.store,
             mesh,
             front,
+            most_body,
             client_calls,
             peer_calls,
             is_ready,
@@ -175,12 +186,26 @@
                 not_after,
             } => self.call_worker(origin, call, not_after),
             HostAction::Ready(is_ready) => self.is_ready.set(is_ready),
+            HostAction::BodyLimit(limit) => self.limit_bodies(limit),
             HostAction::Drain => self.front.drain(),
             HostAction::Exit => return true,
         }
         false
     }
 
+    /// Applies the limit of the configuration, as far as the host has memory.
+    fn limit_bodies(&self, limit: u64) {
+        let most_body = self.most_body;
+        if limit > most_body {
+            tracing::warn!(
+                limit,
+                most_body,
+                "the configuration allows larger bodies than this host has memory for"
+            );
+        }
+        self.front.limit_bodies(limit.min(most_body));
+    }
+
     fn call_peer(&self, call: u64, address: SocketAddr, message: PeerCall, timeout: Millis) {
         let (mesh, events) = (self.mesh.clone(), self.events.clone());
         if let PeerCall::Orders(batch) | PeerCall::NumberedOrders(_, batch) = &message {
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -1,6 +1,7 @@
 //! An entry host on the platform: it takes client requests, exchanges state with its peers, and
 //! owns the shard after it has claimed it.
 
+mod admission;
 mod claim;
 mod config;
 mod evacuations;
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 
+use super::admission::Admission;
 use super::host::{Host, HostAction, HostEvent, HostSettings};
 use super::io::{Addresses, Io};
 use super::log_writer::LogWriter;
@@ -73,8 +74,9 @@
         peer: settings.peer,
         store: settings.store,
     };
-    let io = Io::open(&addresses, events.clone(), clock)?;
-    serve_metrics(&settings, telemetry)?;
+    let admission = Admission::new(settings.memory, settings.descriptors);
+    let io = Io::open(&addresses, &admission, events.clone(), clock)?;
+    serve_metrics(&settings, &admission, telemetry)?;
     watch_signals(events)?;
     let host = Host::new(host_settings(&settings), now(clock));
     tracing::info!(host = %settings.name, data_centre = %settings.data_centre, front = %settings.front, "entry host started");
@@ -137,8 +139,12 @@
     }
 }
 
-fn serve_metrics(settings: &EntrySettings, telemetry: telemetry::Telemetry) -> Result<()> {
-    FrontServer::bind(settings.metrics, move |_| {
+fn serve_metrics(
+    settings: &EntrySettings,
+    admission: &Admission,
+    telemetry: telemetry::Telemetry,
+) -> Result<()> {
+    FrontServer::bind(settings.metrics, admission.metrics.clone(), 0, move |_| {
         let body = telemetry.render().into();
         async move {
             FrontReply {
--- a/tests/host_messages.rs
+++ b/tests/host_messages.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use jayfork::base::Millis;
-use jayfork::connection::{CallError, Mesh, MeshHandler, Order, StartOrder, TimeLimit, WorkerCall};
+use jayfork::connection::{
+    CallError, Inbound, InboundLimits, Mesh, MeshHandler, Order, StartOrder, TimeLimit, WorkerCall,
+};
 use jayfork::process::host::{
     BatchNumber, NamedRequest, OrderBatch, PeerCall, PeerReply, SessionId,
 };
@@ -21,6 +23,15 @@
 /// Time of the call that is under way beside others.
 const LONG_CALL: Duration = Duration::from_millis(300);
 
+/// Limits that are large enough for all calls of these tests.
+fn inbound() -> Inbound {
+    let limits = InboundLimits {
+        memory: 64 << 20,
+        connections: 8,
+    };
+    Inbound::new("test", limits)
+}
+
 /// A host that answers each call that it can read.
 #[derive(Clone)]
 struct Receiver;
@@ -248,9 +259,9 @@
     let messages = faulty(&call, fault);
     let count = messages.len();
     LocalSet::new().block_on(&runtime, async move {
-        Mesh::bind(address, Receiver).expect("listens");
-        let sender = Mesh::bind(free_address(), Sender).expect("listens");
-        let other = Mesh::bind(free_address(), Receiver).expect("listens");
+        Mesh::bind(address, inbound(), Receiver).expect("listens");
+        let sender = Mesh::bind(free_address(), inbound(), Sender).expect("listens");
+        let other = Mesh::bind(free_address(), inbound(), Receiver).expect("listens");
         let long_call = |sender: Mesh<Sender>| async move {
             let message = Raw(encode(&PeerCall::TakeOver { epoch: 1 }));
             sender.call(address, &message, limit).await
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -498,7 +498,7 @@
                 HostAction::Answer(ticket, reply) => {
                     self.answers.insert(ticket, (self.now, reply));
                 }
-                HostAction::Ready(_) | HostAction::Drain => {}
+                HostAction::Ready(_) | HostAction::BodyLimit(_) | HostAction::Drain => {}
             }
         }
     }
--- a/tests/transfers.rs
+++ b/tests/transfers.rs
@@ -8,8 +8,8 @@
 
 use bytes::Bytes;
 use jayfork::connection::{
-    AsyncHttpClient, CallError, FrontReply, FrontServer, HttpReply, HttpRequest, Mesh, MeshHandler,
-    TimeLimit,
+    AsyncHttpClient, CallError, FrontReply, FrontServer, HttpReply, HttpRequest, Inbound,
+    InboundLimits, Mesh, MeshHandler, TimeLimit,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -23,6 +23,15 @@
 const LINK_BYTES: usize = 5_000;
 const LINK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Limits that no call of these tests meets.
+fn inbound() -> Inbound {
+    let limits = InboundLimits {
+        memory: 1 << 20,
+        connections: 8,
+    };
+    Inbound::new("test", limits)
+}
+
 /// Relays connections to `target` and limits the rate of what comes back. A stopped link accepts all and
 /// carries nothing.
 async fn slow_link(target: SocketAddr, is_stopped: Rc<Cell<bool>>) -> SocketAddr {
@@ -96,7 +105,7 @@
     limit: TimeLimit,
 ) -> Result<HttpReply, CallError> {
     let any_port = "127.0.0.1:0".parse().expect("an address");
-    let server = FrontServer::bind(any_port, |_| async {
+    let server = FrontServer::bind(any_port, inbound(), 0, |_| async {
         FrontReply {
             status: 200,
             body: Bytes::from(vec![1; ANSWER_SIZE]),
@@ -118,7 +127,7 @@
 /// Gets a large answer of a peer behind a slow link.
 async fn ask_peer(is_stopped: Rc<Cell<bool>>, limit: TimeLimit) -> Result<Vec<u8>, CallError> {
     let target = free_address();
-    let mesh = Mesh::bind(target, LargeReply).expect("a mesh");
+    let mesh = Mesh::bind(target, inbound(), LargeReply).expect("a mesh");
     let address = slow_link(target, is_stopped).await;
     mesh.call(address, &7, limit).await
 }
