Clients that are refused in an outage of the store come back by how long it may last

Cause: all were told one second; those who came in the first second of an outage of 5 s had used up their tries before its end. Change: comeback() decides from the length of the outage, the usual length, the tries of the job and what its result is worth; switch [jobs] outage_retry.

--- a/benches/shard.rs
+++ b/benches/shard.rs
@@ -136,6 +136,7 @@
             stop_time: Millis(400),
             status_keep: Millis(120_000),
             evacuation_bound: None,
+            adapts_retry: false,
         };
         let partition = Partition {
             stream: "shard".into(),
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -128,6 +128,7 @@
             stop_time: settings.stop_time,
             status_keep: settings.status_keep + EXTRA_STATUS_TIME,
             evacuation_bound: settings.evacuation,
+            adapts_retry: settings.adapts_retry,
         },
     }
 }
--- a/src/process/settings/entry.rs
+++ b/src/process/settings/entry.rs
@@ -37,7 +37,7 @@
     ("peers", Some(&["seeds"])),
     ("store", Some(&["address"])),
     ("workers", Some(&["lease", "stop_time", "evacuation"])),
-    ("jobs", Some(&["status_keep"])),
+    ("jobs", Some(&["status_keep", "outage_retry"])),
     ("limits", Some(&["memory", "descriptors"])),
     ("log", Some(&["level", "format"])),
 ];
@@ -70,6 +70,8 @@
     pub evacuation: Option<Millis>,
     /// Time for which the outcome of an ended job can be queried.
     pub status_keep: Millis,
+    /// Whether clients that are refused in an outage of the store are told to come back by how long it may last.
+    pub adapts_retry: bool,
     /// Memory that the process may use, in bytes.
     pub memory: u64,
     /// File descriptors that the process may have open.
@@ -148,6 +150,12 @@
         Millis::parse(text)
             .filter(|keep| (STATUS_KEEP_RANGE.1..=STATUS_KEEP_RANGE.2).contains(keep))
     });
+    let allowed = "adaptive or fixed";
+    let adapts_retry = reader.optional("jobs", "outage_retry", allowed, |text| match text {
+        "adaptive" => Some(true),
+        "fixed" => Some(false),
+        _ => None,
+    });
     let (default, least, most) = MEMORY_RANGE;
     let memory = reader.number("limits", "memory", default, least, most);
     let (default, least, most) = DESCRIPTOR_RANGE;
@@ -168,6 +176,7 @@
         stop_time,
         evacuation: evacuation.flatten(),
         status_keep: status_keep.unwrap_or(STATUS_KEEP_RANGE.0),
+        adapts_retry: adapts_retry.unwrap_or(false),
         memory,
         descriptors,
         log,
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -67,7 +67,7 @@
             Appended::Superseded => self.step_down(out, "the store has seen a newer owner"),
             Appended::Failed => {
                 if self.journal.is_failing(now.steady) {
-                    self.refuse_unstored(out);
+                    self.refuse_unstored(now, out);
                 }
             }
         }
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -4,10 +4,12 @@
 
 use super::journal::Commit;
 use super::shard::{Now, Phase, Reply, Request, Shard, ShardAction};
-use crate::base::Name;
+use crate::base::{Millis, Name};
 use crate::process::telemetry;
-use crate::request::job::{EndStatus, Job, JobId, Outcome, StartPermit, objective};
-use crate::version::{JobRecord, JobStateRecord, QueueRef, ShardRecord};
+use crate::request::job::{
+    EndStatus, Job, JobId, JobSpec, OVERDUE_FACTOR, Outcome, StartPermit, objective,
+};
+use crate::version::{JobRecord, JobStateRecord, Queue, QueueRef, ShardRecord};
 
 /// Seconds after which a client may try again while the store cannot be written to. Short outages
 /// end within a few seconds.
@@ -54,7 +56,9 @@
                     return;
                 }
                 if self.journal.is_failing(now.steady) {
-                    let retry_after = OUTAGE_RETRY;
+                    let found = self.queues.find(&queue);
+                    let lasting = found.and_then(|found| worth_time(&found.queue, &spec));
+                    let retry_after = self.outage_retry(now, job, lasting);
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
@@ -273,14 +277,48 @@
         self.upcoming_turns.retain(|(_, job)| *job != id);
     }
 
+    /// Seconds after which a client is to submit a job again that cannot be stored; `lasting` is the time for which
+    /// somebody waits for its result.
+    fn outage_retry(&mut self, now: Now, job: JobId, lasting: Option<Millis>) -> u32 {
+        let Some(lasted) = self.journal.failing_for(now.steady) else {
+            return OUTAGE_RETRY;
+        };
+        if !self.settings.adapts_retry {
+            return OUTAGE_RETRY;
+        }
+        let retry_after = self.outages.refuse(now.steady, job, lasted, lasting);
+        telemetry::count_refusal("outage");
+        tracing::info!(%job, retry_after, lasted = lasted.0, "submission refused: the store is away");
+        retry_after
+    }
+
+    /// Notes how long the store has been away.
+    pub(super) fn note_outage(&mut self, now: Now) {
+        let lasted = self.journal.failing_for(now.steady);
+        if let Some(length) = self.outages.note(now.steady, lasted) {
+            let refused = self.outages.refused();
+            tracing::info!(length = length.0, refused, "the store is back");
+        }
+    }
+
     /// Refuses the submissions that are certainly not stored.
-    pub(super) fn refuse_unstored(&mut self, out: &mut Vec<ShardAction>) {
+    pub(super) fn refuse_unstored(&mut self, now: Now, out: &mut Vec<ShardAction>) {
         for id in self.journal.withdraw() {
-            self.jobs.remove(&id);
+            let job = self.jobs.remove(&id);
+            let lasting = job.and_then(|job| {
+                let queue = self.queues.get(&job.queue);
+                worth_time(queue, &job.spec)
+            });
             for ticket in self.tickets.remove(&id).unwrap_or_default() {
-                let retry_after = OUTAGE_RETRY;
+                let retry_after = self.outage_retry(now, id, lasting);
                 out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
             }
         }
     }
 }
+
+/// Time from the submission of a job for which somebody waits for its result, if its queue sets one.
+fn worth_time(queue: &Queue, spec: &JobSpec) -> Option<Millis> {
+    let is_timed = spec.turns == 0 && !spec.has_long_running_step();
+    is_timed.then(|| Millis(objective(queue, spec).saturating_mul(OVERDUE_FACTOR)))
+}
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -25,7 +25,9 @@
     CallError, Partition, StoreAnswer, StoreCall, StoreRequest, WorkerAnswer, WorkerCall,
 };
 use crate::platform::RegistryEntry;
-use crate::request::job::{Contention, Job, JobId, JobSpec, OrderKey, Outcome, StepId, TaskKey};
+use crate::request::job::{
+    Contention, Job, JobId, JobSpec, OrderKey, Outages, Outcome, StepId, TaskKey,
+};
 use crate::version::{OwnerRecord, QueueIndex, QueueRef, QueueTable, ShardRecord};
 
 use super::journal::{Commit, store_call};
@@ -58,6 +60,8 @@
     /// Longest time from the operator's request to evacuate a data centre to the last start there. With it, an owner
     /// starts nothing before it knows these requests.
     pub evacuation_bound: Option<Millis>,
+    /// Whether a client that is refused in an outage of the store is told to come back by how long it may last.
+    pub adapts_retry: bool,
 }
 
 impl ShardSettings {
@@ -267,6 +271,7 @@
     pub(super) last_rating: Millis,
     /// When serving tasks were last moved for best-effort tasks.
     pub(super) last_clearing: Millis,
+    pub(super) outages: Outages,
     pub(super) evacuations: Evacuations,
     /// Start orders without an answer.
     pub(super) pending_starts: usize,
@@ -339,6 +344,7 @@
             waiting_demand: WaitingDemand::default(),
             last_rating: Millis(0),
             last_clearing: Millis(0),
+            outages: Outages::default(),
             evacuations,
             pending_starts: 0,
             start_window: StartWindow::default(),
--- a/src/process/shard/watch.rs
+++ b/src/process/shard/watch.rs
@@ -66,8 +66,9 @@
         self.record_workers(now);
         self.record_contention(now);
         self.log_waiting(now);
+        self.note_outage(now);
         if self.journal.is_failing(now.steady) {
-            self.refuse_unstored(out);
+            self.refuse_unstored(now, out);
         }
         let is_idle = now.steady.since(self.journal.last_stored()) >= IDLE_APPEND;
         if is_idle && !self.journal.has_pending() {
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -1,6 +1,7 @@
 //! Jobs: their steps and tasks, the order in which steps are placed, and the choice of a worker.
 
 mod baseline_tails;
+mod comeback;
 mod contention;
 mod exclusion;
 mod fit;
@@ -13,6 +14,7 @@
 mod spec;
 mod trials;
 
+pub use comeback::{Outage, Outages, RefusedJob, comeback};
 pub use contention::{
     BestEffortGroup, Contention, Headroom, ImageInterference, LearnedImage, LearnedSlope,
     OVER_BOUND_SHARE, ServingTask, next_speed_limit,
@@ -22,7 +24,9 @@
     CandidateWorker, TaskRequirements, choose_worker, is_overcommitted, missing_processors,
 };
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
-pub use order::{EndStatus, ObjectiveStatus, OrderKey, TurnState, objective, order_key};
+pub use order::{
+    EndStatus, OVERDUE_FACTOR, ObjectiveStatus, OrderKey, TurnState, objective, order_key,
+};
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use relocation::StayingRun;
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -5,7 +5,7 @@
 
 /// A job that ends after its objective is late; after this many times its objective it is overdue,
 /// and nobody waits for its result any more.
-const OVERDUE_FACTOR: u64 = 3;
+pub const OVERDUE_FACTOR: u64 = 3;
 /// A late job has to start this many times its remaining run time before it becomes overdue.
 const LEAD_FACTOR: u64 = 2;
 /// How long a step of an overdue job waits with nothing running before one of its tasks comes first, in
--- a/tests/entry_settings.rs
+++ b/tests/entry_settings.rs
@@ -11,7 +11,7 @@
     processor = 0.25\n[listen]\nfront = 10.1.0.13:8161\nready = 10.1.0.13:8167\n\
     peer = 10.1.0.13:8166\nmetrics = 10.1.0.13:7720\n[peers]\n\
     seeds = 10.1.0.13:8166,10.2.0.30:8166\n[store]\naddress = 10.200.1.7:8169\n[workers]\n\
-    lease = 6000\nstop_time = 400\nevacuation = 5000\n[jobs]\nstatus_keep = 120 s\n\
+    lease = 6000\nstop_time = 400\nevacuation = 5000\n[jobs]\nstatus_keep = 120 s\noutage_retry = adaptive\n\
     [limits]\nmemory = 160 MiB\ndescriptors = 4100\n[log]\nlevel = info\nformat = json\n";
 
 /// Number of the next temporary file.
@@ -51,6 +51,7 @@
     memory_without_a_number = { "160 MiB", "much", "memory" },
     few_descriptors = { "descriptors = 4100", "descriptors = 16", "descriptors" },
     misspelt_limit = { "descriptors = 4100", "descriptor = 4100", "did you mean" },
+    unknown_retry = { "= adaptive", "= clever", "outage_retry" },
     zero_lease = { "lease = 6000", "lease = 0", "lease" },
     unknown_unit = { "120 s", "120 days", "status_keep" },
     bad_seed = { ",10.2.0.30:8166", ",10.2.0.30", "seeds" },
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -745,6 +745,7 @@
         stop_time: Millis(400),
         status_keep: Millis(120_000),
         evacuation_bound: None,
+        adapts_retry: false,
     }
 }
 
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod capacity;
 mod cases;
+mod comeback;
 mod crash_model;
 mod crash_records;
 mod crashes;
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -103,6 +103,8 @@
     /// Services of the workers in turn.
     pub services: Vec<&'static str>,
     pub operator: Operator,
+    /// Whether owners tell clients to come back by how long an outage of the store may last.
+    pub adapts_retry: bool,
 }
 
 impl World {
@@ -125,6 +127,7 @@
             table: None,
             services: vec![SERVICE],
             operator: Operator::default(),
+            adapts_retry: false,
         }
     }
 
@@ -185,6 +188,7 @@
             stop_time: Millis(400),
             status_keep: Millis(120_000),
             evacuation_bound: self.operator.bound.map(Millis),
+            adapts_retry: self.adapts_retry,
         };
         let mut out = Vec::new();
         let queues = self.queues();
