--- a/src/process/shard/evacuation.rs
+++ b/src/process/shard/evacuation.rs
@@ -88,7 +88,11 @@
 impl Shard {
     /// Replaces the set of data centres that the operator wants evacuated.
     pub(super) fn apply_evacuations(&mut self, now: Now, data_centres: &Arc<BTreeSet<Name>>) {
+        self.needs_placement |= !self.evacuations.is_known;
         self.evacuations.is_known = true;
+        if self.evacuations.requests.keys().eq(data_centres.iter()) {
+            return;
+        }
         let ended: Vec<Name> = self
             .evacuations
             .requests
--- a/tests/shard/evacuation_model.rs
+++ b/tests/shard/evacuation_model.rs
@@ -29,6 +29,8 @@
     pub first_read: u64,
     /// When each owner reads the requests next.
     reads: Vec<u64>,
+    /// What each owner was told last.
+    told: Vec<Option<Arc<BTreeSet<Name>>>>,
     /// When the last outage of the store ended.
     outage_end: u64,
 }
@@ -86,6 +88,7 @@
         }
         let first_read = self.now + self.operator.first_read;
         self.operator.reads.resize(self.owners.len(), first_read);
+        self.operator.told.resize(self.owners.len(), None);
         let names = self.operator.requests.keys();
         let data_centres: BTreeSet<Name> = names.map(|name| (*name).into()).collect();
         let data_centres = Arc::new(data_centres);
@@ -95,6 +98,10 @@
                 continue;
             }
             self.operator.reads[owner] = self.now + READ_INTERVAL;
+            let told = self.operator.told[owner].replace(data_centres.clone());
+            if told.as_ref() == Some(&data_centres) {
+                continue;
+            }
             let event = ShardEvent::Evacuations(data_centres.clone());
             self.event(owner, event);
         }
