jayfork configuration check: errors, entries that never match, contradicting limits, differences

Cause: operators learn of a wrong entry once it is in force. Change: a command that reads a configuration as hosts do (decode_config), checks it (QueueTable::check) and compares it with the version in force; text and JSON, 2 if there are errors. Hosts run the reading part alone, as before.

--- a/src/process/cli/command.rs
+++ b/src/process/cli/command.rs
@@ -64,6 +64,7 @@
                 .global(true)
                 .help("Write results and errors as JSON"),
         )
+        .subcommand(configuration())
         .subcommand(contract())
         .subcommand(job())
         .subcommand(request())
@@ -98,6 +99,24 @@
         )
 }
 
+fn configuration() -> Command {
+    Command::new("configuration")
+        .about("Check configurations of queues for hosts on the platform")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("check")
+                .about("List errors, entries that can never match, and what differs from the version in force")
+                .arg(file_argument("file", "Configuration, or - for standard input"))
+                .arg(
+                    file_argument("against", "Version in force, to compare with")
+                        .long("against")
+                        .required(false),
+                )
+                .after_help("Example:\n  jayfork configuration check next.json --against current.json"),
+        )
+}
+
 fn contract() -> Command {
     Command::new("contract")
         .about("Check, publish and read contracts")
--- a/src/process/cli/error.rs
+++ b/src/process/cli/error.rs
@@ -23,6 +23,8 @@
     Write { path: PathBuf, source: io::Error },
     #[error("{}: {reason}", path.display())]
     Contract { path: PathBuf, reason: String },
+    #[error("{}: {reason}", path.display())]
+    Configuration { path: PathBuf, reason: String },
     #[error("{} of {total} contract files are not valid", faults.len())]
     Contracts { faults: Vec<Error>, total: usize },
     #[error(transparent)]
@@ -86,6 +88,7 @@
             | Error::Read { .. }
             | Error::Write { .. }
             | Error::Contract { .. }
+            | Error::Configuration { .. }
             | Error::Contracts { .. }
             | Error::Settings(_)
             | Error::BadInput { .. } => 2,
@@ -131,6 +134,7 @@
             Error::NoServer | Error::Servers(_) => "usage",
             Error::Read { .. } | Error::Write { .. } => "file",
             Error::Contract { .. } | Error::Contracts { .. } => "invalid_contract",
+            Error::Configuration { .. } => "invalid_configuration",
             Error::Settings(_) => "invalid_settings",
             Error::BadInput { .. } => "bad_input",
             Error::Refused { .. } => "refused",
--- a/src/process/cli/mod.rs
+++ b/src/process/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod command;
+mod configuration;
 mod contract;
 mod error;
 mod evacuations;
--- a/src/process/cli/run.rs
+++ b/src/process/cli/run.rs
@@ -19,7 +19,7 @@
 use super::command::command;
 use super::error::{Error, Result};
 use super::output::Output;
-use super::{contract, evacuations, job, report, request, status};
+use super::{configuration, contract, evacuations, job, report, request, status};
 
 /// Runs one command and returns its exit code; `jayfork --help` lists the codes.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
@@ -43,6 +43,7 @@
 fn dispatch(matches: &ArgMatches, output: Output) -> Result<()> {
     let (command, arguments) = matches.subcommand().expect("clap requires a subcommand");
     match (command, arguments.subcommand()) {
+        ("configuration", Some(("check", arguments))) => configuration::check(arguments, output),
         ("contract", Some(("check", arguments))) => contract::check(arguments, output),
         ("contract", Some(("publish", arguments))) => contract::publish(arguments, output),
         ("contract", Some(("amend", arguments))) => contract::amend(arguments, output),
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -11,6 +11,7 @@
 mod retain;
 mod shard_record;
 mod suspicion;
+mod table_check;
 mod transition;
 
 pub use contract::{Class, Contract, Error as ContractError, MAX_BODY, Urgency};
@@ -32,3 +33,4 @@
     WorkerRecord,
 };
 pub use suspicion::Suspicion;
+pub use table_check::{Difference, Finding, Severity};
