Test: large jobs of legal size, held by the owner

Cause: an owner holds accepted jobs without a bound on all together, and each step of a job takes ten times its text.

--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
 
@@ -126,6 +126,7 @@
 
 struct Member {
     stream: TcpStream,
+    bytes: Arc<[u8]>,
     sent: usize,
     /// Whether the host has closed the connection.
     is_closed: bool,
@@ -134,11 +135,23 @@
 impl Crowd {
     /// Opens connections and sends `bytes` over each of them, at most `piece` of them a round. Nothing is read.
     fn gather(address: &str, count: usize, bytes: &[u8], piece: usize) -> Crowd {
-        let connect = |_| {
+        let bytes: Arc<[u8]> = bytes.into();
+        Crowd::gather_each(address, count, piece, |_| bytes.clone())
+    }
+
+    /// The same with bytes for each of them.
+    fn gather_each(
+        address: &str,
+        count: usize,
+        piece: usize,
+        bytes: impl Fn(usize) -> Arc<[u8]>,
+    ) -> Crowd {
+        let connect = |index| {
             let stream = TcpStream::connect(address).ok()?;
             stream.set_nonblocking(true).ok()?;
             Some(Member {
                 stream,
+                bytes: bytes(index),
                 sent: 0,
                 is_closed: false,
             })
@@ -151,10 +164,10 @@
         while idle < IDLE_ROUNDS {
             let mut has_sent = false;
             for member in &mut crowd.members {
-                has_sent |= member.send(bytes, piece);
+                has_sent |= member.send(piece);
             }
             idle = if has_sent { 0 } else { idle + 1 };
-            let is_over = |member: &Member| member.is_closed || member.sent == bytes.len();
+            let is_over = |member: &Member| member.is_closed || member.sent == member.bytes.len();
             if crowd.members.iter().all(is_over) {
                 break;
             }
@@ -168,7 +181,8 @@
 
 impl Member {
     /// Sends the next bytes; returns whether there were any that the connection took.
-    fn send(&mut self, bytes: &[u8], piece: usize) -> bool {
+    fn send(&mut self, piece: usize) -> bool {
+        let bytes = self.bytes.clone();
         let end = bytes.len().min(self.sent.saturating_add(piece));
         if self.is_closed || self.sent == end {
             return false;
@@ -209,6 +223,18 @@
     bytes
 }
 
+/// A job of the largest size with as many steps as fit, whose tasks need more than any worker has.
+fn large_job(id: u64) -> Arc<[u8]> {
+    let step = r#"{"count":1,"cpu":900000,"memMb":1,"estRuntimeMs":1}"#;
+    let steps = vec![step; (MAX_BODY - 100) / (step.len() + 1)].join(",");
+    let body = format!(r#"{{"spec":"{{}}","steps":[{steps}]}}"#);
+    let head = format!(
+        "POST /proofs/{id:016x} HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    (head + &body).into_bytes().into()
+}
+
 /// A head of `length` bytes without its end.
 fn endless_head(length: usize) -> Vec<u8> {
     let mut bytes = b"GET /proofs/ HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Long: ".to_vec();
@@ -236,6 +262,18 @@
     host.check();
 }
 
+/// Guards against jobs of legal size that an owner accepts and holds without a bound on all together.
+#[test]
+fn large_jobs_do_not_use_up_the_memory() {
+    let _turn = take_turn();
+    let mut host = Host::start("hostile-jobs");
+    let front = host.front.clone();
+    let _crowd = Crowd::gather_each(&front, CROWD, usize::MAX, |index| {
+        large_job(index as u64 + 16)
+    });
+    host.check();
+}
+
 /// Guards against the same at the other listeners, as far as strangers reach them.
 #[parameterized(
     readiness = { |host| &host.ready, &announced(1 << 20, 1_000_000), usize::MAX },
