Jobs and requests that have arrived are bounded in memory

Cause: an owner held accepted jobs without a bound on all together, each step of a job takes ten times its text, and the conversion of steps kept the larger allocation. Change: a body counts twelve times until its request is answered; an owner refuses jobs once the open ones take a sixteenth of the host's memory, and requests that it holds while it reads its records likewise.

--- a/benches/shard.rs
+++ b/benches/shard.rs
@@ -137,6 +137,7 @@
             status_keep: Millis(120_000),
             evacuation_bound: None,
             adapts_retry: false,
+            job_memory: 1 << 30,
         };
         let partition = Partition {
             stream: "shard".into(),
--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -19,7 +19,7 @@
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
 
-use super::body::{BodyError, BodyLimits, receive};
+use super::body::{BodyError, BodyLimits, MemoryShare, receive};
 use super::error::{Error, Result};
 use super::inbound::{Connection, Inbound};
 use super::traffic::{CountedStream, Purpose};
@@ -34,6 +34,9 @@
 /// Maximum time without progress of a body, and until all of it has arrived. Clients give a request a few seconds.
 const BODY_PAUSE: Duration = Duration::from_secs(10);
 const BODY_TIME: Duration = Duration::from_secs(30);
+/// Memory of a request whose body has arrived, as a multiple of the body: a step of a job takes ten times its shortest
+/// text, and the body is kept beside it.
+pub const REQUEST_FACTOR: u64 = 12;
 /// Seconds after which a client may try again if its request has found no memory.
 const MEMORY_RETRY: u32 = 1;
 /// Pause after a failed accept, for example when the process is out of file descriptors.
@@ -228,6 +231,11 @@
     connection.begin_request();
     let mut memory = connection.memory();
     let received = receive(body, limits, &mut memory).await;
+    let received = received.and_then(|body| {
+        let added = body.len() as u64 * (REQUEST_FACTOR - 1);
+        let is_granted = memory.grow(added);
+        is_granted.then_some(body).ok_or(BodyError::NoMemory)
+    });
     connection.begin_answer();
     let reply = match received {
         Ok(body) => {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -33,7 +33,7 @@
 pub use api::{ApiCall, ApiHandler, ApiLimits, ApiMethod, ApiResponse, ApiServer, ContentKind};
 pub use async_http_client::{AsyncHttpClient, HttpReply, HttpRequest};
 pub use error::{Error, Result};
-pub use front::{FrontReply, FrontRequest, FrontServer};
+pub use front::{FrontReply, FrontRequest, FrontServer, REQUEST_FACTOR};
 pub use http::HttpClient;
 pub use inbound::{Holder, Inbound, InboundLimits, Shortage, choose_dropped};
 pub use instance::{HttpInstances, InstanceCall, InstanceClient, InstanceOutcome};
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -107,9 +107,12 @@
 
 fn decode_job(body: &[u8]) -> Result<JobSpec> {
     let body: JobBody = serde_json::from_slice(body)?;
+    let mut steps: Vec<StepSpec> = body.steps.into_iter().map(StepSpec::from).collect();
+    // The conversion keeps the allocation of the longer type.
+    steps.shrink_to_fit();
     let spec = JobSpec {
         payload: body.spec.into(),
-        steps: body.steps.into_iter().map(StepSpec::from).collect(),
+        steps,
         first_run: body.first_run_ms as u64,
         interval: body.interval_ms as u64,
         turns: body.times,
--- a/src/process/host/admission.rs
+++ b/src/process/host/admission.rs
@@ -1,11 +1,13 @@
 //! How many connections, and how much memory for them, the listeners of a host admit.
 
-use crate::connection::{Inbound, InboundLimits};
+use crate::connection::{Inbound, InboundLimits, REQUEST_FACTOR};
 
 /// Of the memory of a host, a quarter is for its clients and an eighth for calls of other hosts. Jobs, buffers of its own
 /// calls and allocations that are not used as a whole take the rest.
 const CLIENT_MEMORY_DIVISOR: u64 = 4;
 const PEER_MEMORY_DIVISOR: u64 = 8;
+/// A sixteenth is for the jobs that an owner holds: some thousand of the usual size.
+pub(super) const JOB_MEMORY_DIVISOR: u64 = 16;
 /// Of the descriptors, a quarter is for each of them. The others are for the store, workers, other hosts and files.
 const DESCRIPTOR_DIVISOR: u32 = 4;
 /// Connections for readiness checks, of which there is one a second, and for readers of the metrics.
@@ -46,7 +48,7 @@
             peers: open("peers", memory / PEER_MEMORY_DIVISOR, connections),
             readiness: check("readiness", READINESS_CONNECTIONS),
             metrics: check("metrics", METRICS_CONNECTIONS),
-            most_body: client_memory / 2,
+            most_body: client_memory / (2 * REQUEST_FACTOR),
         }
     }
 }
--- a/src/process/host/runtime.rs
+++ b/src/process/host/runtime.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 
-use super::admission::Admission;
+use super::admission::{Admission, JOB_MEMORY_DIVISOR};
 use super::host::{Host, HostAction, HostEvent, HostSettings};
 use super::io::{Addresses, Io};
 use super::log_writer::LogWriter;
@@ -129,6 +129,7 @@
             status_keep: settings.status_keep + EXTRA_STATUS_TIME,
             evacuation_bound: settings.evacuation,
             adapts_retry: settings.adapts_retry,
+            job_memory: settings.memory / JOB_MEMORY_DIVISOR,
         },
     }
 }
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -209,6 +209,7 @@
         }
         self.loads.clear();
         self.restore(now);
+        self.held_memory = 0;
         for (ticket, request) in std::mem::take(&mut self.held) {
             self.handle_request(now, ticket, request, out);
         }
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -16,6 +16,8 @@
 const OUTAGE_RETRY: u32 = 1;
 /// Seconds after which a client may submit a job again that a host with an earlier configuration has sent.
 const CONFIG_RETRY: u32 = 1;
+/// Seconds after which a client may submit a job again for which the owner has no memory. Others have to end first.
+const MEMORY_RETRY: u32 = 2;
 /// Most requests that are held while the records are loaded; further ones get `Unavailable`.
 const MAX_HELD_REQUESTS: usize = 4_096;
 
@@ -38,8 +40,16 @@
         out: &mut Vec<ShardAction>,
     ) {
         if self.phase < Phase::Recovering {
-            match self.held.len() < MAX_HELD_REQUESTS {
-                true => self.held.push((ticket, request)),
+            let memory = match &request {
+                Request::Submit { spec, .. } => spec.memory(),
+                _ => 0,
+            };
+            let has_room = self.held_memory + memory <= self.settings.job_memory;
+            match has_room && self.held.len() < MAX_HELD_REQUESTS {
+                true => {
+                    self.held_memory += memory;
+                    self.held.push((ticket, request));
+                }
                 false => out.push(ShardAction::Reply(ticket, Reply::Unavailable)),
             }
             return;
@@ -62,6 +72,14 @@
                     out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
                     return;
                 }
+                if self.lacks_memory(&spec) {
+                    telemetry::count_refusal("memory");
+                    let (memory, open) = (spec.memory(), self.jobs.len());
+                    tracing::info!(%job, memory, open, "submission refused: the open jobs take up the memory for them");
+                    let retry_after = MEMORY_RETRY;
+                    out.push(ShardAction::Reply(ticket, Reply::Refused { retry_after }));
+                    return;
+                }
                 let Some(found) = self.queues.find(&queue) else {
                     // The client finds the newer configuration when it tries again.
                     telemetry::count_refusal("queue");
@@ -117,6 +135,12 @@
         }
     }
 
+    /// Whether there is no memory for another job.
+    fn lacks_memory(&self, spec: &JobSpec) -> bool {
+        let held: u64 = self.jobs.values().map(|job| job.memory).sum();
+        held.saturating_add(spec.memory()) > self.settings.job_memory
+    }
+
     fn reply_state(&self, id: JobId, queue: &QueueRef) -> Reply {
         if let Some(reply) = self.deny(id, queue) {
             return reply;
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -62,6 +62,8 @@
     pub evacuation_bound: Option<Millis>,
     /// Whether a client that is refused in an outage of the store is told to come back by how long it may last.
     pub adapts_retry: bool,
+    /// Most memory for the jobs that an owner holds, in bytes.
+    pub job_memory: u64,
 }
 
 impl ShardSettings {
@@ -249,6 +251,8 @@
     pub(super) loads: Vec<LoadRange>,
     /// Requests received before all records were loaded.
     pub(super) held: Vec<(u64, Request)>,
+    /// Memory of the jobs among them, in bytes.
+    pub(super) held_memory: u64,
     pub(super) contention: Contention,
     /// When the learned interference was last recorded.
     pub(super) last_learned: Millis,
@@ -332,6 +336,7 @@
             loaded_records: Vec::new(),
             loads: Vec::new(),
             held: Vec::new(),
+            held_memory: 0,
             contention: Contention::default(),
             last_learned: now.steady,
             needs_placement: false,
--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -128,6 +128,8 @@
     /// Id of its queue, which stays the same if the queue gets another name.
     pub queue: Name,
     pub spec: Arc<JobSpec>,
+    /// Memory that it takes, in bytes.
+    pub memory: u64,
     /// Time at which the job was accepted, in Unix milliseconds.
     pub accepted: u64,
     /// Turns that are due and not finished, by number.
@@ -161,6 +163,7 @@
         Job {
             id,
             queue,
+            memory: spec.memory(),
             spec,
             accepted,
             turns: BTreeMap::new(),
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::job::{Job, Step, Task};
 use crate::base::{Name, Size};
 
 /// Most tasks in one job, over all steps; a larger job is refused.
@@ -204,6 +205,17 @@
         Ok(())
     }
 
+    /// Memory of the job as an owner holds it, in bytes, with one turn.
+    pub fn memory(&self) -> u64 {
+        let steps = self.steps.iter().map(|step| {
+            let names = [&step.label, &step.rack, &step.image];
+            let names: usize = names.into_iter().flatten().map(|name| name.len()).sum();
+            let tasks = usize::from(step.count) * size_of::<Task>();
+            size_of::<StepSpec>() + size_of::<Step>() + tasks + names + 2 * step.after.len()
+        });
+        (size_of::<Job>() + self.payload.len() + steps.sum::<usize>()) as u64
+    }
+
     /// Declared run time in milliseconds of the longest chain of dependent steps.
     pub fn critical_path(&self) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
--- a/tests/hostile_clients.rs
+++ b/tests/hostile_clients.rs
@@ -369,6 +369,18 @@
     }
 }
 
+/// Guards against a limit on the memory of jobs that the largest one meets by itself.
+#[test]
+fn a_single_large_job_is_accepted() {
+    let _turn = take_turn();
+    let host = Host::start("hostile-large-job");
+    let mut stream = TcpStream::connect(&host.front).expect("the host listens");
+    stream.write_all(&large_job(9)).expect("the host reads");
+    let mut answer = [0; 12];
+    stream.read_exact(&mut answer).expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 200");
+}
+
 /// What a stranger sends to the port between hosts: the preface of HTTP/2, then `count` requests with `length` bytes of
 /// a body each, none of which ends. Windows are ignored.
 fn peer_bodies(count: u32, length: usize) -> Vec<u8> {
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -746,6 +746,7 @@
         status_keep: Millis(120_000),
         evacuation_bound: None,
         adapts_retry: false,
+        job_memory: 1 << 30,
     }
 }
 
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -105,6 +105,8 @@
     pub operator: Operator,
     /// Whether owners tell clients to come back by how long an outage of the store may last.
     pub adapts_retry: bool,
+    /// Most memory for the jobs of an owner, in bytes.
+    pub job_memory: u64,
 }
 
 impl World {
@@ -128,6 +130,7 @@
             services: vec![SERVICE],
             operator: Operator::default(),
             adapts_retry: false,
+            job_memory: 1 << 30,
         }
     }
 
@@ -189,6 +192,7 @@
             status_keep: Millis(120_000),
             evacuation_bound: self.operator.bound.map(Millis),
             adapts_retry: self.adapts_retry,
+            job_memory: self.job_memory,
         };
         let mut out = Vec::new();
         let queues = self.queues();
