--- a/src/connection/inbound/mod.rs
+++ b/src/connection/inbound/mod.rs
@@ -75,6 +75,7 @@
     place: Rc<Place>,
 }
 
+/// The entry of a connection among the open ones of its listener, which ends when this is dropped.
 struct Place {
     inbound: Inbound,
     key: u64,
