--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -16,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(HERE))
@@ -264,6 +265,9 @@
         if lab:
             lab.say(f"the case could not run: {error}")
         return 2
+    except Exception:  # A fault of the case is no breach of the rule.
+        traceback.print_exc()
+        return 2
     finally:
         if lab:
             lab.close()
--- a/review/standin-3/minion.py
+++ b/review/standin-3/minion.py
@@ -3,7 +3,8 @@
 Usage: minion.py ID PORT STORE_PORT EVENTS ZONE RACK
 
 Every start and every end is appended to the file EVENTS as a line of JSON. The spec of a task is JSON:
-{"ms": N} works for N milliseconds and ends `done`; {"lasts": true} works until it is stopped.
+{"ms": N} works for N milliseconds and ends `done`; {"lasts": true} works until it is stopped. With {"save": C} it saves a
+checkpoint of C characters after each 2 s of work, and with {"fail_ms": N} a run that starts without a checkpoint fails after N ms.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 STOP_S = 0.1
 BEAT_S = 1.5
 STARTUP_S = 0.3
+SAVE_S = 2.0
 CAPACITY = {"cpu": 16_000, "memMb": 64_000, "gpu": 0}
 
 
@@ -51,15 +53,28 @@
     async def end(self, task, run, how):
         if (task, run) not in self.runs:
             return
+        saved = self.checkpoint(task, run)
         del self.runs[(task, run)]
         self.highest[task] = max(self.highest.get(task, 0), run)
         self.last_number += 1
-        self.ended.append([self.last_number, task, run, how, ""])
+        self.ended.append([self.last_number, task, run, how, saved])
         self.note("end", task=task, run=run, how=how)
         async with self.changed:
             self.changed.notify_all()
 
+    def checkpoint(self, task, run):
+        since, spec, resumed = self.runs[(task, run)]
+        saves = int((time.monotonic() - since) / SAVE_S) if spec.get("save") else 0
+        if not saves:
+            return resumed
+        text = f"{task} run {run} save {saves} "
+        return text + "x" * max(0, spec["save"] - len(text))
+
     async def work(self, task, run, spec):
+        if "fail_ms" in spec and not self.runs[(task, run)][2]:
+            await asyncio.sleep(spec["fail_ms"] / 1000)
+            await self.end(task, run, "failed")
+            return
         if spec.get("lasts"):
             return
         await asyncio.sleep(spec.get("ms", 100) / 1000)
@@ -112,9 +127,10 @@
         if body["untilMs"] <= self.clock():
             return reply(409, {"clockMs": self.clock(), "reason": "late"})
         self.renew(body["untilMs"])
-        self.runs[(task, run)] = time.monotonic()
+        spec = json.loads(body["spec"])
+        self.runs[(task, run)] = (time.monotonic(), spec, body.get("checkpoint", ""))
         self.note("start", task=task, run=run, token=self.fence, spec=body["spec"][:200])
-        asyncio.create_task(self.work(task, run, json.loads(body["spec"])))
+        asyncio.create_task(self.work(task, run, spec))
         return reply(200, {"clockMs": self.clock()})
 
     async def hold(self, body):
@@ -130,9 +146,9 @@
             except asyncio.TimeoutError:
                 pass
         running = []
-        for (task, run), since in self.runs.items():
+        for (task, run), (since, _, _) in self.runs.items():
             age = time.monotonic() - since
-            running.append([task, run, "", 100 if age >= STARTUP_S else 0, 0])
+            running.append([task, run, self.checkpoint(task, run), 100 if age >= STARTUP_S else 0, 0])
         return reply(200, {"clockMs": self.clock(), "born": self.born, "running": running,
                            "ended": self.ended[:500]})
 
