review: a minion that came back as another kind gets tasks of its former kind

Cause: is_described takes an entry for that of the reporting life if its born is up to 1,000 ms older. Case: review/15, two crashes of one minion within a second.

--- a/review/standin-3/lab.py
+++ b/review/standin-3/lab.py
@@ -93,11 +93,11 @@
         if call(self.store, "POST", path, body)[0] != 200:
             raise CannotRun("the store's stand-in does not answer")
 
-    def start_minion(self, name):
+    def start_minion(self, name, *kind):
         index = int(name[2:])
         zone = ZONES[index % len(ZONES)][0]
         command = [sys.executable, os.path.join(HERE, "minion.py"), name, str(self.minion_ports[name]),
-                   str(self.store), self.events, zone, f"r-{zone}"]
+                   str(self.store), self.events, zone, f"r-{zone}", *kind]
         self.spawn(name, command)
 
     def start_host(self, name):
--- a/review/standin-3/minion.py
+++ b/review/standin-3/minion.py
@@ -1,6 +1,8 @@
 """Stand-in for one minion: it registers in the store and takes orders as PROTOCOL.md says.
 
-Usage: minion.py ID PORT STORE_PORT EVENTS ZONE RACK
+Usage: minion.py ID PORT STORE_PORT EVENTS ZONE RACK [KIND [FIRST_BEAT_S]]
+
+KIND is its first label, FIRST_BEAT_S the time from its start to its first heartbeat.
 
 Every start and every end is appended to the file EVENTS as a line of JSON. The spec of a task is JSON:
 {"ms": N} works for N milliseconds and ends `done`; {"lasts": true} works until it is stopped. With {"save": C} it saves a
@@ -25,7 +27,8 @@
 
 
 class Minion:
-    def __init__(self, name, port, store_port, events, zone, rack):
+    def __init__(self, name, port, store_port, events, zone, rack, kind="a", first_beat="0"):
+        self.kind, self.first_beat = kind, float(first_beat)
         self.name, self.port, self.store_port = name, port, store_port
         self.zone, self.rack = zone, rack
         self.events = open(events, "a", buffering=1)
@@ -156,7 +159,7 @@
         self.seq += 1
         entry = {"service": "asm", "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
                  "slots": 8, "state": "ready", "coldRemainingMs": 0, "capacity": CAPACITY,
-                 "labels": ["a", self.rack], "clockMs": self.clock(), "seq": self.seq, "born": self.born}
+                 "labels": [self.kind, self.rack], "clockMs": self.clock(), "seq": self.seq, "born": self.born}
         connection = http.client.HTTPConnection("127.0.0.1", self.store_port, timeout=1)
         try:
             connection.request("POST", f"/standin/put?topic=keyed.servers&key={self.name}", json.dumps(entry))
@@ -167,16 +170,18 @@
             connection.close()
 
     async def beats(self):
+        await asyncio.sleep(self.first_beat)
         while True:
             await asyncio.to_thread(self.beat)
             await asyncio.sleep(BEAT_S)
 
 
 async def main():
-    name, port, store_port, events, zone, rack = sys.argv[1:7]
-    minion = Minion(name, int(port), int(store_port), events, zone, rack)
-    server = await httpd.serve(int(port), minion.handle)
-    minion.note("up")
+    name, port, store_port, *others = sys.argv[1:]
+    port, store_port = int(port), int(store_port)
+    minion = Minion(name, port, store_port, *others)
+    server = await httpd.serve(port, minion.handle)
+    minion.note("up", kind=minion.kind)
     asyncio.create_task(minion.watch_lease())
     asyncio.create_task(minion.beats())
     async with server:
