Hosts: a reply of an owner that has not read the records is no refusal after an uncertain attempt

Cause: the host passes a submission to the owner, which stores it and is killed before it answers. The next owner is still reading the records and has no room to hold the request: Unavailable. The host kept back a refusal after an uncertain attempt for Refused, not for Unavailable.

Change: Attempts and judge decide which reply is true; after an uncertain attempt the host asks again until the owner knows the records, or answers 504 at the client's deadline. Unexpected replies count as uncertain.

--- a/src/process/host/forward.rs
+++ b/src/process/host/forward.rs
@@ -5,10 +5,12 @@
 use super::host::{Host, HostAction, PeerPurpose};
 use super::message::PeerReply;
 use super::request_form::SentRequest;
+use super::verdict::{Attempts, Verdict, judge};
 use crate::base::Millis;
 use crate::connection::{CallError, FrontReply, FrontRequest};
 use crate::platform::{ClientCall, decode_client, encode_backlog, encode_job_state};
 use crate::process::shard::{Now, Reply, Request, ShardEvent};
+use crate::process::telemetry;
 use crate::version::QueueRef;
 
 /// How long a client waits if its request does not say so, in milliseconds.
@@ -27,6 +29,9 @@
 const ATTEMPT_TIME: Millis = Millis(1_500);
 /// Pause before the next attempt, in milliseconds.
 const RETRY_TIME: Millis = Millis(80);
+/// Pause before a request is repeated whose earlier attempt is uncertain, after an owner that has not read the records
+/// yet, in milliseconds. Reading them takes 50 ms, or a second if the store is slow; each attempt carries the whole job.
+const LOADING_RETRY_TIME: Millis = Millis(250);
 /// Characters of what a client has sent in a log line.
 const MAX_LOGGED: usize = 100;
 /// Seconds after which a client should retry if there is no owner. A new owner serves within this
@@ -47,8 +52,7 @@
     deadline: Millis,
     /// When the next attempt is due; `None` while one is in progress.
     retry_at: Option<Millis>,
-    /// Whether the owner may have carried out an earlier attempt.
-    is_uncertain: bool,
+    attempts: Attempts,
     arrived: Millis,
 }
 
@@ -113,7 +117,7 @@
             request,
             deadline: now.steady + wait.since(reserve),
             retry_at: None,
-            is_uncertain: false,
+            attempts: Attempts::default(),
             arrived: now.steady,
         };
         self.pending_requests.insert(ticket, pending);
@@ -167,12 +171,18 @@
         self.shard_event(now, epoch, ShardEvent::Request(id, request), out);
     }
 
-    pub(super) fn shard_reply(&mut self, id: u64, reply: Reply, out: &mut Vec<HostAction>) {
+    pub(super) fn shard_reply(
+        &mut self,
+        now: Now,
+        id: u64,
+        reply: Reply,
+        out: &mut Vec<HostAction>,
+    ) {
         match self.origins.remove(&id) {
             Some(Origin::Peer(ticket)) => {
                 out.push(HostAction::PeerReply(ticket, PeerReply::Shard(reply)));
             }
-            Some(Origin::Client(ticket)) => self.answer_client(ticket, reply, out),
+            Some(Origin::Client(ticket)) => self.answer_client(now, ticket, reply, out),
             None => {}
         }
     }
@@ -190,64 +200,45 @@
             Err(CallError::NoAnswer) => self.request_form.closed(now.steady, request),
             Err(_) => {}
         }
-        let retry_at = now.steady + RETRY_TIME;
-        match answer {
+        let outcome = match answer {
             Ok(PeerReply::Shard(reply)) => {
-                self.answer_client(ticket, reply, out);
+                self.answer_client(now, ticket, reply, out);
                 return;
             }
             Ok(PeerReply::NotOwner { owner }) => {
                 if let Some(reported) = owner {
                     self.update_owner(now, &reported, Some(sent), out);
                 }
+                Attempts::NotDone
             }
-            Ok(PeerReply::Unknown) => {
-                if let Some(pending) = self.pending_requests.get_mut(&ticket) {
-                    pending.is_uncertain = true;
-                }
-            }
-            Ok(_) => {}
-            Err(error) => {
-                let may_be_sent = !matches!(error, CallError::NotSent | CallError::Refused);
-                if let Some(pending) = self.pending_requests.get_mut(&ticket) {
-                    pending.is_uncertain |= may_be_sent;
-                }
-            }
-        }
+            Err(CallError::NotSent | CallError::Refused) => Attempts::NotDone,
+            Ok(_) | Err(CallError::NoAnswer | CallError::Malformed) => Attempts::Uncertain,
+        };
         if let Some(pending) = self.pending_requests.get_mut(&ticket) {
-            pending.retry_at = Some(retry_at);
+            pending.attempts = pending.attempts.and(outcome);
+            pending.retry_at = Some(now.steady + RETRY_TIME);
         }
     }
 
-    fn answer_client(&mut self, ticket: u64, reply: Reply, out: &mut Vec<HostAction>) {
-        let Some(pending) = self.pending_requests.remove(&ticket) else {
+    /// Answers the client if the owner's reply tells what became of all attempts, or plans the next attempt.
+    fn answer_client(&mut self, now: Now, ticket: u64, reply: Reply, out: &mut Vec<HostAction>) {
+        let Some(pending) = self.pending_requests.get_mut(&ticket) else {
             return;
         };
-        let answer = match reply {
-            Reply::Accepted | Reply::Cancelled => FrontReply::status(200),
-            // An earlier attempt may have reached another owner, which may have accepted the job.
-            Reply::Refused { .. } if pending.is_uncertain => FrontReply::status(504),
-            Reply::Refused { retry_after } => refusal(503, retry_after),
-            Reply::State {
-                outcome,
-                has_started,
-            } => FrontReply {
-                status: 200,
-                body: encode_job_state(outcome, has_started),
-                retry_after: None,
-            },
-            Reply::Gone => FrontReply::status(410),
-            Reply::Backlog(waiting) => FrontReply {
-                status: 200,
-                body: encode_backlog(waiting),
-                retry_after: None,
-            },
-            Reply::Unavailable => refusal(503, OWNER_RETRY_SECONDS),
+        let answer = match judge(pending.attempts, reply) {
+            Verdict::Holds => front_reply(reply),
+            Verdict::Unknown => FrontReply::status(504),
+            Verdict::AskAgain => {
+                telemetry::count_asked_again();
+                pending.retry_at = Some(now.steady + LOADING_RETRY_TIME);
+                return;
+            }
         };
         if let Request::Submit { job, queue, .. } = &pending.request {
             let status = answer.status;
             tracing::info!(%job, queue = %queue.name(), status, "submission answered");
         }
+        self.pending_requests.remove(&ticket);
         out.push(HostAction::Answer(ticket, answer));
     }
 
@@ -261,7 +252,7 @@
                 }
                 Origin::Client(ticket) => {
                     if let Some(pending) = self.pending_requests.get_mut(&ticket) {
-                        pending.is_uncertain = true;
+                        pending.attempts = Attempts::Uncertain;
                         pending.retry_at = Some(now.steady);
                     }
                 }
@@ -290,7 +281,8 @@
             let Some(pending) = self.pending_requests.remove(&ticket) else {
                 continue;
             };
-            let may_have_run = pending.is_uncertain || pending.retry_at.is_none();
+            let is_open = pending.retry_at.is_none();
+            let may_have_run = is_open || pending.attempts == Attempts::Uncertain;
             let waited = now.steady.since(pending.arrived).0;
             tracing::warn!(request = ?describe(&pending.request), may_have_run, waited, "no owner answered in time");
             let reply = match may_have_run {
@@ -302,6 +294,26 @@
     }
 }
 
+/// The answer to a client for whom the owner's reply is true.
+fn front_reply(reply: Reply) -> FrontReply {
+    let with_body = |body| FrontReply {
+        status: 200,
+        body,
+        retry_after: None,
+    };
+    match reply {
+        Reply::Accepted | Reply::Cancelled => FrontReply::status(200),
+        Reply::Refused { retry_after } => refusal(503, retry_after),
+        Reply::State {
+            outcome,
+            has_started,
+        } => with_body(encode_job_state(outcome, has_started)),
+        Reply::Gone => FrontReply::status(410),
+        Reply::Backlog(waiting) => with_body(encode_backlog(waiting)),
+        Reply::Unavailable => refusal(503, OWNER_RETRY_SECONDS),
+    }
+}
+
 /// Name of the request and the job or queue that it is about, for the log.
 fn describe(request: &Request) -> (&'static str, String) {
     match request {
--- a/src/process/host/host.rs
+++ b/src/process/host/host.rs
@@ -322,7 +322,7 @@
         let epoch = self.shard.as_ref().map_or(0, Shard::epoch);
         for action in actions {
             match action {
-                ShardAction::Reply(ticket, reply) => self.shard_reply(ticket, reply, out),
+                ShardAction::Reply(ticket, reply) => self.shard_reply(now, ticket, reply, out),
                 ShardAction::Store(tag, call) => {
                     out.push(HostAction::Store(StorePurpose::Shard { epoch, tag }, call));
                 }
--- a/src/process/host/mod.rs
+++ b/src/process/host/mod.rs
@@ -20,8 +20,10 @@
 mod request_form;
 mod runtime;
 mod streams;
+mod verdict;
 
 pub use host::{Host, HostAction, HostEvent, HostSettings, StorePurpose};
 pub use message::{HostRecord, KnownOwner, NamedRequest, PeerCall, PeerReply, Presence};
 pub use relay::{BatchNumber, OrderBatch, OrderOrigin, RelayedAnswer, RelayedOrder, SessionId};
 pub use runtime::{Error, Result, run};
+pub use verdict::{Attempts, Verdict, judge};
--- a/src/process/telemetry.rs
+++ b/src/process/telemetry.rs
@@ -23,6 +23,7 @@
 pub const ENDED_JOBS: &str = "jayfork_ended_jobs_total";
 pub const LATE_ENDS: &str = "jayfork_late_ends_total";
 pub const WORKERS_HEARD_AGAIN: &str = "jayfork_workers_heard_again_total";
+pub const ASKED_AGAIN: &str = "jayfork_requests_asked_again_total";
 pub const LEASE_EXPIRIES: &str = "jayfork_lease_lapses_total";
 pub const LOG_LAG: &str = "jayfork_log_lag_seconds";
 pub const APPEND_TIME: &str = "jayfork_append_seconds";
@@ -129,6 +130,10 @@
         WORKERS_HEARD_AGAIN,
         "Reports of workers after three or more missed answers"
     );
+    describe_counter!(
+        ASKED_AGAIN,
+        "Repeats of requests with an uncertain attempt, to an owner that had not read the records"
+    );
     describe_counter!(
         LEASE_EXPIRIES,
         "Control leases that expired while this host held them"
@@ -211,6 +216,11 @@
     counter!(LATE_ENDS, "ending" => ending).increment(1);
 }
 
+/// Counts a request that is repeated because the owner could not tell what became of an earlier attempt.
+pub fn count_asked_again() {
+    counter!(ASKED_AGAIN).increment(1);
+}
+
 /// Counts a worker that reports after three or more missed answers.
 pub fn count_heard_again() {
     counter!(WORKERS_HEARD_AGAIN).increment(1);
--- a/tests/ownership/main.rs
+++ b/tests/ownership/main.rs
@@ -14,5 +14,6 @@
 mod relays;
 mod scale;
 mod short_waits;
+mod submissions;
 mod turned_away;
 mod world;
--- a/tests/ownership/world.rs
+++ b/tests/ownership/world.rs
@@ -14,6 +14,8 @@
     StorePurpose,
 };
 use jayfork::process::shard::{Now, ShardSettings};
+use jayfork::request::job::JobId;
+use jayfork::version::ShardRecord;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -115,12 +117,13 @@
     streams: HashMap<Partition, Stream>,
     /// Messages on their way, by time of delivery and an ID that keeps their order.
     messages: BTreeMap<(u64, u64), Message>,
-    /// Caller and its ID of each open call between hosts, by the ticket given to the called host.
-    callers: HashMap<u64, (usize, u64)>,
+    /// Caller, its ID of the call and the called host of each open call between hosts, by the ticket given to the
+    /// called host.
+    callers: HashMap<u64, (usize, u64, usize)>,
     /// Tickets of batches of orders.
     batch_tickets: BTreeSet<u64>,
     /// One-way delay between each host and the store, in milliseconds.
-    store_delays: Vec<u64>,
+    pub store_delays: Vec<u64>,
     next_id: u64,
     rng: fastrand::Rng,
     /// Claims of the shard that the store has accepted.
@@ -176,6 +179,12 @@
     pub evacuation_bound: Option<Millis>,
     /// Whether the store answers no reads of the operator's stream.
     pub ignores_operator_reads: bool,
+    /// Hosts whose calls the store carries out without an answer.
+    pub unanswered_hosts: Vec<usize>,
+    /// Whether calls between hosts end with their timeouts.
+    pub ends_calls: bool,
+    /// Most memory for jobs at hosts that start from now on, in bytes.
+    pub job_memory: u64,
 }
 
 impl World {
@@ -217,6 +226,9 @@
             answers: HashMap::new(),
             evacuation_bound: None,
             ignores_operator_reads: false,
+            unanswered_hosts: Vec::new(),
+            ends_calls: false,
+            job_memory: shard_settings().job_memory,
         };
         world.publish(1);
         for (index, (processor, _)) in hosts.iter().enumerate() {
@@ -297,6 +309,17 @@
         kept.map(|record| record.key.clone()).collect()
     }
 
+    /// Jobs that an owner has ever stored.
+    pub fn stored_jobs(&mut self) -> BTreeSet<JobId> {
+        let log = &self.stream("keyed.jayfork-shard").log;
+        let records = log.iter().map(|it| ShardRecord::decode(&it.key, &it.value));
+        let job = |record| match record {
+            Ok(ShardRecord::Job(id, Some(_))) => Some(id),
+            _ => None,
+        };
+        records.filter_map(job).collect()
+    }
+
     /// The versions of the configuration that are in force on any host, in order.
     pub fn config_versions(&self) -> Vec<u64> {
         let hosts = self.hosts.iter().flatten();
@@ -327,12 +350,39 @@
             seeds: (0..3).map(address).collect(),
             shard: ShardSettings {
                 evacuation_bound: self.evacuation_bound,
+                job_memory: self.job_memory,
                 ..shard_settings()
             },
         };
         self.hosts[index] = Some(Host::new(settings, self.time()));
     }
 
+    /// Kills a host, so that the connections to it break.
+    pub fn kill(&mut self, index: usize) {
+        self.hosts[index] = None;
+        let reply = |caller, call| Message::PeerReply(caller, call, Err(CallError::NoAnswer));
+        let mut broken = Vec::new();
+        self.callers.retain(|_, (caller, call, to)| {
+            if *to == index {
+                broken.push(reply(*caller, *call));
+            }
+            *to != index && *caller != index
+        });
+        self.messages.retain(|_, message| match message {
+            Message::PeerCall(caller, to, call, _) if *to == index => {
+                broken.push(reply(*caller, *call));
+                false
+            }
+            Message::PeerReply(to, ..)
+            | Message::WorkerAnswer(to, ..)
+            | Message::StoreAnswer(to, ..) => *to != index,
+            Message::PeerCall(..) | Message::Store(..) => true,
+        });
+        for message in broken {
+            self.send(1, message);
+        }
+    }
+
     /// Starts all hosts, or starts them again.
     pub fn boot_all(&mut self) {
         self.store_delays.resize(self.hosts.len(), 2);
@@ -422,6 +472,10 @@
                         self.send(after, Message::PeerReply(index, call, answer));
                         continue;
                     }
+                    if self.ends_calls {
+                        let answer = Err(CallError::NoAnswer);
+                        self.send(timeout.0, Message::PeerReply(index, call, answer));
+                    }
                     match !is_cut && self.hosts.get(to).is_some_and(Option::is_some) {
                         true => self.send(after, Message::PeerCall(index, to, call, message)),
                         false => {
@@ -435,7 +489,7 @@
                         self.sent_records += hosts.len();
                     }
                     self.sent_configs[index] += usize::from(carries_config(&reply));
-                    if let Some((caller, call)) = self.callers.remove(&ticket) {
+                    if let Some((caller, call, _)) = self.callers.remove(&ticket) {
                         let is_batch = self.batch_tickets.remove(&ticket);
                         let takes_over = matches!(reply, PeerReply::TakeOver(_));
                         if takes_over && self.loses(Lost::TakeOverReply) {
@@ -570,7 +624,7 @@
                 self.next_id += 1;
                 self.received_calls[to] += 1;
                 let ticket = self.next_id;
-                self.callers.insert(ticket, (caller, call));
+                self.callers.insert(ticket, (caller, call, to));
                 if is_batch(&message) {
                     self.batch_tickets.insert(ticket);
                 }
@@ -597,6 +651,12 @@
                     true => Err(CallError::Refused),
                     false => Ok(self.serve(&call.request)),
                 };
+                if self.unanswered_hosts.contains(&from) {
+                    let answer = Err(CallError::NoAnswer);
+                    let took = call.timeout;
+                    self.send(took.0, Message::StoreAnswer(from, purpose, answer, took));
+                    return;
+                }
                 let has_config = purpose == StorePurpose::Config && has_records(&answer);
                 let transfer_time = self.begin_transfer(from, has_config);
                 let after = self.store_delays[from] + 4 + transfer_time;
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -31,6 +31,7 @@
     ended_jobs = { || telemetry::count_ended_job("completed", "late"), r#"jayfork_ended_jobs_total{outcome="completed",status="late"} 1"# },
     late_ends = { || telemetry::count_late_end("done"), r#"jayfork_late_ends_total{ending="done"} 1"# },
     workers_heard_again = { telemetry::count_heard_again, "jayfork_workers_heard_again_total 1" },
+    asked_again = { telemetry::count_asked_again, "jayfork_requests_asked_again_total 1" },
     lease_expiries = { telemetry::count_lease_expiry, "jayfork_lease_lapses_total 1" },
     log_lag = { || telemetry::set_log_lag("contracts", Millis(1_500)), r#"jayfork_log_lag_seconds{stream="contracts"} 1.5"# },
     appends = { || telemetry::record_append("ok", Millis(7)), r#"jayfork_append_seconds_count{result="ok"} 1"# },
