Placement: a step with waiting tasks stays in the order

Cause: place_step told from a flag whether waiting tasks were left, which two of its filters set. With one lost task placed and another one waiting for the record of its lost run, the step left the order; the commit of the record asks for a pass, but queues nothing.

Change: a step leaves the order only if Step::waiting is 0. Shard::forgotten_steps lists what breaks this; the model checks it after each poll, in all histories.

--- a/src/process/shard/diagnostics.rs
+++ b/src/process/shard/diagnostics.rs
@@ -1,11 +1,15 @@
 //! Log lines and counters that show what became of workers that did not answer and of their runs.
 
+use std::collections::HashSet;
+
+use super::jobs::waiting_steps;
+use super::shard::Shard;
 use super::starts::run_number;
 use super::worker::Worker;
 use crate::base::Name;
 use crate::connection::{EndReport, WorkerReport};
 use crate::process::telemetry;
-use crate::request::job::Ending;
+use crate::request::job::{Ending, StepId};
 
 /// Calls without an answer from which on the next report is logged.
 const MIN_MISSES: u32 = 3;
@@ -51,3 +55,22 @@
         Ending::GangIncomplete => "gang_incomplete",
     }
 }
+
+impl Shard {
+    /// Steps with waiting tasks that no placement pass considers. There are none, unless a step was taken out of the
+    /// order too early: its tasks would wait until their job is queued again for another reason.
+    pub fn forgotten_steps(&self) -> Vec<StepId> {
+        let queued: HashSet<StepId> = self.ready.iter().map(|key| key.step).collect();
+        let open = self
+            .accepted
+            .iter()
+            .filter(|id| !self.ending.contains_key(id));
+        let jobs = open.filter_map(|id| self.jobs.get(id));
+        let mut forgotten: Vec<StepId> = jobs
+            .flat_map(waiting_steps)
+            .filter(|step| !queued.contains(step))
+            .collect();
+        forgotten.sort();
+        forgotten
+    }
+}
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -98,8 +98,8 @@
         is_complete
     }
 
-    /// Places the waiting tasks of one step, or one of them if it is starved. Returns `None` if none is
-    /// left, so that the step leaves `ready`.
+    /// Places the waiting tasks of one step, or one of them if it is starved. Returns `None` only if none of them is
+    /// left, or none can start until the step is queued again: the step leaves `ready` then.
     fn place_step(
         &mut self,
         now: Now,
@@ -167,13 +167,11 @@
             }
             return Some(Waiting::Held);
         }
-        let mut is_held = false;
         for task in waiting {
             if self.has_max_pending_starts() {
                 return Some(Waiting::Held);
             }
             if has_trials && self.awaits_proof(now, task) {
-                is_held = true;
                 continue;
             }
             let trial = match has_trials {
@@ -196,7 +194,6 @@
             }
             if found.is_none() && trial.is_some() {
                 // Tasks that are not on trial may find a worker all the same.
-                is_held = true;
                 continue;
             }
             if spec.lasts && found.is_some_and(|slot| Self::has_max_starts(candidates, slot)) {
@@ -217,7 +214,9 @@
                 return Some(Waiting::Held);
             }
         }
-        (only_found || is_held).then_some(Waiting::Held)
+        // Some tasks may have been passed over, for any reason.
+        let step = self.jobs.get(&key.step.job)?.step(key.step)?;
+        (step.waiting() > 0).then_some(Waiting::Held)
     }
 
     /// Places all tasks of a gang, or none; returns whether they had room.
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -18,6 +18,7 @@
 mod evacuation;
 mod evacuation_model;
 mod fleet;
+mod forgotten;
 mod gang_model;
 mod gangs;
 mod handover;
--- a/tests/shard/store.rs
+++ b/tests/shard/store.rs
@@ -16,6 +16,8 @@
     end: u64,
     /// Whether all calls are refused without effect.
     pub is_down: bool,
+    /// How much longer than usual an answer takes, in milliseconds.
+    pub delay: u64,
 }
 
 impl Store {
--- a/tests/shard/world.rs
+++ b/tests/shard/world.rs
@@ -332,6 +332,12 @@
             let mut out = Vec::new();
             if let Some(shard) = &mut self.owners[index] {
                 shard.poll(time, &mut out);
+                let forgotten = shard.forgotten_steps();
+                assert!(
+                    forgotten.is_empty(),
+                    "at {}: {forgotten:?} never start",
+                    self.now
+                );
             }
             self.perform(index, out);
         }
@@ -430,7 +436,7 @@
                     if answer.is_ok() {
                         self.cuts.answered.insert(owner, self.now);
                     }
-                    let after = self.rng.u64(1..8);
+                    let after = self.rng.u64(1..8) + self.store.delay;
                     self.send(after, Message::StoreAnswer(owner, tag, answer));
                 }
             }
