Placement: time in proportion to the steps of a job, not to their third power

Cause: every event of a job made the order keys of all its steps again, each key walked all steps, and each outdated key of a placement pass repeated that.

Change: JobOrder computes once what the keys of a job share; a waiting step is queued alone, the end of a step queues its dependents, an outdated key changes nothing. The forecast of a submission uses the same paths.

--- a/src/process/shard/backlog.rs
+++ b/src/process/shard/backlog.rs
@@ -396,12 +396,12 @@
             return None;
         }
         let limit = (objective(queue, spec) * LIMIT_FACTOR).max(MIN_LIMIT);
-        let steps = spec.steps.iter().enumerate();
+        let steps = spec.steps.iter().zip(spec.critical_paths());
         let ends = steps
-            .filter(|(_, step)| !step.lasts)
-            .filter_map(|(index, step)| {
+            .filter(|(step, _)| !step.lasts)
+            .filter_map(|(step, path)| {
                 let wait = self.backlog.wait(now.steady, queue, step, limit)?;
-                Some(wait.saturating_add(spec.critical_path_from(index as u16)))
+                Some(wait.saturating_add(path))
             });
         let end = ends.max()?;
         Some(Forecast { end, limit })
--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -1,14 +1,14 @@
 //! The turns and steps of jobs (a turn is one occurrence of a repeating job): which steps can be
 //! placed, and the record of a job's progress.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use super::candidates::UnmetRequirements;
 use super::journal::Commit;
 use super::queues::Queues;
 use super::shard::{Now, Phase, Shard};
 use crate::base::Millis;
-use crate::request::job::{Job, JobId, OrderKey, StartPermit, StepId, TurnState, order_key};
+use crate::request::job::{Job, JobId, JobOrder, OrderKey, StartPermit, StepId, TurnState};
 use crate::version::{JobStateRecord, ShardRecord};
 
 /// Jobs in the order of placement that may start without waiting for the store, of those that found no
@@ -59,26 +59,50 @@
 
     /// Adds all steps of a job that have tasks to place to `ready`.
     pub(super) fn enqueue(&mut self, id: JobId) {
-        self.insert_steps(id);
+        let steps = self.jobs.get(&id).map(waiting_steps).unwrap_or_default();
+        self.enqueue_steps(id, &steps);
+    }
+
+    /// The same for these steps of a job only.
+    pub(super) fn enqueue_steps(&mut self, id: JobId, steps: &[StepId]) {
+        self.insert_steps(id, steps);
         self.needs_placement = true;
     }
 
-    fn insert_steps(&mut self, id: JobId) {
+    /// Adds the steps that depend on one that is done.
+    pub(super) fn enqueue_dependents(&mut self, done: StepId) {
+        let Some(job) = self.jobs.get(&done.job) else {
+            return;
+        };
+        let specs = job.spec.steps.iter().enumerate();
+        let dependents = specs.filter(|(_, spec)| spec.after.contains(&done.step));
+        let steps: Vec<StepId> = dependents
+            .map(|(index, _)| StepId {
+                step: index as u16,
+                ..done
+            })
+            .collect();
+        self.enqueue_steps(done.job, &steps);
+    }
+
+    fn insert_steps(&mut self, id: JobId, steps: &[StepId]) {
         let Some(job) = self.jobs.get(&id).filter(|_| self.accepted.contains(&id)) else {
             return;
         };
-        if self.ending.contains_key(&id) {
+        if self.ending.contains_key(&id) || steps.is_empty() {
             return;
         }
         let queue = self.queues.get(&job.queue);
-        for step in waiting_steps(job) {
+        let order = JobOrder::new(queue, &job.spec);
+        let wave_time = self.backlog.wave_time(queue, &job.spec);
+        for step in steps.iter().filter(|step| is_waiting(job, **step)) {
             let turn = TurnState {
                 start: job.turn_start(step.turn),
                 has_begun: job.has_begun(step.turn),
-                idle_since: job.idle_since(step),
-                wave_time: self.backlog.wave_time(queue, &job.spec),
+                idle_since: job.idle_since(*step),
+                wave_time,
             };
-            let key = order_key(queue, &job.spec, turn, self.wall, step);
+            let key = order.key(turn, self.wall, *step);
             self.starved_turns.note_queued(&key);
             self.ready.insert(key);
         }
@@ -106,7 +130,8 @@
             return;
         }
         self.ready.retain(|other| other.step.job != id);
-        self.insert_steps(id);
+        let steps = waiting_steps(job);
+        self.insert_steps(id, &steps);
     }
 
     /// Whether a new job has to wait for others to start.
@@ -177,13 +202,13 @@
     pub(super) fn replace_expired_keys(&mut self) {
         let is_expired = |key: &OrderKey| key.expires < self.wall;
         let expired: Vec<OrderKey> = self.ready.iter().copied().filter(is_expired).collect();
-        let mut jobs = BTreeSet::new();
+        let mut steps: BTreeMap<JobId, Vec<StepId>> = BTreeMap::new();
         for key in expired {
             self.ready.remove(&key);
-            jobs.insert(key.step.job);
+            steps.entry(key.step.job).or_default().push(key.step);
         }
-        for id in jobs {
-            self.enqueue(id);
+        for (id, steps) in steps {
+            self.enqueue_steps(id, &steps);
         }
     }
 
@@ -213,20 +238,12 @@
     })
 }
 
+/// Whether the step has waiting tasks and its dependencies are done.
+fn is_waiting(job: &Job, id: StepId) -> bool {
+    job.step(id).is_some_and(|step| step.waiting() > 0) && job.is_ready(id.turn, id.step)
+}
+
 /// Steps with waiting tasks whose dependencies are done.
 pub(super) fn waiting_steps(job: &Job) -> Vec<StepId> {
-    let mut steps = Vec::new();
-    for (number, turn) in &job.turns {
-        for (index, step) in turn.steps.iter().enumerate() {
-            let index = index as u16;
-            if step.waiting() > 0 && job.is_ready(*number, index) {
-                steps.push(StepId {
-                    job: job.id,
-                    turn: *number,
-                    step: index,
-                });
-            }
-        }
-    }
-    steps
+    job.steps().filter(|step| is_waiting(job, *step)).collect()
 }
--- a/src/process/shard/runs.rs
+++ b/src/process/shard/runs.rs
@@ -143,7 +143,7 @@
             false => self.apply_end(now, worker_id, end, is_current),
         }
         if was_orphaned {
-            self.enqueue(end.task.step.job);
+            self.enqueue_steps(end.task.step.job, &[end.task.step]);
         }
     }
 
@@ -189,14 +189,17 @@
             self.backlog.count_done(queue, step, count);
             self.journal.mark_dirty(id);
             let is_step_done = job.step(end.task.step).is_some_and(|step| step.is_done());
+            let is_repeating = job.spec.turns > 0;
             let is_job_done = is_step_done && job.close_turn(end.task.step.turn);
             if !is_current && !was_waiting {
                 self.stop_task(end.task);
             }
             if is_job_done {
                 self.end_job(now, id, Outcome::Completed);
-            } else if is_step_done {
+            } else if is_step_done && is_repeating {
                 self.open_turns(now, id);
+            } else if is_step_done {
+                self.enqueue_dependents(end.task.step);
             }
             return;
         }
@@ -228,7 +231,7 @@
         };
         if run.is_orphaned {
             self.orphaned_tasks.remove(&task);
-            self.enqueue(task.step.job);
+            self.enqueue_steps(task.step.job, &[task.step]);
             return;
         }
         self.suspect_run(now, worker_id, task, &run);
@@ -288,7 +291,7 @@
             job.set_state(task, TaskState::Waiting);
         }
         self.add_restart(now.steady, task);
-        self.enqueue(task.step.job);
+        self.enqueue_steps(task.step.job, &[task.step]);
     }
 
     /// Stops all runs of a task.
--- a/src/process/shard/starts.rs
+++ b/src/process/shard/starts.rs
@@ -78,6 +78,8 @@
         let mut is_complete = true;
         let max_set_aside = max_set_aside(candidates);
         for key in keys {
+            // The key was made before another one of its job was placed and changed the order.
+            let is_outdated = !self.ready.contains(key);
             match self.place_step(now, *key, candidates, unmet, out) {
                 // Smaller tasks would take up each bit of room that becomes free.
                 Some(Waiting::LacksRoom) if key.comes_first() && set_aside < max_set_aside => {
@@ -88,7 +90,9 @@
                     self.ready.remove(key);
                 }
             }
-            self.replace_new_key(*key);
+            if !is_outdated {
+                self.replace_new_key(*key);
+            }
             if self.has_max_pending_starts() {
                 is_complete = false;
                 break;
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -25,7 +25,7 @@
 };
 pub use job::{Ending, Job, Outcome, StartPermit, Step, Task, TaskState, Turn};
 pub use order::{
-    EndStatus, OVERDUE_FACTOR, ObjectiveStatus, OrderKey, TurnState, objective, order_key,
+    EndStatus, JobOrder, OVERDUE_FACTOR, ObjectiveStatus, OrderKey, TurnState, objective,
 };
 pub use progress::{JobProgress, StepProgress, TurnProgress};
 pub use relocation::StayingRun;
--- a/src/request/job/order.rs
+++ b/src/request/job/order.rs
@@ -126,81 +126,98 @@
     ((spec.critical_path() as f64 * queue.stretch) as u64).saturating_add(queue.objective)
 }
 
-/// Sort key at `now`, in Unix milliseconds, of a step of `turn`.
-///
-/// Within a priority the earliest objective comes first. A job that can no longer meet its
-/// objective gives way to those that can, until it has to start to be of any use. Ordering by
-/// objective alone would finish every job of the backlog after a surge slightly too late. Overdue
-/// jobs run once the backlog is gone, but each gets a turn for one task in bounded time, and all its tasks come first in the
-/// end, since one task at a time would not end a wide job.
-///
-/// A job that has begun is finished before a new one begins, unless it is overdue. The more tasks a
-/// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
-/// would be wasted, and most of all that of the largest jobs.
-pub fn order_key(
-    queue: &Queue,
-    spec: &JobSpec,
-    turn: TurnState,
-    now: u64,
-    step: StepId,
-) -> OrderKey {
-    let start = turn.start;
-    let is_long_running = spec
-        .steps
-        .get(usize::from(step.step))
-        .is_some_and(|step| step.lasts);
-    let objective = objective(queue, spec);
-    let remaining = spec.critical_path_from(step.step);
-    let on_time_end = start.saturating_add(objective);
-    let late_end = start.saturating_add(objective.saturating_mul(OVERDUE_FACTOR));
-    let lead = remaining * LEAD_FACTOR;
-    let long_overdue_from = turn.wave_time.map_or(u64::MAX, |wave_time| {
-        let patience = objective.saturating_mul(LONG_OVERDUE_FACTOR);
-        start.saturating_add(patience).saturating_add(wave_time)
-    });
-    let (status, due, expires) = match now + remaining {
-        // Long-running tasks are useful however late they start.
-        _ if is_long_running => (ObjectiveStatus::StartNow, on_time_end, u64::MAX),
-        end if end <= on_time_end => (
-            ObjectiveStatus::StartNow,
-            on_time_end,
-            on_time_end.saturating_sub(remaining),
-        ),
-        _ if now + lead <= late_end => (
-            ObjectiveStatus::Late,
-            late_end,
-            late_end.saturating_sub(lead),
-        ),
-        end if end <= late_end => (
-            ObjectiveStatus::StartNow,
-            late_end,
-            late_end.saturating_sub(remaining),
-        ),
-        _ if long_overdue_from <= now => (ObjectiveStatus::LongOverdue, start, u64::MAX),
-        _ => match turn.idle_since {
-            Some(since) if since + STARVED_TIME <= now => {
-                (ObjectiveStatus::Starved, since, long_overdue_from)
-            }
-            since => {
-                let check = since.unwrap_or(now).saturating_add(STARVED_TIME);
-                (
-                    ObjectiveStatus::Overdue,
-                    start,
-                    check.min(long_overdue_from),
-                )
-            }
-        },
-    };
-    OrderKey {
-        priority: queue.priority,
-        is_long_running,
-        is_new: !matches!(
+/// What the sort keys of all steps of a job have in common. It takes time in proportion to their number, so one is made
+/// for all keys that are needed at once.
+#[derive(Debug)]
+pub struct JobOrder<'a> {
+    queue: &'a Queue,
+    spec: &'a JobSpec,
+    objective: u64,
+    /// Milliseconds of the longest chain that begins with each step.
+    paths: Vec<u64>,
+}
+
+impl<'a> JobOrder<'a> {
+    pub fn new(queue: &'a Queue, spec: &'a JobSpec) -> JobOrder<'a> {
+        JobOrder {
+            queue,
+            spec,
+            objective: objective(queue, spec),
+            paths: spec.critical_paths(),
+        }
+    }
+
+    /// Sort key at `now`, in Unix milliseconds, of a step of `turn`.
+    ///
+    /// Within a priority the earliest objective comes first. A job that can no longer meet its
+    /// objective gives way to those that can, until it has to start to be of any use. Ordering by
+    /// objective alone would finish every job of the backlog after a surge slightly too late. Overdue
+    /// jobs run once the backlog is gone, but each gets a turn for one task in bounded time, and all its tasks come first in the
+    /// end, since one task at a time would not end a wide job.
+    ///
+    /// A job that has begun is finished before a new one begins, unless it is overdue. The more tasks a
+    /// job has, the longer it takes to place them all; if it gave way meanwhile, the room that it used
+    /// would be wasted, and most of all that of the largest jobs.
+    pub fn key(&self, turn: TurnState, now: u64, step: StepId) -> OrderKey {
+        let start = turn.start;
+        let is_long_running = self
+            .spec
+            .steps
+            .get(usize::from(step.step))
+            .is_some_and(|step| step.lasts);
+        let objective = self.objective;
+        let remaining = self.paths.get(usize::from(step.step)).copied().unwrap_or(0);
+        let on_time_end = start.saturating_add(objective);
+        let late_end = start.saturating_add(objective.saturating_mul(OVERDUE_FACTOR));
+        let lead = remaining * LEAD_FACTOR;
+        let long_overdue_from = turn.wave_time.map_or(u64::MAX, |wave_time| {
+            let patience = objective.saturating_mul(LONG_OVERDUE_FACTOR);
+            start.saturating_add(patience).saturating_add(wave_time)
+        });
+        let (status, due, expires) = match now + remaining {
+            // Long-running tasks are useful however late they start.
+            _ if is_long_running => (ObjectiveStatus::StartNow, on_time_end, u64::MAX),
+            end if end <= on_time_end => (
+                ObjectiveStatus::StartNow,
+                on_time_end,
+                on_time_end.saturating_sub(remaining),
+            ),
+            _ if now + lead <= late_end => (
+                ObjectiveStatus::Late,
+                late_end,
+                late_end.saturating_sub(lead),
+            ),
+            end if end <= late_end => (
+                ObjectiveStatus::StartNow,
+                late_end,
+                late_end.saturating_sub(remaining),
+            ),
+            _ if long_overdue_from <= now => (ObjectiveStatus::LongOverdue, start, u64::MAX),
+            _ => match turn.idle_since {
+                Some(since) if since + STARVED_TIME <= now => {
+                    (ObjectiveStatus::Starved, since, long_overdue_from)
+                }
+                since => {
+                    let check = since.unwrap_or(now).saturating_add(STARVED_TIME);
+                    (
+                        ObjectiveStatus::Overdue,
+                        start,
+                        check.min(long_overdue_from),
+                    )
+                }
+            },
+        };
+        OrderKey {
+            priority: self.queue.priority,
+            is_long_running,
+            is_new: !matches!(
+                status,
+                ObjectiveStatus::LongOverdue | ObjectiveStatus::Starved
+            ) && (!turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue),
             status,
-            ObjectiveStatus::LongOverdue | ObjectiveStatus::Starved
-        ) && (!turn.has_begun || is_long_running || status == ObjectiveStatus::Overdue),
-        status,
-        due,
-        step,
-        expires,
+            due,
+            step,
+            expires,
+        }
     }
 }
--- a/src/request/job/spec.rs
+++ b/src/request/job/spec.rs
@@ -227,37 +227,23 @@
 
     /// Declared run time in milliseconds of the longest chain of dependent steps.
     pub fn critical_path(&self) -> u64 {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
-            let start = step
-                .after
-                .iter()
-                .filter_map(|after| ends.get(usize::from(*after)))
-                .max()
-                .copied()
-                .unwrap_or(0);
-            ends.push(start + u64::from(step.runtime));
-        }
-        ends.into_iter().max().unwrap_or(0)
+        self.critical_paths().into_iter().max().unwrap_or(0)
     }
 
-    /// Declared run time in milliseconds of the longest chain of dependent steps that begins with
-    /// `step`.
-    pub fn critical_path_from(&self, step: u16) -> u64 {
-        let first = usize::from(step);
-        let mut ends: Vec<Option<u64>> = vec![None; self.steps.len()];
-        for (index, spec) in self.steps.iter().enumerate().skip(first) {
-            let predecessor_ends = spec
-                .after
-                .iter()
-                .filter_map(|after| ends.get(usize::from(*after)).copied().flatten());
-            let start = match index == first {
-                true => Some(0),
-                false => predecessor_ends.max(),
-            };
-            ends[index] = start.map(|start| start + u64::from(spec.runtime));
+    /// Declared run time in milliseconds of the longest chain of dependent steps that begins with each step. A step
+    /// depends on earlier ones only.
+    pub fn critical_paths(&self) -> Vec<u64> {
+        let mut paths = vec![0; self.steps.len()];
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            paths[index] += u64::from(step.runtime);
+            let path = paths[index];
+            for after in &step.after {
+                if let Some(before) = paths[..index].get_mut(usize::from(*after)) {
+                    *before = path.max(*before);
+                }
+            }
         }
-        ends.into_iter().flatten().max().unwrap_or(0)
+        paths
     }
 
     /// Milliseconds that the tasks of a turn need on the part of `processors` (millicores) that a job may use without
--- a/tests/job_order.rs
+++ b/tests/job_order.rs
@@ -2,8 +2,8 @@
 
 use jayfork::base::{Name, Size};
 use jayfork::request::job::{
-    CandidateWorker, JobId, JobSpec, StepId, StepSpec, TaskRequirements, TurnState, choose_worker,
-    order_key,
+    CandidateWorker, JobId, JobOrder, JobSpec, StepId, StepSpec, TaskRequirements, TurnState,
+    choose_worker,
 };
 use jobs::{job, queue};
 use yare::parameterized;
@@ -50,7 +50,7 @@
             idle_since: Some(start),
             wave_time: Some(0),
         };
-        order_key(&queue, &spec(runtime, lasts), turn, start, step(job))
+        JobOrder::new(&queue, &spec(runtime, lasts)).key(turn, start, step(job))
     };
     // The job id decides between equal keys, so the ids are in the opposite order.
     assert!(key(first, 2) < key(second, 1));
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -23,6 +23,7 @@
 mod gangs;
 mod handover;
 mod hosts;
+mod many_steps;
 mod orders;
 mod overload;
 mod owner_changes;
--- a/tests/surge.rs
+++ b/tests/surge.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use jayfork::base::Size;
-use jayfork::request::job::{JobId, JobSpec, OrderKey, StepId, StepSpec, TurnState, order_key};
+use jayfork::request::job::{JobId, JobOrder, JobSpec, OrderKey, StepId, StepSpec, TurnState};
 use jobs::{job, queue};
 use yare::parameterized;
 
@@ -88,7 +88,7 @@
                 idle_since: (open.running == 0).then_some(open.arrived.max(open.last_start)),
                 wave_time: Some(2 * u64::from(TASKS_PER_STEP) * RUNTIME * 4 / u64::from(SLOTS)),
             };
-            let key = order_key(&queue(2, 1_000, 2.0), &spec(), turn, now, step);
+            let key = JobOrder::new(&queue(2, 1_000, 2.0), &spec()).key(turn, now, step);
             (Some(key), 0)
         }
         Order::Objective => (None, open.arrived + objective()),
--- a/tests/surge_sizes.rs
+++ b/tests/surge_sizes.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use jayfork::base::Size;
-use jayfork::request::job::{JobId, JobSpec, OrderKey, StepId, StepSpec, TurnState, order_key};
+use jayfork::request::job::{JobId, JobOrder, JobSpec, OrderKey, StepId, StepSpec, TurnState};
 use jobs::{job, queue};
 use yare::parameterized;
 
@@ -138,7 +138,7 @@
                 step: job.step,
             };
             (
-                order_key(&queue(2, 1_000, 2.0), &job.spec, turn, now, step),
+                JobOrder::new(&queue(2, 1_000, 2.0), &job.spec).key(turn, now, step),
                 index,
             )
         })
