Workers: an entry describes the incarnation with its start time, not one of the same second

Cause: an entry counted as that of the reporting incarnation if its start was up to 1 s older; a worker that crashes as it starts has two incarnations within a second. The tolerance was there for a stand-in that read the clock twice.

Change: the start in the entry has to be that of the reports, or later.

--- a/src/process/shard/worker.rs
+++ b/src/process/shard/worker.rs
@@ -71,10 +71,6 @@
     pub is_confirmed: bool,
 }
 
-/// A process may read the time of its start from the clock more than once; no incarnation follows another one within this
-/// time, in milliseconds.
-const START_SPREAD: u64 = 1_000;
-
 /// One worker, over all its incarnations.
 #[derive(Debug)]
 pub struct Worker {
@@ -329,10 +325,11 @@
         self.suspect_until = Millis(0);
     }
 
-    /// Whether its last entry is of the incarnation that reports. Another one may have another capacity or other labels.
+    /// Whether its last entry is of the incarnation that reports, or of a later one. Another one may have another capacity
+    /// or other labels, also if it has followed within milliseconds.
     pub fn is_described(&self) -> bool {
         let known = self.listed_start.zip(self.incarnation);
-        known.is_none_or(|(listed, reported)| listed.saturating_add(START_SPREAD) >= reported)
+        known.is_none_or(|(listed, reported)| listed >= reported)
     }
 
     /// End, on the worker's clock, of a lease of `length` from now; `None` before its first answer and
--- a/tests/shard/capacity.rs
+++ b/tests/shard/capacity.rs
@@ -2,6 +2,7 @@
 
 use jayfork::base::Size;
 use jayfork::process::shard::{RegistryChange, ShardEvent};
+use yare::parameterized;
 
 use super::fleet::Worker;
 use super::world::{World, chain, long_running};
@@ -65,10 +66,16 @@
 }
 
 /// Guards against starts by the capacity of an earlier incarnation while the registry has no entry of the new one yet,
-/// as in an outage of the store.
-#[test]
-fn a_restarted_worker_gets_no_starts_before_its_capacity_is_known() {
+/// as in an outage of the store, however soon the incarnation has followed.
+#[parameterized(
+    after_one_millisecond = { 1 },
+    within_a_second = { 450 },
+    after_a_second = { 1_000 },
+    later = { 10_000 },
+)]
+fn a_restarted_worker_gets_no_starts_before_its_capacity_is_known(life_time: u64) {
     let mut world = World::new(7, 1, 6_000);
+    world.fleet.workers[0].life_time = life_time;
     world.runtimes = 3_000..3_001;
     world.claim();
     world.run(500);
@@ -76,8 +83,7 @@
         let RegistryChange::Set(id, mut entry) = world.entry(0) else {
             panic!("no entry");
         };
-        // The process has read its start time twice.
-        entry.start_time = Some(world.fleet.workers[0].start_time() - 3);
+        entry.start_time = Some(world.fleet.workers[0].start_time());
         let event = ShardEvent::Registry(vec![RegistryChange::Set(id, entry)]);
         world.event(0, event);
     };
--- a/tests/shard/fleet.rs
+++ b/tests/shard/fleet.rs
@@ -72,6 +72,8 @@
     pub is_gone: bool,
     /// Whether its network is cut: messages neither arrive nor leave.
     pub is_unreachable: bool,
+    /// Time from the start of one incarnation to that of the next, in milliseconds.
+    pub life_time: u64,
     /// Whether its network refuses connections while its process runs on.
     pub is_refused: bool,
     /// Until when its process is starting and gives no answers.
@@ -143,6 +145,7 @@
             is_leaving: false,
             is_gone: false,
             is_unreachable: false,
+            life_time: 10_000,
             is_refused: false,
             down_until: 0,
             crash_at: None,
@@ -556,7 +559,7 @@
 
     /// Start of its incarnation, in milliseconds.
     pub fn start_time(&self) -> u64 {
-        self.incarnation * 10_000
+        self.incarnation * self.life_time
     }
 
     fn report(&self, now: u64, clock: u64) -> WorkerReport {
