Tests: a port that was checked is free while other threads start processes

Seen: two tests of on_platform could not start edge-0, 'Address already in use', ports 18837 and 18838 (KNOWN-RED, ports).

Change: no process starts while a port is checked.

--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -20,7 +20,7 @@
 pub use platform::Platform;
 pub use poll::{wait_for, wait_until};
 pub use process::{Process, Signal};
-pub use programs::{free_port, jayfork, jayforkd, wait_until_ready};
+pub use programs::{free_port, jayfork, jayforkd, spawn, wait_until_ready};
 pub use records::{Event, InvariantViolation, Record, Records};
 pub use settings::Settings;
 pub use standin::Standin;
--- a/tests/support/process.rs
+++ b/tests/support/process.rs
@@ -7,7 +7,7 @@
 
 use serde_json::Value;
 
-use super::{TestDir, wait_for};
+use super::{TestDir, spawn, wait_for};
 
 /// Time limit for a process to start or exit; long enough for a loaded machine.
 const START_EXIT_LIMIT: Duration = Duration::from_secs(20);
@@ -35,11 +35,8 @@
     /// Starts `command` and writes its stderr to `<name>.log` in `dir`.
     pub fn spawn(dir: &TestDir, name: &str, command: &mut Command) -> Self {
         let log = File::create(dir.join(&format!("{name}.log"))).expect("the log is writable");
-        let mut child = command
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .stderr(log)
-            .spawn()
+        command.stdin(Stdio::piped()).stdout(Stdio::piped());
+        let mut child = spawn(command.stderr(log))
             .unwrap_or_else(|error| panic!("{name}: {command:?}: {error}"));
         let stdin = child.stdin.take();
         let stdout = child.stdout.take().expect("stdout is piped");
@@ -89,11 +86,11 @@
             return;
         }
         // The child has not been reaped, so no other process can have its id.
-        let status = Command::new("sh")
-            .args(["-c", "kill -s \"$0\" \"$1\""])
+        let mut kill = Command::new("sh");
+        kill.args(["-c", "kill -s \"$0\" \"$1\""])
             .arg(signal.name())
-            .arg(self.child.id().to_string())
-            .status();
+            .arg(self.child.id().to_string());
+        let status = spawn(&mut kill).and_then(|mut child| child.wait());
         assert!(
             status.is_ok_and(|status| status.success()),
             "{}: cannot send {signal:?}",
--- a/tests/support/programs.rs
+++ b/tests/support/programs.rs
@@ -1,7 +1,8 @@
 use std::ffi::OsStr;
 use std::net::{Ipv4Addr, TcpListener};
-use std::process::{Command, Output};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use super::{Client, Process, TestDir, wait_until};
@@ -9,6 +10,15 @@
 /// Time limit for `jayforkd` to start; long enough for a loaded machine.
 const READY_LIMIT: Duration = Duration::from_secs(30);
 
+/// Held while a port is checked, and while a process starts: until it runs its program, it has copies of all sockets.
+static SPAWNING: Mutex<()> = Mutex::new(());
+
+/// Starts a process, but not while a port is checked.
+pub fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// Starts `jayforkd` with `args`; doesn't wait until it is ready.
 pub fn jayforkd(
     dir: &TestDir,
@@ -30,10 +40,11 @@
 
 /// Runs `jayfork` with `args` until it exits.
 pub fn jayfork(args: impl IntoIterator<Item = impl AsRef<OsStr>>) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_jayfork"))
-        .args(args)
-        .output()
-        .expect("jayfork can be run")
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jayfork"));
+    command.args(args).stdin(Stdio::null());
+    let child = spawn(command.stdout(Stdio::piped()).stderr(Stdio::piped()));
+    let output = child.and_then(Child::wait_with_output);
+    output.expect("jayfork can be run")
 }
 
 /// Returns a port that is free and that no other call in this process returns.
@@ -48,6 +59,7 @@
     for _ in 0..COUNT {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST + (start + step % COUNT) % COUNT;
+        let _guard = SPAWNING.lock().unwrap_or_else(PoisonError::into_inner);
         if TcpListener::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
             return port;
         }
