--- a/src/process/shard/jobs.rs
+++ b/src/process/shard/jobs.rs
@@ -1,6 +1,7 @@
 //! The turns and steps of jobs (a turn is one occurrence of a repeating job): which steps can be
 //! placed, and the record of a job's progress.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use super::candidates::UnmetRequirements;
@@ -9,7 +10,7 @@
 use super::shard::{Now, Phase, Shard};
 use crate::base::Millis;
 use crate::request::job::{Job, JobId, JobOrder, OrderKey, StartPermit, StepId, TurnState};
-use crate::version::{JobStateRecord, ShardRecord};
+use crate::version::{DetailsRecord, JobStateRecord, ShardRecord};
 
 /// Jobs in the order of placement that may start without waiting for the store, of those that found no
 /// room in the last pass and of the others. The jobs behind them are recorded as not started.
@@ -17,6 +18,9 @@
 
 /// Of the memory for jobs, this part is for their turns that are open at the same time as another one.
 const TURN_MEMORY_DIVISOR: u64 = 2;
+/// Most bytes of the details of a job's tasks in one record. The store takes records of 256 KiB, and the rest of a job's state
+/// needs some bytes for each step and a bit for each task.
+const MAX_DETAIL_BYTES: usize = 160 << 10;
 /// Time after which a turn that has found no memory is tried again, in milliseconds.
 const TURN_RETRY: Millis = Millis(1_000);
 
@@ -212,14 +216,66 @@
         }
     }
 
-    /// The record of a job's progress, unless the job is ending.
-    pub(super) fn progress_record(&self, id: JobId) -> Option<ShardRecord> {
-        if self.ending.contains_key(&id) {
-            return None;
+    /// Records the progress of a job, unless it is ending.
+    pub(super) fn record_progress(&mut self, now: Now, id: JobId) {
+        let Some(job) = self
+            .jobs
+            .get(&id)
+            .filter(|_| !self.ending.contains_key(&id))
+        else {
+            return;
+        };
+        let split = job.progress().split(MAX_DETAIL_BYTES);
+        if split.omitted > 0 {
+            let omitted = split.omitted;
+            tracing::warn!(job = %id, omitted, "checkpoints are too large to be recorded; another owner resumes from earlier ones");
+        }
+        let state = JobStateRecord::Open(split.progress);
+        self.journal
+            .push(&ShardRecord::State(id, Some(state)), None);
+        let count = split.parts.len() as u32;
+        for (part, details) in (0..).zip(split.parts) {
+            let written = now.wall;
+            let record = DetailsRecord { written, details };
+            let record = ShardRecord::Details(id, part, Some(record));
+            self.journal.push(&record, None);
+        }
+        self.delete_details(id, count);
+    }
+
+    /// Deletes the parts of a job's details from this number on.
+    pub(super) fn delete_details(&mut self, id: JobId, first: u32) {
+        let count = self.detail_parts.remove(&id).unwrap_or(0);
+        for part in first..count {
+            self.journal
+                .push(&ShardRecord::Details(id, part, None), None);
+        }
+        if first > 0 {
+            self.detail_parts.insert(id, first);
+        }
+    }
+
+    /// Restores the details of tasks, and notes which parts there are. The newest record of a task counts.
+    pub(super) fn restore_details(&mut self, mut records: Vec<(JobId, u32, DetailsRecord)>) {
+        records.sort_by_key(|(_, _, record)| Reverse(record.written));
+        for (id, part, record) in records {
+            let count = self.detail_parts.entry(id).or_default();
+            *count = part.saturating_add(1).max(*count);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                record
+                    .details
+                    .iter()
+                    .for_each(|detail| job.restore_detail(detail));
+            }
+        }
+        let ended = self
+            .detail_parts
+            .keys()
+            .filter(|id| !self.jobs.contains_key(id));
+        let ended: Vec<JobId> = ended.copied().collect();
+        for id in ended {
+            self.delete_details(id, 0);
         }
-        let job = self.jobs.get(&id)?;
-        let state = JobStateRecord::Open(job.progress());
-        Some(ShardRecord::State(id, Some(state)))
     }
 }
 
--- a/src/process/shard/recovery.rs
+++ b/src/process/shard/recovery.rs
@@ -13,8 +13,8 @@
 use crate::platform::{RegistryEntry, WorkerState};
 use crate::request::job::{Job, JobId, StartPermit, TaskCrashes, TaskKey};
 use crate::version::{
-    JobStateRecord, LeaseRecord, QueueRecord, ShardRecord, SupersededRecord, SuspectRecord,
-    WaitRecord,
+    DetailsRecord, JobStateRecord, LeaseRecord, QueueRecord, ShardRecord, SupersededRecord,
+    SuspectRecord, WaitRecord,
 };
 
 /// Pause before a failed request for a page is repeated, in milliseconds.
@@ -219,6 +219,7 @@
     fn restore(&mut self, now: Now) {
         let records = std::mem::take(&mut self.loaded_records);
         let mut states: Vec<(JobId, JobStateRecord)> = Vec::new();
+        let mut details: Vec<(JobId, u32, DetailsRecord)> = Vec::new();
         let mut queues: Vec<(Name, QueueRecord)> = Vec::new();
         let mut deferred: Vec<JobId> = Vec::new();
         let mut crashes: Vec<(JobId, Vec<TaskCrashes>)> = Vec::new();
@@ -237,6 +238,7 @@
                     self.accepted.insert(id);
                 }
                 ShardRecord::State(id, Some(state)) => states.push((id, state)),
+                ShardRecord::Details(id, part, Some(record)) => details.push((id, part, record)),
                 ShardRecord::Queue(id, Some(queue)) => queues.push((id, queue)),
                 ShardRecord::Deferred(id, true) => deferred.push(id),
                 ShardRecord::Crashes(id, Some(counted)) => crashes.push((id, counted)),
@@ -266,6 +268,7 @@
                 | ShardRecord::Queue(_, None)
                 | ShardRecord::Job(_, None)
                 | ShardRecord::State(_, None)
+                | ShardRecord::Details(_, _, None)
                 | ShardRecord::Deferred(_, false)
                 | ShardRecord::Crashes(_, None)
                 | ShardRecord::Suspects(_, None)
@@ -296,6 +299,7 @@
                 }
             }
         }
+        self.restore_details(details);
         let used = self.used_queues();
         for record in self.queues.restore(queues, &used) {
             self.journal.push(&record, None);
--- a/src/process/shard/requests.rs
+++ b/src/process/shard/requests.rs
@@ -250,6 +250,7 @@
         let status = EndStatus::of(open, objective);
         telemetry::count_ended_job(outcome.label(), status.label());
         tracing::info!(job = %id, ?outcome, open, objective, ?status, "job ends");
+        self.delete_details(id, 0);
     }
 
     /// Time in which a job is to end, in milliseconds from its acceptance, if it has one as a whole.
--- a/src/process/shard/shard.rs
+++ b/src/process/shard/shard.rs
@@ -225,6 +225,8 @@
     pub(super) recovered: BTreeSet<JobId>,
     /// Open jobs whose acceptance is stored in the journal.
     pub(super) accepted: BTreeSet<JobId>,
+    /// Number of records with details of each job that has some.
+    pub(super) detail_parts: HashMap<JobId, u32>,
     /// Jobs whose end is not stored yet.
     pub(super) ending: HashMap<JobId, Outcome>,
     /// Steps with waiting tasks, in the order of placement.
@@ -323,6 +325,7 @@
             ended: HashMap::new(),
             recovered: BTreeSet::new(),
             accepted: BTreeSet::new(),
+            detail_parts: HashMap::new(),
             ending: HashMap::new(),
             ready: BTreeSet::new(),
             restarts: BTreeSet::new(),
@@ -464,9 +467,7 @@
     /// Collects what is to be recorded and returns its append, or `None` if there is nothing.
     fn next_batch(&mut self, now: Now) -> Option<StoreRequest> {
         for id in self.journal.take_dirty() {
-            if let Some(record) = self.progress_record(id) {
-                self.journal.push(&record, None);
-            }
+            self.record_progress(now, id);
         }
         let (records, changes) = self.lost_runs.take_records();
         let last = records.len();
--- a/src/request/job/mod.rs
+++ b/src/request/job/mod.rs
@@ -27,7 +27,7 @@
 pub use order::{
     EndStatus, JobOrder, OVERDUE_FACTOR, ObjectiveStatus, OrderKey, TurnState, objective,
 };
-pub use progress::{JobProgress, StepProgress, TurnProgress};
+pub use progress::{JobProgress, SplitProgress, StepProgress, TaskDetail, TurnProgress};
 pub use relocation::StayingRun;
 pub use spec::{Error, JobId, JobSpec, Result, StepId, StepSpec, TaskKey};
 pub use trials::{Suspicion, TaskCrashes, Trial};
--- a/src/request/job/progress.rs
+++ b/src/request/job/progress.rs
@@ -1,5 +1,6 @@
 //! Progress of a job in the form that is recorded in the journal.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -41,3 +42,99 @@
             .is_some_and(|byte| byte & (1 << (index % 8)) != 0)
     }
 }
+
+/// What is recorded of an unfinished task beside the state of its job, if that would become too large.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskDetail {
+    pub turn: u32,
+    pub step: u16,
+    pub index: u16,
+    pub failures: Vec<u64>,
+    pub checkpoint: Option<Arc<str>>,
+}
+
+impl TaskDetail {
+    /// Upper bound of its encoded size, in bytes.
+    fn size(&self) -> usize {
+        let checkpoint = self.checkpoint.as_ref().map_or(0, |saved| saved.len());
+        DETAIL_BYTES + MAX_NUMBER * self.failures.len() + checkpoint
+    }
+}
+
+/// Encoded bytes of a detail without its failures and the text of its checkpoint, at most.
+const DETAIL_BYTES: usize = 32;
+/// Encoded bytes of a number, at most.
+const MAX_NUMBER: usize = 9;
+
+/// The progress of a job in records of bounded size.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SplitProgress {
+    pub progress: JobProgress,
+    /// What was taken out of it, in parts; none if it was small enough.
+    pub parts: Vec<Vec<TaskDetail>>,
+    /// Checkpoints that are larger than a part, and so in none.
+    pub omitted: usize,
+}
+
+impl JobProgress {
+    /// Takes the details of tasks out, in parts of up to `limit` bytes, if they need more than that together.
+    pub fn split(mut self, limit: usize) -> SplitProgress {
+        let total: usize = self.details().map(|detail| detail.size()).sum();
+        let mut split = SplitProgress {
+            progress: JobProgress::default(),
+            parts: Vec::new(),
+            omitted: 0,
+        };
+        if total > limit {
+            let mut room = 0;
+            for mut detail in self.details() {
+                if detail.size() > limit {
+                    detail.checkpoint = None;
+                    split.omitted += 1;
+                }
+                match split.parts.last_mut().filter(|_| detail.size() <= room) {
+                    Some(part) => {
+                        room -= detail.size();
+                        part.push(detail);
+                    }
+                    None => {
+                        room = limit.saturating_sub(detail.size());
+                        split.parts.push(vec![detail]);
+                    }
+                }
+            }
+            for step in self.turns.iter_mut().flat_map(|turn| &mut turn.steps) {
+                step.failures.clear();
+                step.checkpoints.clear();
+            }
+        }
+        split.progress = self;
+        split
+    }
+
+    /// The details of all tasks.
+    fn details(&self) -> impl Iterator<Item = TaskDetail> {
+        self.turns.iter().flat_map(|turn| {
+            let steps = turn.steps.iter().enumerate();
+            steps.flat_map(|(step, saved)| {
+                let mut details: BTreeMap<u16, TaskDetail> = BTreeMap::new();
+                let empty = |index| TaskDetail {
+                    turn: turn.turn,
+                    step: step as u16,
+                    index,
+                    failures: Vec::new(),
+                    checkpoint: None,
+                };
+                for (index, runs) in &saved.failures {
+                    let detail = details.entry(*index).or_insert_with(|| empty(*index));
+                    detail.failures.clone_from(runs);
+                }
+                for (index, checkpoint) in &saved.checkpoints {
+                    let detail = details.entry(*index).or_insert_with(|| empty(*index));
+                    detail.checkpoint = Some(checkpoint.clone());
+                }
+                details.into_values()
+            })
+        })
+    }
+}
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -28,9 +28,9 @@
 pub(crate) use shard_record::EPOCH_BITS;
 pub(crate) use shard_record::decode_bounded;
 pub use shard_record::{
-    Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord, QueueRecord,
-    ResignationRecord, ShardRecord, StartEvidence, SupersededRecord, SuspectRecord, WaitRecord,
-    WorkerRecord,
+    DetailsRecord, Error as ShardRecordError, JobRecord, JobStateRecord, LeaseRecord, OwnerRecord,
+    QueueRecord, ResignationRecord, ShardRecord, StartEvidence, SupersededRecord, SuspectRecord,
+    WaitRecord, WorkerRecord,
 };
 pub use suspicion::Suspicion;
 pub use table_check::{Difference, Finding, Severity};
--- a/src/version/shard_record.rs
+++ b/src/version/shard_record.rs
@@ -10,7 +10,7 @@
 use super::queues::Queue;
 use crate::base::Name;
 use crate::request::job::{
-    JobId, JobProgress, JobSpec, LearnedImage, Outcome, TaskCrashes, TaskKey,
+    JobId, JobProgress, JobSpec, LearnedImage, Outcome, TaskCrashes, TaskDetail, TaskKey,
 };
 
 /// Upper bound of the memory of a decoded record, in bytes. The store takes up to 2 MiB at once, and a
@@ -165,6 +165,14 @@
     },
 }
 
+/// A part of the details of a job's tasks that its state has no room for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DetailsRecord {
+    /// When it was written, in Unix milliseconds. A task may stand in parts of different times; the newest one counts.
+    pub written: u64,
+    pub details: Vec<TaskDetail>,
+}
+
 /// One record of the shard; `None` deletes the key.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ShardRecord {
@@ -177,6 +185,8 @@
     Queue(Name, Option<QueueRecord>),
     Job(JobId, Option<JobRecord>),
     State(JobId, Option<JobStateRecord>),
+    /// With the number of the part.
+    Details(JobId, u32, Option<DetailsRecord>),
     /// Whether the job is known not to have started: true until its first start is permitted. Jobs
     /// without this record may have started.
     Deferred(JobId, bool),
@@ -212,6 +222,7 @@
             ShardRecord::Queue(id, _) => format!("q/{id}"),
             ShardRecord::Job(id, _) => format!("j/{id}"),
             ShardRecord::State(id, _) => format!("s/{id}"),
+            ShardRecord::Details(id, part, _) => format!("t/{id}/{part}"),
             ShardRecord::Deferred(id, _) => format!("n/{id}"),
             ShardRecord::Contention(_) => CONTENTION.to_owned(),
             ShardRecord::Crashes(id, _) => format!("c/{id}"),
@@ -232,6 +243,7 @@
             ShardRecord::Queue(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Job(_, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::State(_, value) => value.as_ref().map(encode).unwrap_or_default(),
+            ShardRecord::Details(_, _, value) => value.as_ref().map(encode).unwrap_or_default(),
             ShardRecord::Deferred(_, true) => Bytes::from_static(&[1]),
             ShardRecord::Deferred(_, false) => Bytes::new(),
             ShardRecord::Contention(learned) => encode(learned),
@@ -274,6 +286,14 @@
                 id.parse().map_err(|_| unknown())?,
                 decode_optional(key, value)?,
             )),
+            "t" => {
+                let (job, part) = id.split_once('/').ok_or_else(unknown)?;
+                Ok(ShardRecord::Details(
+                    job.parse().map_err(|_| unknown())?,
+                    part.parse().map_err(|_| unknown())?,
+                    decode_optional(key, value)?,
+                ))
+            }
             "n" => Ok(ShardRecord::Deferred(
                 id.parse().map_err(|_| unknown())?,
                 !value.is_empty(),
--- a/tests/shard/main.rs
+++ b/tests/shard/main.rs
@@ -23,6 +23,7 @@
 mod gangs;
 mod handover;
 mod hosts;
+mod large_records;
 mod many_steps;
 mod orders;
 mod overload;
--- a/tests/shard/store.rs
+++ b/tests/shard/store.rs
@@ -8,6 +8,9 @@
 
 /// Most records in a page.
 const PAGE: usize = 50;
+/// Largest record that it takes, in bytes. A call with a larger one has no effect, and gets an answer that owners don't
+/// know.
+pub const MAX_RECORD: usize = 262_144;
 
 #[derive(Default)]
 pub struct Store {
@@ -27,6 +30,9 @@
             return Err(CallError::Refused);
         }
         match request {
+            StoreRequest::Append { records, .. } if records.iter().any(is_too_large) => {
+                Err(CallError::Malformed)
+            }
             StoreRequest::Append { records, fence, .. } => Ok(self.append(records, fence.as_ref())),
             StoreRequest::Newest { after, .. } => {
                 let mut records = self.after(after.as_deref().unwrap_or(""));
@@ -83,3 +89,7 @@
         StoreAnswer::Appended
     }
 }
+
+fn is_too_large(record: &KeyedRecord) -> bool {
+    1 + record.key.len() + record.value.len() > MAX_RECORD
+}
