--- a/src/request/job/job.rs
+++ b/src/request/job/job.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::progress::{JobProgress, StepProgress, TaskDetail, TurnProgress};
+use super::progress::{JobProgress, StepProgress, TurnProgress};
 use super::spec::{JobId, JobSpec, StepId, TaskKey};
 use super::trials::Trial;
 use crate::base::Name;
@@ -451,28 +451,6 @@
     }
 }
 
-impl Job {
-    /// Restores what an earlier owner recorded of a task beside the progress, unless newer details are known.
-    pub fn restore_detail(&mut self, detail: &TaskDetail) {
-        let key = TaskKey {
-            step: StepId {
-                job: self.id,
-                turn: detail.turn,
-                step: detail.step,
-            },
-            index: detail.index,
-        };
-        let lacks_details = |task: &&mut Task| {
-            let has_any = task.checkpoint.is_some() || !task.failed_runs.is_empty();
-            task.state != TaskState::Done && !has_any
-        };
-        if let Some(task) = self.task_mut(key).filter(lacks_details) {
-            task.failed_runs.clone_from(&detail.failures);
-            task.checkpoint.clone_from(&detail.checkpoint);
-        }
-    }
-}
-
 fn step_progress(step: &Step) -> StepProgress {
     let mut progress = StepProgress::default();
     for (index, task) in step.tasks.iter().enumerate() {
--- a/src/request/job/progress.rs
+++ b/src/request/job/progress.rs
@@ -5,6 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::job::{Job, Task, TaskState};
+use super::spec::{StepId, TaskKey};
+
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobProgress {
     pub next_turn: u32,
@@ -138,3 +141,25 @@
         })
     }
 }
+
+impl Job {
+    /// Restores what an earlier owner recorded of a task beside the progress, unless newer details are known.
+    pub fn restore_detail(&mut self, detail: &TaskDetail) {
+        let key = TaskKey {
+            step: StepId {
+                job: self.id,
+                turn: detail.turn,
+                step: detail.step,
+            },
+            index: detail.index,
+        };
+        let lacks_details = |task: &&mut Task| {
+            let has_any = task.checkpoint.is_some() || !task.failed_runs.is_empty();
+            task.state != TaskState::Done && !has_any
+        };
+        if let Some(task) = self.task_mut(key).filter(lacks_details) {
+            task.failed_runs.clone_from(&detail.failures);
+            task.checkpoint.clone_from(&detail.checkpoint);
+        }
+    }
+}
